Forward requests along declared objects end to end

The first thin path: a caller asks which entry to use, sends its request there, the entry forwards it to an upstream, and a declared drain changes where it goes. Configuration merges by generation, so that a stale source cannot bring an older object back; lost platform answers are settled by operation id.

Request bodies are still held in memory and entries do not talk to each other yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded sessions that measure the decisions."""
--- /dev/null
+++ b/nutmegshore/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering declared as objects."""
--- /dev/null
+++ b/nutmegshore/clock.py
@@ -0,0 +1,142 @@
+"""Time of a process: the system clock and a virtual one for sessions."""
+
+import abc
+import asyncio
+import selectors
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+__all__ = ('Clock', 'SystemClock', 'VirtualClock', 'run_virtual')
+
+_Result = TypeVar('_Result')
+
+
+class Clock(abc.ABC):
+    """Source of all time in a process.
+
+    `now()` counts seconds from an arbitrary start and goes on while the
+    machine is suspended, so that a lease cannot outlive its time because its
+    holder slept. Readings of two instances are never compared.
+    """
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Seconds since an arbitrary start, suspended time included."""
+
+    @abc.abstractmethod
+    async def sleep(self, seconds: float) -> None:
+        """Wait for this many seconds."""
+
+
+class SystemClock(Clock):
+    """The clock of the machine."""
+
+    def now(self) -> float:
+        """Read CLOCK_BOOTTIME; CLOCK_MONOTONIC stands still in a suspend."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait on the running event loop."""
+        await asyncio.sleep(seconds)
+
+
+class VirtualClock(Clock):
+    """The clock of one simulated process on a loop of `run_virtual`.
+
+    `pause(seconds)` models a stopped process: everything that waits through
+    this clock, its sleeps as well as the deliveries that call `gate()`, is
+    held until the process wakes, while `now()` goes on. `rate` models a clock
+    that runs fast or slow.
+
+        async def main():
+            clock = VirtualClock()
+            clock.pause(10)
+            await clock.sleep(1)  # returns at 10 s
+    """
+
+    def __init__(self, rate: float = 1) -> None:
+        """Start unpaused; `rate` is this clock's seconds per loop second."""
+        self._rate = rate
+        self._paused_until = float(0)
+
+    def now(self) -> float:
+        """Seconds on this clock."""
+        return asyncio.get_running_loop().time() * self._rate
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait, and wait further while the process is paused."""
+        await asyncio.sleep(seconds / self._rate)
+        await self.gate()
+
+    async def gate(self) -> None:
+        """Return at once, or when the pause that is in force has ended."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < self._paused_until:
+            await asyncio.sleep(self._paused_until - loop.time())
+
+    def pause(self, seconds: float) -> None:
+        """Stop the process for this many seconds from now."""
+        until = asyncio.get_running_loop().time() + seconds
+        self._paused_until = max(self._paused_until, until)
+
+    @property
+    def pause_left_s(self) -> float:
+        """Loop seconds until the process wakes; 0 while it runs."""
+        return max(
+            self._paused_until - asyncio.get_running_loop().time(),
+            0,
+        )
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process is stopped at this moment."""
+        return self.pause_left_s > 0
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Advances virtual time by the timeout instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.virtual_now = float(0)
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return ready files without waiting, and move time forward."""
+        ready = super().select(0)
+        if not ready and timeout is None:
+            # Nothing will ever wake the loop; waiting would hang the test.
+            raise RuntimeError('virtual time: every task waits forever')
+        if not ready and timeout is not None:
+            self.virtual_now += max(timeout, 0)
+        return ready
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        return self._jumping.virtual_now
+
+
+def run_virtual(main: Callable[[], Awaitable[_Result]]) -> _Result:
+    """Run a coroutine function in virtual time that starts at 0.
+
+    The loop jumps to the next timer whenever nothing is ready, so an hour of
+    sleeping costs no time and every run takes the same course. Tasks that are
+    left over are cancelled. Real sockets do not work on this loop.
+
+        run_virtual(session)
+    """
+    loop_factory = _VirtualLoop
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        return runner.run(_awaited(main))
+
+
+async def _awaited(main: Callable[[], Awaitable[_Result]]) -> _Result:
+    return await main()
--- /dev/null
+++ b/nutmegshore/errors.py
@@ -0,0 +1,207 @@
+"""Error kinds, their answers and the exception tree."""
+
+import enum
+from http import HTTPStatus
+from types import MappingProxyType
+
+import attrs
+
+__all__ = (
+    'ANSWERS',
+    'Answer',
+    'ErrorKind',
+    'LinkError',
+    'NutmegshoreError',
+    'ObjectError',
+    'Outcome',
+    'PlatformAnswerLost',
+    'PlatformError',
+    'PlatformUnavailable',
+    'RequestError',
+    'SettingsError',
+    'VersionConflict',
+)
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude about its request from an answer."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+    UPSTREAM = 'upstream'
+
+
+class ErrorKind(enum.Enum):
+    """The closed list of reasons for which the system refuses or fails."""
+
+    MALFORMED_REQUEST = 'malformed_request'
+    AMBIGUOUS_LENGTH = 'ambiguous_length'
+    INTERNAL_HEADER = 'internal_header'
+    HEADER_TOO_LARGE = 'header_too_large'
+    SLOW_SENDER = 'slow_sender'
+    CALLER_STALLED = 'caller_stalled'
+    UNKNOWN_SERVICE = 'unknown_service'
+    OVERLOADED = 'overloaded'
+    NO_UPSTREAM = 'no_upstream'
+    CAP_REACHED = 'cap_reached'
+    STOPPING = 'stopping'
+    NOT_READY = 'not_ready'
+    QUARANTINED = 'quarantined'
+    KEY_REUSED = 'key_reused'
+    UPSTREAM_UNREACHABLE = 'upstream_unreachable'
+    UPSTREAM_REFUSED = 'upstream_refused'
+    DEADLINE_BEFORE_SEND = 'deadline_before_send'
+    DEADLINE_AFTER_SEND = 'deadline_after_send'
+    UPSTREAM_LOST = 'upstream_lost'
+    DUPLICATE_IN_FLIGHT = 'duplicate_in_flight'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    RECORD_UNAVAILABLE = 'record_unavailable'
+    INVALID_OBJECT = 'invalid_object'
+    VERSION_CONFLICT = 'version_conflict'
+    NOT_FOUND = 'not_found'
+    UNAUTHORIZED = 'unauthorized'
+    FORBIDDEN = 'forbidden'
+    INVALID_SETTINGS = 'invalid_settings'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    PLATFORM_ANSWER_LOST = 'platform_answer_lost'
+    PEER_WRONG_CLUSTER = 'peer_wrong_cluster'
+    PEER_WRONG_KEY = 'peer_wrong_key'
+    PEER_INCOMPATIBLE_VERSION = 'peer_incompatible_version'
+    FRAME_TOO_LARGE = 'frame_too_large'
+    MALFORMED_FRAME = 'malformed_frame'
+    LINK_CLOSED = 'link_closed'
+
+
+@attrs.frozen
+class Answer:
+    """The HTTP status and the outcome that an error kind is answered with."""
+
+    status: int
+    outcome: Outcome
+
+
+def _not_run(status: int) -> Answer:
+    return Answer(status, Outcome.NOT_RUN)
+
+
+def _unknown(status: int) -> Answer:
+    return Answer(status, Outcome.UNKNOWN)
+
+
+#: Every error kind has exactly one answer. Kinds that close a peer link have
+#: a status too, because the operator listener reports the last link error.
+ANSWERS = MappingProxyType(
+    {
+        ErrorKind.MALFORMED_REQUEST: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.AMBIGUOUS_LENGTH: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.INTERNAL_HEADER: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.HEADER_TOO_LARGE: _not_run(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        ),
+        ErrorKind.SLOW_SENDER: _not_run(HTTPStatus.REQUEST_TIMEOUT),
+        ErrorKind.CALLER_STALLED: _unknown(HTTPStatus.REQUEST_TIMEOUT),
+        ErrorKind.UNKNOWN_SERVICE: _not_run(HTTPStatus.NOT_FOUND),
+        ErrorKind.OVERLOADED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.NO_UPSTREAM: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.CAP_REACHED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.STOPPING: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.NOT_READY: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.QUARANTINED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+        ErrorKind.KEY_REUSED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+        ErrorKind.UPSTREAM_UNREACHABLE: _not_run(HTTPStatus.BAD_GATEWAY),
+        ErrorKind.UPSTREAM_REFUSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.DEADLINE_BEFORE_SEND: _not_run(HTTPStatus.GATEWAY_TIMEOUT),
+        ErrorKind.DEADLINE_AFTER_SEND: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
+        ErrorKind.UPSTREAM_LOST: _unknown(HTTPStatus.BAD_GATEWAY),
+        ErrorKind.DUPLICATE_IN_FLIGHT: _unknown(HTTPStatus.CONFLICT),
+        ErrorKind.OUTCOME_UNKNOWN: _unknown(HTTPStatus.CONFLICT),
+        ErrorKind.RECORD_UNAVAILABLE: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.INVALID_OBJECT: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+        ErrorKind.VERSION_CONFLICT: _not_run(HTTPStatus.CONFLICT),
+        ErrorKind.NOT_FOUND: _not_run(HTTPStatus.NOT_FOUND),
+        ErrorKind.UNAUTHORIZED: _not_run(HTTPStatus.UNAUTHORIZED),
+        ErrorKind.FORBIDDEN: _not_run(HTTPStatus.FORBIDDEN),
+        ErrorKind.INVALID_SETTINGS: _not_run(HTTPStatus.INTERNAL_SERVER_ERROR),
+        ErrorKind.PLATFORM_UNAVAILABLE: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE
+        ),
+        ErrorKind.PLATFORM_ANSWER_LOST: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
+        ErrorKind.PEER_WRONG_CLUSTER: _not_run(HTTPStatus.FORBIDDEN),
+        ErrorKind.PEER_WRONG_KEY: _not_run(HTTPStatus.FORBIDDEN),
+        ErrorKind.PEER_INCOMPATIBLE_VERSION: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.FRAME_TOO_LARGE: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.MALFORMED_FRAME: _not_run(HTTPStatus.BAD_REQUEST),
+        ErrorKind.LINK_CLOSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+    }
+)
+
+
+class NutmegshoreError(Exception):
+    """Base of every error that this package raises on purpose.
+
+    Each error has a `kind` from the closed list; `ANSWERS[error.kind]` says
+    how a listener answers it. The message names the object concerned.
+    """
+
+    def __init__(self, kind: ErrorKind, message: str = '') -> None:
+        """Remember the kind; the message defaults to the kind's name."""
+        super().__init__(message or kind.value)
+        self.kind = kind
+
+    @property
+    def answer(self) -> Answer:
+        """Status and outcome for this error."""
+        return ANSWERS[self.kind]
+
+
+class RequestError(NutmegshoreError):
+    """A caller's request was refused or failed."""
+
+
+class ObjectError(NutmegshoreError):
+    """An operator's object is invalid, missing or in conflict."""
+
+
+class SettingsError(NutmegshoreError):
+    """The settings file has faults; `faults` lists them all as text."""
+
+    def __init__(self, faults: list[str]) -> None:
+        """Join all faults into the message, one a line."""
+        super().__init__(ErrorKind.INVALID_SETTINGS, '\n'.join(faults))
+        self.faults = faults
+
+
+class LinkError(NutmegshoreError):
+    """A peer link was refused or closed."""
+
+
+class PlatformError(NutmegshoreError):
+    """A call to the platform's object API failed."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The call did not reach the platform and took no effect."""
+
+    def __init__(self, message: str = '') -> None:
+        """Use the fixed kind for an unavailable platform."""
+        super().__init__(ErrorKind.PLATFORM_UNAVAILABLE, message)
+
+
+class PlatformAnswerLost(PlatformError):
+    """The answer was lost; the write may have taken effect."""
+
+    def __init__(self, message: str = '') -> None:
+        """Use the fixed kind for a lost answer."""
+        super().__init__(ErrorKind.PLATFORM_ANSWER_LOST, message)
+
+
+class VersionConflict(PlatformError):
+    """The object is not at the expected version.
+
+    `present` is the stored object as it is now, or None where it is missing.
+    """
+
+    def __init__(self, message: str, present: object) -> None:
+        """Keep the present object for the caller to show or retry with."""
+        super().__init__(ErrorKind.VERSION_CONFLICT, message)
+        self.present = present
--- /dev/null
+++ b/nutmegshore/peers/base.py
@@ -0,0 +1,70 @@
+"""What the parts of an entry see of the other entries."""
+
+import abc
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+__all__ = ('Handler', 'Member', 'Peers')
+
+#: Called with the sender's name and the decoded message.
+Handler = Callable[[str, Any], None]
+
+
+@attrs.frozen
+class Member:
+    """An entry of the cluster.
+
+    `incarnation` rises with each start under the same name, and whenever the
+    member refutes a suspicion.
+    """
+
+    name: str
+    region: str
+    availability_zone: str
+    incarnation: int = 1
+
+
+class Peers(abc.ABC):
+    """Messages to and from the other live entries.
+
+    Delivery is neither sure nor ordered over reconnects: a part that needs
+    an answer repeats its question. Handlers run on the event loop and must
+    not block; a handler that has to wait starts a task that its part owns.
+    """
+
+    def __init__(self, local: Member) -> None:
+        """Start without handlers."""
+        self.local = local
+        self._handlers: dict[type, list[Handler]] = {}
+
+    def subscribe(self, message_type: type, handler: Handler) -> None:
+        """Call the handler with each received message of the type."""
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    @abc.abstractmethod
+    def live(self) -> dict[str, Member]:
+        """Live members by name, the local one included."""
+
+    @abc.abstractmethod
+    def send(self, name: str, body: Any) -> bool:
+        """Queue a message for one member; False if there is no way to it."""
+
+    def broadcast(self, body: Any) -> None:
+        """Send a message to every other live member."""
+        for name in sorted(self.live()):
+            if name != self.local.name:
+                self.send(name, body)
+
+    def send_region(self, body: Any) -> None:
+        """Send a message to the other live members of the local region."""
+        for name, member in sorted(self.live().items()):
+            is_near = member.region == self.local.region
+            if is_near and name != self.local.name:
+                self.send(name, body)
+
+    def deliver(self, sender: str, body: Any) -> None:
+        """Hand a received message to its handlers."""
+        for handler in self._handlers.get(type(body), ()):
+            handler(sender, body)
--- /dev/null
+++ b/nutmegshore/peers/codec.py
@@ -0,0 +1,93 @@
+"""msgpack encoding of the messages between entries."""
+
+import functools
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+import msgpack
+
+from nutmegshore.errors import ErrorKind, LinkError
+
+__all__ = ('MAX_FRAME_BYTES', 'decode', 'encode', 'message')
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+_TYPE_FIELD = 0
+_FIRST_FIELD = 1
+
+_types_by_number: dict[int, type] = {}
+_numbers_by_type: dict[type, int] = {}
+_Message = TypeVar('_Message', bound=type)
+
+
+def message(number: int) -> Callable[[_Message], _Message]:
+    """Register an attrs class as the message type with this number.
+
+    Fields are numbered from 1 in the order of their declaration. A field may
+    only ever be added at the end and with a default, so that old and new
+    versions understand each other during a rolling upgrade.
+
+        @message(40)
+        @attrs.frozen
+        class LoanRequest:
+            cap: str
+            units: int
+    """
+
+    return functools.partial(_register, number)
+
+
+def _register(number: int, message_type: _Message) -> _Message:
+    if number in _types_by_number:
+        raise ValueError(f'message number {number} is taken')
+    _types_by_number[number] = message_type
+    _numbers_by_type[message_type] = number
+    return message_type
+
+
+def encode(body: Any) -> bytes:
+    """Encode a registered message as one msgpack map."""
+    fields = {_TYPE_FIELD: _numbers_by_type[type(body)]}
+    names = attrs.fields_dict(type(body))
+    for index, name in enumerate(names, _FIRST_FIELD):
+        fields[index] = getattr(body, name)
+    return msgpack.packb(fields)
+
+
+def decode(frame: bytes) -> Any:
+    """Decode one frame; None for a message type this version lacks.
+
+    Raises `LinkError` for a frame that is too large, that is not a msgpack
+    map, or whose fields do not fit the message. Field numbers that this
+    version does not know are ignored.
+    """
+    if len(frame) > MAX_FRAME_BYTES:
+        raise LinkError(ErrorKind.FRAME_TOO_LARGE)
+    return from_fields(_unpack(frame))
+
+
+def from_fields(fields: Any) -> Any:
+    """Build a message from its unpacked map; None for an unknown type."""
+    if not isinstance(fields, dict):
+        raise LinkError(ErrorKind.MALFORMED_FRAME, 'not a map')
+    message_type = _types_by_number.get(fields.get(_TYPE_FIELD))
+    if message_type is None:
+        return None
+    names = attrs.fields_dict(message_type)
+    present = {
+        name: fields[index]
+        for index, name in enumerate(names, _FIRST_FIELD)
+        if index in fields
+    }
+    try:
+        return message_type(**present)
+    except (TypeError, ValueError) as failure:
+        raise LinkError(ErrorKind.MALFORMED_FRAME, str(failure)) from failure
+
+
+def _unpack(frame: bytes) -> Any:
+    try:
+        return msgpack.unpackb(frame, strict_map_key=False, use_list=True)
+    except (ValueError, msgpack.UnpackException) as failure:
+        raise LinkError(ErrorKind.MALFORMED_FRAME, str(failure)) from failure
--- /dev/null
+++ b/nutmegshore/platform/__init__.py
@@ -0,0 +1,28 @@
+"""The platform's object API and instance list."""
+
+from nutmegshore.platform.base import (
+    Change,
+    Changes,
+    Expected,
+    ListedInstance,
+    Platform,
+    StoredObject,
+    write_resolved,
+)
+from nutmegshore.platform.http import HttpPlatform
+from nutmegshore.platform.memory import MemoryPlatform, MemoryStore
+from nutmegshore.platform.standin import make_standin
+
+__all__ = (
+    'Change',
+    'Changes',
+    'Expected',
+    'HttpPlatform',
+    'ListedInstance',
+    'MemoryPlatform',
+    'MemoryStore',
+    'Platform',
+    'StoredObject',
+    'make_standin',
+    'write_resolved',
+)
--- /dev/null
+++ b/nutmegshore/platform/base.py
@@ -0,0 +1,160 @@
+"""Interface of the platform's object API."""
+
+import abc
+
+import attrs
+
+from nutmegshore.errors import PlatformAnswerLost, VersionConflict
+
+__all__ = (
+    'MAX_BODY_BYTES',
+    'Change',
+    'Changes',
+    'Expected',
+    'ListedInstance',
+    'Platform',
+    'StoredObject',
+    'write_resolved',
+)
+
+MAX_BODY_BYTES = 1_000_000
+
+
+@attrs.frozen
+class StoredObject:
+    """An object as the platform keeps it.
+
+    `uid` changes when an object is removed and created again, `version` rises
+    with each write of one uid, and `operation` is the id that the last writer
+    chose for its write.
+    """
+
+    key: str
+    body: bytes
+    uid: str
+    version: int
+    operation: str
+
+
+@attrs.frozen
+class Expected:
+    """The uid and version that a conditional write requires.
+
+    Both are compared: a version alone starts again after a removal, so that a
+    writer with an old reading could match a new object.
+    """
+
+    uid: str
+    version: int
+
+    @classmethod
+    def of(cls, stored: StoredObject) -> 'Expected':
+        """The condition that the object is still as it was read."""
+        return cls(stored.uid, stored.version)
+
+
+@attrs.frozen
+class Change:
+    """One change that a watch delivered; `stored` is None for a removal."""
+
+    key: str
+    stored: StoredObject | None
+
+
+@attrs.frozen
+class Changes:
+    """Changes of a watch and the position to continue after."""
+
+    position: int
+    changes: tuple[Change, ...]
+
+
+@attrs.frozen
+class ListedInstance:
+    """An instance in the platform's lagging list."""
+
+    name: str
+    address: str
+    region: str
+    availability_zone: str
+    is_leaving: bool = False
+
+
+class Platform(abc.ABC):
+    """Client of the platform.
+
+    Every call can raise `PlatformUnavailable` (no effect). A write can also
+    raise `PlatformAnswerLost` (perhaps an effect) and `VersionConflict`.
+    """
+
+    @abc.abstractmethod
+    async def read(self, key: str) -> StoredObject | None:
+        """Read one object, or None where there is none."""
+
+    @abc.abstractmethod
+    async def iter_objects(self, prefix: str) -> list[StoredObject]:
+        """Read every object whose key starts with the prefix."""
+
+    @abc.abstractmethod
+    async def write(
+        self,
+        key: str,
+        body: bytes,
+        expected: Expected | None,
+        operation: str,
+    ) -> StoredObject:
+        """Write if the object is as expected; None: it must not exist."""
+
+    @abc.abstractmethod
+    async def remove(self, key: str, expected: Expected) -> None:
+        """Remove the object if it is as expected."""
+
+    @abc.abstractmethod
+    async def read_position(self) -> int:
+        """Read the position of the store's last change."""
+
+    @abc.abstractmethod
+    async def watch(self, prefix: str, after: int) -> Changes:
+        """Wait for changes below the prefix after a position.
+
+        It may return without changes; the caller watches on from the
+        returned position.
+        """
+
+    @abc.abstractmethod
+    async def read_instances(self) -> list[ListedInstance]:
+        """Read the lagging list of live and leaving instances."""
+
+
+async def write_resolved(
+    platform: Platform,
+    key: str,
+    body: bytes,
+    expected: Expected | None,
+    operation: str,
+) -> StoredObject:
+    """Write, and settle a lost answer by reading back the operation id.
+
+    The operation id must be new for each write. An equal value proves
+    nothing, since another writer may have stored the same value. Raises
+    `PlatformAnswerLost` when the read back fails too, and `VersionConflict`
+    when another operation stands there.
+    """
+    try:
+        return await platform.write(key, body, expected, operation)
+    except PlatformAnswerLost:
+        return await _read_back(platform, key, operation)
+
+
+async def _read_back(
+    platform: Platform,
+    key: str,
+    operation: str,
+) -> StoredObject:
+    try:
+        present = await platform.read(key)
+    except Exception as failure:
+        raise PlatformAnswerLost(f'{key}: unknown after write') from failure
+    if present is not None and present.operation == operation:
+        return present
+    raise VersionConflict(f'{key}: written by another operation', present)
--- /dev/null
+++ b/nutmegshore/platform/memory.py
@@ -0,0 +1,227 @@
+"""A platform in memory, with the faults of the real one."""
+
+import asyncio
+import collections
+
+import attrs
+
+from nutmegshore.clock import Clock
+from nutmegshore.errors import (
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from nutmegshore.platform.base import (
+    Change,
+    Changes,
+    Expected,
+    ListedInstance,
+    Platform,
+    StoredObject,
+)
+
+__all__ = ('MemoryPlatform', 'MemoryStore')
+
+
+class MemoryStore:
+    """The objects that several `MemoryPlatform` clients share.
+
+    `call_counts` counts reads, writes and watches; a waiting watch counts
+    once. `faults` holds for every client; a client has faults of its own.
+    """
+
+    def __init__(self) -> None:
+        """Start empty and reachable."""
+        self.by_key: dict[str, StoredObject] = {}
+        self.instances: list[ListedInstance] = []
+        self.call_counts: collections.Counter[str] = collections.Counter()
+        self.faults = Faults()
+        self._log: list[Change] = []
+        self._next_uid = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def position(self) -> int:
+        """Position of the last change."""
+        return len(self._log)
+
+    def apply(
+        self,
+        key: str,
+        body: bytes,
+        expected: Expected | None,
+        operation: str,
+    ) -> StoredObject:
+        """Write conditionally, or raise `VersionConflict`."""
+        self._check(key, expected)
+        stored = StoredObject(
+            key=key,
+            body=body,
+            uid=expected.uid if expected else self._new_uid(),
+            version=expected.version + 1 if expected else 1,
+            operation=operation,
+        )
+        self.by_key[key] = stored
+        self._record(Change(key, stored))
+        return stored
+
+    def discard(self, key: str, expected: Expected) -> None:
+        """Remove conditionally, or raise `VersionConflict`."""
+        self._check(key, expected)
+        self.by_key.pop(key)
+        self._record(Change(key, None))
+
+    def changes_after(self, prefix: str, after: int) -> tuple[Change, ...]:
+        """List the changes below a prefix after a position."""
+        return tuple(
+            change
+            for change in self._log[after:]
+            if change.key.startswith(prefix)
+        )
+
+    async def wait_for_change(self, position: int) -> None:
+        """Return once the log is longer than the position."""
+        while self.position <= position:
+            await self._changed.wait()
+
+    def _check(self, key: str, expected: Expected | None) -> None:
+        present = self.by_key.get(key)
+        found = Expected.of(present) if present else None
+        if found != expected:
+            raise VersionConflict(
+                f'{key}: expected {expected}, found {found}',
+                present,
+            )
+
+    def _new_uid(self) -> str:
+        self._next_uid += 1
+        return f'uid-{self._next_uid}'
+
+    def _record(self, change: Change) -> None:
+        self._log.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+@attrs.define
+class Faults:
+    """Faults of a platform or of one client's way to it.
+
+    `delay_s` is added to each call, and `lost_answers` is the number of the
+    next writes that take effect but whose answer is lost.
+    """
+
+    is_down: bool = False
+    delay_s: float = 0
+    lost_answers: int = 0
+
+    def take_lost_answer(self) -> bool:
+        """Use up one lost answer, if any is left."""
+        if self.lost_answers <= 0:
+            return False
+        self.lost_answers -= 1
+        return True
+
+
+class MemoryPlatform(Platform):
+    """One process's client of a `MemoryStore`.
+
+    store = MemoryStore()
+    platform = MemoryPlatform(store, clock)
+    store.faults.is_down = True  # every client
+    platform.faults.is_down = True  # this client only
+    """
+
+    def __init__(self, store: MemoryStore, clock: Clock) -> None:
+        """Connect a client with its process's clock."""
+        self._store = store
+        self._clock = clock
+        self.faults = Faults()
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Read one object, or None where there is none."""
+        await self._begin('read')
+        found = self._store.by_key.get(key)
+        await self._finish()
+        return found
+
+    async def iter_objects(self, prefix: str) -> list[StoredObject]:
+        """Read every object whose key starts with the prefix."""
+        await self._begin('read')
+        found = [
+            stored
+            for key, stored in sorted(self._store.by_key.items())
+            if key.startswith(prefix)
+        ]
+        await self._finish()
+        return found
+
+    async def write(
+        self,
+        key: str,
+        body: bytes,
+        expected: Expected | None,
+        operation: str,
+    ) -> StoredObject:
+        """Write if the object is as expected; None: it must not exist."""
+        await self._begin('write')
+        stored = self._store.apply(key, body, expected, operation)
+        await self._finish_write(key)
+        return stored
+
+    async def remove(self, key: str, expected: Expected) -> None:
+        """Remove the object if it is as expected."""
+        await self._begin('write')
+        self._store.discard(key, expected)
+        await self._finish_write(key)
+
+    async def read_position(self) -> int:
+        """Read the position of the store's last change."""
+        await self._begin('read')
+        position = self._store.position
+        await self._finish()
+        return position
+
+    async def watch(self, prefix: str, after: int) -> Changes:
+        """Wait for changes below the prefix after a position."""
+        await self._begin('watch')
+        while not self._store.changes_after(prefix, after):
+            await self._store.wait_for_change(self._store.position)
+        changes = self._store.changes_after(prefix, after)
+        await self._finish()
+        return Changes(self._store.position, changes)
+
+    async def read_instances(self) -> list[ListedInstance]:
+        """Read the lagging list of live and leaving instances."""
+        await self._begin('read')
+        listed = list(self._store.instances)
+        await self._finish()
+        return listed
+
+    async def _begin(self, call: str) -> None:
+        self._store.call_counts[call] += 1
+        await self._clock.sleep(self._delay_s / 2)
+        self._check_reachable()
+
+    async def _finish(self) -> None:
+        await self._clock.sleep(self._delay_s / 2)
+        self._check_reachable()
+
+    async def _finish_write(self, key: str) -> None:
+        await self._clock.sleep(self._delay_s / 2)
+        is_lost = self.faults.take_lost_answer()
+        is_lost = is_lost or self._store.faults.take_lost_answer()
+        if is_lost or self._is_down:
+            raise PlatformAnswerLost(f'{key}: answer lost after the write')
+
+    def _check_reachable(self) -> None:
+        if self._is_down:
+            raise PlatformUnavailable('platform is down')
+
+    @property
+    def _is_down(self) -> bool:
+        return self.faults.is_down or self._store.faults.is_down
+
+    @property
+    def _delay_s(self) -> float:
+        return self.faults.delay_s + self._store.faults.delay_s
--- /dev/null
+++ b/nutmegshore/resources/__init__.py
@@ -0,0 +1,36 @@
+"""Objects that operators declare."""
+
+from nutmegshore.resources.envelope import (
+    SPEC_TYPES,
+    Envelope,
+    Spec,
+    config_key,
+    parse_envelope,
+    parse_spec,
+    write_envelope,
+)
+from nutmegshore.resources.faults import FieldFault, InvalidObject
+from nutmegshore.resources.intent import Drain, Limit, Rule, Shift
+from nutmegshore.resources.place import Region
+from nutmegshore.resources.server import Entry, Upstream
+from nutmegshore.resources.service import Service
+
+__all__ = (
+    'SPEC_TYPES',
+    'Drain',
+    'Entry',
+    'Envelope',
+    'FieldFault',
+    'InvalidObject',
+    'Limit',
+    'Region',
+    'Rule',
+    'Service',
+    'Shift',
+    'Spec',
+    'Upstream',
+    'config_key',
+    'parse_envelope',
+    'parse_spec',
+    'write_envelope',
+)
--- /dev/null
+++ b/tests/platform/test_memory.py
@@ -0,0 +1,68 @@
+"""Tests of the platform in memory and of the resolved write."""
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.errors import PlatformUnavailable, VersionConflict
+from nutmegshore.platform import (
+    Expected,
+    MemoryPlatform,
+    MemoryStore,
+    write_resolved,
+)
+
+
+def _client():
+    store = MemoryStore()
+    return store, MemoryPlatform(store, VirtualClock())
+
+
+def test_a_lost_answer_is_settled_by_the_operation_id():
+    """Guards against a write that is taken for failed or done twice."""
+
+    async def session():
+        store, platform = _client()
+        store.faults.lost_answers = 1
+        return await write_resolved(platform, 'k', b'1', None, 'op-1')
+
+    assert run_virtual(session).operation == 'op-1'
+
+
+def test_an_equal_value_of_another_writer_is_a_conflict():
+    """Guards against settling a lost answer by comparing values."""
+
+    async def session():
+        store, platform = _client()
+        await platform.write('k', b'1', None, 'op-other')
+        store.faults.lost_answers = 1
+        await write_resolved(platform, 'k', b'1', None, 'op-mine')
+
+    with pytest.raises(VersionConflict):
+        run_virtual(session)
+
+
+def test_a_stale_writer_loses_after_remove_and_create():
+    """Guards against a version that starts again and matches by chance."""
+
+    async def session():
+        _, platform = _client()
+        stale = await platform.write('k', b'1', None, 'a')
+        await platform.remove('k', Expected.of(stale))
+        await platform.write('k', b'2', None, 'b')
+        await platform.write('k', b'3', Expected.of(stale), 'c')
+
+    with pytest.raises(VersionConflict):
+        run_virtual(session)
+
+
+def test_a_platform_that_is_down_takes_no_write():
+    """Guards against a refusal that took effect all the same."""
+
+    async def session():
+        store, platform = _client()
+        store.faults.is_down = True
+        with pytest.raises(PlatformUnavailable):
+            await platform.write('k', b'1', None, 'a')
+        return store.by_key
+
+    assert not run_virtual(session)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,113 @@
+"""Smoke test of the whole path over real sockets."""
+
+import asyncio
+import json
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from nutmegshore.entry import EntryDaemon
+from nutmegshore.errors import SettingsError
+from nutmegshore.platform import MemoryStore, make_standin
+from nutmegshore.settings import parse_settings
+
+_SETTINGS = """
+[instance]
+name = e1
+region = west
+availability_zone = west-a
+[callers]
+address = 127.0.0.1
+port = {callers}
+[operators]
+port = {operators}
+[platform]
+url = http://127.0.0.1:{platform}
+"""
+
+
+class _Named(RequestHandler):
+    def initialize(self, name):
+        self.name = name
+
+    def get(self):
+        self.finish(self.name)
+
+
+def _listen(application):
+    sock, port = bind_unused_port()
+    server = HTTPServer(application)
+    server.add_socket(sock)
+    return port
+
+
+def _free_port():
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
+
+
+async def _call(method, url, spec=None):
+    request = HTTPRequest(
+        url,
+        method=method,
+        body=None if spec is None else json.dumps(spec),
+    )
+    response = await AsyncHTTPClient().fetch(request, raise_error=False)
+    return response.body.decode()
+
+
+async def _session():
+    ports = {
+        'callers': _free_port(),
+        'operators': _free_port(),
+        'platform': _listen(make_standin(MemoryStore())),
+    }
+    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    await daemon.start()
+    operators = 'http://127.0.0.1:{operators}/objects'.format(**ports)
+    callers = 'http://127.0.0.1:{callers}'.format(**ports)
+    place = {'region': 'west', 'availability_zone': 'west-a'}
+    await _call(
+        'PUT', f'{operators}/region/west', {'availability_zones': ['west-a']}
+    )
+    await _call('PUT', f'{operators}/service/tallies', {'idempotent': True})
+    for name in ('t1', 't2'):
+        port = _listen(Application([('.*', _Named, {'name': name})]))
+        spec = {
+            **place,
+            'service': 'tallies',
+            'address': f'127.0.0.1:{port}',
+            'slots': 3,
+        }
+        await _call('PUT', f'{operators}/upstream/{name}', spec)
+    entry = {
+        **place,
+        'caller_address': '127.0.0.1:{callers}'.format(**ports),
+    }
+    await _call('PUT', f'{operators}/entry/e1', entry)
+    found = json.loads(await _call('GET', f'{callers}/lookup'))
+    url = 'http://{0}/tallies/x'.format(found['entries'][0]['address'])
+    before = {await _call('GET', url) for _ in range(20)}
+    await _call('PUT', f'{operators}/drain/d', {'upstream': 't1'})
+    after = {await _call('GET', url) for _ in range(20)}
+    await daemon.stop()
+    return before, after
+
+
+def test_a_declared_drain_moves_requests_away():
+    """Guards against a whole path that does not hold together."""
+    before, after = asyncio.run(_session())
+    assert before == {'t1', 't2'}
+    assert after == {'t2'}
+
+
+@pytest.mark.parametrize('key', ['[callers]\nprot = 1', '[callerz]\nport=1'])
+def test_a_misspelled_setting_names_the_nearest(key):
+    """Guards against an unknown key that is silently ignored."""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(key)
+    assert 'nearest is' in str(caught.value)
