--- /dev/null
+++ b/bench/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement sessions, one module each with a function `measure(seed)`."""
