Run requests with an idempotency key at most once

Cause: a caller that repeats an order through another entry could run it twice. A record that cannot be reached is answered 'unknown' and not 'not run', because an earlier request with the same key may have run.

--- a/nutmegshore/clock.py
+++ b/nutmegshore/clock.py
@@ -24,6 +24,10 @@
     def now(self) -> float:
         """Seconds since an arbitrary start, suspended time included."""
 
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Seconds since 1970, for ages of many hours only."""
+
     @abc.abstractmethod
     async def sleep(self, seconds: float) -> None:
         """Wait for this many seconds."""
@@ -36,6 +40,10 @@
         """Read CLOCK_BOOTTIME; CLOCK_MONOTONIC stands still in a suspend."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def wall(self) -> float:
+        """Read the wall clock of the machine."""
+        return time.time()
+
     async def sleep(self, seconds: float) -> None:
         """Wait on the running event loop."""
         await asyncio.sleep(seconds)
@@ -64,6 +72,10 @@
         """Seconds on this clock."""
         return asyncio.get_running_loop().time() * self._rate
 
+    def wall(self) -> float:
+        """Seconds on this clock, taken as a date."""
+        return self.now()
+
     async def sleep(self, seconds: float) -> None:
         """Wait, and wait further while the process is paused."""
         await asyncio.sleep(seconds / self._rate)
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -56,6 +56,7 @@
     DUPLICATE_IN_FLIGHT = 'duplicate_in_flight'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     RECORD_UNAVAILABLE = 'record_unavailable'
+    ANSWER_NOT_KEPT = 'answer_not_kept'
     INVALID_OBJECT = 'invalid_object'
     VERSION_CONFLICT = 'version_conflict'
     NOT_FOUND = 'not_found'
@@ -115,7 +116,10 @@
         ErrorKind.UPSTREAM_LOST: _unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.DUPLICATE_IN_FLIGHT: _unknown(HTTPStatus.CONFLICT),
         ErrorKind.OUTCOME_UNKNOWN: _unknown(HTTPStatus.CONFLICT),
-        ErrorKind.RECORD_UNAVAILABLE: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.RECORD_UNAVAILABLE: _unknown(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.ANSWER_NOT_KEPT: Answer(
+            HTTPStatus.CONFLICT, Outcome.UPSTREAM
+        ),
         ErrorKind.INVALID_OBJECT: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.VERSION_CONFLICT: _not_run(HTTPStatus.CONFLICT),
         ErrorKind.NOT_FOUND: _not_run(HTTPStatus.NOT_FOUND),
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -16,6 +16,8 @@
         ErrorKind.CALLER_STALLED,
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.DUPLICATE_IN_FLIGHT,
+        # An earlier request with the same key may have run.
+        ErrorKind.RECORD_UNAVAILABLE,
         ErrorKind.PLATFORM_ANSWER_LOST,
     )
     outcomes = {ANSWERS[kind].outcome for kind in after_send}
