--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -24,7 +24,8 @@
         self.all = []
         for number in range(size):
             clock = VirtualClock()
-            region = f'r{number % 2}'
+            side = number % 2
+            region = f'r{side}'
             member = Member(f'e{number}', region, region)
             peers = network.join(member, clock)
             self.all.append(self._entry(peers, clock))
