Settle a lost write by repeating it under its condition

A lost answer was settled by one read back. A write that never arrived was then reported as a conflict with nobody, and one that was stored and replaced since was reported as not run.

The same write is sent again while the object is still as expected; the condition lets only one of the two take effect. An object that has moved on by more than one write leaves the outcome unknown. Operation ids come from make_operation, whose source must not repeat after a restart.

--- a/nutmegshore/platform/__init__.py
+++ b/nutmegshore/platform/__init__.py
@@ -5,12 +5,13 @@
     Changes,
     Expected,
     ListedInstance,
+    Page,
     Platform,
     StoredObject,
-    write_resolved,
 )
 from nutmegshore.platform.http import HttpPlatform
 from nutmegshore.platform.memory import MemoryPlatform, MemoryStore
+from nutmegshore.platform.resolve import make_operation, write_resolved
 from nutmegshore.platform.standin import make_standin
 
 __all__ = (
@@ -21,8 +22,10 @@
     'ListedInstance',
     'MemoryPlatform',
     'MemoryStore',
+    'Page',
     'Platform',
     'StoredObject',
+    'make_operation',
     'make_standin',
     'write_resolved',
 )
--- a/nutmegshore/platform/base.py
+++ b/nutmegshore/platform/base.py
@@ -4,17 +4,15 @@
 
 import attrs
 
-from nutmegshore.errors import PlatformAnswerLost, VersionConflict
-
 __all__ = (
     'MAX_BODY_BYTES',
     'Change',
     'Changes',
     'Expected',
     'ListedInstance',
+    'Page',
     'Platform',
     'StoredObject',
-    'write_resolved',
 )
 
 MAX_BODY_BYTES = 1_000_000
@@ -69,6 +67,14 @@
     changes: tuple[Change, ...]
 
 
+@attrs.frozen
+class Page:
+    """A part of a listing; `after` is the key to go on after, '' at the end."""
+
+    listed: tuple[StoredObject, ...]
+    after: str = ''
+
+
 @attrs.frozen
 class ListedInstance:
     """An instance in the platform's lagging list."""
@@ -124,37 +130,3 @@
     @abc.abstractmethod
     async def read_instances(self) -> list[ListedInstance]:
         """Read the lagging list of live and leaving instances."""
-
-
-async def write_resolved(
-    platform: Platform,
-    key: str,
-    body: bytes,
-    expected: Expected | None,
-    operation: str,
-) -> StoredObject:
-    """Write, and settle a lost answer by reading back the operation id.
-
-    The operation id must be new for each write. An equal value proves
-    nothing, since another writer may have stored the same value. Raises
-    `PlatformAnswerLost` when the read back fails too, and `VersionConflict`
-    when another operation stands there.
-    """
-    try:
-        return await platform.write(key, body, expected, operation)
-    except PlatformAnswerLost:
-        return await _read_back(platform, key, operation)
-
-
-async def _read_back(
-    platform: Platform,
-    key: str,
-    operation: str,
-) -> StoredObject:
-    try:
-        present = await platform.read(key)
-    except Exception as failure:
-        raise PlatformAnswerLost(f'{key}: unknown after write') from failure
-    if present is not None and present.operation == operation:
-        return present
-    raise VersionConflict(f'{key}: written by another operation', present)
