Serve the whole resource API with access, status and settings

The operator listener could write single objects without a credential and took the author from a header.

OperatorApi holds lists, watch, dry run, explain, status, health, ready and metrics apart from HTTP; Access decides by salted token hash, certificate or, on loopback only, an explicit setting; the author is the credential's name. A write repairs an unreadable stored object and goes on from the highest known generation. StatusBoard joins what the parts know; StatusWriter stores it for one region with at most 20 writes in 5 s and counts once a minute. Settings gain peers, tls, limits and credentials, and report repeated keys. Addresses of objects must be IP numbers, as their message already said.

The smoke test of the entry declares unauthenticated = yes, since a listener without credentials now refuses every call.

Taken out once, each seen to fail: generation check, write condition, check of the spec, generation in force, claimed generation, roles, loopback, author by credential, body limit, coalescing of counts, bound of a round, condition of a status write, epoch and length of the change log, bound of watches, hidden secrets, loopback for unauthenticated.

--- a/nutmegshore/entry.py
+++ b/nutmegshore/entry.py
@@ -16,7 +16,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformError
 from nutmegshore.logs import get_logger
-from nutmegshore.operators import Declarer, make_operator_application
+from nutmegshore.operators.assembly import make_operator_side
 from nutmegshore.platform import HttpPlatform, Platform, StoredObject
 from nutmegshore.resources import InvalidObject, parse_envelope
 from nutmegshore.settings import EntrySettings
@@ -54,6 +54,12 @@
         self._rng = random.Random(settings.get('instance', 'name'))
         self.counters = Counters()
         self.table = ConfigurationTable()
+        self.operators = make_operator_side(
+            settings,
+            self._platform,
+            self.table,
+            self.counters,
+        )
         self._log = get_logger('entry')
         self._tasks: list[asyncio.Task] = []
         self._servers: dict[str, HTTPServer] = {}
@@ -67,26 +73,29 @@
             self._clock,
             self.counters,
         )
-        applications = {
-            'callers': make_caller_application(
-                forwarder,
-                self._lookup,
-                self.counters,
-            ),
-            'operators': make_operator_application(
-                Declarer(self._platform, self.table),
-                self.table,
-            ),
-        }
+        callers = make_caller_application(
+            forwarder,
+            self._lookup,
+            self.counters,
+        )
         follow = asyncio.create_task(self._follow_platform())
         self._tasks.append(follow)
-        for section, application in applications.items():
-            self._servers[section] = application.listen(
-                self._settings.get(section, 'port'),
-                self._settings.get(section, 'address'),
-            )
+        self._servers['callers'] = callers.listen(
+            self._settings.get('callers', 'port'),
+            self._settings.get('callers', 'address'),
+        )
+        self._servers['operators'] = self.operators.listen()
         self._log.info('started', name=self._settings.get('instance', 'name'))
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Take tokens, client certificates and TLS files from settings.
+
+        Everything else needs a restart. Raises `SettingsError` for TLS files
+        that cannot be read; what was in use stays.
+        """
+        self.operators.reload(settings)
+        self._log.info('reloaded')
+
     async def stop(self) -> None:
         """Close the listeners and end all tasks."""
         closing = [_close(server) for server in self._servers.values()]
--- a/nutmegshore/operators/__init__.py
+++ b/nutmegshore/operators/__init__.py
@@ -1,6 +1,43 @@
 """The operators who declare objects and watch their status."""
 
-from nutmegshore.operators.declare import Declarer
+from nutmegshore.operators.access import (
+    Access,
+    AccessList,
+    Role,
+    make_token,
+    parse_subject,
+    parse_token,
+)
+from nutmegshore.operators.api import OperatorApi
+from nutmegshore.operators.changes import ChangeLog
+from nutmegshore.operators.declare import Declaration, Declarer
+from nutmegshore.operators.providers import Conflict, Explanation, Providers
 from nutmegshore.operators.server import make_operator_application
+from nutmegshore.operators.status import (
+    ObjectStatus,
+    StatusBoard,
+    StatusPart,
+)
+from nutmegshore.operators.status_store import StatusWriter, read_statuses
 
-__all__ = ('Declarer', 'make_operator_application')
+__all__ = (
+    'Access',
+    'AccessList',
+    'ChangeLog',
+    'Conflict',
+    'Declaration',
+    'Declarer',
+    'Explanation',
+    'ObjectStatus',
+    'OperatorApi',
+    'Providers',
+    'Role',
+    'StatusBoard',
+    'StatusPart',
+    'StatusWriter',
+    'make_operator_application',
+    'make_token',
+    'parse_subject',
+    'parse_token',
+    'read_statuses',
+)
--- /dev/null
+++ b/nutmegshore/operators/assembly.py
@@ -0,0 +1,86 @@
+"""The operator side of an entry, built from its settings."""
+
+import random
+import ssl
+
+import attrs
+from tornado.httpserver import HTTPServer
+
+from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.counters import Counters
+from nutmegshore.operators.access import Access
+from nutmegshore.operators.api import OperatorApi
+from nutmegshore.operators.changes import ChangeLog
+from nutmegshore.operators.declare import Declarer
+from nutmegshore.operators.providers import Providers
+from nutmegshore.operators.server import make_operator_application
+from nutmegshore.platform import Platform, make_operation
+from nutmegshore.settings import EntrySettings, make_tls_context
+from nutmegshore.settings.tls import load_tls_files
+
+__all__ = ('OperatorSide', 'make_operator_side')
+
+_SECTION = 'operators'
+#: A body above the limit is read this far, so that its sender gets an answer
+#: instead of a closed connection.
+_BODY_MARGIN = 2
+
+
+@attrs.frozen
+class OperatorSide:
+    """The operator listener's parts; `listen` opens it."""
+
+    settings: EntrySettings
+    api: OperatorApi
+    access: Access
+    context: ssl.SSLContext | None
+
+    def listen(self) -> HTTPServer:
+        """Open the listener that the settings name."""
+        limit = self.settings.get('limits', 'operator_body_bytes')
+        server = HTTPServer(
+            make_operator_application(self.api, self.access, limit),
+            ssl_options=self.context,
+            max_body_size=limit * _BODY_MARGIN,
+        )
+        server.listen(
+            self.settings.get(_SECTION, 'port'),
+            self.settings.get(_SECTION, 'address'),
+        )
+        return server
+
+    def reload(self, settings: EntrySettings) -> None:
+        """Use other credentials and TLS files from now on."""
+        if self.context is not None:
+            load_tls_files(self.context, settings)
+        self.access.replace(settings.access)
+
+
+def make_operator_side(
+    settings: EntrySettings,
+    platform: Platform,
+    table: ConfigurationTable,
+    counters: Counters,
+    providers: Providers | None = None,
+) -> OperatorSide:
+    """Build the operator side."""
+    # Operation ids and the epoch must differ after a restart.
+    rng = random.SystemRandom()
+    changes = ChangeLog(
+        table,
+        make_operation(rng),
+        settings.get('limits', 'operator_watches'),
+    )
+    api = OperatorApi(
+        Declarer(platform, table, rng),
+        table,
+        changes,
+        providers or Providers(),
+        counters,
+    )
+    return OperatorSide(
+        settings,
+        api,
+        Access(settings.access, counters),
+        make_tls_context(settings, _SECTION),
+    )
--- /dev/null
+++ b/nutmegshore/operators/handler.py
@@ -0,0 +1,121 @@
+"""What every handler of the operator listener does."""
+
+import json
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+from tornado.httputil import HTTPServerRequest
+from tornado.web import HTTPError, RequestHandler
+
+from nutmegshore.errors import NutmegshoreError, Outcome, VersionConflict
+from nutmegshore.operators.access import Access, Caller, Credential, Role
+from nutmegshore.operators.api import OperatorApi
+from nutmegshore.resources import FieldFault, InvalidObject
+
+__all__ = ('OperatorHandler', 'make_invalid')
+
+_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+class OperatorHandler(RequestHandler):
+    """Checks access before anything else and answers errors as JSON."""
+
+    def initialize(
+        self,
+        api: OperatorApi,
+        access: Access,
+        max_body_bytes: int,
+    ) -> None:
+        self.api = api
+        self.access = access
+        self.max_body_bytes = max_body_bytes
+
+    def prepare(self) -> None:
+        method = self.request.method
+        is_write = method in {'PUT', 'DELETE'}
+        caller = Caller(
+            self.request.headers.get('Authorization', ''),
+            _subject(self.request),
+            self.request.remote_ip or '',
+        )
+        role = Role.WRITE if is_write else Role.READ
+        self.credential: Credential = self.access.check(caller, role)
+        if len(self.request.body) > self.max_body_bytes:
+            raise make_invalid('body', f'at most {self.max_body_bytes} bytes')
+
+    def write_error(self, status_code: int, **options: Any) -> None:
+        error = options.get('exc_info', (None, None))[1]
+        if isinstance(error, NutmegshoreError):
+            self.set_status(error.answer.status)
+            self._finish_fault(error, _error_fields(error))
+            return
+        kind = 'internal' if status_code >= _SERVER_ERROR else 'request'
+        fields = {'error': kind, 'message': self._reason}
+        self.finish_json(fields)
+
+    def log_exception(self, *details: Any) -> None:
+        """Log only what is not an answer of the error table."""
+        if not isinstance(details[1], (NutmegshoreError, HTTPError)):
+            super().log_exception(*details)
+
+    def finish_json(self, fields: Any) -> None:
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(fields, default=_encode))
+
+    def read_json(self) -> Any:
+        try:
+            return json.loads(self.request.body)
+        except (ValueError, RecursionError):
+            raise make_invalid('body', 'JSON') from None
+
+    def _finish_fault(
+        self,
+        error: NutmegshoreError,
+        fields: dict[str, Any],
+    ) -> None:
+        self.set_header('Nutmegshore-Error', error.kind.value)
+        self.set_header('Nutmegshore-Outcome', error.answer.outcome.value)
+        self.finish_json(fields)
+
+
+def _error_fields(error: NutmegshoreError) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        'error': error.kind.value,
+        'outcome': error.answer.outcome.value,
+        'message': str(error),
+    }
+    if isinstance(error, InvalidObject):
+        fields['faults'] = error.faults
+    if isinstance(error, VersionConflict):
+        fields['present'] = error.present
+    if error.answer.outcome == Outcome.UNKNOWN:
+        fields['advice'] = 'read the object before writing again'
+    return fields
+
+
+def make_invalid(field: str, expected: str) -> InvalidObject:
+    return InvalidObject('request', [FieldFault(field, expected)])
+
+
+def _encode(found: Any) -> Any:
+    if attrs.has(type(found)):
+        return attrs.asdict(found, recurse=False)
+    raise TypeError(type(found))
+
+
+def _subject(request: HTTPServerRequest) -> str:
+    """Common name of the client's certificate; '' without one."""
+    stream = getattr(request.connection, 'stream', None)
+    if not hasattr(getattr(stream, 'socket', None), 'getpeercert'):
+        return ''
+    certificate = request.get_ssl_certificate()
+    if not isinstance(certificate, dict):
+        return ''
+    names = [
+        text
+        for relative in certificate.get('subject', ())
+        for name, text in relative
+        if name == 'commonName'
+    ]
+    return names[0] if names else ''
--- /dev/null
+++ b/nutmegshore/operators/providers.py
@@ -0,0 +1,80 @@
+"""What the operator listener asks of the other parts of an entry."""
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from nutmegshore.operators.status import ObjectStatus
+from nutmegshore.resources import Envelope
+
+__all__ = ('Conflict', 'Explanation', 'Providers')
+
+
+_Statuses = Awaitable[Iterable[ObjectStatus]]
+
+
+@attrs.frozen
+class Conflict:
+    """Two intents that cannot both hold, and the one that takes precedence.
+
+    Intents are named as kind/name; `about` says what they disagree on.
+    """
+
+    winner: str
+    loser: str
+    about: str
+
+
+@attrs.frozen
+class Explanation:
+    """Where requests of a service go and which objects put them there.
+
+    `regions` are in order, each a map that JSON can hold.
+    """
+
+    service: str
+    region: str
+    regions: tuple[Mapping[str, Any], ...]
+
+
+def _explain_nothing(service: str, region: str) -> list[Explanation]:
+    return []
+
+
+def _find_no_conflicts(by_key: Mapping[str, Envelope]) -> list[Conflict]:
+    return []
+
+
+def _nothing_wrong() -> str:
+    return ''
+
+
+def _no_statuses() -> list[ObjectStatus]:
+    return []
+
+
+async def _read_no_statuses(kind: str, name: str) -> list[ObjectStatus]:
+    return []
+
+
+@attrs.frozen
+class Providers:
+    """Functions of other parts; each default knows nothing.
+
+    `explain(service, region)` lists explanations; '' stands for all.
+    `find_conflicts(by_key)` lists the conflicts among the given objects.
+    `iter_statuses()` gives the own region's status of every object, and
+    `read_statuses(kind, name)` those that the other regions stored.
+    `why_not_ready()` and `why_not_healthy()` return a reason, or ''.
+    """
+
+    explain: Callable[[str, str], Iterable[Explanation]] = _explain_nothing
+    find_conflicts: Callable[
+        [Mapping[str, Envelope]],
+        Iterable[Conflict],
+    ] = _find_no_conflicts
+    iter_statuses: Callable[[], Iterable[ObjectStatus]] = _no_statuses
+    read_statuses: Callable[[str, str], _Statuses] = _read_no_statuses
+    why_not_ready: Callable[[], str] = _nothing_wrong
+    why_not_healthy: Callable[[], str] = _nothing_wrong
--- a/nutmegshore/operators/server.py
+++ b/nutmegshore/operators/server.py
@@ -1,64 +1,192 @@
 """HTTP listener for operators."""
 
-import json
+from http import HTTPStatus
 from typing import Any
 
-import attrs
 from tornado.web import Application, RequestHandler
 
-from nutmegshore.configuration import ConfigurationTable
-from nutmegshore.errors import ErrorKind, NutmegshoreError, ObjectError
-from nutmegshore.operators.declare import Declaration, Declarer
-from nutmegshore.resources import Envelope, config_key
+from nutmegshore.errors import ErrorKind, ObjectError
+from nutmegshore.operators.access import Access
+from nutmegshore.operators.api import OperatorApi
+from nutmegshore.operators.declare import Declaration
+from nutmegshore.operators.exposition import CONTENT_TYPE, write_exposition
+from nutmegshore.operators.handler import OperatorHandler, make_invalid
+from nutmegshore.resources import Envelope
 
-__all__ = ('make_operator_application',)
+__all__ = ('MAX_OPERATOR_BODY_BYTES', 'make_operator_application')
+
+MAX_OPERATOR_BODY_BYTES = 1_000_000
+_MAX_REASON_LENGTH = 1000
+_MAX_GENERATION_DIGITS = 18
+_MAX_DRY_RUN_OBJECTS = 1000
 
 
 def make_operator_application(
-    declarer: Declarer,
-    table: ConfigurationTable,
+    api: OperatorApi,
+    access: Access,
+    max_body_bytes: int = MAX_OPERATOR_BODY_BYTES,
 ) -> Application:
-    """Application with the resource API."""
-    options = {'declarer': declarer, 'table': table}
+    """Application with the resource API.
+
+    Listen with `max_body_size` a little above `max_body_bytes`, so that the
+    answer to a larger body is written before the connection closes.
+    """
+    options = {'api': api, 'access': access, 'max_body_bytes': max_body_bytes}
     return Application(
-        [(r'/objects/([^/]+)/([^/]+)', _ObjectHandler, options)],
+        [
+            (r'/objects/([^/]+)/([^/]+)', _ObjectHandler, options),
+            ('/objects/([^/]+)', _ListHandler, options),
+            ('/objects', _ListHandler, options),
+            ('/watch', _WatchHandler, options),
+            ('/dry-run', _DryRunHandler, options),
+            ('/explain', _ExplainHandler, options),
+            ('/status', _StatusHandler, options),
+            ('/health', _HealthHandler, options),
+            ('/ready', _ReadyHandler, options),
+            ('/metrics', _MetricsHandler, options),
+        ],
+        default_handler_class=_UnknownHandler,
+        default_handler_args=options,
+        log_function=_log_nothing,
     )
 
 
-class _ObjectHandler(RequestHandler):
-    def initialize(self, declarer: Declarer, table: ConfigurationTable) -> None:
-        self.declarer = declarer
-        self.table = table
+class _UnknownHandler(OperatorHandler):
+    def prepare(self) -> None:
+        super().prepare()
+        raise ObjectError(ErrorKind.NOT_FOUND, self.request.path)
+
 
+class _ObjectHandler(OperatorHandler):
     def get(self, kind: str, name: str) -> None:
-        envelope = self.table.get(config_key(kind, name))
-        if envelope is None or envelope.is_deleted:
-            raise ObjectError(ErrorKind.NOT_FOUND, f'{kind}/{name}')
-        self._finish(envelope)
+        self._finish_envelope(self.api.get(kind, name))
 
     async def put(self, kind: str, name: str) -> None:
-        await self._declare(kind, name, json.loads(self.request.body))
+        spec = self.read_json()
+        if not isinstance(spec, dict):
+            raise make_invalid('spec', 'a map of fields')
+        await self._declare(kind, name, spec)
 
     async def delete(self, kind: str, name: str) -> None:
         await self._declare(kind, name, None)
 
-    def write_error(self, status_code: int, **options: Any) -> None:
-        error = options['exc_info'][1]
-        if not isinstance(error, NutmegshoreError):
-            super().write_error(status_code, **options)
-            return
-        self.set_status(error.answer.status)
-        fields = {'error': error.kind.value, 'message': str(error)}
-        self.finish(json.dumps(fields))
-
     async def _declare(self, kind: str, name: str, spec: Any) -> None:
         declaration = Declaration(
             kind=kind,
             name=name,
             spec=spec,
-            author=self.request.headers.get('Author', 'operator'),
+            author=self.credential.name,
+            reason=self._read_reason(),
+            expected_generation=self._read_generation(),
+        )
+        self._finish_envelope(await self.api.declare(declaration))
+
+    def _read_reason(self) -> str:
+        reason = self.get_query_argument('reason', '')
+        if len(reason) > _MAX_REASON_LENGTH:
+            raise make_invalid(
+                'reason', f'at most {_MAX_REASON_LENGTH} letters'
+            )
+        return reason
+
+    def _read_generation(self) -> int | None:
+        condition = self.request.headers.get('If-Match')
+        if condition is None:
+            return None
+        digits = condition.strip().strip('"')
+        is_number = digits.isascii() and digits.isdecimal()
+        if not is_number or len(digits) > _MAX_GENERATION_DIGITS:
+            raise make_invalid('If-Match', 'a generation, 0 for a new object')
+        return int(digits)
+
+    def _finish_envelope(self, envelope: Envelope) -> None:
+        self.set_header('Etag', f'"{envelope.generation}"')
+        self.finish_json(envelope)
+
+
+class _ListHandler(OperatorHandler):
+    def get(self, kind: str = '') -> None:
+        self.finish_json(self.api.iter_objects(kind))
+
+
+class _WatchHandler(OperatorHandler):
+    async def get(self) -> None:
+        after = self.get_query_argument('after', '')
+        self.finish_json(await self.api.watch(after))
+
+
+class _DryRunHandler(OperatorHandler):
+    def post(self) -> None:
+        wishes = self.read_json()
+        expected = f'a list of up to {_MAX_DRY_RUN_OBJECTS} objects'
+        if not isinstance(wishes, list) or len(wishes) > _MAX_DRY_RUN_OBJECTS:
+            raise make_invalid('body', expected)
+        self.finish_json(self.api.dry_run(map(self._read_wish, wishes)))
+
+    def _read_wish(self, wish: Any) -> Declaration:
+        if not isinstance(wish, dict):
+            raise make_invalid('body', 'objects with kind, name and spec')
+        kind = wish.get('kind')
+        name = wish.get('name')
+        if not (isinstance(kind, str) and isinstance(name, str)):
+            raise make_invalid('body', 'objects with kind, name and spec')
+        return Declaration(
+            kind=kind,
+            name=name,
+            spec=wish.get('spec'),
+            author=self.credential.name,
         )
-        self._finish(await self.declarer.declare(declaration))
 
-    def _finish(self, envelope: Envelope) -> None:
-        self.finish(json.dumps(attrs.asdict(envelope)))
+
+class _ExplainHandler(OperatorHandler):
+    def get(self) -> None:
+        found = self.api.providers.explain(
+            self.get_query_argument('service', ''),
+            self.get_query_argument('region', ''),
+        )
+        self.finish_json(list(found))
+
+
+class _StatusHandler(OperatorHandler):
+    async def get(self) -> None:
+        found = await self.api.read_statuses(
+            self.get_query_argument('kind', ''),
+            self.get_query_argument('name', ''),
+        )
+        self.finish_json(found)
+
+
+class _ProbeHandler(OperatorHandler):
+    """Answers 200 or 503 with the reason; needs no credential.
+
+    The hosting environment probes without one, and the answer tells nothing
+    of what is declared.
+    """
+
+    def prepare(self) -> None:
+        """Skip the check of access."""
+
+    def finish_probe(self, reason: str) -> None:
+        if reason:
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.finish_json({'ok': not reason, 'reason': reason})
+
+
+class _HealthHandler(_ProbeHandler):
+    def get(self) -> None:
+        self.finish_probe(self.api.providers.why_not_healthy())
+
+
+class _ReadyHandler(_ProbeHandler):
+    def get(self) -> None:
+        self.finish_probe(self.api.providers.why_not_ready())
+
+
+class _MetricsHandler(OperatorHandler):
+    def get(self) -> None:
+        self.set_header('Content-Type', CONTENT_TYPE)
+        self.finish(write_exposition(self.api.counters))
+
+
+def _log_nothing(handler: RequestHandler) -> None:
+    """Requests are counted, not logged; changes are logged by the API."""
--- a/nutmegshore/resources/__init__.py
+++ b/nutmegshore/resources/__init__.py
@@ -1,5 +1,10 @@
 """Objects that operators declare."""
 
+from nutmegshore.resources.check import (
+    check_name,
+    check_references,
+    check_spec,
+)
 from nutmegshore.resources.envelope import (
     SPEC_TYPES,
     Envelope,
@@ -29,6 +34,9 @@
     'Shift',
     'Spec',
     'Upstream',
+    'check_name',
+    'check_references',
+    'check_spec',
     'config_key',
     'parse_envelope',
     'parse_spec',
--- a/nutmegshore/resources/server.py
+++ b/nutmegshore/resources/server.py
@@ -1,5 +1,7 @@
 """Upstreams that serve requests and entries that forward them."""
 
+import ipaddress
+
 import attrs
 
 from nutmegshore.resources.fields import (
@@ -21,8 +23,10 @@
 def _read_address(raw: object) -> str:
     if not isinstance(raw, str):
         raise ValueError(raw)
-    host, separator, port = raw.rpartition(':')
-    if not (host and separator and port.isdecimal()):
+    host, _, port = raw.rpartition(':')
+    # ip_address raises ValueError for a host name.
+    ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    if not (port.isascii() and port.isdecimal()):
         raise ValueError(raw)
     if not 0 < int(port) <= _MAX_PORT:
         raise ValueError(raw)
--- /dev/null
+++ b/nutmegshore/settings/__init__.py
@@ -0,0 +1,18 @@
+"""Settings of an entry, read from an INI file and checked as a whole."""
+
+from nutmegshore.settings.example import DEPLOYMENTS, write_example
+from nutmegshore.settings.parse import (
+    EntrySettings,
+    parse_settings,
+    read_settings,
+)
+from nutmegshore.settings.tls import make_tls_context
+
+__all__ = (
+    'DEPLOYMENTS',
+    'EntrySettings',
+    'make_tls_context',
+    'parse_settings',
+    'read_settings',
+    'write_example',
+)
--- /dev/null
+++ b/nutmegshore/settings/parse.py
@@ -0,0 +1,181 @@
+"""Parsing and checking of a settings file as a whole."""
+
+import collections
+import configparser
+import difflib
+import ipaddress
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from nutmegshore.errors import SettingsError
+from nutmegshore.operators.access import AccessList
+from nutmegshore.settings.sections import SECTIONS, Key
+
+__all__ = ('EntrySettings', 'parse_settings', 'read_settings')
+
+_OPERATORS = 'operators'
+_TLS = 'tls'
+_KEY = 'key'
+_SECTION_LINE = re.compile(r'\[([^]]+)\]')
+_KEY_LINE = re.compile('([^=:#;]+)[=:]')
+
+
+@attrs.frozen
+class EntrySettings:
+    """Checked settings; `by_section` holds each value by section and key."""
+
+    by_section: dict[str, dict[str, Any]]
+
+    def get(self, section: str, key: str) -> Any:
+        """Value of one key; defaults are filled in."""
+        return self.by_section[section][key]
+
+    @property
+    def access(self) -> AccessList:
+        """Who may use the operator listener."""
+        return AccessList(
+            tokens=self.get(_OPERATORS, 'tokens') or (),
+            subjects=self.get(_OPERATORS, 'subjects') or (),
+            allows_unauthenticated=self.get(_OPERATORS, 'unauthenticated'),
+        )
+
+
+def read_settings(path: str) -> EntrySettings:
+    """Read a settings file; raises `SettingsError` with every fault."""
+    try:
+        with open(path, encoding='utf-8') as settings_file:
+            text = settings_file.read()
+    except OSError as failure:
+        raise SettingsError([f'{path}: {failure.strerror}']) from failure
+    except UnicodeDecodeError as failure:
+        raise SettingsError([f'{path}: expected UTF-8 text']) from failure
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> EntrySettings:
+    """Check the text of a settings file as a whole."""
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        strict=False,
+        default_section='',
+    )
+    try:
+        parser.read_string(text)
+    except configparser.Error as failure:
+        raise SettingsError([_describe(failure)]) from failure
+    faults = [*_repeated_names(text), *_unknown_names(parser)]
+    by_section = {
+        section: _read_section(parser, section, faults) for section in SECTIONS
+    }
+    faults.extend(_combined_faults(by_section))
+    if faults:
+        raise SettingsError(faults)
+    return EntrySettings(by_section)
+
+
+def _describe(failure: configparser.Error) -> str:
+    lines = str(failure).replace("'<string>'", 'the file').split('\n')
+    return ' '.join(line.strip() for line in lines)
+
+
+def _read_section(
+    parser: configparser.ConfigParser,
+    section: str,
+    faults: list[str],
+) -> dict[str, Any]:
+    found = {}
+    for name, key in SECTIONS[section].items():
+        raw = parser.get(section, name, fallback=key.default)
+        if raw is None:
+            faults.append(f'[{section}] {name}: missing, {key.expected}')
+            continue
+        try:
+            found[name] = _read_key(key, raw)
+        except (ValueError, KeyError):
+            shown = _show(raw, key)
+            faults.append(
+                f'[{section}] {name} = {shown}: expected {key.expected}',
+            )
+    return found
+
+
+def _read_key(key: Key, raw: str) -> Any:
+    is_left_out = not raw and key.default == ''
+    return '' if is_left_out else key.read(raw)
+
+
+def _show(raw: str, key: Key) -> str:
+    return '(not shown)' if key.is_secret else raw
+
+
+def _combined_faults(by_section: dict[str, dict[str, Any]]) -> list[str]:
+    """Faults of keys that do not fit together."""
+    operators = by_section[_OPERATORS]
+    tls = by_section[_TLS]
+    faults = []
+    address = operators.get('address')
+    if operators.get('unauthenticated') and not _is_loopback(address):
+        faults.append(
+            f'[operators] unauthenticated = yes: expected no, or a loopback'
+            f' address; address is {address}',
+        )
+    uses_tls = operators.get(_TLS) or by_section['peers'].get(_TLS)
+    for name in ('certificate', _KEY):
+        if uses_tls and not tls.get(name, name):
+            faults.append(f'[tls] {name}: missing, needed by tls = yes')
+    if operators.get('subjects') and not operators.get(_TLS):
+        faults.append('[operators] subjects: expected tls = yes with them')
+    if operators.get('subjects') and not tls.get('client_ca'):
+        faults.append('[tls] client_ca: missing, needed by subjects')
+    return faults
+
+
+def _is_loopback(address: str | None) -> bool:
+    # A faulty address is None here and has a fault of its own.
+    return address is None or ipaddress.ip_address(address).is_loopback
+
+
+def _repeated_names(text: str) -> list[str]:
+    """Faults of sections and keys that occur twice; the parser takes any."""
+    counts = collections.Counter(_iter_names(text))
+    return [
+        f'{name}: occurs {count} times'
+        for name, count in counts.items()
+        if count > 1
+    ]
+
+
+def _iter_names(text: str) -> Iterator[str]:
+    section = ''
+    for line in text.splitlines():
+        header = _SECTION_LINE.match(line)
+        option = _KEY_LINE.match(line)
+        if header:
+            section = header.group()
+            yield section
+        elif option and not line[0].isspace():
+            name = option.group(1).strip().lower()
+            yield f'{section} {name}'
+
+
+def _unknown_names(parser: configparser.ConfigParser) -> list[str]:
+    faults = []
+    for section in parser.sections():
+        known = SECTIONS.get(section)
+        if known is None:
+            hint = _nearest(section, list(SECTIONS))
+            faults.append(f'[{section}]: unknown section{hint}')
+            continue
+        for name in parser.options(section):
+            if name not in known:
+                hint = _nearest(name, list(known))
+                faults.append(f'[{section}] {name}: unknown key{hint}')
+    return faults
+
+
+def _nearest(name: str, known: list[str]) -> str:
+    matches = difflib.get_close_matches(name, known, n=1, cutoff=0)
+    return f'; nearest is {matches[0]}' if matches else ''
--- /dev/null
+++ b/nutmegshore/settings/tls.py
@@ -0,0 +1,46 @@
+"""TLS of the listeners."""
+
+import ssl
+
+from nutmegshore.errors import SettingsError
+from nutmegshore.settings.parse import EntrySettings
+
+__all__ = ('load_tls_files', 'make_tls_context')
+
+_TLS = 'tls'
+
+
+def make_tls_context(
+    settings: EntrySettings,
+    section: str,
+) -> ssl.SSLContext | None:
+    """Context of a listener, or None where its section says `tls = no`.
+
+    With `client_ca`, client certificates are checked where one is shown; a
+    client without one needs a token.
+    """
+    if not settings.get(section, _TLS):
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    load_tls_files(context, settings)
+    return context
+
+
+def load_tls_files(context: ssl.SSLContext, settings: EntrySettings) -> None:
+    """Read the files into a context; new connections use them at once.
+
+    Raises `SettingsError` for files that cannot be read; a context that was
+    in use keeps what it had.
+    """
+    certificate = settings.get(_TLS, 'certificate')
+    client_ca = settings.get(_TLS, 'client_ca')
+    try:
+        context.load_cert_chain(certificate, settings.get(_TLS, 'key'))
+        if client_ca:
+            context.load_verify_locations(client_ca)
+    except (OSError, ValueError) as failure:
+        message = f'[tls] {certificate}, {client_ca}: {failure}'
+        raise SettingsError([message]) from failure
+    if client_ca:
+        context.verify_mode = ssl.CERT_OPTIONAL
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -24,6 +24,7 @@
 port = {callers}
 [operators]
 port = {operators}
+unauthenticated = yes
 [platform]
 url = http://127.0.0.1:{platform}
 """
