Complete the platform's HTTP client and stand-in

A refused connection, a broken one and a timeout left the client as errors of the HTTP library, since fetch raises them in spite of raise_error=False; a malformed answer to a write that was stored was reported as not applied.

Errors are mapped by whether the write can have taken effect, listings and watches come in pages, watches end after a time given by the client, and a conflict with the own operation id is a success.

Taken out once, each seen to fail: Not-Applied, curl errors before sending, pages, malformed answers, 408, position of an emptied store, position of a page, list lag, required condition.

--- a/nutmegshore/platform/memory.py
+++ b/nutmegshore/platform/memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 
 import attrs
 
@@ -20,7 +21,12 @@
     StoredObject,
 )
 
-__all__ = ('MemoryPlatform', 'MemoryStore')
+__all__ = ('Faults', 'MemoryPlatform', 'MemoryStore')
+
+#: A watch answers with at most this many changes; the next goes on.
+_MAX_CHANGES = 1000
+
+_Listing = tuple[float, list[ListedInstance]]
 
 
 class MemoryStore:
@@ -33,7 +39,7 @@
     def __init__(self) -> None:
         """Start empty and reachable."""
         self.by_key: dict[str, StoredObject] = {}
-        self.instances: list[ListedInstance] = []
+        self._listings: list[_Listing] = [(0, [])]
         self.call_counts: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
         self._log: list[Change] = []
@@ -45,6 +51,21 @@
         """Position of the last change."""
         return len(self._log)
 
+    @property
+    def instances(self) -> list[ListedInstance]:
+        """The instances as they are; assign a new list for each change."""
+        return self._listings[-1][1]
+
+    @instances.setter
+    def instances(self, listed: list[ListedInstance]) -> None:
+        self._listings.append((_loop_s(), listed))
+
+    def instances_before(self, lag_s: float) -> list[ListedInstance]:
+        """The list as it was this many seconds ago."""
+        limit = _loop_s() - lag_s
+        known = [listed for at, listed in self._listings if at <= limit]
+        return known[-1] if known else self._listings[0][1]
+
     def apply(
         self,
         key: str,
@@ -71,13 +92,23 @@
         self.by_key.pop(key)
         self._record(Change(key, None))
 
-    def changes_after(self, prefix: str, after: int) -> tuple[Change, ...]:
-        """List the changes below a prefix after a position."""
-        return tuple(
-            change
-            for change in self._log[after:]
+    def page_after(self, prefix: str, after: int, limit: int) -> Changes:
+        """Up to `limit` changes, and the position of the last one looked at.
+
+        A position beyond the log comes from before the store was emptied;
+        all changes of the new log follow it.
+        """
+        start = after if after <= self.position else 0
+        numbered = enumerate(self._log[start:], start + 1)
+        found = (
+            (number, change)
+            for number, change in numbered
             if change.key.startswith(prefix)
         )
+        page = list(itertools.islice(found, limit))
+        is_full = len(page) == limit
+        position = page[-1][0] if is_full else self.position
+        return Changes(position, tuple(change for _, change in page))
 
     async def wait_for_change(self, position: int) -> None:
         """Return once the log is longer than the position."""
@@ -108,12 +139,14 @@
     """Faults of a platform or of one client's way to it.
 
     `delay_s` is added to each call, and `lost_answers` is the number of the
-    next writes that take effect but whose answer is lost.
+    next writes that take effect but whose answer is lost. `list_lag_s` is the
+    age of the instance list that is answered.
     """
 
     is_down: bool = False
     delay_s: float = 0
     lost_answers: int = 0
+    list_lag_s: float = 0
 
     def take_lost_answer(self) -> bool:
         """Use up one lost answer, if any is left."""
@@ -185,16 +218,18 @@
     async def watch(self, prefix: str, after: int) -> Changes:
         """Wait for changes below the prefix after a position."""
         await self._begin('watch')
-        while not self._store.changes_after(prefix, after):
+        changes = self._store.page_after(prefix, after, _MAX_CHANGES)
+        while changes.position == after or not changes.changes:
             await self._store.wait_for_change(self._store.position)
-        changes = self._store.changes_after(prefix, after)
+            changes = self._store.page_after(prefix, after, _MAX_CHANGES)
         await self._finish()
-        return Changes(self._store.position, changes)
+        return changes
 
     async def read_instances(self) -> list[ListedInstance]:
         """Read the lagging list of live and leaving instances."""
         await self._begin('read')
-        listed = list(self._store.instances)
+        lag_s = self.faults.list_lag_s + self._store.faults.list_lag_s
+        listed = list(self._store.instances_before(lag_s))
         await self._finish()
         return listed
 
@@ -225,3 +260,11 @@
     @property
     def _delay_s(self) -> float:
         return self.faults.delay_s + self._store.faults.delay_s
+
+
+def _loop_s() -> float:
+    """Time of the running loop; 0 before a loop runs."""
+    try:
+        return asyncio.get_running_loop().time()
+    except RuntimeError:
+        return 0
--- a/nutmegshore/platform/wire.py
+++ b/nutmegshore/platform/wire.py
@@ -10,21 +10,27 @@
     Changes,
     Expected,
     ListedInstance,
+    Page,
     StoredObject,
 )
 
 __all__ = (
     'IF_MATCH',
     'IF_NONE_MATCH',
+    'MALFORMED',
     'NOT_APPLIED',
     'OPERATION',
     'parse_changes',
     'parse_expected',
     'parse_instance',
+    'parse_instances',
+    'parse_page',
+    'parse_present',
     'parse_stored',
     'write_changes',
     'write_expected',
     'write_instance',
+    'write_page',
     'write_stored',
 )
 
@@ -34,6 +40,9 @@
 #: The platform sends this with a 503 when the write took no effect.
 NOT_APPLIED = 'Not-Applied'
 
+#: What the parsers raise for an answer that is not of their form.
+MALFORMED = (ValueError, TypeError, LookupError)
+
 _SEPARATOR = ':'
 
 
@@ -50,6 +59,23 @@
     return StoredObject(**{**fields, 'body': body})
 
 
+def parse_present(fields: dict[str, Any] | None) -> StoredObject | None:
+    """Read the object that a conflict names, None where it is missing."""
+    return parse_stored(fields) if fields else None
+
+
+def write_page(page: Page) -> dict[str, Any]:
+    """JSON form of a part of a listing."""
+    listed = [write_stored(stored) for stored in page.listed]
+    return {'objects': listed, 'after': page.after}
+
+
+def parse_page(fields: dict[str, Any]) -> Page:
+    """Read a part of a listing."""
+    listed = tuple(parse_stored(stored) for stored in fields['objects'])
+    return Page(listed, fields['after'])
+
+
 def write_expected(expected: Expected) -> str:
     """Header value of a write's condition."""
     return f'{expected.uid}{_SEPARATOR}{expected.version}'
@@ -85,6 +111,11 @@
     return ListedInstance(**fields)
 
 
+def parse_instances(listed: list[dict[str, Any]]) -> list[ListedInstance]:
+    """Read a list of instances."""
+    return [parse_instance(fields) for fields in listed]
+
+
 def _write_change(change: Change) -> dict[str, Any]:
     stored = write_stored(change.stored) if change.stored else None
     return {'key': change.key, 'stored': stored}
