Add the operators' commands and an HTTP client

Operators had only the daemon commands and plain HTTP calls.

Writes carry the generation that their dry run saw. A write without an answer is unknown, not unreachable. Exit codes follow the error kind; a wrong command line gives 2 as well. JSON answers leave defaults out, so that the output of get can be applied.

--- a/nutmegshore/commands/application.py
+++ b/nutmegshore/commands/application.py
@@ -1,17 +1,73 @@
 """The command line's list of commands."""
 
+from typing import Any
+
 from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.io import IO
 
+from nutmegshore.commands.apply import ApplyCommand
+from nutmegshore.commands.base import Context, ExitCode
 from nutmegshore.commands.daemon import EntryCommand, PlatformCommand
+from nutmegshore.commands.intents import DrainCommand, ShiftCommand
+from nutmegshore.commands.local import (
+    CheckCommand,
+    ExampleCommand,
+    ObjectsCommand,
+    TokenCommand,
+)
+from nutmegshore.commands.objects import (
+    DeleteCommand,
+    GetCommand,
+    WatchCommand,
+)
+from nutmegshore.commands.reports import ExplainCommand, StatusCommand
 
-__all__ = ('make_application',)
+__all__ = ('COMMANDS', 'make_application')
 
 _VERSION = '0.1.0'
 
+COMMANDS = (
+    ApplyCommand,
+    CheckCommand,
+    DeleteCommand,
+    DrainCommand,
+    EntryCommand,
+    ExampleCommand,
+    ExplainCommand,
+    GetCommand,
+    ObjectsCommand,
+    PlatformCommand,
+    ShiftCommand,
+    StatusCommand,
+    TokenCommand,
+    WatchCommand,
+)
+
+
+class _Application(Application):
+    """Answers a wrong command line with the exit code for invalid input."""
+
+    def __init__(self) -> None:
+        super().__init__('nutmegshore', _VERSION)
+        self.auto_exits(auto_exits=False)
+        self._is_misused = False
+
+    def render_error(self, error: Exception, io: IO) -> None:
+        """Show an error, and remember whether the command line is at fault."""
+        self._is_misused = isinstance(error, CleoError)
+        super().render_error(error, io)
+
+    def run(self, *streams: Any) -> int:
+        """Run a command; returns its exit code."""
+        self._is_misused = False
+        code = super().run(*streams)
+        return ExitCode.INVALID if self._is_misused else code
+
 
-def make_application() -> Application:
+def make_application(context: Context | None = None) -> Application:
     """Application with every command."""
-    application = Application('nutmegshore', _VERSION)
-    application.add(EntryCommand())
-    application.add(PlatformCommand())
+    application = _Application()
+    for command in COMMANDS:
+        application.add(command(context or Context()))
     return application
--- a/nutmegshore/operators/api.py
+++ b/nutmegshore/operators/api.py
@@ -25,6 +25,7 @@
     InvalidObject,
     check_references,
     config_key,
+    write_spec,
 )
 
 __all__ = ('DryRun', 'OperatorApi', 'Preview')
@@ -220,4 +221,4 @@
 def _spec_fields(envelope: Envelope | None) -> dict[str, Any]:
     if envelope is None or envelope.spec is None:
         return {}
-    return attrs.asdict(envelope.spec)
+    return write_spec(envelope.spec)
--- a/nutmegshore/operators/handler.py
+++ b/nutmegshore/operators/handler.py
@@ -4,13 +4,13 @@
 from http import HTTPStatus
 from typing import Any
 
-import attrs
 from tornado.httputil import HTTPServerRequest
 from tornado.web import HTTPError, RequestHandler
 
-from nutmegshore.errors import NutmegshoreError, Outcome, VersionConflict
+from nutmegshore.errors import NutmegshoreError
 from nutmegshore.operators.access import Access, Caller, Credential, Role
 from nutmegshore.operators.api import OperatorApi
+from nutmegshore.operators.wire import describe_error, write_json
 from nutmegshore.resources import FieldFault, InvalidObject
 
 __all__ = ('OperatorHandler', 'make_invalid')
@@ -48,7 +48,7 @@
         error = options.get('exc_info', (None, None))[1]
         if isinstance(error, NutmegshoreError):
             self.set_status(error.answer.status)
-            self._finish_fault(error, _error_fields(error))
+            self._finish_fault(error, describe_error(error))
             return
         kind = 'internal' if status_code >= _SERVER_ERROR else 'request'
         fields = {'error': kind, 'message': self._reason}
@@ -61,7 +61,7 @@
 
     def finish_json(self, fields: Any) -> None:
         self.set_header('Content-Type', 'application/json')
-        self.finish(json.dumps(fields, default=_encode))
+        self.finish(write_json(fields))
 
     def read_json(self) -> Any:
         try:
@@ -79,31 +79,11 @@
         self.finish_json(fields)
 
 
-def _error_fields(error: NutmegshoreError) -> dict[str, Any]:
-    fields: dict[str, Any] = {
-        'error': error.kind.value,
-        'outcome': error.answer.outcome.value,
-        'message': str(error),
-    }
-    if isinstance(error, InvalidObject):
-        fields['faults'] = error.faults
-    if isinstance(error, VersionConflict):
-        fields['present'] = error.present
-    if error.answer.outcome == Outcome.UNKNOWN:
-        fields['advice'] = 'read the object before writing again'
-    return fields
-
-
 def make_invalid(field: str, expected: str) -> InvalidObject:
+    """Error for a request whose field is not as expected."""
     return InvalidObject('request', [FieldFault(field, expected)])
 
 
-def _encode(found: Any) -> Any:
-    if attrs.has(type(found)):
-        return attrs.asdict(found, recurse=False)
-    raise TypeError(type(found))
-
-
 def _subject(request: HTTPServerRequest) -> str:
     """Common name of the client's certificate; '' without one."""
     stream = getattr(request.connection, 'stream', None)
--- /dev/null
+++ b/nutmegshore/operators/http_client.py
@@ -0,0 +1,186 @@
+"""Client of the operator listener over HTTP."""
+
+import json
+import ssl
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import attrs
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+
+from nutmegshore.errors import ErrorKind, NutmegshoreError
+from nutmegshore.operators.client import (
+    EntryUnreachable,
+    Fields,
+    OperatorClient,
+    OperatorError,
+)
+
+__all__ = ('HttpOperatorClient', 'Server')
+
+_CONNECT_TIMEOUT_S = 5
+#: Longer than an entry's own limits, so that its answer comes first.
+_CALL_TIMEOUT_S = 20
+_WATCH_TIMEOUT_S = 45
+_UNKNOWN = (
+    'no answer: the write may have taken effect;'
+    ' read the object before writing again'
+)
+
+
+@attrs.frozen
+class Server:
+    """Where the entry is and how to show who calls.
+
+    `ca`, `certificate` and `key` are paths of PEM files, or ''.
+    """
+
+    url: str
+    token: str = ''
+    ca: str = ''
+    certificate: str = ''
+    key: str = ''
+
+
+class HttpOperatorClient(OperatorClient):
+    """Client of the resource API at a URL such as https://10.0.0.1:8081."""
+
+    def __init__(self, server: Server) -> None:
+        """Remember the server; connections open with each call."""
+        self._server = server
+        self._client = AsyncHTTPClient(force_instance=True)
+        self._context = _make_context(server)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def get(self, kind: str, name: str) -> Fields:
+        """Read one object in force."""
+        return await self._call('GET', _path('objects', kind, name))
+
+    async def iter_objects(self, kind: str) -> list[Fields]:
+        """Read all objects of a kind; '' stands for every kind."""
+        parts = ('objects', kind) if kind else ('objects',)
+        return await self._call('GET', _path(*parts))
+
+    async def write(
+        self,
+        kind: str,
+        name: str,
+        spec: Fields | None,
+        generation: int | None,
+        reason: str,
+    ) -> Fields:
+        """Write, or with spec None delete, at an expected generation."""
+        query = urlencode({'reason': reason})
+        path = _path('objects', kind, name)
+        condition = {} if generation is None else {'If-Match': str(generation)}
+        return await self._call(
+            'DELETE' if spec is None else 'PUT',
+            f'{path}?{query}',
+            body=None if spec is None else json.dumps(spec),
+            headers=condition,
+        )
+
+    async def dry_run(self, wishes: list[Fields]) -> Fields:
+        """Ask what maps of kind, name and spec would change."""
+        return await self._call('POST', '/dry-run', body=json.dumps(wishes))
+
+    async def watch(self, after: str) -> Fields:
+        """Wait for changes after a position; '' gives all objects."""
+        query = urlencode({'after': after})
+        return await self._call(
+            'GET',
+            f'/watch?{query}',
+            request_timeout=_WATCH_TIMEOUT_S,
+        )
+
+    async def explain(self, service: str, region: str) -> list[Fields]:
+        """Ask where requests go and why; '' stands for all."""
+        query = urlencode({'service': service, 'region': region})
+        return await self._call('GET', f'/explain?{query}')
+
+    async def read_statuses(self, kind: str, name: str) -> list[Fields]:
+        """Read statuses by region; '' stands for all."""
+        query = urlencode({'kind': kind, 'name': name})
+        return await self._call('GET', f'/status?{query}')
+
+    async def _call(self, method: str, path: str, **options: Any) -> Any:
+        response = await self._fetch(self._request(method, path, options))
+        try:
+            fields = json.loads(response.body)
+        except ValueError:
+            message = 'the answer is not JSON'
+            raise EntryUnreachable(message) from None
+        if response.code == HTTPStatus.OK:
+            return fields
+        raise OperatorError(_parse_kind(fields), fields)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        options: dict[str, Any],
+    ) -> HTTPRequest:
+        headers = dict(options.pop('headers', {}))
+        token = self._server.token
+        if token:
+            headers['Authorization'] = f'Bearer {token}'
+        options.setdefault('request_timeout', _CALL_TIMEOUT_S)
+        return HTTPRequest(
+            self._server.url + path,
+            method=method,
+            headers=headers,
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            ssl_options=self._context,
+            allow_nonstandard_methods=True,
+            **options,
+        )
+
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError, ValueError) as failure:
+            raise _unanswered(request, failure) from failure
+
+
+def _unanswered(request: HTTPRequest, failure: Exception) -> NutmegshoreError:
+    """Error for a call without an answer.
+
+    The library raises OSError before it sends, and a client error of its own
+    for a connection that ends or times out later.
+    """
+    is_write = request.method in {'PUT', 'DELETE'}
+    is_sent = isinstance(failure, HTTPClientError)
+    if is_write and is_sent and 'connecting' not in str(failure):
+        return NutmegshoreError(ErrorKind.OUTCOME_UNKNOWN, _UNKNOWN)
+    return EntryUnreachable(str(failure))
+
+
+def _parse_kind(fields: Any) -> ErrorKind:
+    """Kind that an answer names; a foreign one is a malformed request."""
+    try:
+        return ErrorKind(fields['error'])
+    except (ValueError, LookupError, TypeError):
+        return ErrorKind.MALFORMED_REQUEST
+
+
+def _path(*parts: str) -> str:
+    quoted = [quote(part, safe='') for part in parts]
+    return '/{0}'.format('/'.join(quoted))
+
+
+def _make_context(server: Server) -> ssl.SSLContext | None:
+    if not server.url.startswith('https:'):
+        return None
+    context = ssl.create_default_context(cafile=server.ca or None)
+    if server.certificate:
+        context.load_cert_chain(server.certificate, server.key or None)
+    return context
--- a/nutmegshore/resources/__init__.py
+++ b/nutmegshore/resources/__init__.py
@@ -13,6 +13,7 @@
     parse_envelope,
     parse_spec,
     write_envelope,
+    write_spec,
 )
 from nutmegshore.resources.faults import FieldFault, InvalidObject
 from nutmegshore.resources.intent import Drain, Limit, Rule, Shift
@@ -41,4 +42,5 @@
     'parse_envelope',
     'parse_spec',
     'write_envelope',
+    'write_spec',
 )
--- a/nutmegshore/resources/envelope.py
+++ b/nutmegshore/resources/envelope.py
@@ -21,6 +21,7 @@
     'parse_envelope',
     'parse_spec',
     'write_envelope',
+    'write_spec',
 )
 
 Spec = Union[
@@ -98,6 +99,14 @@
     return json.dumps(fields, sort_keys=True).encode()
 
 
+def write_spec(spec: Spec) -> dict[str, Any]:
+    """Fields of a spec that differ from their defaults, as JSON has them.
+
+    `parse_spec` reads them back to an equal spec.
+    """
+    return attrs.asdict(spec, filter=_is_set)
+
+
 def _is_set(field: Any, value: Any) -> bool:
     return value != field.default
 
