--- a/nutmegshore/operators/http_client.py
+++ b/nutmegshore/operators/http_client.py
@@ -1,6 +1,7 @@
 """Client of the operator listener over HTTP."""
 
 import json
+import socket
 import ssl
 from http import HTTPStatus
 from typing import Any
@@ -28,6 +29,14 @@
 #: Longer than an entry's own limits, so that its answer comes first.
 _CALL_TIMEOUT_S = 20
 _WATCH_TIMEOUT_S = 45
+_NOT_SENT = (
+    ConnectionRefusedError,
+    socket.gaierror,
+    ssl.SSLCertVerificationError,
+    ValueError,
+)
+#: Part of the library's message for a time limit before the connection.
+_CONNECTING = 'connecting'
 _UNKNOWN = (
     'no answer: the write may have taken effect;'
     ' read the object before writing again'
@@ -154,12 +163,12 @@
 def _unanswered(request: HTTPRequest, failure: Exception) -> NutmegshoreError:
     """Error for a call without an answer.
 
-    The library raises OSError before it sends, and a client error of its own
-    for a connection that ends or times out later.
+    A reset connection can come before or after the request was read, so only
+    the errors of opening a connection say that nothing was sent.
     """
     is_write = request.method in {'PUT', 'DELETE'}
-    is_sent = isinstance(failure, HTTPClientError)
-    if is_write and is_sent and 'connecting' not in str(failure):
+    is_sent = not isinstance(failure, _NOT_SENT)
+    if is_write and is_sent and _CONNECTING not in str(failure):
         return NutmegshoreError(ErrorKind.OUTCOME_UNKNOWN, _UNKNOWN)
     return EntryUnreachable(str(failure))
 
