Make a new TLS context on reload

A context keeps every CA it has loaded, so a withdrawn client CA stayed trusted until a restart, and a faulty CA file left half of a reload in force.

A reload builds a new context and hands it to the listener for new connections. Cells of tables write nested fields as compact JSON.

Taken out once, seen to fail: use of the new context.

--- a/nutmegshore/commands/base.py
+++ b/nutmegshore/commands/base.py
@@ -263,5 +263,13 @@
     if isinstance(value, list):
         return ', '.join(_write_cell(part) for part in value) or '-'
     if isinstance(value, dict):
-        return ' '.join(f'{key}={part}' for key, part in value.items()) or '-'
+        pairs = [f'{key}={_write_part(part)}' for key, part in value.items()]
+        return ' '.join(pairs) or '-'
     return str(value)
+
+
+def _write_part(value: Any) -> str:
+    """Write a field's value in a cell, without spaces."""
+    if isinstance(value, str):
+        return value
+    return json.dumps(value, separators=(',', ':'))
--- a/nutmegshore/operators/assembly.py
+++ b/nutmegshore/operators/assembly.py
@@ -16,7 +16,6 @@
 from nutmegshore.operators.server import make_operator_application
 from nutmegshore.platform import Platform, make_operation
 from nutmegshore.settings import EntrySettings, make_tls_context
-from nutmegshore.settings.tls import load_tls_files
 
 __all__ = ('OperatorSide', 'make_operator_side')
 
@@ -26,7 +25,7 @@
 _BODY_MARGIN = 2
 
 
-@attrs.frozen
+@attrs.define
 class OperatorSide:
     """The operator listener's parts; `listen` opens it."""
 
@@ -34,25 +33,31 @@
     api: OperatorApi
     access: Access
     context: ssl.SSLContext | None
+    server: HTTPServer | None = None
 
     def listen(self) -> HTTPServer:
         """Open the listener that the settings name."""
         limit = self.settings.get('limits', 'operator_body_bytes')
-        server = HTTPServer(
+        self.server = HTTPServer(
             make_operator_application(self.api, self.access, limit),
             ssl_options=self.context,
             max_body_size=limit * _BODY_MARGIN,
         )
-        server.listen(
+        self.server.listen(
             self.settings.get(_SECTION, 'port'),
             self.settings.get(_SECTION, 'address'),
         )
-        return server
+        return self.server
 
     def reload(self, settings: EntrySettings) -> None:
-        """Use other credentials and TLS files from now on."""
-        if self.context is not None:
-            load_tls_files(self.context, settings)
+        """Use other credentials and TLS files for new connections and calls.
+
+        Whether the listener uses TLS at all stays until a restart. Raises
+        `SettingsError` and changes nothing where the files cannot be read.
+        """
+        context = make_tls_context(settings, _SECTION)
+        if context and self.context and self.server:
+            self.server.ssl_options = context
         self.access.replace(settings.access)
 
 
--- a/nutmegshore/settings/tls.py
+++ b/nutmegshore/settings/tls.py
@@ -5,7 +5,7 @@
 from nutmegshore.errors import SettingsError
 from nutmegshore.settings.parse import EntrySettings
 
-__all__ = ('load_tls_files', 'make_tls_context')
+__all__ = ('make_tls_context',)
 
 _TLS = 'tls'
 
@@ -17,22 +17,18 @@
     """Context of a listener, or None where its section says `tls = no`.
 
     With `client_ca`, client certificates are checked where one is shown; a
-    client without one needs a token.
+    client without one needs a token. Raises `SettingsError` for files that
+    cannot be read. A context cannot forget a CA, so a reload makes a new one.
     """
     if not settings.get(section, _TLS):
         return None
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    load_tls_files(context, settings)
+    _load_files(context, settings)
     return context
 
 
-def load_tls_files(context: ssl.SSLContext, settings: EntrySettings) -> None:
-    """Read the files into a context; new connections use them at once.
-
-    Raises `SettingsError` for files that cannot be read; a context that was
-    in use keeps what it had.
-    """
+def _load_files(context: ssl.SSLContext, settings: EntrySettings) -> None:
     certificate = settings.get(_TLS, 'certificate')
     client_ca = settings.get(_TLS, 'client_ca')
     try:
--- a/tests/operators/test_assembly.py
+++ b/tests/operators/test_assembly.py
@@ -119,6 +119,24 @@
     assert asyncio.run(session()) == ['ann', 'ann', 'unauthorized', 'ann']
 
 
+def test_a_reload_forgets_a_client_ca():
+    """Guards against certificates of a withdrawn CA that stay valid."""
+    operators = 'tls = yes\nsubjects = ann write'
+    tls = _TLS.format(_FILES)
+    other = tls.replace('ca.pem', 'server.pem')
+
+    async def session():
+        port = _free_port()
+        with _listen(_settings(port, operators, tls)) as side:
+            before = await _write(port, who='ann')
+            side.reload(_settings(port, operators, other))
+            return before, await _write(port, who='ann')
+
+    before, after = asyncio.run(session())
+    assert before == 'ann'
+    assert after in {'outcome_unknown', 'link_closed'}
+
+
 def test_a_change_is_logged_with_who_what_and_why():
     """Guards against changes whose origin nobody can find."""
 
