Refuse stored envelopes that break peers or keys

An object written straight into the store could carry a generation beyond the 64 bits of peer messages, true as a generation or a name with a slash, and deeply nested JSON ended the reader with RecursionError.

Taken out once, each seen to fail: RecursionError, true as a number, bound of the generation, check of the name.

--- a/nutmegshore/operators/declare.py
+++ b/nutmegshore/operators/declare.py
@@ -25,13 +25,10 @@
     write_envelope,
 )
 from nutmegshore.resources.check import check_name, check_spec
+from nutmegshore.resources.envelope import MAX_GENERATION
 
 __all__ = ('Declaration', 'Declarer', 'check_declaration', 'make_proposed')
 
-#: Larger generations in a damaged object are not continued, because peer
-#: messages carry a generation in 64 bits.
-_MAX_GENERATION = 1_000_000_000_000_000
-
 
 @attrs.frozen
 class Declaration:
@@ -222,7 +219,8 @@
     generation = raw.get('generation') if isinstance(raw, dict) else 0
     if isinstance(generation, bool) or not isinstance(generation, int):
         return 0
-    return generation if 0 < generation < _MAX_GENERATION else 0
+    # A larger one could not be continued.
+    return generation if 0 < generation < MAX_GENERATION else 0
 
 
 def make_proposed(
--- a/nutmegshore/resources/envelope.py
+++ b/nutmegshore/resources/envelope.py
@@ -10,10 +10,12 @@
 from nutmegshore.resources.fields import parse_fields
 from nutmegshore.resources.intent import Drain, Limit, Rule, Shift
 from nutmegshore.resources.place import Region
+from nutmegshore.resources.readers import read_name
 from nutmegshore.resources.server import Entry, Upstream
 from nutmegshore.resources.service import Service
 
 __all__ = (
+    'MAX_GENERATION',
     'SPEC_TYPES',
     'Envelope',
     'Spec',
@@ -50,6 +52,8 @@
 )
 
 _CONFIG_PREFIX = 'config/'
+#: Peer messages carry a generation in 64 bits.
+MAX_GENERATION = 1_000_000_000_000_000
 
 
 @attrs.frozen
@@ -115,7 +119,7 @@
     """Decode and check an envelope, or raise `InvalidObject`."""
     try:
         raw = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise InvalidObject('object', [FieldFault('body', 'JSON')]) from None
     if not isinstance(raw, dict):
         raise InvalidObject('object', [FieldFault('body', 'a JSON map')])
@@ -146,9 +150,15 @@
 
 def _build_envelope(raw: dict[str, Any]) -> Envelope:
     subject = '{0}/{1}'.format(raw['kind'], raw['name'])
-    if raw['generation'] < 1:
-        expected = 'a whole number from 1'
+    generation = raw['generation']
+    is_in_bounds = 1 <= generation <= MAX_GENERATION
+    if isinstance(generation, bool) or not is_in_bounds:
+        expected = f'a whole number from 1 to {MAX_GENERATION}'
         raise InvalidObject(subject, [FieldFault('generation', expected)])
+    try:
+        read_name(raw['name'])
+    except ValueError:
+        raise InvalidObject(subject, [FieldFault('name', 'a name')]) from None
     fields = {field: raw[field] for field in _ENVELOPE_FIELDS}
     spec = None
     if not raw['is_deleted']:
