--- a/nutmegshore/resources/__init__.py
+++ b/nutmegshore/resources/__init__.py
@@ -1,5 +1,10 @@
 """Objects that operators declare."""
 
+from nutmegshore.resources.check import (
+    check_name,
+    check_references,
+    check_spec,
+)
 from nutmegshore.resources.envelope import (
     SPEC_TYPES,
     Envelope,
@@ -8,6 +13,7 @@
     parse_envelope,
     parse_spec,
     write_envelope,
+    write_spec,
 )
 from nutmegshore.resources.faults import FieldFault, InvalidObject
 from nutmegshore.resources.intent import Drain, Limit, Rule, Shift
@@ -29,8 +35,12 @@
     'Shift',
     'Spec',
     'Upstream',
+    'check_name',
+    'check_references',
+    'check_spec',
     'config_key',
     'parse_envelope',
     'parse_spec',
     'write_envelope',
+    'write_spec',
 )
