Stream requests and answers to upstreams over libcurl

The client held whole bodies in memory and told failures apart by libcurl's error number, which is wrong after a repeat: when a kept-alive connection closes and libcurl's own second try finds no listener, the number says "could not connect" although the first try was sent.

CurlLoop drives pycurl's multi interface on the asyncio loop. Transfer holds at most 256 KiB and one piece per direction and pauses the other side beyond that. PREREQFUNCTION, which libcurl calls before the first byte of each try, marks the request as sent; only without that mark is it unreachable or late before sending. An answer that only the end of its connection frames is UPSTREAM_LOST, since it looks the same whole as cut. A cancelled or unread exchange loses its connection. Leaving flag and load go to on_report.

--- a/nutmegshore/upstreams/__init__.py
+++ b/nutmegshore/upstreams/__init__.py
@@ -4,8 +4,11 @@
     AnswerHead,
     AnswerReceiver,
     BodySource,
+    Headers,
+    ReportReceiver,
     UpstreamClient,
     UpstreamRequest,
+    read_report,
 )
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
 
@@ -13,8 +16,11 @@
     'AnswerHead',
     'AnswerReceiver',
     'BodySource',
+    'Headers',
     'MemoryUpstream',
     'MemoryUpstreams',
+    'ReportReceiver',
     'UpstreamClient',
     'UpstreamRequest',
+    'read_report',
 )
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -1,7 +1,8 @@
 """Interface of the client that sends requests to upstreams."""
 
 import abc
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from types import MappingProxyType
 
 import attrs
 
@@ -11,23 +12,38 @@
     'AnswerHead',
     'AnswerReceiver',
     'BodySource',
+    'Headers',
+    'ReportReceiver',
     'UpstreamClient',
     'UpstreamRequest',
+    'read_report',
 )
 
 Headers = tuple[tuple[str, str], ...]
 
+#: Takes an upstream's name, whether it is leaving, and its busy slots, which
+#: are None where the answer did not report them.
+ReportReceiver = Callable[[str, bool, int | None], None]
+
+_LEAVING = 'nutmegshore-leaving'
+_LOAD = 'nutmegshore-load'
+_NOT_RUN = 'nutmegshore-not-run'
+_REFUSED_STATUS = 503
+_YES = '1'
+
 
 class BodySource(abc.ABC):
     """A request body that is read once, piece by piece.
 
     `length` is the number of bytes if it is known in advance, else None.
     `is_started` says whether any piece has been taken; a request whose body
-    was started cannot be sent to another upstream.
+    was started cannot be sent to another upstream, unless `can_replay` says
+    that `chunks` gives the whole body anew each time.
     """
 
     length: int | None = None
     is_started: bool = False
+    can_replay: bool = False
 
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -60,6 +76,31 @@
     status: int
     headers: Headers
 
+    @property
+    def fields(self) -> MappingProxyType[str, str]:
+        """Headers by lower-case name; of repeated ones, the last."""
+        named = {name.lower(): text for name, text in self.headers}
+        return MappingProxyType(named)
+
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the upstream says that it did not run the request.
+
+        A 503 alone does not say so: an upstream may answer it after it has
+        done a part of the work.
+        """
+        says_not_run = self.fields.get(_NOT_RUN) == _YES
+        return self.status == _REFUSED_STATUS and says_not_run
+
+
+def read_report(head: AnswerHead) -> tuple[bool, int | None] | None:
+    """Leaving flag and busy slots that an answer reports, if any."""
+    is_leaving = head.fields.get(_LEAVING) == _YES
+    load = head.fields.get(_LOAD, '')
+    if load.isascii() and load.isdecimal():
+        return is_leaving, int(load)
+    return (is_leaving, None) if is_leaving else None
+
 
 class AnswerReceiver(abc.ABC):
     """Takes an upstream's answer while it arrives."""
@@ -80,9 +121,22 @@
     `RequestError` with kind `UPSTREAM_UNREACHABLE` (nothing was sent),
     `UPSTREAM_REFUSED` (the upstream said that it did not run it),
     `UPSTREAM_LOST` or `DEADLINE_AFTER_SEND` (it may have run). Cancelling the
-    call cancels the upstream's work.
+    call cancels the upstream's work. A body that fails raises the error of
+    its `chunks`.
+
+    `on_report` is called with what each answer reports of the upstream:
+
+        upstreams.on_report = reports.note
     """
 
+    on_report: ReportReceiver | None = None
+
+    def report(self, name: str, head: AnswerHead) -> None:
+        """Pass on what the head of an answer reports of the upstream."""
+        found = read_report(head)
+        if found is not None and self.on_report is not None:
+            self.on_report(name, *found)
+
     @abc.abstractmethod
     async def send(
         self,
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -1,8 +1,10 @@
 """HTTP client of upstreams."""
 
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from nutmegshore.clock import Clock
 from nutmegshore.errors import ErrorKind, RequestError
@@ -10,27 +12,43 @@
 from nutmegshore.upstreams.base import (
     AnswerHead,
     AnswerReceiver,
+    BodySource,
     UpstreamClient,
     UpstreamRequest,
 )
+from nutmegshore.upstreams.multi import CurlLoop
+from nutmegshore.upstreams.transfer import READ_BYTES, Transfer
 
 __all__ = ('CurlUpstreams',)
 
-_MAX_CLIENTS = 1000
-_NO_ANSWER_STATUS = 599
-_NOT_RUN_HEADER = 'Nutmegshore-Not-Run'
+_CONNECT_TIMEOUT_MS = 1000
+_MS_PER_S = 1000
+_DEADLINE = 'Nutmegshore-Deadline-Ms'
+_REQUEST_ID = 'Nutmegshore-Request-Id'
+#: libcurl adds these by itself unless they are given or emptied.
+_DEFAULT_HEADERS = ('Accept', 'User-Agent', 'Expect', 'Content-Type')
+#: Methods whose lack of a body is said with an explicit length.
+_BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+_BODILESS_STATUSES = frozenset((204, 304))
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+_UNKNOWN_LENGTH = -1
 
 
 class CurlUpstreams(UpstreamClient):
-    """Sends requests over HTTP/1.1; bodies are held in memory for now."""
+    """Streams requests and answers over HTTP/1.1 connections.
+
+    Each direction holds at most 256 KiB and one piece. Call `close`
+    at the end to drop all connections.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Read deadlines on the process's clock."""
         self._clock = clock
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=_MAX_CLIENTS,
-        )
+        self._loop = CurlLoop()
+
+    def close(self) -> None:
+        """Cancel what is in flight and close the connections."""
+        self._loop.close()
 
     async def send(
         self,
@@ -43,37 +61,158 @@
         left_s = request.deadline - self._clock.now()
         if left_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
-        response = await self._client.fetch(
-            await _http_request(upstream, request, left_s),
-            raise_error=False,
+        curl = _make_curl(upstream.address, request, left_s)
+        with contextlib.closing(Transfer(self._loop, curl)) as transfer:
+            exchange = _Exchange(transfer, request, name)
+            transfer.start()
+            try:
+                async with asyncio.timeout(left_s):
+                    return await self._run(exchange, receiver)
+            except TimeoutError as failure:
+                raise exchange.late_error() from failure
+
+    async def _run(
+        self,
+        exchange: '_Exchange',
+        receiver: AnswerReceiver,
+    ) -> AnswerHead:
+        if exchange.has_no_body:
+            return await exchange.pass_answer(receiver, self.report)
+        answer = asyncio.ensure_future(
+            exchange.pass_answer(receiver, self.report),
         )
-        _check(name, response)
-        headers = tuple(response.headers.get_all())
-        head = AnswerHead(response.code, headers)
+        body = asyncio.ensure_future(exchange.pass_body())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(_end, answer, body)
+            await asyncio.wait(
+                (answer, body),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not answer.done():
+                # Raises the caller's failure to deliver the body.
+                await body
+            return await answer
+
+
+class _Exchange:
+    """A request, its transfer, and what its failures mean."""
+
+    def __init__(
+        self,
+        transfer: Transfer,
+        request: UpstreamRequest,
+        name: str,
+    ) -> None:
+        self._transfer = transfer
+        self._request = request
+        self._name = name
+
+    @property
+    def has_no_body(self) -> bool:
+        """Whether the request ends with its head."""
+        return self._request.body is None
+
+    async def pass_body(self) -> None:
+        """Move the request's body from its source to libcurl."""
+        async for chunk in _iter_started(self._request.body):
+            await self._transfer.write_chunk(chunk)
+            if self._transfer.error is not None:
+                return
+        self._transfer.write_end()
+
+    async def pass_answer(
+        self,
+        receiver: AnswerReceiver,
+        report: Callable[[str, AnswerHead], None],
+    ) -> AnswerHead:
+        """Move the answer from libcurl to its receiver."""
+        head = await self._transfer.wait_head()
+        if head is None:
+            raise self._lost_error()
+        report(self._name, head)
+        self._check_head(head)
         await receiver.begin(head)
-        await receiver.receive(response.body)
+        chunk = await self._transfer.read_chunk()
+        while chunk:
+            await receiver.receive(chunk)
+            chunk = await self._transfer.read_chunk()
+        if self._transfer.error:
+            raise self._lost_error()
         return head
 
-
-async def _http_request(
-    upstream: Upstream,
+    def late_error(self) -> RequestError:
+        """The error for a deadline that passed during the exchange."""
+        kind = ErrorKind.DEADLINE_BEFORE_SEND
+        if self._transfer.is_sent:
+            kind = ErrorKind.DEADLINE_AFTER_SEND
+        return RequestError(kind, self._name)
+
+    def _check_head(self, head: AnswerHead) -> None:
+        if head.is_refusal:
+            raise RequestError(ErrorKind.UPSTREAM_REFUSED, self._name)
+        if self._has_unframed_body(head):
+            raise RequestError(ErrorKind.UPSTREAM_LOST, self._name)
+
+    def _has_unframed_body(self, head: AnswerHead) -> bool:
+        # A body that only the end of the connection ends looks the same
+        # whole as cut off by a crash of the upstream.
+        is_bodiless = head.status in _BODILESS_STATUSES
+        if is_bodiless or self._request.method == 'HEAD':
+            return False
+        return _FRAMING_HEADERS.isdisjoint(head.fields)
+
+    def _lost_error(self) -> RequestError:
+        kind = ErrorKind.UPSTREAM_UNREACHABLE
+        if self._transfer.is_sent:
+            kind = ErrorKind.UPSTREAM_LOST
+        return RequestError(kind, self._name)
+
+
+async def _iter_started(source: BodySource) -> AsyncIterator[bytes]:
+    async for chunk in source.chunks():
+        source.is_started = True
+        if chunk:
+            yield chunk
+
+
+async def _end(*tasks: asyncio.Future) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _make_curl(
+    address: str,
     request: UpstreamRequest,
     left_s: float,
-) -> HTTPRequest:
-    body = None
-    if request.body is not None:
-        chunks = [chunk async for chunk in request.body.chunks()]
-        body = b''.join(chunks)
-    return HTTPRequest(
-        f'http://{upstream.address}{request.target}',
-        method=request.method,
-        headers=dict(request.headers),
-        body=body,
-        request_timeout=left_s,
-        follow_redirects=False,
-        allow_nonstandard_methods=True,
-        prepare_curl_callback=None if request.may_run_twice else _send_once,
-    )
+) -> pycurl.Curl:
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f'http://{address}/')
+    # The target goes out byte for byte, without libcurl's clean-up of dots.
+    curl.setopt(pycurl.REQUEST_TARGET, request.target)
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.HTTPHEADER, _header_lines(request, left_s))
+    _set_method(curl, request)
+    if not request.may_run_twice:
+        _send_once(curl)
+    return curl
+
+
+def _set_method(curl: pycurl.Curl, request: UpstreamRequest) -> None:
+    if request.method == 'HEAD':
+        curl.setopt(pycurl.NOBODY, 1)
+    elif request.body is not None:
+        length = request.body.length
+        curl.setopt(pycurl.UPLOAD, 1)
+        curl.setopt(
+            pycurl.INFILESIZE_LARGE,
+            _UNKNOWN_LENGTH if length is None else length,
+        )
+    curl.setopt(pycurl.CUSTOMREQUEST, request.method)
 
 
 def _send_once(curl: pycurl.Curl) -> None:
@@ -83,17 +222,26 @@
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
-def _check(name: str, response: HTTPResponse) -> None:
-    if response.code == _NO_ANSWER_STATUS:
-        raise RequestError(_no_answer_kind(response), name)
-    if response.headers.get(_NOT_RUN_HEADER) == '1':
-        raise RequestError(ErrorKind.UPSTREAM_REFUSED, name)
+def _header_lines(request: UpstreamRequest, left_s: float) -> list[bytes]:
+    left_ms = max(int(left_s * _MS_PER_S), 1)
+    pairs = [
+        *request.headers,
+        (_DEADLINE, str(left_ms)),
+        (_REQUEST_ID, request.request_id),
+    ]
+    if request.body is None and request.method in _BODY_METHODS:
+        pairs.append(('Content-Length', '0'))
+    given = {name.lower() for name, _ in pairs}
+    lines = [_header_line(name, text) for name, text in pairs]
+    lines.extend(
+        f'{name}:'.encode()
+        for name in _DEFAULT_HEADERS
+        if name.lower() not in given
+    )
+    return lines
 
 
-def _no_answer_kind(response: HTTPResponse) -> ErrorKind:
-    curl_code = getattr(response.error, 'errno', None)
-    if curl_code == pycurl.E_COULDNT_CONNECT:
-        return ErrorKind.UPSTREAM_UNREACHABLE
-    if curl_code == pycurl.E_OPERATION_TIMEDOUT:
-        return ErrorKind.DEADLINE_AFTER_SEND
-    return ErrorKind.UPSTREAM_LOST
+def _header_line(name: str, text: str) -> bytes:
+    # libcurl sends a header without text only if it ends in a semicolon.
+    line = f'{name}: {text}' if text else f'{name};'
+    return line.encode('latin-1')
--- a/nutmegshore/upstreams/memory.py
+++ b/nutmegshore/upstreams/memory.py
@@ -14,6 +14,7 @@
 from nutmegshore.upstreams.base import (
     AnswerHead,
     AnswerReceiver,
+    Headers,
     UpstreamClient,
     UpstreamRequest,
 )
@@ -151,7 +152,8 @@
         await self._read_body(request)
         await self._run(name, target, request)
         await self._clock.sleep(self._delay_s(name))
-        head = AnswerHead(_STATUS_OK, (('X-Upstream', name),))
+        head = AnswerHead(_STATUS_OK, _answer_headers(name, target))
+        self.report(name, head)
         await receiver.begin(head)
         await receiver.receive(request.request_id.encode())
         return head
@@ -159,7 +161,7 @@
     async def _read_body(self, request: UpstreamRequest) -> None:
         if request.body is not None:
             async for chunk in request.body.chunks():
-                request.body.is_started = bool(chunk)
+                request.body.is_started = request.body.is_started or bool(chunk)
 
     async def _run(
         self,
@@ -206,3 +208,13 @@
                 target.crash()
                 return
             target.served += 1
+
+
+def _answer_headers(name: str, target: MemoryUpstream) -> Headers:
+    headers = (
+        ('X-Upstream', name),
+        ('Nutmegshore-Load', str(min(target.inside, target.slots))),
+    )
+    if target.is_leaving:
+        return (*headers, ('Nutmegshore-Leaving', '1'))
+    return headers
