Stream callers' requests and end each answer whole or by reset

The listener buffered whole bodies, answered faults of tornado's parser without kind and outcome, could end a cut answer cleanly, and a retry that found no upstream after an unknown first try was reported as "not run".

The listener now reads heads and bodies itself on tornado's streams, one task per connection: tornado's HTTP server answers malformed heads with a bare 400 and oversized ones with a close, and accepts repeated equal lengths. Header rules are pure functions in callers/headers.py. A body start of up to 64 KiB is read before the request goes anywhere; a body that is whole by then can be sent again. Forwarder takes a gate, at-most-once records and a retry policy as ForwardHooks; Attempts keeps an unknown outcome over later refusals. ListenerStop waits for the look-up lifetime, then for the last request.

--- a/nutmegshore/callers/__init__.py
+++ b/nutmegshore/callers/__init__.py
@@ -1,14 +1,45 @@
 """The callers that look up entries and send requests."""
 
-from nutmegshore.callers.forward import CallerRequest, Forwarder
-from nutmegshore.callers.lookup import EntryAnswer, LookupAnswer, lookup_entries
-from nutmegshore.callers.server import make_caller_application
+from nutmegshore.callers.parts import ListenerLimits
+from nutmegshore.callers.forward import Forwarder, ForwardHooks
+from nutmegshore.callers.gate import OpenGate, RequestGate
+from nutmegshore.callers.lookup import (
+    EntryAnswer,
+    LookupAnswer,
+    LookupLedger,
+    check_service,
+    lookup_entries,
+)
+from nutmegshore.callers.record import (
+    NoRecords,
+    OnceClaim,
+    OnceRecords,
+    RecordedAnswer,
+)
+from nutmegshore.callers.request import CallerRequest
+from nutmegshore.callers.retry import RetryFreely, RetryPolicy
+from nutmegshore.callers.server import CallerServer, make_caller_application
+from nutmegshore.callers.stop import ListenerStop
 
 __all__ = (
     'CallerRequest',
+    'CallerServer',
     'EntryAnswer',
+    'ForwardHooks',
     'Forwarder',
+    'ListenerLimits',
+    'ListenerStop',
     'LookupAnswer',
+    'LookupLedger',
+    'NoRecords',
+    'OnceClaim',
+    'OnceRecords',
+    'OpenGate',
+    'RecordedAnswer',
+    'RequestGate',
+    'RetryFreely',
+    'RetryPolicy',
+    'check_service',
     'lookup_entries',
     'make_caller_application',
 )
--- /dev/null
+++ b/nutmegshore/callers/attempts.py
@@ -0,0 +1,114 @@
+"""The attempts of one request at different upstreams."""
+
+import attrs
+
+from nutmegshore.callers.retry import RetryPolicy
+from nutmegshore.counters import Counters
+from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.upstreams import AnswerHead, AnswerReceiver, UpstreamRequest
+
+__all__ = ('Attempts', 'TrackedReceiver')
+
+_MAX_ATTEMPTS = 3
+#: Failures of an upstream after which the request has certainly not run.
+_NOT_RUN = frozenset(
+    (ErrorKind.UPSTREAM_UNREACHABLE, ErrorKind.UPSTREAM_REFUSED),
+)
+
+
+@attrs.define
+class TrackedReceiver(AnswerReceiver):
+    """Passes an answer on and remembers that it has begun."""
+
+    receiver: AnswerReceiver
+    has_begun: bool = False
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Pass the head on."""
+        self.has_begun = True
+        await self.receiver.begin(head)
+
+    async def receive(self, chunk: bytes) -> None:
+        """Pass a piece on."""
+        await self.receiver.receive(chunk)
+
+
+class Attempts:
+    """Decides after each failure whether another attempt is allowed.
+
+    `may_have_run` is true once an attempt began whose outcome is not known to
+    be "not run"; no later refusal may then be reported as "not run".
+    """
+
+    def __init__(
+        self,
+        outgoing: UpstreamRequest,
+        receiver: AnswerReceiver,
+        policy: RetryPolicy,
+        counters: Counters,
+    ) -> None:
+        """Start without an attempt."""
+        self.tried: list[str] = []
+        self.may_have_run = False
+        self.tracked = TrackedReceiver(receiver)
+        self._outgoing = outgoing
+        self._policy = policy
+        self._counters = counters
+        self._unknown: RequestError | None = None
+
+    def begin(self, upstream: str) -> UpstreamRequest:
+        """Note an attempt; it may have run until its failure says not."""
+        self.tried.append(upstream)
+        self.may_have_run = True
+        return self._outgoing
+
+    def check_retry(self, failure: RequestError, now: float) -> None:
+        """Return if another attempt is allowed, else raise the failure."""
+        if failure.answer.outcome is not Outcome.NOT_RUN:
+            self._unknown = failure
+        self.may_have_run = self._unknown is not None
+        obstacle = self._obstacle(failure.kind, now)
+        if obstacle:
+            self._counters.add(
+                'retries_refused',
+                reason=failure.kind.value,
+                obstacle=obstacle,
+            )
+            raise self.final_error(failure) from failure
+        self._counters.add('retries', reason=failure.kind.value)
+
+    def final_error(self, latest: RequestError) -> RequestError:
+        """The error that the caller gets.
+
+        An earlier attempt with an unknown outcome outweighs a later refusal,
+        whose "not run" is true of that later attempt only.
+        """
+        return self._unknown or latest
+
+    def _obstacle(self, kind: ErrorKind, now: float) -> str:
+        """Why no further attempt is allowed; empty if one is."""
+        outgoing = self._outgoing
+        body = outgoing.body
+        is_used_up = body and body.is_started and not body.can_replay
+        is_safe = kind in _NOT_RUN or (
+            kind is ErrorKind.UPSTREAM_LOST and outgoing.may_run_twice
+        )
+        obstacles = (
+            ('answer_begun', self.tracked.has_begun),
+            ('may_have_run', not is_safe),
+            ('body_used', is_used_up),
+            ('attempts', len(self.tried) >= _MAX_ATTEMPTS),
+            ('deadline', now >= outgoing.deadline),
+        )
+        found = next((name for name, is_met in obstacles if is_met), '')
+        if found or self._may_spend(kind):
+            return found
+        return 'policy'
+
+    def _may_spend(self, kind: ErrorKind) -> bool:
+        outgoing = self._outgoing
+        return self._policy.may_retry(
+            kind,
+            outgoing.service,
+            outgoing.deadline,
+        )
--- /dev/null
+++ b/nutmegshore/callers/connection.py
@@ -0,0 +1,156 @@
+"""One caller's connection: its requests, one after the other."""
+
+import asyncio
+import contextlib
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from nutmegshore.callers.answer import AnswerWriter, abort_stream
+from nutmegshore.callers.body import CallerBody
+from nutmegshore.callers.exchange import CallerExchange
+from nutmegshore.callers.headers import (
+    RequestHead,
+    parse_head,
+    read_body_length,
+)
+from nutmegshore.callers.parts import ListenerParts
+from nutmegshore.callers.reader import CallerReader
+from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.logs import get_logger
+
+__all__ = ('CallerConnection',)
+
+
+class CallerConnection:
+    """Reads, answers and ends the requests of one connection.
+
+    await CallerConnection(stream, parts).run()
+    """
+
+    def __init__(self, stream: IOStream, parts: ListenerParts) -> None:
+        """Wait for `run`."""
+        self.is_idle = True
+        self.is_stopping = False
+        self._stream = stream
+        self._parts = parts
+        self._reader = CallerReader(stream)
+        self._log = get_logger('callers')
+
+    async def run(self) -> None:
+        """Serve until the caller or `close_when_idle` ends it."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._close)
+            stack.enter_context(contextlib.suppress(StreamClosedError))
+            while await self._has_next():
+                await self._serve_one()
+
+    def close_when_idle(self) -> None:
+        """Close now if no request is under way, else after its answer."""
+        self.is_stopping = True
+        if self._stream.closed() or not self.is_idle:
+            return
+        if not self._reader.has_held and not _has_unread(self._stream):
+            self._stream.close()
+
+    def _close(self) -> None:
+        if self.is_idle:
+            self._stream.close()
+        else:
+            abort_stream(self._stream)
+
+    async def _has_next(self) -> bool:
+        if self._stream.closed():
+            return False
+        self.is_idle = True
+        try:
+            async with asyncio.timeout(self._parts.limits.idle_s):
+                await self._reader.wait_start()
+        except TimeoutError:
+            return False
+        self.is_idle = False
+        return True
+
+    async def _serve_one(self) -> None:
+        writer = AnswerWriter(self._stream, keeps_alive=not self.is_stopping)
+        exchange = CallerExchange(self._parts, writer)
+        try:
+            await self._read_request(exchange)
+        except RequestError as error:
+            writer.keeps_alive = False
+            await exchange.refuse(error)
+        else:
+            await self._while_connected(exchange)
+        is_whole = exchange.body is not None and exchange.body.is_whole
+        if not (writer.keeps_alive and is_whole) and not self._stream.closed():
+            await self._linger()
+
+    async def _read_request(self, exchange: CallerExchange) -> None:
+        head = await self._read_head()
+        writer = exchange.writer
+        writer.request = head
+        writer.keeps_alive &= head.keeps_alive
+        exchange.body = CallerBody(
+            self._reader,
+            read_body_length(head),
+            self._parts.limits.body_s,
+            writer.write_continue,
+        )
+
+    async def _read_head(self) -> RequestHead:
+        limits = self._parts.limits
+        try:
+            async with asyncio.timeout(limits.head_s):
+                raw = await self._reader.read_head(limits.head_bytes)
+        except TimeoutError as failure:
+            raise RequestError(ErrorKind.SLOW_SENDER, 'head') from failure
+        return parse_head(raw)
+
+    async def _while_connected(self, exchange: CallerExchange) -> None:
+        """Cancel the work on an answer when its caller disconnects."""
+        work = asyncio.ensure_future(exchange.run())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(_cancel, work)
+            self._stream.set_close_callback(work.cancel)
+            stack.callback(self._stream.set_close_callback, None)
+            await asyncio.wait((work,))
+        failure = None if work.cancelled() else work.exception()
+        if self._stream.closed():
+            self._parts.counters.add('caller_disconnects')
+        elif failure is not None:
+            self._abort(failure)
+
+    def _abort(self, failure: BaseException) -> None:
+        """End a connection whose answer cannot be made whole."""
+        abort_stream(self._stream)
+        reason = 'internal_fault'
+        if isinstance(failure, NutmegshoreError):
+            reason = failure.kind.value
+        else:
+            self._log.error('answer failed', exc_info=failure)
+        self._parts.counters.add('answers_aborted', reason=reason)
+
+    async def _linger(self) -> None:
+        """Close so that the caller can still read the last answer.
+
+        Closing while unread bytes of the request wait sends a reset, and the
+        reset may overtake the answer.
+        """
+        with contextlib.suppress(OSError, TimeoutError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(self._parts.limits.linger_s):
+                await self._reader.discard()
+        self._stream.close()
+
+
+def _has_unread(stream: IOStream) -> bool:
+    """Whether bytes have arrived that the loop has not read yet."""
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+async def _cancel(work: asyncio.Future) -> None:
+    work.cancel()
+    await asyncio.wait((work,))
--- /dev/null
+++ b/nutmegshore/callers/exchange.py
@@ -0,0 +1,103 @@
+"""The answer to one request of a caller."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+from tornado.iostream import StreamClosedError
+
+from nutmegshore.callers.answer import AnswerWriter, abort_stream
+from nutmegshore.callers.body import CallerBody
+from nutmegshore.callers.headers import (
+    IDEMPOTENCY_KEY,
+    RequestHead,
+    named_service,
+    read_deadline_ms,
+    upstream_headers,
+)
+from nutmegshore.callers.lookup import write_lookup
+from nutmegshore.callers.parts import ListenerParts
+from nutmegshore.callers.request import CallerRequest
+from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+
+__all__ = ('CallerExchange',)
+
+_LOOKUP_PATH = '/lookup'
+_LOOKUP_METHODS = ('GET', 'HEAD')
+_OK = 200
+_MS_PER_S = 1000
+
+
+@attrs.define
+class CallerExchange:
+    """Answers one request from the look-up or through the forwarder.
+
+    Errors after the answer has begun are raised, since only an abort of the
+    connection can tell the caller that its answer is cut.
+    """
+
+    parts: ListenerParts
+    writer: AnswerWriter
+    body: CallerBody | None = None
+
+    async def run(self) -> None:
+        """Answer the request whose head and body are set."""
+        try:
+            await self._answer_whole()
+        except NutmegshoreError as error:
+            if self.writer.has_begun:
+                raise
+            self.writer.keeps_alive &= self.body.is_whole
+            await self.refuse(error)
+
+    async def refuse(self, error: NutmegshoreError) -> None:
+        """Answer with an error's kind and outcome, and count it."""
+        reason = error.kind.value
+        self.parts.counters.add('requests_refused', reason=reason)
+        await self._in_time(self.writer.write_error(error))
+
+    async def _answer_whole(self) -> None:
+        if urlsplit(self.writer.request.target).path == _LOOKUP_PATH:
+            await self._answer_lookup()
+            return
+        incoming = self._incoming(self.writer.request)
+        await self.parts.forwarder.forward(incoming, self.writer)
+        await self._in_time(self.writer.finish())
+        self.parts.counters.add('requests', service=incoming.service)
+
+    async def _answer_lookup(self) -> None:
+        head = self.writer.request
+        if head.method not in _LOOKUP_METHODS:
+            raise RequestError(ErrorKind.MALFORMED_REQUEST, head.method)
+        self.writer.keeps_alive &= self.body.is_whole
+        query = parse_qs(urlsplit(head.target).query)
+        service = query.get('service', [''])[0]
+        headers, text = write_lookup(self.parts.lookup(service))
+        await self._in_time(self.writer.write_own(_OK, headers, text))
+        self.parts.counters.add('lookups')
+
+    def _incoming(self, head: RequestHead) -> CallerRequest:
+        deadline = None
+        left_ms = read_deadline_ms(head)
+        if left_ms is not None:
+            deadline = self.parts.clock.now() + left_ms / _MS_PER_S
+        return CallerRequest(
+            request_id=str(uuid.uuid4()),
+            service=named_service(head),
+            method=head.method,
+            target=head.target,
+            headers=upstream_headers(head.headers),
+            body=None if self.body.is_whole else self.body,
+            deadline=deadline,
+            idempotency_key=head.get(IDEMPOTENCY_KEY),
+        )
+
+    async def _in_time(self, write: Awaitable[None]) -> None:
+        try:
+            async with asyncio.timeout(self.parts.limits.write_s):
+                await write
+        except TimeoutError as failure:
+            abort_stream(self.writer.stream)
+            raise StreamClosedError from failure
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -1,7 +1,22 @@
 """Forwarding of one caller's request to an upstream."""
 
+import asyncio
+import contextlib
+import functools
+
 import attrs
 
+from nutmegshore.callers.attempts import Attempts
+from nutmegshore.callers.body import KeptBody
+from nutmegshore.callers.gate import OpenGate, RequestGate
+from nutmegshore.callers.record import (
+    NoRecords,
+    OnceClaim,
+    OnceRecords,
+    RecordedAnswer,
+)
+from nutmegshore.callers.request import CallerRequest
+from nutmegshore.callers.retry import RetryFreely, RetryPolicy
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
@@ -10,42 +25,31 @@
 from nutmegshore.upstreams import (
     AnswerHead,
     AnswerReceiver,
-    BodySource,
     UpstreamClient,
     UpstreamRequest,
 )
 
-__all__ = ('CallerRequest', 'Forwarder')
+__all__ = ('ForwardHooks', 'Forwarder')
 
-#: Failures after which the request has certainly not run.
-_NOT_RUN = frozenset(
-    (
-        ErrorKind.UPSTREAM_UNREACHABLE,
-        ErrorKind.UPSTREAM_REFUSED,
-    )
-)
-_MAX_ATTEMPTS = 3
+_MS_PER_S = 1000
 
 
 @attrs.frozen
-class CallerRequest:
-    """A checked request of a caller.
+class ForwardHooks:
+    """The parts that each request passes besides steering."""
 
-    `deadline` is a reading of the clock, or None for the service's default.
-    """
-
-    request_id: str
-    service: str
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: BodySource | None = None
-    deadline: float | None = None
-    idempotency_key: str = ''
+    gate: RequestGate = attrs.field(factory=OpenGate)
+    records: OnceRecords = attrs.field(factory=NoRecords)
+    retries: RetryPolicy = attrs.field(factory=RetryFreely)
 
 
 class Forwarder:
-    """Sends callers' requests through steering to upstreams."""
+    """Sends callers' requests through steering to upstreams.
+
+    A request passes the gate, the at-most-once record if it has a key and is
+    not idempotent, and then one attempt per upstream until one answers or the
+    failure rules out another.
+    """
 
     def __init__(
         self,
@@ -53,12 +57,16 @@
         upstreams: UpstreamClient,
         clock: Clock,
         counters: Counters,
+        hooks: ForwardHooks | None = None,
     ) -> None:
         """Join the parts that a request passes."""
+        self.in_flight = 0
         self._steering = steering
         self._upstreams = upstreams
         self._clock = clock
         self._counters = counters
+        self._hooks = hooks or ForwardHooks()
+        self._drained = asyncio.Event()
 
     async def forward(
         self,
@@ -66,71 +74,172 @@
         receiver: AnswerReceiver,
     ) -> AnswerHead:
         """Run the request, or raise `RequestError` with its outcome."""
+        with contextlib.ExitStack() as stack:
+            self.in_flight += 1
+            stack.callback(self._leave)
+            service = self._service(request)
+            ready = await self._prepare(request, service)
+            self._hooks.gate.check(ready)
+            if ready.idempotency_key and not service.idempotent:
+                return await self._run_recorded(ready, service, receiver)
+            attempts = self._attempts(ready, service, receiver)
+            return await self._run(ready, attempts)
+
+    async def drain(self) -> None:
+        """Wait until no request is in flight."""
+        while self.in_flight:
+            self._drained.clear()
+            await self._drained.wait()
+
+    def _leave(self) -> None:
+        self.in_flight -= 1
+        if not self.in_flight:
+            self._drained.set()
+
+    def _service(self, request: CallerRequest) -> Service:
         service = self._steering.plan.services.get(request.service)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, request.service)
-        outgoing = self._outgoing(request, service)
-        excluded: frozenset[str] = frozenset()
+        return service
+
+    async def _prepare(
+        self,
+        request: CallerRequest,
+        service: Service,
+    ) -> CallerRequest:
+        """Fix the deadline and read the start of the body within it."""
+        deadline = request.deadline
+        if deadline is None:
+            deadline = self._clock.now() + service.deadline_ms / _MS_PER_S
+        ready = attrs.evolve(request, deadline=deadline)
+        self._check_deadline(ready)
+        if request.body is None:
+            return ready
+        body = KeptBody(request.body)
+        try:
+            async with asyncio.timeout(deadline - self._clock.now()):
+                await body.read_start()
+        except TimeoutError as failure:
+            raise RequestError(ErrorKind.SLOW_SENDER, 'body') from failure
+        return attrs.evolve(ready, body=body, body_start=body.start)
+
+    def _check_deadline(self, request: CallerRequest) -> None:
+        if self._clock.now() >= request.deadline:
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, request.service)
+
+    def _attempts(
+        self,
+        request: CallerRequest,
+        service: Service,
+        receiver: AnswerReceiver,
+    ) -> Attempts:
+        return Attempts(
+            outgoing=_outgoing(request, service),
+            receiver=receiver,
+            policy=self._hooks.retries,
+            counters=self._counters,
+        )
+
+    async def _run_recorded(
+        self,
+        request: CallerRequest,
+        service: Service,
+        receiver: AnswerReceiver,
+    ) -> AnswerHead:
+        found = await self._hooks.records.begin(request, request.deadline)
+        if isinstance(found, RecordedAnswer):
+            self._counters.add('answers_from_record', service=request.service)
+            await receiver.begin(found.head)
+            await receiver.receive(found.body)
+            return found.head
+        attempts = self._attempts(request, service, receiver)
+        try:
+            head = await self._run(request, attempts)
+        except BaseException:
+            await _settle(found, attempts)
+            raise
+        await found.finish(head)
+        return head
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        attempts: Attempts,
+    ) -> AnswerHead:
         while True:
-            permit = await self._steering.acquire(
-                RouteRequest(request.service, outgoing.deadline, excluded),
-            )
+            permit = await self._acquire(request, attempts)
             try:
-                return await self._send(permit, outgoing, receiver)
+                return await self._send(request, permit, attempts)
             except RequestError as failure:
-                excluded = excluded | {permit.name}
-                self._check_retry(failure, outgoing, excluded)
+                attempts.check_retry(failure, self._clock.now())
+
+    async def _acquire(
+        self,
+        request: CallerRequest,
+        attempts: Attempts,
+    ) -> Permit:
+        wanted = RouteRequest(
+            request.service,
+            request.deadline,
+            frozenset(attempts.tried),
+            functools.partial(self._hooks.gate.allows, request),
+        )
+        try:
+            self._check_deadline(request)
+            return await self._steering.acquire(wanted)
+        except RequestError as refusal:
+            raise attempts.final_error(refusal) from refusal
 
     async def _send(
         self,
+        request: CallerRequest,
         permit: Permit,
-        outgoing: UpstreamRequest,
-        receiver: AnswerReceiver,
+        attempts: Attempts,
     ) -> AnswerHead:
+        self._hooks.gate.started(request, permit.name)
         try:
             head = await self._upstreams.send(
                 permit.name,
                 permit.upstream,
-                outgoing,
-                receiver,
+                attempts.begin(permit.name),
+                attempts.tracked,
             )
         except RequestError as failure:
-            permit.release(failure.kind)
+            self._end(request, permit, failure.kind)
             raise
         except BaseException:
-            permit.release(ErrorKind.UPSTREAM_LOST)
+            # The caller has gone, or our own side failed: this says nothing
+            # about the upstream.
+            self._end(request, permit, ErrorKind.CALLER_STALLED)
             raise
-        permit.release()
+        self._end(request, permit, None)
         return head
 
-    def _check_retry(
-        self,
-        failure: RequestError,
-        outgoing: UpstreamRequest,
-        tried: frozenset[str],
-    ) -> None:
-        is_repeatable = failure.kind in _NOT_RUN or outgoing.may_run_twice
-        is_started = outgoing.body is not None and outgoing.body.is_started
-        is_last = len(tried) >= _MAX_ATTEMPTS
-        if is_started or is_last or not is_repeatable:
-            raise failure
-        self._counters.add('retries', reason=failure.kind.value)
-
-    def _outgoing(
+    def _end(
         self,
         request: CallerRequest,
-        service: Service,
-    ) -> UpstreamRequest:
-        deadline = request.deadline
-        if deadline is None:
-            deadline = self._clock.now() + service.deadline_ms / 1000
-        return UpstreamRequest(
-            request_id=request.request_id,
-            service=request.service,
-            method=request.method,
-            target=request.target,
-            headers=request.headers,
-            deadline=deadline,
-            may_run_twice=service.idempotent,
-            body=request.body,
-        )
+        permit: Permit,
+        failure: ErrorKind | None,
+    ) -> None:
+        self._hooks.gate.finished(request, permit.name, failure)
+        permit.release(failure)
+
+
+async def _settle(claim: OnceClaim, attempts: Attempts) -> None:
+    if attempts.may_have_run:
+        await claim.lose()
+    else:
+        await claim.release()
+
+
+def _outgoing(request: CallerRequest, service: Service) -> UpstreamRequest:
+    return UpstreamRequest(
+        request_id=request.request_id,
+        service=request.service,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        deadline=request.deadline,
+        may_run_twice=service.idempotent,
+        body=request.body,
+    )
--- a/nutmegshore/callers/lookup.py
+++ b/nutmegshore/callers/lookup.py
@@ -1,14 +1,26 @@
 """Look-up of the entries that a caller should use."""
 
+import json
+import math
 import random
 from collections.abc import Collection
 
 import attrs
 
+from nutmegshore.clock import Clock
 from nutmegshore.configuration import ConfigurationTable
-from nutmegshore.resources import Drain, Entry, Region
-
-__all__ = ('EntryAnswer', 'LookupAnswer', 'lookup_entries')
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.resources import Drain, Entry, Region, Service
+from nutmegshore.upstreams import Headers
+
+__all__ = (
+    'EntryAnswer',
+    'LookupAnswer',
+    'LookupLedger',
+    'check_service',
+    'lookup_entries',
+    'write_lookup',
+)
 
 _UNKNOWN_DELAY_MS = 1e6
 
@@ -30,6 +42,40 @@
     lifetime_seconds: float
 
 
+@attrs.define
+class LookupLedger:
+    """Remembers until when callers may use the answers handed out.
+
+    A stopping entry waits until no answer that names it is valid:
+
+        ledger.note(answer)
+        await ledger.wait('entry-1')
+    """
+
+    clock: Clock
+    valid_until: dict[str, float] = attrs.field(factory=dict)
+
+    def note(self, answer: LookupAnswer) -> LookupAnswer:
+        """Remember an answer that is handed out now, and return it."""
+        until = self.clock.now() + answer.lifetime_seconds
+        for entry in answer.entries:
+            known = self.valid_until.get(entry.name, until)
+            self.valid_until[entry.name] = max(known, until)
+        return answer
+
+    def left_s(self, name: str) -> float:
+        """Seconds for which some answer still names the entry."""
+        now = self.clock.now()
+        return max(self.valid_until.get(name, now) - now, 0)
+
+    async def wait(self, name: str) -> None:
+        """Wait until no answer names the entry any more."""
+        left_s = self.left_s(name)
+        while left_s > 0:
+            await self.clock.sleep(left_s)
+            left_s = self.left_s(name)
+
+
 def lookup_entries(
     table: ConfigurationTable,
     region: str,
@@ -39,16 +85,19 @@
 ) -> LookupAnswer:
     """List the usable entries, near first, spread by weight.
 
-    `excluded` names entries that are stopping, dead or overloaded. Entries of
-    the same region are drawn anew for each answer, the heavier ones earlier
-    on average, so that callers do not crowd one of them.
+    `excluded` names entries that are stopping, dead or overloaded; drained
+    ones are left out too. Entries of the same region are drawn anew for each
+    answer, the heavier ones earlier on average, so that callers do not crowd
+    one of them.
     """
-    drained = {drain.spec.entry for drain in table.by_name(Drain).values()}
+    drains = [drain.spec for drain in table.by_name(Drain).values()]
     delays = _delays_ms(table, region)
     usable = {
         name: found.spec
         for name, found in table.by_name(Entry).items()
-        if name not in drained and name not in excluded and found.spec.weight
+        if name not in excluded
+        and found.spec.weight
+        and not any(_is_drained(name, found.spec, drain) for drain in drains)
     }
     order = sorted(
         usable,
@@ -66,6 +115,33 @@
     return LookupAnswer(tuple(answers), lifetime_seconds)
 
 
+def check_service(table: ConfigurationTable, service: str) -> None:
+    """Raise `RequestError` for a named service that is not declared."""
+    if service and service not in table.by_name(Service):
+        raise RequestError(ErrorKind.UNKNOWN_SERVICE, service)
+
+
+def write_lookup(answer: LookupAnswer) -> tuple[Headers, bytes]:
+    """Headers and body of a look-up answer.
+
+    A caller's cache counts whole seconds, so the lifetime is rounded down.
+    """
+    max_age = math.floor(answer.lifetime_seconds)
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('Cache-Control', f'max-age={max_age}'),
+    )
+    return headers, json.dumps(attrs.asdict(answer)).encode()
+
+
+def _is_drained(name: str, entry: Entry, drain: Drain) -> bool:
+    return (
+        drain.entry == name
+        or drain.region == entry.region
+        or drain.availability_zone == entry.availability_zone
+    )
+
+
 def _delays_ms(table: ConfigurationTable, region: str) -> dict[str, float]:
     found = table.by_name(Region).get(region)
     delays = found.spec.delay_ms if found else {}
--- /dev/null
+++ b/nutmegshore/callers/reader.py
@@ -0,0 +1,139 @@
+"""Reading of requests from a caller's connection."""
+
+import asyncio
+import re
+
+from tornado.iostream import IOStream
+
+from nutmegshore.errors import ErrorKind, RequestError
+
+__all__ = ('READ_BYTES', 'CallerReader')
+
+#: Bytes that are taken from the connection at once.
+READ_BYTES = 65_536
+
+_LINE_END = b'\r\n'
+_HEAD_END = b'\r\n\r\n'
+#: A chunk's size line with its extensions; longer ones are refused.
+_MAX_SIZE_LINE_BYTES = 256
+_MAX_TRAILER_BYTES = 4096
+_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t -~]*)?')
+_HEXADECIMAL = 16
+
+
+class CallerReader:
+    """Takes heads, body pieces and chunk lines from a stream.
+
+    It holds what was read beyond them, at most `READ_BYTES` more than the
+    longest line allowed. Reading raises tornado's `StreamClosedError` when the
+    caller is gone.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        """Read from a connected stream."""
+        self._stream = stream
+        self._held = bytearray()
+        self._pending: asyncio.Future[bytes] | None = None
+
+    @property
+    def has_held(self) -> bool:
+        """Whether a part of a further request was read."""
+        is_read = self._pending is not None and self._pending.done()
+        return is_read or bool(self._held)
+
+    async def wait_start(self) -> None:
+        """Wait for the first byte of a request; skips empty lines."""
+        self._held = self._held.lstrip(_LINE_END)
+        while not self._held:
+            await self._fill()
+            self._held = self._held.lstrip(_LINE_END)
+
+    async def read_head(self, limit: int) -> bytes:
+        """Read up to the blank line, which is left out."""
+        return await self._read_until(
+            _HEAD_END,
+            limit,
+            ErrorKind.HEADER_TOO_LARGE,
+        )
+
+    async def read_piece(self, limit: int) -> bytes:
+        """Read at least one and at most `limit` bytes."""
+        if not self._held:
+            piece = await self._read()
+            if len(piece) <= limit:
+                return piece
+            self._held += piece
+        return self._take(limit)
+
+    async def read_chunk_size(self) -> int:
+        """Read the line before a chunk."""
+        line = await self._read_line()
+        found = _SIZE_LINE.fullmatch(line)
+        if found is None:
+            raise _malformed('chunk size')
+        return int(found.group(1), _HEXADECIMAL)
+
+    async def read_chunk_end(self) -> None:
+        """Read the line end after a chunk."""
+        if await self._read_line():
+            raise _malformed('chunk end')
+
+    async def skip_trailers(self) -> None:
+        """Read past the trailers, which are not passed on."""
+        left = _MAX_TRAILER_BYTES
+        line = await self._read_line()
+        while line:
+            left -= len(line)
+            if left < 0:
+                raise _malformed('trailers')
+            line = await self._read_line()
+
+    async def discard(self) -> None:
+        """Read and drop everything until the caller closes."""
+        while True:
+            self._held.clear()
+            await self._fill()
+
+    async def _read_line(self) -> bytes:
+        return await self._read_until(
+            _LINE_END,
+            _MAX_SIZE_LINE_BYTES,
+            ErrorKind.MALFORMED_REQUEST,
+        )
+
+    async def _read_until(
+        self,
+        end: bytes,
+        limit: int,
+        kind: ErrorKind,
+    ) -> bytes:
+        at = self._held.find(end)
+        while at < 0 and len(self._held) <= limit:
+            # Only the new bytes and a possible start of the end are searched.
+            searched = max(len(self._held) - len(end) + 1, 0)
+            await self._fill()
+            at = self._held.find(end, searched)
+        if not 0 <= at <= limit:
+            raise RequestError(kind, f'more than {limit} bytes')
+        return self._take(at + len(end))[:at]
+
+    def _take(self, count: int) -> bytes:
+        taken = bytes(self._held[:count])
+        self._held = self._held[count:]
+        return taken
+
+    async def _fill(self) -> None:
+        self._held += await self._read()
+
+    async def _read(self) -> bytes:
+        # A timeout must not cancel the read of the stream, which would refuse
+        # every later one; the next call takes up the same read.
+        if self._pending is None:
+            self._pending = self._stream.read_bytes(READ_BYTES, partial=True)
+        piece = await asyncio.shield(self._pending)
+        self._pending = None
+        return piece
+
+
+def _malformed(what: str) -> RequestError:
+    return RequestError(ErrorKind.MALFORMED_REQUEST, what)
--- /dev/null
+++ b/nutmegshore/callers/record.py
@@ -0,0 +1,67 @@
+"""Records that keep a request with an idempotency key to one run."""
+
+import abc
+
+import attrs
+
+from nutmegshore.callers.request import CallerRequest
+from nutmegshore.upstreams import AnswerHead
+
+__all__ = (
+    'NoRecords',
+    'OnceClaim',
+    'OnceRecords',
+    'RecordedAnswer',
+)
+
+
+@attrs.frozen
+class RecordedAnswer:
+    """The answer of an earlier run of the same request."""
+
+    head: AnswerHead
+    body: bytes = b''
+
+
+class OnceClaim:
+    """The right to run one request; exactly one method is called, once.
+
+    The methods of this base class do nothing.
+    """
+
+    async def finish(self, head: AnswerHead) -> None:
+        """Record that the request ran and how it was answered."""
+
+    async def release(self) -> None:
+        """Record that the request certainly did not run."""
+
+    async def lose(self) -> None:
+        """Leave the record as started: the request may have run."""
+
+
+class OnceRecords(abc.ABC):
+    """Hands out at most one claim per key."""
+
+    @abc.abstractmethod
+    async def begin(
+        self,
+        request: CallerRequest,
+        deadline: float,
+    ) -> OnceClaim | RecordedAnswer:
+        """Claim the request or find the answer of its earlier run.
+
+        Raises `RequestError`, for instance with `DUPLICATE_IN_FLIGHT`,
+        `KEY_REUSED` or `RECORD_UNAVAILABLE`.
+        """
+
+
+class NoRecords(OnceRecords):
+    """Claims every request and records nothing."""
+
+    async def begin(
+        self,
+        request: CallerRequest,
+        deadline: float,
+    ) -> OnceClaim | RecordedAnswer:
+        """Claim the request."""
+        return OnceClaim()
--- /dev/null
+++ b/nutmegshore/callers/request.py
@@ -0,0 +1,27 @@
+"""A caller's request after its checks."""
+
+import attrs
+
+from nutmegshore.upstreams import BodySource, Headers
+
+__all__ = ('CallerRequest',)
+
+
+@attrs.frozen
+class CallerRequest:
+    """A checked request of a caller.
+
+    `deadline` is a reading of the clock, or None for the service's default.
+    `body_start` holds the first bytes of the body, at most 64 KiB and a piece;
+    it is filled before the request reaches a gate or a record.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: Headers
+    body: BodySource | None = None
+    deadline: float | None = None
+    idempotency_key: str = ''
+    body_start: bytes = b''
--- a/nutmegshore/callers/server.py
+++ b/nutmegshore/callers/server.py
@@ -1,137 +1,145 @@
 """HTTP listener for callers."""
 
-import json
-import uuid
-from collections.abc import AsyncIterator, Callable
-from http import HTTPStatus
-from typing import Any
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
 
-import attrs
-from tornado.web import Application, RequestHandler
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
 
-from nutmegshore.callers.forward import CallerRequest, Forwarder
+from nutmegshore.callers.connection import CallerConnection
+from nutmegshore.callers.forward import Forwarder
 from nutmegshore.callers.lookup import LookupAnswer
+from nutmegshore.callers.parts import ListenerLimits, ListenerParts
+from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
-from nutmegshore.errors import NutmegshoreError
-from nutmegshore.upstreams import AnswerHead, AnswerReceiver, BodySource
-
-__all__ = ('make_caller_application',)
-
-_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'DELETE', 'PATCH')
-_SERVICE = 'Nutmegshore-Service'
-_ERROR = 'Nutmegshore-Error'
-_OUTCOME = 'Nutmegshore-Outcome'
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'keep-alive',
-        'transfer-encoding',
-        'upgrade',
-        'host',
-    )
-)
-
-
-def make_caller_application(
-    forwarder: Forwarder,
-    lookup: Callable[[], LookupAnswer],
-    counters: Counters,
-) -> Application:
-    """Application with the look-up and the proxied services."""
-    options = {
-        'forwarder': forwarder,
-        'lookup': lookup,
-        'counters': counters,
-    }
-    return Application(
-        [
-            ('/lookup', _LookupHandler, options),
-            (r'/([^/]+)(/.*)?', _ProxyHandler, options),
-        ],
-    )
 
+__all__ = ('CallerApplication', 'CallerServer', 'make_caller_application')
 
-class _CallerHandler(RequestHandler):
-    def initialize(self, **options: Any) -> None:
-        self.options = options
+#: Bytes that tornado may hold of what a caller sent, per connection.
+_MAX_BUFFER_BYTES = 262_144
+_READ_BYTES = 65_536
+_STOP_CHECK_S = 0.05
 
 
-class _LookupHandler(_CallerHandler):
-    def get(self) -> None:
-        answer = self.options['lookup']()
-        self.finish(json.dumps(attrs.asdict(answer)))
+class CallerServer(TCPServer):
+    """Accepts callers' connections.
 
+    server = CallerServer(parts)
+    server.open(8080, '127.0.0.1')
+    ...
+    await server.finish()
 
-class _ProxyHandler(_CallerHandler):
-    SUPPORTED_METHODS = _METHODS  # noqa: WPS115 - tornado reads this name
+    `finish` cuts no request; `close_all_connections` does.
+    """
 
-    async def prepare(self) -> None:
-        service = self.path_args[0]
-        request = self.request
-        body = _HeldBody(request.body) if request.body else None
-        incoming = CallerRequest(
-            request_id=str(uuid.uuid4()),
-            service=request.headers.get(_SERVICE, service),
-            method=request.method,
-            target=request.uri,
-            headers=_end_to_end(request.headers.get_all()),
-            body=body,
-            idempotency_key=request.headers.get('Idempotency-Key', ''),
+    def __init__(self, parts: ListenerParts) -> None:
+        """Wait for `open`."""
+        super().__init__(
+            max_buffer_size=_MAX_BUFFER_BYTES,
+            read_chunk_size=_READ_BYTES,
         )
-        try:
-            await self._forward(incoming)
-        except NutmegshoreError as error:
-            self._refuse(error)
-
-    async def _forward(self, incoming: CallerRequest) -> None:
-        forwarder = self.options['forwarder']
-        await forwarder.forward(incoming, _Receiver(self))
-        self.options['counters'].add('requests', service=incoming.service)
-        self.finish()
-
-    def _refuse(self, error: NutmegshoreError) -> None:
-        kind = error.kind.value
-        self.options['counters'].add('requests_refused', reason=kind)
-        self.set_status(error.answer.status)
-        self.set_header(_ERROR, kind)
-        self.set_header(_OUTCOME, error.answer.outcome.value)
-        self.finish()
-
-
-class _HeldBody(BodySource):
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-        self.length = len(body)
+        self._parts = parts
+        self._is_leaving = False
+        self._listening: list[socket.socket] = []
+        self._tasks: dict[asyncio.Task, CallerConnection] = {}
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are open now."""
+        return len(self._tasks)
+
+    def open(self, port: int, address: str) -> int:
+        """Listen; port 0 takes a free one. Returns the port."""
+        self._listening = bind_sockets(port, address)
+        self.add_sockets(self._listening)
+        return self._listening[0].getsockname()[1]
+
+    async def handle_stream(
+        self,
+        stream: IOStream,
+        address: tuple[str, int],
+    ) -> None:
+        """Serve one connection in the task that runs this method."""
+        connection = CallerConnection(stream, self._parts)
+        connection.is_stopping = self._is_leaving
+        task = asyncio.current_task()
+        self._tasks[task] = connection
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._tasks.pop, task)
+            stream.set_nodelay(True)
+            await connection.run()
+
+    def leave(self) -> None:
+        """Answer every further request with `Connection: close`."""
+        self._is_leaving = True
+        for connection in self._tasks.values():
+            connection.is_stopping = True
+
+    def stop(self) -> None:
+        """Accept what the kernel holds, then close the listening sockets.
+
+        The kernel resets connections that nobody accepted, and a caller may
+        have sent its request on one already.
+        """
+        for listener in self._listening:
+            self._accept_waiting(listener)
+        self._listening = []
+        super().stop()
+
+    async def finish(self) -> None:
+        """Stop accepting, and wait until every request has its answer."""
+        self.stop()
+        # Connections accepted a moment ago get a turn to show a request.
+        await asyncio.sleep(0)
+        while self._tasks:
+            for connection in tuple(self._tasks.values()):
+                connection.close_when_idle()
+            await asyncio.wait(tuple(self._tasks), timeout=_STOP_CHECK_S)
+
+    async def close_all_connections(self) -> None:
+        """Cancel all requests and close their connections."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        # A listener that has no connection left raises BlockingIOError.
+        with contextlib.suppress(OSError):
+            for accepted, address in iter(listener.accept, None):
+                self._handle_connection(accepted, address)
+
+
+class CallerApplication:
+    """What `EntryDaemon` listens with; keeps the parts for the server."""
+
+    def __init__(self, parts: ListenerParts) -> None:
+        """Wait for `listen`."""
+        self._parts = parts
+
+    def listen(self, port: int, address: str) -> CallerServer:
+        """Open the listener."""
+        server = CallerServer(self._parts)
+        server.open(port, address)
+        return server
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        yield self._body
 
-
-class _Receiver(AnswerReceiver):
-    def __init__(self, handler: RequestHandler) -> None:
-        self._handler = handler
-
-    async def begin(self, head: AnswerHead) -> None:
-        self._handler.set_status(head.status, _reason(head.status))
-        for name, value in _end_to_end(head.headers):
-            self._handler.set_header(name, value)
-        self._handler.set_header(_OUTCOME, 'upstream')
-
-    async def receive(self, chunk: bytes) -> None:
-        self._handler.write(chunk)
-
-
-def _reason(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return 'Unknown'
-
-
-def _end_to_end(headers: Any) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP
+def make_caller_application(
+    forwarder: Forwarder,
+    lookup: Callable[[str], LookupAnswer],
+    counters: Counters,
+    clock: Clock | None = None,
+    limits: ListenerLimits | None = None,
+) -> CallerApplication:
+    """Application with the look-up and the proxied services."""
+    parts = ListenerParts(
+        forwarder,
+        lookup,
+        counters,
+        clock or SystemClock(),
+        limits or ListenerLimits(),
     )
+    return CallerApplication(parts)
--- a/nutmegshore/entry.py
+++ b/nutmegshore/entry.py
@@ -8,6 +8,7 @@
 from nutmegshore.callers import (
     Forwarder,
     LookupAnswer,
+    check_service,
     lookup_entries,
     make_caller_application,
 )
@@ -96,7 +97,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._log.info('stopped')
 
-    def _lookup(self) -> LookupAnswer:
+    def _lookup(self, service: str) -> LookupAnswer:
+        check_service(self.table, service)
         return lookup_entries(
             self.table,
             self._region,
--- /dev/null
+++ b/tests/callers/test_forward.py
@@ -0,0 +1,252 @@
+"""Tests of the path of one request through the forwarder."""
+
+import asyncio
+import functools
+
+import pytest
+
+from nutmegshore.callers import (
+    Forwarder,
+    ForwardHooks,
+    OnceClaim,
+    OnceRecords,
+    OpenGate,
+    RecordedAnswer,
+    RetryFreely,
+)
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.upstreams import AnswerHead, AnswerReceiver, BodySource
+
+_HEAD = AnswerHead(200, ())
+_LOST = ErrorKind.UPSTREAM_LOST
+_REFUSED = ErrorKind.UPSTREAM_REFUSED
+_UNREACHABLE = ErrorKind.UPSTREAM_UNREACHABLE
+
+
+class _Ignore(AnswerReceiver):
+    async def begin(self, head):
+        self.head = head
+
+    async def receive(self, chunk):
+        self.last = chunk
+
+
+class _Body(BodySource):
+    def __init__(self, *pieces):
+        self.pieces = pieces
+
+    async def chunks(self):
+        for piece in self.pieces:
+            yield piece
+
+
+class _SlowBody(BodySource):
+    async def chunks(self):
+        await asyncio.sleep(1)
+        yield b'late'
+
+
+class _Gate(OpenGate):
+    def __init__(self):
+        self.seen = []
+
+    def check(self, request):
+        if request.body_start == b'crash':
+            raise RequestError(ErrorKind.QUARANTINED)
+
+    def allows(self, request, upstream):
+        return upstream == 'orders-2'
+
+    def started(self, request, upstream):
+        self.seen.append(('started', upstream))
+
+    def finished(self, request, upstream, failure):
+        self.seen.append((failure, upstream))
+
+
+class _Claim(OnceClaim):
+    def __init__(self):
+        self.seen = []
+
+    async def finish(self, head):
+        self.seen.append(('finish', head.status))
+
+    async def release(self):
+        self.seen.append('release')
+
+    async def lose(self):
+        self.seen.append('lose')
+
+
+class _Records(OnceRecords):
+    def __init__(self, found):
+        self.found = found
+
+    async def begin(self, request, deadline):
+        return self.found
+
+
+class _Never(RetryFreely):
+    def may_retry(self, failure, service, deadline):
+        return False
+
+
+@pytest.fixture
+def run(steering):
+    """Function that forwards a request and returns how it ended."""
+
+    def forwarded(upstreams_of, request, **hooks):
+        async def session():
+            upstreams = upstreams_of()
+            counters = Counters()
+            forwarder = Forwarder(
+                steering,
+                upstreams,
+                VirtualClock(),
+                counters,
+                ForwardHooks(**hooks),
+            )
+            try:
+                head = await forwarder.forward(request, _Ignore())
+            except RequestError as error:
+                head = error.kind
+            await forwarder.drain()
+            in_flight = sum(steering.in_flight.values())
+            return head, upstreams, counters, in_flight
+
+        return run_virtual(session)
+
+    return forwarded
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        ('orders', [_LOST], 1, _LOST),
+        ('orders', [_REFUSED, None], 2, None),
+        ('orders', [_UNREACHABLE, None], 2, None),
+        ('orders', [_UNREACHABLE, _LOST], 2, _LOST),
+        ('orders', [ErrorKind.DEADLINE_AFTER_SEND], 1, None),
+        ('tallies', [_LOST, None], 2, None),
+        ('tallies', [_LOST, _REFUSED], 3, _LOST),
+        ('tallies', [ErrorKind.CALLER_STALLED], 1, ErrorKind.CALLER_STALLED),
+    ],
+)
+def test_only_safe_retries_are_made(case, run, scripted, step, order):
+    """Guards against a second run, and "not run" after an unknown try."""
+    service, failures, tries, end = case
+    steps = [step(kind, None if kind else _HEAD) for kind in failures]
+    head, upstreams, _, in_flight = run(
+        lambda: scripted(*steps), order(service=service)
+    )
+    assert len(upstreams.sent) == tries
+    assert len({name for name, _ in upstreams.sent}) == tries
+    assert in_flight == 0
+    assert head == end or end is None
+
+
+def test_no_retry_after_the_answer_began(run, scripted, step, order):
+    """Guards against two answers on one connection."""
+    cut = step(_LOST, _HEAD, (b'half',))
+    head, upstreams, counters, _ = run(
+        lambda: scripted(cut), order(service='tallies')
+    )
+    assert (head, len(upstreams.sent)) == (_LOST, 1)
+    assert counters.total('retries_refused', obstacle='answer_begun') == 1
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'bodies'),
+    [
+        ((b'ab', b'c'), [b'abc', b'abc']),
+        ((b'x' * 65_536, b'y'), [b'%by' % (b'x' * 65_536)]),
+    ],
+)
+def test_only_a_whole_kept_body_is_sent_again(
+    pieces, bodies, run, scripted, step, order
+):
+    """Guards against a retry with a part of the body."""
+    steps = (step(_REFUSED, None), step())
+    _, upstreams, _, _ = run(
+        lambda: scripted(*steps), order(body=_Body(*pieces))
+    )
+    assert upstreams.bodies == bodies
+
+
+def test_the_policy_can_refuse_a_retry(run, scripted, step, order):
+    """Guards against retries beyond the budget."""
+    head, upstreams, counters, _ = run(
+        lambda: scripted(step(_REFUSED, None)), order(), retries=_Never()
+    )
+    assert (head, len(upstreams.sent)) == (_REFUSED, 1)
+    assert counters.total('retries_refused', obstacle='policy') == 1
+
+
+def test_a_passed_deadline_stops_before_the_upstream(run, scripted, order):
+    """Guards against work for a caller that has given up."""
+    head, upstreams, _, _ = run(scripted, order(deadline=0))
+    assert (head, upstreams.sent) == (ErrorKind.DEADLINE_BEFORE_SEND, [])
+
+
+def test_a_passed_deadline_is_no_fault_of_the_sender(run, scripted, order):
+    """Guards against a wait for the body of a caller that has given up."""
+    late = order(deadline=0, body=_SlowBody())
+    head, upstreams, _, _ = run(scripted, late)
+    assert (head, upstreams.sent) == (ErrorKind.DEADLINE_BEFORE_SEND, [])
+
+
+def test_each_attempt_goes_to_another_upstream(run, scripted, step, order):
+    """Guards against a retry at the upstream that has just failed."""
+    lost = functools.partial(scripted, step(_LOST, None))
+    for _ in range(20):
+        _, upstreams, _, _ = run(lost, order(service='tallies'))
+        assert len({name for name, _ in upstreams.sent}) == 3
+
+
+def test_the_gate_sees_each_attempt(run, scripted, step, order):
+    """Guards against runs that the quarantine does not know of."""
+    gate = _Gate()
+    run(lambda: scripted(step(_LOST, None)), order(), gate=gate)
+    assert gate.seen == [('started', 'orders-2'), (_LOST, 'orders-2')]
+
+
+def test_the_gate_sees_the_body_before_it_runs(run, scripted, order):
+    """Guards against a crash-causing body that passes the check."""
+    head, upstreams, _, _ = run(
+        scripted, order(body=_Body(b'cr', b'ash')), gate=_Gate()
+    )
+    assert (head, upstreams.sent) == (ErrorKind.QUARANTINED, [])
+
+
+@pytest.mark.parametrize(
+    ('failure', 'noted'),
+    [
+        (None, ('finish', 200)),
+        (_LOST, 'lose'),
+        (_REFUSED, 'release'),
+    ],
+)
+def test_the_claim_is_settled_by_the_outcome(
+    failure, noted, run, scripted, step, order
+):
+    """Guards against a released record of a request that may have run."""
+    claim = _Claim()
+    only = step(failure, None if failure else _HEAD)
+    run(
+        lambda: scripted(only),
+        order(idempotency_key='k'),
+        records=_Records(claim),
+    )
+    assert claim.seen == [noted]
+
+
+def test_a_recorded_answer_is_given_without_a_run(run, scripted, order):
+    """Guards against a second run of a keyed request."""
+    head, upstreams, _, _ = run(
+        scripted,
+        order(idempotency_key='k'),
+        records=_Records(RecordedAnswer(_HEAD, b'done')),
+    )
+    assert (head, upstreams.sent) == (_HEAD, [])
