--- /dev/null
+++ b/nutmegshore/steering/messages.py
@@ -0,0 +1,40 @@
+"""Messages about load between entries."""
+
+import attrs
+
+from nutmegshore.peers import message
+
+__all__ = ('Load', 'RegionLoad', 'UpstreamLeaving')
+
+_LOAD_NUMBER = 30
+_REGION_LOAD_NUMBER = 31
+_LEAVING_NUMBER = 32
+
+
+@message(_LOAD_NUMBER)
+@attrs.frozen
+class Load:
+    """What the sender has in flight, by upstream, and its retry counts.
+
+    `requests` and `retries` count since the start of the sender.
+    """
+
+    in_flight: dict[str, int]
+    requests: int = 0
+    retries: int = 0
+
+
+@message(_REGION_LOAD_NUMBER)
+@attrs.frozen
+class RegionLoad:
+    """Free slots of the sender's region by service; negative when queued."""
+
+    room: dict[str, float]
+
+
+@message(_LEAVING_NUMBER)
+@attrs.frozen
+class UpstreamLeaving:
+    """An upstream that takes no new work."""
+
+    name: str
