Steer by estimate, queue, room, failures and budget

Cause: an upstream was drawn by own requests in flight only, with no queue, no view of peers, no reaction to failures and no bound on retries. An attempt that follows a failure is refused with that failure's kind, so a request that may have run is never answered with "not run".

--- /dev/null
+++ b/nutmegshore/steering/admission.py
@@ -0,0 +1,166 @@
+"""Queue of requests that wait for a free slot at this entry."""
+
+import asyncio
+import bisect
+import contextlib
+import itertools
+import math
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from nutmegshore.clock import Clock
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.steering.rate import DepartureRate
+
+__all__ = ('AdmissionQueue', 'Waiter')
+
+_MS_PER_S = 1000
+#: Largest number of waiting requests; bounds memory if nothing is served.
+_MAX_WAITING = 1000
+#: Requests admitted before anything was served, when the rate is unknown.
+_FIRST_WAITING = 32
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits; `result` gets its permit or its refusal.
+
+    A restricted waiter may be passed over, because it cannot go to every
+    upstream that the requests behind it can go to.
+    """
+
+    request: Any
+    deadline: float
+    order: tuple[int, float, int]
+    is_restricted: bool
+    result: asyncio.Future
+
+
+class AdmissionQueue:
+    """Bounded queue of one service, by priority, then deadline.
+
+    `place(request)` returns a permit, or None while there is no slot. A
+    request is refused with `OVERLOADED` as soon as the wait ahead of it, by
+    the rate of departures, exceeds the target, and with
+    `DEADLINE_BEFORE_SEND` when its deadline cannot be met. A better request
+    takes the place of the last one.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        place: Callable[[Any], Any],
+        rate: DepartureRate,
+    ) -> None:
+        """Start empty, with the target of a service to be set."""
+        self.target_s = math.inf
+        self._clock = clock
+        self._place = place
+        self._rate = rate
+        self._waiting: list[Waiter] = []
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        """Number of waiting requests."""
+        return len(self._waiting)
+
+    def set_target_ms(self, target_ms: float) -> None:
+        """Set the queue delay to stay below."""
+        self.target_s = target_ms / _MS_PER_S
+
+    def enter(
+        self,
+        request: Any,
+        priority: int,
+        is_restricted: bool = False,
+    ) -> Waiter:
+        """Queue a request and place whatever can be placed."""
+        waiter = Waiter(
+            request=request,
+            deadline=request.deadline,
+            order=(priority, request.deadline, next(self._numbers)),
+            is_restricted=is_restricted,
+            result=asyncio.get_running_loop().create_future(),
+        )
+        bisect.insort(self._waiting, waiter, key=_order)
+        self.pump()
+        if not waiter.result.done():
+            self._trim()
+        if not waiter.result.done():
+            self._check_deadline(waiter)
+        return waiter
+
+    async def wait(self, waiter: Waiter) -> Any:
+        """Return the permit of a waiter, or raise its refusal.
+
+        A cancelled wait takes the waiter out; a permit that it had already
+        been given is given back unused through `abandon`.
+        """
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._abandon, waiter)
+            permit = await asyncio.shield(waiter.result)
+            stack.pop_all()
+        return permit
+
+    def pump(self) -> None:
+        """Refuse what is too late and place waiting requests in order."""
+        now = self._clock.now()
+        for late in tuple(self._waiting):
+            if late.deadline <= now:
+                self._refuse(late, ErrorKind.DEADLINE_BEFORE_SEND)
+        for waiter in tuple(self._waiting):
+            if not self._place_one(waiter) and not waiter.is_restricted:
+                return
+
+    def wait_s(self, ahead: int) -> float:
+        """Expected wait behind this many requests, in seconds."""
+        per_s = self._rate.per_s()
+        if per_s:
+            return ahead / per_s
+        return 0 if ahead < _FIRST_WAITING else math.inf
+
+    def close(self, kind: ErrorKind) -> None:
+        """Refuse everything that waits."""
+        for waiter in tuple(self._waiting):
+            self._refuse(waiter, kind)
+
+    def _place_one(self, waiter: Waiter) -> bool:
+        try:
+            permit = self._place(waiter.request)
+        except RequestError as failure:
+            self._refuse(waiter, failure.kind)
+            return True
+        if permit is None:
+            return False
+        self._waiting.remove(waiter)
+        waiter.result.set_result(permit)
+        return True
+
+    def _trim(self) -> None:
+        """Refuse from the end while the last request would wait too long."""
+        while self._waiting:
+            ahead = len(self._waiting)
+            if ahead <= _MAX_WAITING and self.wait_s(ahead) <= self.target_s:
+                return
+            self._refuse(self._waiting[-1], ErrorKind.OVERLOADED)
+
+    def _check_deadline(self, entered: Waiter) -> None:
+        ahead = self._waiting.index(entered)
+        if self._clock.now() + self.wait_s(ahead) > entered.deadline:
+            self._refuse(entered, ErrorKind.DEADLINE_BEFORE_SEND)
+
+    def _refuse(self, waiter: Waiter, kind: ErrorKind) -> None:
+        self._waiting.remove(waiter)
+        waiter.result.set_exception(RequestError(kind))
+
+    def _abandon(self, waiter: Waiter) -> None:
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        elif waiter.result.exception() is None:
+            waiter.result.result().abandon()
+
+
+def _order(waiter: Waiter) -> tuple[int, float, int]:
+    return waiter.order
--- /dev/null
+++ b/nutmegshore/steering/candidates.py
@@ -0,0 +1,98 @@
+"""Upstreams that a request may go to in one region."""
+
+from collections.abc import Iterable
+
+from nutmegshore.resources import Upstream
+from nutmegshore.steering.choice import Candidate
+from nutmegshore.steering.failures import find_rule
+from nutmegshore.steering.parts import Parts
+from nutmegshore.steering.permit import RouteRequest
+from nutmegshore.steering.plan import Plan, RegionChoice
+from nutmegshore.steering.subset import assign_owners, is_in_subset
+
+__all__ = ('CandidateFinder',)
+
+
+class CandidateFinder:
+    """Finds upstreams by subset, owner, failures, leaving and slow start."""
+
+    def __init__(self, parts: Parts, plan: Plan) -> None:
+        """Follow a plan that `follow` replaces."""
+        self.plan = plan
+        self._parts = parts
+        self._owners: dict[str, str] = {}
+        self._outside: set[str] = set()
+
+    def follow(self, plan: Plan) -> None:
+        """Use a newer plan, and the live members as they are now."""
+        self.plan = plan
+        members = self._parts.members_of(plan.region)
+        local = self._parts.peers.local.name
+        self._owners = {}
+        self._outside = set()
+        for choice in self._local_choices():
+            self._owners.update(assign_owners(choice.upstreams, members))
+            for name, found in choice.upstreams.items():
+                if not is_in_subset(local, members, name, found):
+                    self._outside.add(name)
+
+    def owned_slots(self, service: str) -> float:
+        """Slots of the local upstreams that this entry owns."""
+        local = self._parts.peers.local.name
+        return sum(
+            found.slots
+            for choice in self.plan.choices.get(service, ())
+            if choice.region == self.plan.region
+            for name, found in choice.upstreams.items()
+            if self._owners.get(name) == local
+        )
+
+    def find(
+        self,
+        choice: RegionChoice,
+        request: RouteRequest,
+    ) -> list[Candidate]:
+        """Upstreams of a region that the request may go to."""
+        rule = find_rule(
+            self.plan.rules,
+            'upstream_failed',
+            request.service,
+            choice.region,
+        )
+        usable = {
+            name: upstream
+            for name, upstream in choice.upstreams.items()
+            if self._is_usable(name, request)
+        }
+        excluded = self._parts.failures.excluded(usable, rule)
+        due = list(filter(self._parts.failures.may_probe, excluded))
+        if due and not request.excluded:
+            # A probe must not wait behind upstreams that work.
+            slots = usable[due[0]].slots
+            return [Candidate(due[0], slots, is_owned=True)]
+        return [
+            self._candidate(name, upstream)
+            for name, upstream in usable.items()
+            if name not in excluded
+        ]
+
+    def _local_choices(self) -> Iterable[RegionChoice]:
+        return (
+            choice
+            for choices in self.plan.choices.values()
+            for choice in choices
+            if choice.region == self.plan.region
+        )
+
+    def _is_usable(self, name: str, request: RouteRequest) -> bool:
+        is_out = name in self._parts.leaving or name in self._outside
+        return not is_out and request.may_use(name)
+
+    def _candidate(self, name: str, upstream: Upstream) -> Candidate:
+        local = self._parts.peers.local
+        return Candidate(
+            name=name,
+            limit=self._parts.slow_start.limit(name, upstream.slots),
+            is_owned=self._owners.get(name) == local.name,
+            is_near=upstream.availability_zone == local.availability_zone,
+        )
--- /dev/null
+++ b/nutmegshore/steering/choice.py
@@ -0,0 +1,88 @@
+"""Choice of an upstream within a region."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from nutmegshore.resources import Service
+from nutmegshore.steering.estimate import BusyEstimate
+
+__all__ = ('Candidate', 'Chooser')
+
+_RANDOM_CHOICES = 2
+#: Share of the slots by which the own availability zone may be busier.
+_ZONE_NEARNESS = 0.2
+#: Requests above the slots that the owner of an upstream may send, so that
+#: it wins its slots back from entries that refill them as they get free.
+_OWNER_ALLOWANCE = 1
+
+
+@attrs.frozen
+class Candidate:
+    """An upstream that a request may go to.
+
+    `limit` is its slots, or fewer during a slow start. `is_owned` says that
+    this entry is its owner.
+    """
+
+    name: str
+    limit: float
+    is_owned: bool = False
+    is_near: bool = True
+
+
+class Chooser:
+    """Draws the upstream of a request by the estimate of busy slots.
+
+    Own upstreams with a free slot come first, the least busy one; then two
+    random ones of the others, the less busy of the two. An upstream without
+    a free slot in the estimate is never chosen while another has one; only
+    the owner may go above, by one request.
+    """
+
+    def __init__(self, estimate: BusyEstimate, rng: random.Random) -> None:
+        """Choose by an estimate."""
+        self._estimate = estimate
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        service: Service,
+    ) -> str:
+        """Name of the chosen upstream; empty if none has a free slot."""
+        busy = self._estimate.busy
+        free = [one for one in candidates if busy(one.name) < one.limit]
+        owned = [one for one in free if one.is_owned]
+        drawn = owned or self._draw(free) or self._reclaimable(candidates)
+        if not drawn:
+            return ''
+        return min(drawn, key=lambda one: self._score(one, service)).name
+
+    def _draw(self, free: list[Candidate]) -> list[Candidate]:
+        return self._rng.sample(free, min(_RANDOM_CHOICES, len(free)))
+
+    def _reclaimable(
+        self,
+        candidates: Sequence[Candidate],
+    ) -> list[Candidate]:
+        estimate = self._estimate
+        return [
+            one
+            for one in candidates
+            if one.is_owned
+            and estimate.own[one.name] < one.limit
+            and estimate.busy(one.name) < one.limit + _OWNER_ALLOWANCE
+        ]
+
+    def _score(
+        self,
+        one: Candidate,
+        service: Service,
+    ) -> tuple[float, float]:
+        load = self._estimate.busy(one.name) / one.limit
+        weighted = load * service.headroom_weight
+        if not one.is_near:
+            weighted += _ZONE_NEARNESS * service.latency_weight
+        return weighted, self._rng.random()
--- /dev/null
+++ b/nutmegshore/steering/estimate.py
@@ -0,0 +1,93 @@
+"""Estimate of the busy slots of each upstream."""
+
+import collections
+import math
+
+import attrs
+
+from nutmegshore.clock import Clock
+
+__all__ = ('BusyEstimate',)
+
+#: A peer's load message counts this long: four messages at 250 ms.
+_PEER_LIFETIME_S = 1
+#: The excess of an upstream's own report falls to 1/e in this time.
+_REPORT_FADE_S = 1
+_REPORTS_KEPT = 4
+
+
+@attrs.frozen
+class _PeerLoad:
+    received_at: float
+    in_flight: dict[str, int]
+
+
+@attrs.define
+class _Excess:
+    reported_at: float
+    recent: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=_REPORTS_KEPT),
+    )
+
+
+class BusyEstimate:
+    """Busy slots by upstream: own requests, peers' and the reported excess.
+
+    The excess is what an upstream reports above the requests that this entry
+    and its peers know of. Only the least excess of the last four reports
+    counts, since reports that lag behind differ from the known requests in
+    both directions all the time; load of other origin persists.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with nothing in flight."""
+        self.own: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._peers: dict[str, _PeerLoad] = {}
+        self._peer_sum: collections.Counter[str] = collections.Counter()
+        self._excess: dict[str, _Excess] = {}
+
+    def busy(self, name: str) -> float:
+        """Estimate for one upstream, in slots."""
+        known = self.own[name] + self._peer_sum[name]
+        return known + self._fading_excess(name)
+
+    def note_peer(self, sender: str, in_flight: dict[str, int]) -> None:
+        """Take a peer's requests in flight in place of its earlier ones."""
+        self._drop(sender)
+        self._peers[sender] = _PeerLoad(self._clock.now(), in_flight)
+        self._peer_sum.update(in_flight)
+
+    def note_report(self, name: str, busy_slots: float) -> None:
+        """Take an upstream's own report of its busy slots."""
+        now = self._clock.now()
+        found = self._excess.setdefault(name, _Excess(now))
+        found.reported_at = now
+        known = self.own[name] + self._peer_sum[name]
+        found.recent.append(max(busy_slots - known, 0))
+
+    def last_report(self) -> float:
+        """Clock reading of the newest report; minus infinity without one."""
+        return max(
+            (found.reported_at for found in self._excess.values()),
+            default=-math.inf,
+        )
+
+    def drop_old(self) -> None:
+        """Forget peers that have been silent for too long."""
+        oldest = self._clock.now() - _PEER_LIFETIME_S
+        for sender, load in tuple(self._peers.items()):
+            if load.received_at < oldest:
+                self._drop(sender)
+
+    def _drop(self, sender: str) -> None:
+        earlier = self._peers.pop(sender, None)
+        if earlier is not None:
+            self._peer_sum.subtract(earlier.in_flight)
+
+    def _fading_excess(self, name: str) -> float:
+        found = self._excess.get(name)
+        if found is None or len(found.recent) < _REPORTS_KEPT:
+            return 0
+        age_s = self._clock.now() - found.reported_at
+        return min(found.recent) * math.exp(-age_s / _REPORT_FADE_S)
--- a/nutmegshore/steering/messages.py
+++ b/nutmegshore/steering/messages.py
@@ -16,12 +16,14 @@
 class Load:
     """What the sender has in flight, by upstream, and its retry counts.
 
-    `requests` and `retries` count since the start of the sender.
+    `requests` and `retries` count since the start of the sender. `drained`
+    gives the upstreams taken out so far by drain and generation.
     """
 
     in_flight: dict[str, int]
     requests: int = 0
     retries: int = 0
+    drained: dict[str, int] = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
--- a/nutmegshore/steering/plan.py
+++ b/nutmegshore/steering/plan.py
@@ -69,10 +69,14 @@
 
 @attrs.frozen
 class SkippedRegion:
-    """A region that is out for a service, with the object that put it out."""
+    """A region that is out for a service, with the object that put it out.
+
+    `upstreams` are those that can be probed: none in a drained region.
+    """
 
     region: str
     origins: tuple[Origin, ...]
+    upstreams: dict[str, Upstream] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -173,7 +177,11 @@
 
     def skipped(self, service: str) -> tuple[SkippedRegion, ...]:
         return tuple(
-            SkippedRegion(region.name, self._reasons(service, region.name))
+            SkippedRegion(
+                region.name,
+                self._reasons(service, region.name),
+                self.usable.get((service, region.name), {}),
+            )
             for _, region in self.order
             if self._reasons(service, region.name)
         )
--- /dev/null
+++ b/nutmegshore/steering/router.py
@@ -0,0 +1,157 @@
+"""Placement of one request: region, caps, then upstream."""
+
+from collections.abc import Callable
+
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.resources import Region
+from nutmegshore.steering.access import RegionAccess
+from nutmegshore.steering.candidates import CandidateFinder
+from nutmegshore.steering.choice import Candidate
+from nutmegshore.steering.parts import Parts
+from nutmegshore.steering.permit import Pending, Permit, RouteRequest, Unit
+from nutmegshore.steering.plan import Origin, Plan, RegionChoice
+
+__all__ = ('Router',)
+
+ReleaseHandler = Callable[[Permit, ErrorKind | None, bool], None]
+
+
+class Router:
+    """Places requests by a plan and the state of the parts.
+
+    `expected_wait_s(service)` gives the wait in the local queue.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        plan: Plan,
+        on_release: ReleaseHandler,
+        expected_wait_s: Callable[[str], float],
+    ) -> None:
+        """Place by a plan that `follow` replaces."""
+        self.plan = plan
+        self._parts = parts
+        self._on_release = on_release
+        self.candidates = CandidateFinder(parts, plan)
+        self._access = RegionAccess(parts, plan, expected_wait_s)
+
+    def follow(self, plan: Plan, regions: dict[str, Region]) -> None:
+        """Use a newer plan, and the live members as they are now."""
+        self.plan = plan
+        self.candidates.follow(plan)
+        self._access.follow(plan, regions)
+
+    def place(self, pending: Pending) -> Permit | None:
+        """Place a request; None while all slots that it may use are busy.
+
+        Raises `RequestError` with `NO_UPSTREAM` if there is no upstream for
+        it, and with `CAP_REACHED` if a declared limit refuses it.
+        """
+        request = pending.request
+        permit = self._probe_region(request) or self._move(pending)
+        if permit is not None:
+            return permit
+        found = [
+            (choice, self.candidates.find(choice, request))
+            for choice in self.plan.choices[request.service]
+        ]
+        usable = [(choice, names) for choice, names in found if names]
+        if not usable:
+            raise RequestError(ErrorKind.NO_UPSTREAM, request.service)
+        for choice, names in usable:
+            if self._access.is_open(choice, request):
+                permit = self._place_in(choice, names, request)
+            if permit is not None:
+                return permit
+        return None
+
+    def _probe_region(self, request: RouteRequest) -> Permit | None:
+        for skipped in self.plan.skipped[request.service]:
+            names = sorted(filter(request.may_use, skipped.upstreams))
+            is_due = names and self._parts.failures.try_probe_region(
+                request.service,
+                skipped.region,
+            )
+            if is_due:
+                name = self._parts.rng.choice(names)
+                choice = RegionChoice(
+                    skipped.region,
+                    skipped.upstreams,
+                    skipped.origins,
+                )
+                return self._permit(name, choice, request, ())
+        return None
+
+    def _move(self, pending: Pending) -> Permit | None:
+        """Follow the drawn shift, once, if there is room and a unit."""
+        shift = pending.shift
+        pending.shift = None
+        if shift is None:
+            return None
+        request = pending.request
+        for choice in self.plan.choices[request.service]:
+            is_target = choice.region == shift.spec.to_region
+            if is_target and self._access.has_room(choice, request):
+                return self._place_in(
+                    choice,
+                    self.candidates.find(choice, request),
+                    request,
+                    shift,
+                )
+        return None
+
+    def _place_in(
+        self,
+        choice: RegionChoice,
+        candidates: list[Candidate],
+        request: RouteRequest,
+        shift=None,
+    ) -> Permit | None:
+        service = self.plan.services[request.service]
+        name = self._parts.chooser.choose(candidates, service)
+        if not name:
+            return None
+        wanted: list[Unit] = [('limit', limit) for limit in choice.limits]
+        if shift is not None:
+            wanted.append(('shift', shift.name))
+        if self._take_all(wanted):
+            origins = (*choice.origins, *map(Origin.of, filter(None, [shift])))
+            choice = RegionChoice(choice.region, choice.upstreams, origins)
+            return self._permit(name, choice, request, tuple(wanted))
+        if shift is None:
+            raise RequestError(ErrorKind.CAP_REACHED, request.service)
+        return None
+
+    def _take_all(self, wanted: list[Unit]) -> bool:
+        gate = self._parts.gate
+        taken: list[Unit] = []
+        for unit in wanted:
+            if not gate.try_take(*unit):
+                for earlier in taken:
+                    gate.give_back(*earlier)
+                return False
+            taken.append(unit)
+        return True
+
+    def _permit(
+        self,
+        name: str,
+        choice: RegionChoice,
+        request: RouteRequest,
+        units: tuple[Unit, ...],
+    ) -> Permit:
+        parts = self._parts
+        parts.estimate.own[name] += 1
+        parts.failures.note_sent(name)
+        if choice.region != self.plan.region:
+            parts.rooms.in_flight[request.service, choice.region] += 1
+        return Permit(
+            name=name,
+            upstream=choice.upstreams[name],
+            service=self.plan.services[request.service],
+            origins=choice.origins,
+            on_release=self._on_release,
+            started_at=parts.clock.now(),
+            units=units,
+        )
--- /dev/null
+++ b/nutmegshore/steering/state.py
@@ -0,0 +1,108 @@
+"""What the plan depends on besides the configuration."""
+
+from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.errors import ErrorKind
+from nutmegshore.resources import Envelope, Shift
+from nutmegshore.steering.draining import Draining
+from nutmegshore.steering.failures import find_rule
+from nutmegshore.steering.parts import Parts
+from nutmegshore.steering.permit import Permit, RouteRequest
+from nutmegshore.steering.plan import Origin, Plan, build_plan
+
+__all__ = ('PlanState',)
+
+
+class PlanState:
+    """Drains, failed regions, ramps and members of one process."""
+
+    def __init__(self, parts: Parts, region: str) -> None:
+        """Start with nothing in force."""
+        self.draining = Draining(parts, region)
+        self._parts = parts
+        self._region = region
+        self._in_force_since: dict[str, float] = {}
+        self._failed: dict[tuple[str, str], Origin] = {}
+        self._members: tuple[str, ...] = ()
+
+    def note_newer(
+        self,
+        newer: list[Envelope],
+        table: ConfigurationTable,
+    ) -> None:
+        """Take newer objects; shifts ramp from now on."""
+        for envelope in newer:
+            self._in_force_since[envelope.key] = self._parts.clock.now()
+            if envelope.kind == 'upstream':
+                self._parts.leaving.clear(envelope.name)
+        self.draining.follow(table)
+
+    def build(self, table: ConfigurationTable) -> Plan:
+        """Build the plan for the present state."""
+        return build_plan(
+            table,
+            self._region,
+            self._failed,
+            self.draining.kept(),
+        )
+
+    def draw_shift(self, plan: Plan, request: RouteRequest) -> Envelope | None:
+        """Draw the shift that moves this request, if any does."""
+        drawn = self._parts.rng.random()
+        for shift in plan.shifts.get(request.service, ()):
+            share = self._share(shift)
+            if drawn < share:
+                return shift
+            drawn -= share
+        return None
+
+    def note_end(self, permit: Permit, failure: ErrorKind | None) -> None:
+        """Learn from the end of a request that was sent."""
+        slow_start = self._parts.slow_start
+        upstream = permit.upstream
+        is_back = self._parts.failures.note(permit.name, upstream, failure)
+        is_refused = failure is ErrorKind.UPSTREAM_REFUSED
+        if is_back or is_refused:
+            slow_start.restart(permit.name)
+        if failure is None:
+            slow_start.note_served(permit.name)
+            slow_start.note_served((upstream.service, upstream.region))
+
+    def is_changed(self, plan: Plan) -> bool:
+        """Whether the plan has to be built again."""
+        members = tuple(sorted(self._parts.members_of(self._region)))
+        failed = self._find_failed(plan)
+        is_other = (members, failed) != (self._members, self._failed)
+        self._members = members
+        self._failed = failed
+        return self.draining.advance(plan) or is_other
+
+    def _share(self, shift: Envelope) -> float:
+        spec: Shift = shift.spec
+        since = self._in_force_since.get(shift.key, 0)
+        age_s = self._parts.clock.now() - since
+        if age_s >= spec.ramp_seconds:
+            return spec.share
+        return spec.share * age_s / spec.ramp_seconds
+
+    def _find_failed(self, plan: Plan) -> dict[tuple[str, str], Origin]:
+        failed = {}
+        for service in plan.services:
+            regions = [
+                found.region
+                for found in (*plan.choices[service], *plan.skipped[service])
+            ]
+            for region in regions:
+                rule = find_rule(plan.rules, 'region_failed', service, region)
+                if self._has_failed(rule, service, region):
+                    failed[service, region] = Origin.of(rule)
+        return failed
+
+    def _has_failed(
+        self,
+        rule: Envelope | None,
+        service: str,
+        region: str,
+    ) -> bool:
+        if rule is None or rule.spec.action == 'hold':
+            return False
+        return self._parts.failures.has_failed(service, region, rule)
--- a/nutmegshore/steering/steering.py
+++ b/nutmegshore/steering/steering.py
@@ -1,57 +1,31 @@
-"""Choice of an upstream for each request."""
+"""Steering of the requests that one entry receives."""
 
-import collections
+import asyncio
 import random
-from collections.abc import Callable
-
-import attrs
 
+from nutmegshore.clock import SystemClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.resources import Envelope, Service, Upstream
+from nutmegshore.resources import Envelope, Region
+from nutmegshore.steering.exchange import LoadExchange
+from nutmegshore.steering.hedge import HedgePolicy
+from nutmegshore.steering.leaving import DrainProgress
+from nutmegshore.steering.parts import Parts, Surroundings
+from nutmegshore.steering.permit import Pending, Permit, RouteRequest
 from nutmegshore.steering.plan import (
-    Origin,
+    Explanation,
     Plan,
-    RegionChoice,
     build_plan,
+    explain_plan,
 )
+from nutmegshore.steering.queues import ServiceQueues
+from nutmegshore.steering.retry import RetryBudget
+from nutmegshore.steering.router import Router
+from nutmegshore.steering.state import PlanState
 
 __all__ = ('Permit', 'RouteRequest', 'Steering')
 
-_RANDOM_CHOICES = 2
-
-
-@attrs.frozen
-class RouteRequest:
-    """What steering needs to know of a request.
-
-    `excluded` names upstreams that this request must not go to, because they
-    were tried before. `is_allowed` can rule out further upstreams.
-    """
-
-    service: str
-    deadline: float
-    excluded: frozenset[str] = frozenset()
-    is_allowed: Callable[[str], bool] = lambda name: True
-
-
-@attrs.define
-class Permit:
-    """The right to send one request to one upstream.
-
-    `origins` are the declared objects behind the decision. The holder calls
-    `release` exactly once, with the kind of the failure or None.
-    """
-
-    name: str
-    upstream: Upstream
-    service: Service
-    origins: tuple[Origin, ...]
-    on_release: Callable[['Permit', ErrorKind | None], None]
-
-    def release(self, failure: ErrorKind | None = None) -> None:
-        """Give the slot back and report how the request ended."""
-        self.on_release(self, failure)
+_LOAD_INTERVAL_S = 0.25
 
 
 class Steering:
@@ -60,6 +34,9 @@
     permit = await steering.acquire(RouteRequest('orders', deadline))
     ...
     permit.release()
+
+    `start` begins the exchange of load with the peers; without it an entry
+    knows only its own requests.
     """
 
     def __init__(
@@ -67,57 +44,148 @@
         table: ConfigurationTable,
         region: str,
         rng: random.Random,
+        around: Surroundings | None = None,
     ) -> None:
         """Follow a configuration table for callers of one region."""
+        around = around or Surroundings(SystemClock())
+        self.parts = Parts.build(around, region, rng)
+        self.hedge = HedgePolicy(around.counters, self.parts.budget)
         self._table = table
-        self._region = region
-        self._rng = rng
-        self.in_flight: collections.Counter[str] = collections.Counter()
-        self.plan = build_plan(table, region)
-        table.subscribe(self._rebuild)
+        self._state = PlanState(self.parts, region)
+        self._queues = ServiceQueues(self.parts.clock, self._place)
+        self._router = Router(
+            self.parts,
+            build_plan(table, region),
+            self._release,
+            self._queues.expected_wait_s,
+        )
+        self._exchange = LoadExchange(
+            self.parts,
+            self._state.draining,
+            self._queues.pump_all,
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._follow([])
+        table.subscribe(self._follow)
+
+    @property
+    def plan(self) -> Plan:
+        """The plan in force."""
+        return self._router.plan
+
+    async def start(self) -> None:
+        """Start the exchange of load with the peers."""
+        self._tasks.append(asyncio.create_task(self._run()))
+
+    async def stop(self) -> None:
+        """End the tasks and refuse what still waits."""
+        for task in self._tasks:
+            task.cancel()
+        ended = await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._queues.stop()
+        for failure in ended:
+            if isinstance(failure, Exception):
+                raise failure
 
     async def acquire(self, request: RouteRequest) -> Permit:
         """Choose an upstream, or raise `RequestError`."""
         service = self.plan.services.get(request.service)
         if service is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, request.service)
-        for choice in self.plan.choices[request.service]:
-            name = self._choose(choice, request)
-            if name:
-                return self._permit(name, choice, service)
-        raise RequestError(ErrorKind.NO_UPSTREAM, request.service)
-
-    def _choose(self, choice: RegionChoice, request: RouteRequest) -> str:
-        names = [
-            name
-            for name in choice.upstreams
-            if name not in request.excluded and request.is_allowed(name)
-        ]
-        if not names:
-            return ''
-        drawn = self._rng.sample(names, min(_RANDOM_CHOICES, len(names)))
-        return min(drawn, key=lambda name: self.in_flight[name])
-
-    def _permit(
+        _admit_attempt(self.parts.budget, request)
+        pending = Pending(request, self._state.draw_shift(self.plan, request))
+        try:
+            return await self._queues.wait(pending, service)
+        except RequestError as failure:
+            kind = failure.kind
+            self.parts.counters.add('requests_refused', reason=kind.value)
+            # The attempt before may have run, so its failure stays the
+            # outcome of the request.
+            raise _refusal(request, kind) from failure
+
+    def explain(self, service: str, region: str) -> Explanation:
+        """Why callers of a region go where they go for a service."""
+        if region == self.plan.region:
+            return explain_plan(self.plan, service)
+        return explain_plan(build_plan(self._table, region), service)
+
+    def drain_progress(self) -> tuple[DrainProgress, ...]:
+        """Status of the drains that are carried out step by step."""
+        return self._state.draining.progress()
+
+    def note_report(self, name: str, busy_slots: float) -> None:
+        """Take an upstream's own report of its busy slots."""
+        self.parts.estimate.note_report(name, busy_slots)
+
+    def note_leaving(self, name: str) -> None:
+        """Take an upstream's own signal that it leaves."""
+        if self.parts.leaving.note(name, is_own_finding=True):
+            self.parts.counters.add('upstreams_leaving', source='signal')
+
+    def note_listed(self, name: str, *, is_leaving: bool) -> None:
+        """Take the state of an upstream in the platform's list."""
+        if not is_leaving:
+            self.parts.leaving.clear(name)
+        elif self.parts.leaving.note(name, is_own_finding=True):
+            self.parts.counters.add('upstreams_leaving', source='list')
+
+    def _release(
         self,
-        name: str,
-        choice: RegionChoice,
-        service: Service,
-    ) -> Permit:
-        self.in_flight[name] += 1
-        return Permit(
-            name=name,
-            upstream=choice.upstreams[name],
-            service=service,
-            origins=choice.origins,
-            on_release=self._release,
+        permit: Permit,
+        failure: ErrorKind | None,
+        is_sent: bool,
+    ) -> None:
+        parts = self.parts
+        service = permit.upstream.service
+        parts.estimate.own[permit.name] -= 1
+        if permit.upstream.region != self.plan.region:
+            parts.rooms.in_flight[service, permit.upstream.region] -= 1
+        for unit in permit.units:
+            parts.gate.give_back(*unit)
+        if is_sent:
+            held_s = parts.clock.now() - permit.started_at
+            self._queues.note_departure(service, held_s)
+            self._state.note_end(permit, failure)
+            if failure is None:
+                self.hedge.note_answer(service, held_s)
+        self._queues.pump(service)
+
+    def _place(self, pending: Pending) -> Permit | None:
+        return self._router.place(pending)
+
+    def _follow(self, newer: list[Envelope]) -> None:
+        self._state.note_newer(newer, self._table)
+        plan = self._state.build(self._table)
+        regions = self._table.by_name(Region)
+        self._router.follow(
+            plan,
+            {name: found.spec for name, found in regions.items()},
         )
-
-    def _release(self, permit: Permit, failure: ErrorKind | None) -> None:
-        self.in_flight[permit.name] -= 1
-
-    def _rebuild(self, newer: list[Envelope]) -> None:
-        self.plan = build_plan(self._table, self._region)
-
-    def _plan(self) -> Plan:
-        return self.plan
+        slots = {
+            name: self._router.candidates.owned_slots(name)
+            for name in plan.services
+        }
+        self._queues.follow(plan.services, slots)
+
+    async def _run(self) -> None:
+        while True:
+            self._exchange.send(self.plan, self._queues.lengths())
+            if self._state.is_changed(self.plan):
+                self._follow([])
+            await self.parts.clock.sleep(_LOAD_INTERVAL_S)
+
+
+def _admit_attempt(budget: RetryBudget, request: RouteRequest) -> None:
+    if not request.excluded:
+        budget.note_request()
+        return
+    reason = request.failed_with or ErrorKind.UPSTREAM_LOST
+    tried = len(request.excluded)
+    if not budget.try_take(reason.value, tried, request.deadline):
+        raise RequestError(reason, request.service)
+
+
+def _refusal(request: RouteRequest, kind: ErrorKind) -> RequestError:
+    if request.excluded:
+        kind = request.failed_with or ErrorKind.UPSTREAM_LOST
+    return RequestError(kind, request.service)
--- /dev/null
+++ b/tests/steering/test_leaving.py
@@ -0,0 +1,52 @@
+"""Tests of leaving upstreams and the pace of drains."""
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.steering.leaving import (
+    DrainPacer,
+    DrainState,
+    LeavingUpstreams,
+)
+from nutmegshore.steering.plan import Origin
+
+
+def test_peers_are_told_three_times():
+    """Guards against a lost message that keeps work on a leaving upstream."""
+    leaving = LeavingUpstreams()
+    assert leaving.note('u', is_own_finding=True)
+    assert not leaving.note('u', is_own_finding=True)
+    told = [list(leaving.take_untold()) for _ in range(4)]
+    assert told == [['u'], ['u'], ['u'], []]
+    assert 'u' in leaving
+
+
+def test_a_peers_finding_is_not_passed_on():
+    """Guards against entries that tell each other without end."""
+    leaving = LeavingUpstreams()
+    leaving.note('u', is_own_finding=False)
+    assert not leaving.take_untold()
+    leaving.clear('u')
+    assert 'u' not in leaving
+
+
+def test_a_drain_goes_in_spaced_steps_and_says_why_it_holds():
+    """Guards against a drain that moves a whole region at once."""
+
+    async def session():
+        clock = VirtualClock()
+        names = tuple(f'u{index}' for index in range(8))
+        pacer = DrainPacer(Origin('drain', 'd', 1, 'ann'), names, clock)
+        pacer.hold('s', 6, 2)
+        held = pacer.progress()
+        assert held.state is DrainState.HELD
+        assert (held.needed_slots, held.free_slots) == (6, 2)
+        assert 's' in held.reason
+        pacer.take_step(pacer.next_names())
+        assert pacer.progress().moved == 2
+        assert pacer.next_names() == ()
+        for _ in range(3):
+            await clock.sleep(1.1)
+            pacer.take_step(pacer.next_names())
+        assert pacer.progress().state is DrainState.DONE
+        assert pacer.kept == ()
+
+    run_virtual(session)
