--- a/nutmegshore/upstreams/memory.py
+++ b/nutmegshore/upstreams/memory.py
@@ -31,8 +31,10 @@
 
     A cold upstream serves `_COLD_FACTOR` times slower and warms up over
     `warm_up_requests`. A request whose target contains `crash_mark` crashes
-    it. `run_counts` counts the runs by request id, and `busy_peak` the most
-    requests that were inside at once.
+    it. `run_counts` counts the runs by request id, `busy_peak` the most
+    requests that were inside at once, `attempts` all requests that came, also
+    while it was down, and `refused` those that came when the slots and the
+    queue were full.
     """
 
     slots: int
@@ -48,6 +50,8 @@
         factory=collections.Counter,
     )
     served: int = 0
+    attempts: int = 0
+    refused: int = 0
     last_started_at: float = 0
     free_slots: asyncio.Semaphore | None = None
     crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -144,9 +148,12 @@
         """Run the request in the named upstream."""
         await self._clock.sleep(self._delay_s(name))
         target = self.by_name.get(name)
+        if target is not None:
+            target.attempts += 1
         if target is None or target.is_down:
             raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE, name)
         if target.inside >= target.slots + target.queue_limit:
+            target.refused += 1
             raise RequestError(ErrorKind.UPSTREAM_REFUSED, name)
         await self._read_body(request)
         await self._run(name, target, request)
