Divide slots instead of whole upstreams between entries

Cause: with 25 slots and three entries, owners of whole upstreams had 10, 10 and 5 slots for equal numbers of callers. Change: assign_slots cuts the row of slots into equal parts. Rules taken out, each with a failing test: even parts, bound of own slots.

--- a/nutmegshore/steering/candidates.py
+++ b/nutmegshore/steering/candidates.py
@@ -8,7 +8,7 @@
 from nutmegshore.steering.parts import Parts
 from nutmegshore.steering.permit import RouteRequest
 from nutmegshore.steering.plan import Plan, RegionChoice
-from nutmegshore.steering.subset import assign_owners, is_in_subset
+from nutmegshore.steering.subset import assign_slots, is_in_subset
 
 __all__ = ('CandidateFinder',)
 
@@ -20,7 +20,7 @@
         """Follow a plan that `follow` replaces."""
         self.plan = plan
         self._parts = parts
-        self._owners: dict[str, str] = {}
+        self._owned: dict[str, int] = {}
         self._outside: set[str] = set()
 
     def follow(self, plan: Plan) -> None:
@@ -28,23 +28,22 @@
         self.plan = plan
         members = self._parts.members_of(plan.region)
         local = self._parts.peers.local.name
-        self._owners = {}
+        self._owned = {}
         self._outside = set()
         for choice in self._local_choices():
-            self._owners.update(assign_owners(choice.upstreams, members))
+            parts = assign_slots(choice.upstreams, members)
+            self._owned.update(parts.get(local, {}))
             for name, found in choice.upstreams.items():
                 if not is_in_subset(local, members, name, found):
                     self._outside.add(name)
 
     def owned_slots(self, service: str) -> float:
         """Slots of the local upstreams that this entry owns."""
-        local = self._parts.peers.local.name
         return sum(
-            found.slots
+            self._owned.get(name, 0)
             for choice in self.plan.choices.get(service, ())
             if choice.region == self.plan.region
-            for name, found in choice.upstreams.items()
-            if self._owners.get(name) == local
+            for name in choice.upstreams
         )
 
     def find(
@@ -69,7 +68,7 @@
         if due and not request.excluded:
             # A probe must not wait behind upstreams that work.
             slots = usable[due[0]].slots
-            return [Candidate(due[0], slots, is_owned=True)]
+            return [Candidate(due[0], slots, owned=slots)]
         return [
             self._candidate(name, upstream)
             for name, upstream in usable.items()
@@ -93,6 +92,6 @@
         return Candidate(
             name=name,
             limit=self._parts.slow_start.limit(name, upstream.slots),
-            is_owned=self._owners.get(name) == local.name,
+            owned=self._owned.get(name, 0),
             is_near=upstream.availability_zone == local.availability_zone,
         )
--- a/nutmegshore/steering/choice.py
+++ b/nutmegshore/steering/choice.py
@@ -13,8 +13,8 @@
 _RANDOM_CHOICES = 2
 #: Share of the slots by which the own availability zone may be busier.
 _ZONE_NEARNESS = 0.2
-#: Requests above the slots that the owner of an upstream may send, so that
-#: it wins its slots back from entries that refill them as they get free.
+#: Requests above the slots that the owner of a slot may send, so that it
+#: wins its slots back from entries that refill them as they get free.
 _OWNER_ALLOWANCE = 1
 
 
@@ -22,23 +22,23 @@
 class Candidate:
     """An upstream that a request may go to.
 
-    `limit` is its slots, or fewer during a slow start. `is_owned` says that
-    this entry is its owner.
+    `limit` is its slots, or fewer during a slow start. `owned` of its slots
+    belong to this entry.
     """
 
     name: str
     limit: float
-    is_owned: bool = False
+    owned: int = 0
     is_near: bool = True
 
 
 class Chooser:
     """Draws the upstream of a request by the estimate of busy slots.
 
-    Own upstreams with a free slot come first, the least busy one; then two
-    random ones of the others, the less busy of the two. An upstream without
-    a free slot in the estimate is never chosen while another has one; only
-    the owner may go above, by one request.
+    Upstreams with a free slot that this entry owns come first, the least busy
+    one; then two random ones of the others, the less busy of the two. An
+    upstream without a free slot in the estimate is never chosen while another
+    has one; only the owner of a slot may go above, by one request.
     """
 
     def __init__(self, estimate: BusyEstimate, rng: random.Random) -> None:
@@ -54,7 +54,7 @@
         """Name of the chosen upstream; empty if none has a free slot."""
         busy = self._estimate.busy
         free = [one for one in candidates if busy(one.name) < one.limit]
-        owned = [one for one in free if one.is_owned]
+        owned = [one for one in free if self._has_own_slot(one)]
         drawn = owned or self._draw(free) or self._reclaimable(candidates)
         if not drawn:
             return ''
@@ -67,15 +67,18 @@
         self,
         candidates: Sequence[Candidate],
     ) -> list[Candidate]:
-        estimate = self._estimate
+        busy = self._estimate.busy
         return [
             one
             for one in candidates
-            if one.is_owned
-            and estimate.own[one.name] < one.limit
-            and estimate.busy(one.name) < one.limit + _OWNER_ALLOWANCE
+            if self._has_own_slot(one)
+            and busy(one.name) < one.limit + _OWNER_ALLOWANCE
         ]
 
+    def _has_own_slot(self, one: Candidate) -> bool:
+        own = self._estimate.own[one.name]
+        return own < min(one.owned, one.limit)
+
     def _score(
         self,
         one: Candidate,
--- a/nutmegshore/steering/subset.py
+++ b/nutmegshore/steering/subset.py
@@ -1,17 +1,16 @@
-"""Subsets of upstreams by rendezvous hash, and the owner of each upstream."""
+"""Subsets of upstreams by rendezvous hash, and the owners of their slots."""
 
 import collections
 import hashlib
+import itertools
 from collections.abc import Iterable, Mapping
 
 from nutmegshore.peers import Member
 from nutmegshore.resources import Upstream
 
-__all__ = ('assign_owners', 'is_in_subset')
+__all__ = ('assign_slots', 'is_in_subset')
 
 _HASH_BYTES = 8
-#: Upstreams by which an owner in another availability zone counts as busier.
-_ZONE_HANDICAP = 0.75
 
 
 def _score(entry: str, upstream: str) -> int:
@@ -40,29 +39,33 @@
     return len(better) < fitting
 
 
-def assign_owners(
+def assign_slots(
     upstreams: Mapping[str, Upstream],
     members: Mapping[str, Member],
-) -> dict[str, str]:
-    """Assign each upstream to one entry, evenly and by rendezvous hash.
+) -> dict[str, dict[str, int]]:
+    """Divide the slots of upstreams evenly: slots by entry and upstream.
 
-    Every entry computes the same owners from the same members. An entry knows
-    the load of what it owns exactly, so that lagging reports do not matter.
+    The slots of one service are laid in a row and cut into equal parts, with
+    upstreams and entries of the same availability zone at the same end. Every
+    entry computes the same parts from the same members. An entry knows the
+    use of its own part exactly, so lagging reports do not matter there.
     """
-    counts: collections.Counter[str] = collections.Counter()
-    owners = {}
-    for name in sorted(upstreams):
-        zone = upstreams[name].availability_zone
-        ranked = [
-            (_cost(counts[entry], member, zone), _score(entry, name), entry)
-            for entry, member in members.items()
-        ]
-        if ranked:
-            owners[name] = min(ranked)[-1]
-            counts[owners[name]] += 1
-    return owners
+    places = [(_place(name, found), name) for name, found in upstreams.items()]
+    row = [
+        name for _, name in sorted(places) for _ in range(upstreams[name].slots)
+    ]
+    entries = sorted(
+        members,
+        key=lambda one: (members[one].availability_zone, one),
+    )
+    assigned: dict[str, dict[str, int]] = {}
+    for index, entry in enumerate(entries):
+        begin = round(index * len(row) / len(entries))
+        end = round((index + 1) * len(row) / len(entries))
+        part = itertools.islice(row, begin, end)
+        assigned[entry] = dict(collections.Counter(part))
+    return assigned
 
 
-def _cost(count: int, member: Member, zone: str) -> float:
-    is_far = member.availability_zone != zone
-    return count + _ZONE_HANDICAP * is_far
+def _place(name: str, upstream: Upstream) -> tuple[str, int]:
+    return upstream.availability_zone, _score('', name)
