Refuse at the target only when the queue is standing

Cause: with four own slots a burst of four waiting requests already reached the target of 50 ms, so short bursts were refused at load 0.8. Change: a burst may wait four targets; after ten targets above the target the bound falls to the target. The same test now checks both bounds.

--- a/nutmegshore/steering/admission.py
+++ b/nutmegshore/steering/admission.py
@@ -19,6 +19,11 @@
 _MS_PER_S = 1000
 #: Largest number of waiting requests; bounds memory if nothing is served.
 _MAX_WAITING = 1000
+#: A burst may wait longer than the target by this factor, while the queue has
+#: not been above the target for as long as the interval.
+_BURST_FACTOR = 4
+#: Interval in targets after which a queue counts as standing.
+_INTERVAL_TARGETS = 10
 #: Requests admitted before anything was served, when the rate is unknown.
 _FIRST_WAITING = 32
 
@@ -38,12 +43,36 @@
     result: asyncio.Future
 
 
+class _DelayBound:
+    """Longest queue delay: four targets, or one if the queue is standing."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.target_s = math.inf
+        self._clock = clock
+        self._above_since: float | None = None
+
+    def note(self, wait_s: float) -> None:
+        """Remember since when the wait has been above the target."""
+        if wait_s < self.target_s:
+            self._above_since = None
+        elif self._above_since is None:
+            self._above_since = self._clock.now()
+
+    def seconds(self) -> float:
+        now = self._clock.now()
+        since = now if self._above_since is None else self._above_since
+        if now - since > self.target_s * _INTERVAL_TARGETS:
+            return self.target_s
+        return self.target_s * _BURST_FACTOR
+
+
 class AdmissionQueue:
     """Bounded queue of one service, by priority, then deadline.
 
     `place(request)` returns a permit, or None while there is no slot. A
-    request is refused with `OVERLOADED` as soon as the wait ahead of it, by
-    the rate of departures, exceeds the target, and with
+    request is refused with `OVERLOADED` when the wait ahead of it, by the rate
+    of departures, exceeds the target and the queue has been that long for ten
+    targets; a burst may wait four targets. It is refused with
     `DEADLINE_BEFORE_SEND` when its deadline cannot be met. A better request
     takes the place of the last one.
     """
@@ -55,12 +84,12 @@
         rate: DepartureRate,
     ) -> None:
         """Start empty, with the target of a service to be set."""
-        self.target_s = math.inf
         self._clock = clock
         self._place = place
         self._rate = rate
         self._waiting: list[Waiter] = []
         self._numbers = itertools.count()
+        self._bound = _DelayBound(clock)
 
     def __len__(self) -> int:
         """Number of waiting requests."""
@@ -68,7 +97,7 @@
 
     def set_target_ms(self, target_ms: float) -> None:
         """Set the queue delay to stay below."""
-        self.target_s = target_ms / _MS_PER_S
+        self._bound.target_s = target_ms / _MS_PER_S
 
     def enter(
         self,
@@ -112,7 +141,8 @@
                 self._refuse(late, ErrorKind.DEADLINE_BEFORE_SEND)
         for waiter in tuple(self._waiting):
             if not self._place_one(waiter) and not waiter.is_restricted:
-                return
+                break
+        self._bound.note(self.wait_s(len(self._waiting)))
 
     def wait_s(self, ahead: int) -> float:
         """Expected wait behind this many requests, in seconds."""
@@ -142,7 +172,10 @@
         """Refuse from the end while the last request would wait too long."""
         while self._waiting:
             ahead = len(self._waiting)
-            if ahead <= _MAX_WAITING and self.wait_s(ahead) <= self.target_s:
+            if (
+                ahead <= _MAX_WAITING
+                and self.wait_s(ahead) <= self._bound.seconds()
+            ):
                 return
             self._refuse(self._waiting[-1], ErrorKind.OVERLOADED)
 
--- a/nutmegshore/steering/subset.py
+++ b/nutmegshore/steering/subset.py
@@ -58,13 +58,14 @@
         members,
         key=lambda one: (members[one].availability_zone, one),
     )
-    assigned: dict[str, dict[str, int]] = {}
-    for index, entry in enumerate(entries):
-        begin = round(index * len(row) / len(entries))
-        end = round((index + 1) * len(row) / len(entries))
-        part = itertools.islice(row, begin, end)
-        assigned[entry] = dict(collections.Counter(part))
-    return assigned
+    cuts = [
+        round(index * len(row) / len(entries))
+        for index in range(len(entries) + 1)
+    ]
+    return {
+        entry: dict(collections.Counter(itertools.islice(row, *ends)))
+        for entry, ends in zip(entries, itertools.pairwise(cuts), strict=True)
+    }
 
 
 def _place(name: str, upstream: Upstream) -> tuple[str, int]:
--- a/tests/steering/test_admission.py
+++ b/tests/steering/test_admission.py
@@ -76,7 +76,19 @@
     """Guards against a queue in which every request gets too old."""
 
     async def check(clock, queue, slots):
+        burst = [queue.enter(_Request('burst', 0.7), 5) for _ in range(21)]
+        assert await _kind(queue, burst[-1]) is ErrorKind.OVERLOADED
+        assert len(queue) == 20
+        await clock.sleep(0.6)
+        last = queue.enter(_Request('last'), 5)
+        assert await _kind(queue, last) is ErrorKind.OVERLOADED
+        assert len(queue) == 5
+        await clock.sleep(0.2)
+        queue.pump()
         waiters = [queue.enter(_Request(name), 5) for name in 'abcdef']
+        assert not any(waiter.result.done() for waiter in waiters)
+        await clock.sleep(0.6)
+        waiters.append(queue.enter(_Request('g'), 5))
         assert await _kind(queue, waiters[-1]) is ErrorKind.OVERLOADED
         assert len(queue) == 5
         first = queue.enter(_Request('first'), 0)
