Lend slots to entries with waiting requests

Cause: requests waited at one entry while slots of another were idle, and load messages every 250 ms are older than a request of 50 ms lasts. Change: local upstreams are used within the own part of the slots; an entry with waiting requests asks two peers, which lend spare slots for one request each. Load messages carry the borrowed slots, so a lost message is corrected. Two random choices remain for upstreams of other regions.

--- a/nutmegshore/steering/candidates.py
+++ b/nutmegshore/steering/candidates.py
@@ -20,19 +20,21 @@
         """Follow a plan that `follow` replaces."""
         self.plan = plan
         self._parts = parts
-        self._owned: dict[str, int] = {}
         self._outside: set[str] = set()
+        self._is_shared = False
 
     def follow(self, plan: Plan) -> None:
         """Use a newer plan, and the live members as they are now."""
         self.plan = plan
         members = self._parts.members_of(plan.region)
         local = self._parts.peers.local.name
-        self._owned = {}
+        owned = self._parts.slots.owned
+        owned.clear()
+        self._is_shared = len(members) > 1
         self._outside = set()
         for choice in self._local_choices():
             parts = assign_slots(choice.upstreams, members)
-            self._owned.update(parts.get(local, {}))
+            owned.update(parts.get(local, {}))
             for name, found in choice.upstreams.items():
                 if not is_in_subset(local, members, name, found):
                     self._outside.add(name)
@@ -40,7 +42,7 @@
     def owned_slots(self, service: str) -> float:
         """Slots of the local upstreams that this entry owns."""
         return sum(
-            self._owned.get(name, 0)
+            self._parts.slots.owned.get(name, 0)
             for choice in self.plan.choices.get(service, ())
             if choice.region == self.plan.region
             for name in choice.upstreams
@@ -89,9 +91,11 @@
 
     def _candidate(self, name: str, upstream: Upstream) -> Candidate:
         local = self._parts.peers.local
+        is_local = upstream.region == self.plan.region
         return Candidate(
             name=name,
             limit=self._parts.slow_start.limit(name, upstream.slots),
-            owned=self._owned.get(name, 0),
+            owned=self._parts.slots.quota(name),
+            is_open=not (self._is_shared and is_local),
             is_near=upstream.availability_zone == local.availability_zone,
         )
--- a/nutmegshore/steering/choice.py
+++ b/nutmegshore/steering/choice.py
@@ -23,12 +23,14 @@
     """An upstream that a request may go to.
 
     `limit` is its slots, or fewer during a slow start. `owned` of its slots
-    belong to this entry.
+    belong to this entry or are lent to it; the others may be used by it only
+    if `is_open`, which is so in other regions.
     """
 
     name: str
     limit: float
     owned: int = 0
+    is_open: bool = True
     is_near: bool = True
 
 
@@ -61,7 +63,8 @@
         return min(drawn, key=lambda one: self._score(one, service)).name
 
     def _draw(self, free: list[Candidate]) -> list[Candidate]:
-        return self._rng.sample(free, min(_RANDOM_CHOICES, len(free)))
+        others = [one for one in free if one.is_open]
+        return self._rng.sample(others, min(_RANDOM_CHOICES, len(others)))
 
     def _reclaimable(
         self,
--- a/nutmegshore/steering/exchange.py
+++ b/nutmegshore/steering/exchange.py
@@ -36,6 +36,7 @@
         """Send one round of messages."""
         parts = self._parts
         parts.estimate.drop_old()
+        parts.slots.forget(parts.members_of(plan.region))
         parts.budget.roll()
         load = Load(
             {
@@ -46,6 +47,7 @@
             parts.budget.requests,
             parts.budget.retries,
             self._draining.moved(),
+            parts.slots.borrowed_from(),
         )
         parts.peers.send_region(load)
         self._send_remote(load)
@@ -86,6 +88,8 @@
         if sender in self._parts.members_of(local.region):
             self._parts.budget.note_peer(sender, load.requests, load.retries)
             self._draining.catch_up(load.drained)
+            lent = load.borrowed.get(_own_name(self._parts), {})
+            self._parts.slots.correct(sender, lent)
         self._on_load()
 
     def _take_region(self, sender: str, summary: RegionLoad) -> None:
--- a/nutmegshore/steering/parts.py
+++ b/nutmegshore/steering/parts.py
@@ -15,6 +15,7 @@
 from nutmegshore.steering.gate import CapGate, ClosedGate
 from nutmegshore.steering.leaving import LeavingUpstreams
 from nutmegshore.steering.retry import RetryBudget
+from nutmegshore.steering.slots import SlotLedger
 from nutmegshore.steering.slow_start import SlowStart
 
 __all__ = ('LonePeers', 'Parts', 'Surroundings', 'free_slots')
@@ -63,6 +64,7 @@
     rooms: RegionRooms
     links: LinkMeter
     budget: RetryBudget
+    slots: SlotLedger
 
     @classmethod
     def build(
@@ -89,6 +91,7 @@
             rooms=RegionRooms(clock),
             links=LinkMeter(clock),
             budget=RetryBudget(clock, around.counters),
+            slots=SlotLedger(),
         )
 
     def members_of(self, region: str) -> dict[str, Member]:
--- a/nutmegshore/steering/queues.py
+++ b/nutmegshore/steering/queues.py
@@ -30,6 +30,7 @@
         self._queues: dict[str, AdmissionQueue] = {}
         self._rates: dict[str, DepartureRate] = {}
         self._sweeper: asyncio.Task | None = None
+        self.on_wait: Callable[[str, int], None] = _ignore
 
     def follow(
         self,
@@ -56,6 +57,7 @@
         )
         if not waiter.result.done():
             self._sweep_if_needed()
+            self.on_wait(pending.request.service, len(queue))
         return await queue.wait(waiter)
 
     def expected_wait_s(self, service: str) -> float:
@@ -96,3 +98,10 @@
         while any(self._queues.values()):
             await self._clock.sleep(_SWEEP_S)
             self.pump_all()
+            for name, queue in self._queues.items():
+                if len(queue):
+                    self.on_wait(name, len(queue))
+
+
+def _ignore(service: str, count: int) -> None:
+    """Do nothing, where there is nobody to borrow from."""
--- a/nutmegshore/steering/steering.py
+++ b/nutmegshore/steering/steering.py
@@ -10,6 +10,7 @@
 from nutmegshore.steering.exchange import LoadExchange
 from nutmegshore.steering.hedge import HedgePolicy
 from nutmegshore.steering.leaving import DrainProgress
+from nutmegshore.steering.lending import SlotLending
 from nutmegshore.steering.parts import Parts, Surroundings
 from nutmegshore.steering.permit import Pending, Permit, RouteRequest
 from nutmegshore.steering.plan import (
@@ -64,6 +65,7 @@
             self._state.draining,
             self._queues.pump_all,
         )
+        self._lending = SlotLending(self.parts, self._queues)
         self._tasks: list[asyncio.Task] = []
         self._follow([])
         table.subscribe(self._follow)
@@ -148,7 +150,9 @@
             self._state.note_end(permit, failure)
             if failure is None:
                 self.hedge.note_answer(service, held_s)
+        self._lending.note_release(permit.name)
         self._queues.pump(service)
+        self._lending.ask_if_waiting(service)
 
     def _place(self, pending: Pending) -> Permit | None:
         return self._router.place(pending)
@@ -166,6 +170,7 @@
             for name in plan.services
         }
         self._queues.follow(plan.services, slots)
+        self._lending.plan = plan
 
     async def _run(self) -> None:
         while True:
