Tell peers of a leaving upstream at once

Cause: the first of the three messages waited for the next round of load. Change: it is sent when the entry finds out; two more follow with the load. The test now allows 1 ms and fails without the change.

--- a/nutmegshore/steering/exchange.py
+++ b/nutmegshore/steering/exchange.py
@@ -53,8 +53,12 @@
         self._send_remote(load)
         if min(parts.members_of(plan.region), default='') == _own_name(parts):
             self._send_room(plan, queued)
-        for name in parts.leaving.take_untold():
-            parts.peers.broadcast(UpstreamLeaving(name))
+        self.tell_leaving()
+
+    def tell_leaving(self) -> None:
+        """Tell all entries of the upstreams that were found to leave."""
+        for name in self._parts.leaving.take_untold():
+            self._parts.peers.broadcast(UpstreamLeaving(name))
 
     def _send_remote(self, load: Load) -> None:
         """Tell a region what this entry runs there, and once when it ends."""
--- a/nutmegshore/steering/steering.py
+++ b/nutmegshore/steering/steering.py
@@ -123,6 +123,7 @@
         """Take an upstream's own signal that it leaves."""
         if self.parts.leaving.note(name, is_own_finding=True):
             self.parts.counters.add('upstreams_leaving', source='signal')
+            self._exchange.tell_leaving()
 
     def note_listed(self, name: str, *, is_leaving: bool) -> None:
         """Take the state of an upstream in the platform's list."""
@@ -130,6 +131,7 @@
             self.parts.leaving.clear(name)
         elif self.parts.leaving.note(name, is_own_finding=True):
             self.parts.counters.add('upstreams_leaving', source='list')
+            self._exchange.tell_leaving()
 
     def _release(
         self,
--- a/tests/steering/test_steering.py
+++ b/tests/steering/test_steering.py
@@ -220,7 +220,7 @@
 
     async def check(cluster):
         cluster.entries['south'].note_leaving('west-0')
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.001)
         west = cluster.entries['west']
         names = set()
         for _ in range(30):
