--- a/bench/steering_world.py
+++ b/bench/steering_world.py
@@ -93,6 +93,7 @@
         """Build everything; `run` offers the load."""
         self.scenario = scenario
         self.rng = random.Random(seed)
+        self._seed = seed
         self.table = ConfigurationTable()
         self.network = MemoryNetwork()
         self.upstreams = MemoryUpstreams(VirtualClock(), self.rng, _no_delay)
@@ -231,11 +232,13 @@
             for entry in self.entries.values()
             if entry.member.region == region
         ]
+        # A generator of its own gives every policy the same arrivals.
+        rng = random.Random('{0} {1}'.format(self._seed, region))
         while loop.time() < scenario.seconds:
             share = scenario.load(region, loop.time())
             rate = max(share * slots / scenario.service_time_s, 1)
-            await asyncio.sleep(self.rng.expovariate(rate))
-            call = asyncio.create_task(self._call(self.rng.choice(entries)))
+            await asyncio.sleep(rng.expovariate(rate))
+            call = asyncio.create_task(self._call(rng.choice(entries)))
             self._calls.add(call)
             call.add_done_callback(self._calls.discard)
 
--- a/nutmegshore/steering/router.py
+++ b/nutmegshore/steering/router.py
@@ -52,18 +52,25 @@
         permit = self._probe_region(request) or self._move(pending)
         if permit is not None:
             return permit
-        found = [
-            (choice, self.candidates.find(choice, request))
-            for choice in self.plan.choices[request.service]
-        ]
-        usable = [(choice, names) for choice, names in found if names]
-        if not usable:
-            raise RequestError(ErrorKind.NO_UPSTREAM, request.service)
-        for choice, names in usable:
-            if self._access.is_open(choice, request):
-                permit = self._place_in(choice, names, request)
+        count = 0
+        for choice in self.plan.choices[request.service]:
+            candidates = self.candidates.find(choice, request)
+            count += len(candidates)
+            permit = self._place_if_open(choice, candidates, request)
             if permit is not None:
                 return permit
+        if not count:
+            raise RequestError(ErrorKind.NO_UPSTREAM, request.service)
+        return None
+
+    def _place_if_open(
+        self,
+        choice: RegionChoice,
+        candidates: list[Candidate],
+        request: RouteRequest,
+    ) -> Permit | None:
+        if candidates and self._access.is_open(choice, request):
+            return self._place_in(choice, candidates, request)
         return None
 
     def _probe_region(self, request: RouteRequest) -> Permit | None:
