--- /dev/null
+++ b/bench/caps_fleet.py
@@ -0,0 +1,304 @@
+"""Instances with one cap on virtual time, and the judge of their uses."""
+
+import asyncio
+import collections
+import math
+import random
+from collections.abc import Callable
+
+import attrs
+
+from nutmegshore.caps import Caps, Ledger, parse_ledger
+from nutmegshore.clock import Clock, VirtualClock
+from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.counters import Counters
+from nutmegshore.peers import Member, MemoryNetwork, Peers
+from nutmegshore.platform import (
+    Expected,
+    MemoryPlatform,
+    MemoryStore,
+    Platform,
+    StoredObject,
+)
+from nutmegshore.resources import Envelope, parse_spec
+
+__all__ = ('KIND', 'NAME', 'Fleet', 'FleetOptions', 'Instance', 'Judge')
+
+KIND = 'shift'
+NAME = 'moved'
+_REGIONS = ('east', 'west', 'north')
+_BETWEEN_S = 0.055
+_WITHIN_S = 0.001
+_PLATFORM_S = 0.006
+_STEP_S = 0.02
+_HOP_SHARE = 0.3
+_HOP_S = 0.004
+_TOKEN_BITS = 64
+
+#: Demand in units per second of an instance at a time.
+DemandAt = Callable[[str, float], float]
+
+
+class Judge:
+    """True times of all uses over all instances, and the caps in force."""
+
+    def __init__(self) -> None:
+        """Start without uses."""
+        self.uses: list[tuple[float, int, str]] = []
+        self.ledgers: list[tuple[float, Ledger]] = []
+        self.overassigned = 0
+
+    def use(self, name: str, units: int = 1) -> None:
+        """Record that a request leaves now."""
+        self.uses.append((_true_now(), units, name))
+
+    def wrote(self, ledger: Ledger) -> None:
+        """Record a stored ledger; its sum may only exceed a lowered cap."""
+        previous = self.ledgers[-1][1].assigned if self.ledgers else 0
+        if ledger.assigned > max(ledger.cap, previous):
+            self.overassigned += 1
+        self.ledgers.append((_true_now(), ledger))
+
+    def over_cap(self, cap: int) -> int:
+        """Uses that made any window of one second exceed the cap.
+
+        A lowered cap is in force from when no owner may use more than it.
+        """
+        over = self.overassigned
+        held = 0
+        window: collections.deque[tuple[float, int]] = collections.deque()
+        for at, units, _ in sorted(self.uses):
+            window.append((at, units))
+            held += units
+            while at - window[0][0] >= 1:
+                held -= window.popleft()[1]
+            over += held > self.in_force(at, cap)
+        return over
+
+    def in_force(self, at: float, cap: int) -> int:
+        """Largest cap that was in force in the second before a time."""
+        caps = [cap]
+        for written_at, ledger in self.ledgers:
+            if written_at > at:
+                break
+            if written_at <= at - 1:
+                caps = []
+            caps.append(max(ledger.cap, ledger.assigned))
+        return max(caps)
+
+    def used(self, start: float, end: float) -> float:
+        """Units used per second between two times."""
+        units = sum(
+            units for at, units, _ in self.uses if start <= at < end
+        )
+        return units / (end - start)
+
+
+class JudgedStore(MemoryStore):
+    """A store that shows each stored ledger to the judge."""
+
+    def __init__(self, judge: Judge) -> None:
+        """Start empty."""
+        super().__init__()
+        self._judge = judge
+
+    def apply(
+        self,
+        key: str,
+        body: bytes,
+        expected: Expected | None,
+        operation: str,
+    ) -> StoredObject:
+        """Write conditionally, or raise `VersionConflict`."""
+        stored = super().apply(key, body, expected, operation)
+        if key.startswith('caps/'):
+            self._judge.wrote(parse_ledger(body))
+        return stored
+
+
+@attrs.frozen
+class FleetOptions:
+    """Size and cap of a fleet; `build` makes the policy of an instance."""
+
+    seed: int
+    count: int = 9
+    cap: int = 900
+    lease_seconds: int = 600
+    build: Callable[..., Caps] = Caps
+    rates: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Instance:
+    """One process with its clock, its policy and its callers."""
+
+    name: str
+    clock: VirtualClock
+    platform: MemoryPlatform
+    table: ConfigurationTable
+    peers: Peers
+    caps: Caps
+    callers: asyncio.Task | None = None
+
+
+@attrs.define
+class _Chance:
+    """Pauses to inject between a check and the sending."""
+
+    pauses: collections.deque = attrs.field(factory=collections.deque)
+
+
+class Fleet:
+    """Instances `e0`, `e1`, ... in three regions with one shift."""
+
+    def __init__(self, options: FleetOptions, demand: DemandAt) -> None:
+        """Build the surroundings; `start` runs the instances."""
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.judge = Judge()
+        self.store = JudgedStore(self.judge)
+        self.store.faults.delay_s = _PLATFORM_S
+        self.network = MemoryNetwork()
+        self.demand = demand
+        self.by_name: dict[str, Instance] = {}
+        self.chances: dict[str, _Chance] = {}
+        self._generation = 0
+        self._declared: list[Envelope] = []
+        self._incarnations: collections.Counter[str] = collections.Counter()
+        for index, one in enumerate(_REGIONS):
+            self.network.set_delay(one, one, _WITHIN_S)
+            for other in _REGIONS[:index]:
+                self.network.set_delay(one, other, _BETWEEN_S)
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all instances, also of those that are dead."""
+        return [f'e{index}' for index in range(self.options.count)]
+
+    async def start(self) -> None:
+        """Declare the cap and start all instances."""
+        self.declare(self.options.cap)
+        for name in self.names:
+            await self.spawn(name)
+
+    def declare(self, cap: int | None, names: list[str] | None = None) -> None:
+        """Declare a cap, or delete the shift, at these or all instances."""
+        self._generation += 1
+        spec = None
+        if cap is not None:
+            fields = {
+                'service': 's',
+                'from_region': 'east',
+                'to_region': 'west',
+                'share': 1,
+                'cap': cap,
+                'lease_seconds': self.options.lease_seconds,
+            }
+            spec = parse_spec(KIND, fields)
+        envelope = Envelope(
+            kind=KIND,
+            name=NAME,
+            generation=self._generation,
+            uid='uid',
+            author='bench',
+            reason='',
+            operation=f'op-{self._generation}',
+            spec=spec,
+            is_deleted=spec is None,
+        )
+        self._declared = [envelope]
+        for name in self.by_name if names is None else names:
+            self.by_name[name].table.merge([envelope])
+
+    async def spawn(self, name: str) -> None:
+        """Start an instance, also again under the name of a dead one."""
+        self._incarnations[name] += 1
+        clock = VirtualClock(self.options.rates.get(name, 1))
+        region = _REGIONS[int(name[1:]) % len(_REGIONS)]
+        member = Member(name, region, 'a', self._incarnations[name])
+        peers = self.network.join(member, clock)
+        platform = MemoryPlatform(self.store, clock)
+        table = ConfigurationTable()
+        table.merge(self._declared)
+        rng = random.Random(self.rng.getrandbits(_TOKEN_BITS))
+        caps = self.options.build(
+            table, platform, peers, clock, rng, Counters()
+        )
+        instance = Instance(name, clock, platform, table, peers, caps)
+        self.by_name[name] = instance
+        self.chances[name] = _Chance()
+        await caps.start()
+        callers = self._call(instance, random.Random(rng.random()))
+        instance.callers = asyncio.create_task(callers)
+
+    def kill(self, name: str) -> None:
+        """End a process; a write that it has sent still takes effect."""
+        instance = self.by_name.pop(name)
+        self.network.leave(name)
+        instance.callers.cancel()
+        # The tick ends; a sync under way goes on, as a sent write does.
+        instance.caps._task.cancel()  # noqa: SLF001 - a kill has no method
+
+    def pause_after_take(self, name: str, seconds: float) -> None:
+        """Stop the process between its next check and the sending."""
+        self.chances[name].pauses.append(seconds)
+
+    async def stop(self) -> None:
+        """Stop all instances."""
+        for instance in self.by_name.values():
+            instance.callers.cancel()
+        stops = [one.caps.stop() for one in self.by_name.values()]
+        await asyncio.gather(*stops)
+
+    async def _call(self, instance: Instance, rng: random.Random) -> None:
+        """Callers of one instance: random arrivals at the demanded rate."""
+        last = _true_now()
+        while True:
+            await instance.clock.sleep(rng.uniform(0, 2 * _STEP_S))
+            now = _true_now()
+            rate = self.demand(instance.name, now)
+            # After a pause the callers have not waited for the instance.
+            seconds = min(now - last, 4 * _STEP_S)
+            last = now
+            for _ in range(_poisson(rng, rate * seconds)):
+                await self._request(instance, rng)
+
+    async def _request(self, instance: Instance, rng: random.Random) -> None:
+        taken_at = instance.clock.now()
+        if not instance.caps.try_take(KIND, NAME):
+            return
+        pauses = self.chances[instance.name].pauses
+        if pauses:
+            instance.clock.pause(pauses.popleft())
+        elif rng.random() >= _HOP_SHARE:
+            self.judge.use(instance.name)
+            return
+        task = asyncio.create_task(self._send(instance, taken_at, rng))
+        if instance.clock.is_paused:
+            await task
+
+    async def _send(
+        self,
+        instance: Instance,
+        taken_at: float,
+        rng: random.Random,
+    ) -> None:
+        """Send after a short way through the process."""
+        await instance.clock.sleep(rng.uniform(0, _HOP_S))
+        is_alive = self.by_name.get(instance.name) is instance
+        if is_alive and instance.caps.is_sendable(taken_at):
+            self.judge.use(instance.name)
+
+
+def _true_now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _poisson(rng: random.Random, mean: float) -> int:
+    limit = math.exp(-mean)
+    count = 0
+    product = rng.random()
+    while product > limit:
+        count += 1
+        product *= rng.random()
+    return count
--- /dev/null
+++ b/nutmegshore/caps/cap.py
@@ -0,0 +1,256 @@
+"""One cap as one instance sees it."""
+
+import enum
+import math
+import random
+
+import attrs
+
+from nutmegshore.caps.declared import CONCURRENCY, DeclaredCap
+from nutmegshore.caps.drift import WINDOW_S
+from nutmegshore.caps.exchange import Exchange
+from nutmegshore.caps.holding import Holding
+from nutmegshore.caps.keeper import Keeper, Plan
+from nutmegshore.caps.ledger import ledger_key
+from nutmegshore.caps.window import Usage
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
+from nutmegshore.errors import PlatformError, VersionConflict
+from nutmegshore.peers import Peers
+from nutmegshore.platform import Platform
+from nutmegshore.resources import InvalidObject
+
+__all__ = ('Cap', 'CapStatus', 'HeldBack', 'Surroundings')
+
+#: A request longer than this can outlast a lapsed share of concurrency.
+_CONCURRENCY_HOLD_S = 60
+_TOKEN_BITS = 64
+_START_JITTER_S = 2
+_CHANGE_JITTER_S = 0.3
+_CONFLICT_JITTER_S = (0.05, 0.5)
+_FAILURE_JITTER_S = (1, 5)
+
+
+class HeldBack(enum.Enum):
+    """Why less than the declared cap can be used here."""
+
+    NOTHING = ''
+    NOT_DECLARED = 'not_declared'
+    CAP_IS_ZERO = 'cap_is_zero'
+    LEDGER_INVALID = 'ledger_invalid'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    LEDGER_UNREAD = 'ledger_unread'
+    LEASE_LAPSED = 'lease_lapsed'
+    CUT_NOT_CONFIRMED = 'cut_not_confirmed'
+    NO_UNITS = 'no_units'
+
+
+@attrs.frozen
+class CapStatus:
+    """State of one measure of a cap at this instance, in units.
+
+    `in_force` is the cap that all entries together keep; it is above
+    `declared` until every owner has confirmed a cut.
+    """
+
+    measure: str
+    declared: int
+    in_force: int
+    owned: int
+    lent: int
+    borrowed: int
+    used: int
+    held_back: HeldBack
+
+
+@attrs.frozen
+class Surroundings:
+    """What the caps of one instance share."""
+
+    platform: Platform
+    peers: Peers
+    clock: Clock
+    rng: random.Random
+    counters: Counters
+    incarnation: int
+
+    def token(self) -> str:
+        """Text that no other process draws."""
+        return '{0:x}'.format(self.rng.getrandbits(_TOKEN_BITS))
+
+
+class Cap:
+    """Ledger, loans and use of one measure of one declared object."""
+
+    def __init__(
+        self,
+        kind: str,
+        name: str,
+        measure: str,
+        surroundings: Surroundings,
+    ) -> None:
+        """Start with nothing to use; `follow` declares the cap."""
+        self.measure = measure
+        self.key = ledger_key(kind, name, measure)
+        self._around = surroundings
+        self.holding = _holding(measure)
+        self.keeper = Keeper(
+            self.key,
+            (surroundings.peers.local.name, surroundings.incarnation),
+            surroundings.platform,
+            surroundings.clock,
+            surroundings.rng,
+        )
+        self.exchange = Exchange(self.key, surroundings.token(), self.holding)
+        self._declared = DeclaredCap(0, 1)
+        self._generation = 0
+        self._failure = HeldBack.LEDGER_UNREAD
+        self._due_at = -math.inf
+
+    def follow(self, generation: int, declared: DeclaredCap | None) -> None:
+        """Take over what is declared now; None for a deleted object."""
+        now = self._around.clock.now()
+        jitter_s = _CHANGE_JITTER_S if self._generation else _START_JITTER_S
+        previous = self._declared
+        self._declared = declared or DeclaredCap(0, previous.lease_seconds)
+        self._generation = generation
+        self._due_at = now + self._around.rng.uniform(0, jitter_s)
+        if self._declared.units < self.keeper.ledger.cap:
+            self._cut_ahead(now)
+
+    def can_take(self, now: float, units: int) -> bool:
+        """Note the demand; whether this many units may be used now."""
+        is_allowed = self._declared.units > 0
+        is_allowed = is_allowed and self.holding.has_room(now, units)
+        self.exchange.note(now, units, is_allowed=is_allowed)
+        return is_allowed
+
+    def is_due(self, now: float, *, is_candidate: bool) -> bool:
+        """Whether the ledger is to be read, by need and by time.
+
+        An instance that neither owns nor should own a share reads only when
+        its callers ask for units.
+        """
+        if now < self._due_at:
+            return False
+        is_owner = self.keeper.ledger.share_of(self.keeper.identity)
+        if self._declared.units <= 0 and not is_owner:
+            return False
+        return bool(is_owner or is_candidate or self.exchange.wanted(now))
+
+    async def sync(self, parts: int, *, is_candidate: bool) -> None:
+        """Read and write the ledger once, and set the next time."""
+        plan = self._plan(parts, is_candidate=is_candidate)
+        try:
+            await self.keeper.sync(plan, self.holding)
+        except VersionConflict:
+            self._fail(self._failure, _CONFLICT_JITTER_S, 'conflict')
+        except PlatformError:
+            kind = HeldBack.PLATFORM_UNAVAILABLE
+            self._fail(kind, _FAILURE_JITTER_S, kind.value)
+        except InvalidObject:
+            kind = HeldBack.LEDGER_INVALID
+            self._fail(kind, _FAILURE_JITTER_S, kind.value)
+        else:
+            now = self._around.clock.now()
+            self._failure = HeldBack.NOTHING
+            if self._generation == plan.generation:
+                self._due_at = self.keeper.next_at(now, plan, self.holding)
+
+    async def leave(self) -> None:
+        """Stop using the cap and hand the share back, in one attempt."""
+        now = self._around.clock.now()
+        self.exchange.give_back_all(now, self._around.peers.send)
+        self.holding.aim_at(now, 0)
+        if not self.holding.units:
+            return
+        await self._around.clock.sleep(WINDOW_S)
+        plan = self._plan(1, is_candidate=True)
+        try:
+            await self.keeper.sync(plan, self.holding, is_leaving=True)
+        except (PlatformError, InvalidObject):
+            # The share lapses with its lease instead.
+            self._around.counters.add('cap_leaves_failed')
+
+    def balance(self, now: float) -> None:
+        """Ask for missing units, go on with loans, or give them back."""
+        self.exchange.balance(
+            now,
+            self._declared.units,
+            self._lenders(),
+            self._around.peers.send,
+        )
+
+    def receive(self, sender: str, body: object) -> None:
+        """Handle a message about loans, and send what it calls for."""
+        answer = self.exchange.receive(body, self._around.clock.now(), sender)
+        if answer is not None:
+            self._around.counters.add('cap_loans', cap=self.key)
+            self._around.peers.send(sender, answer)
+
+    def status(self) -> CapStatus:
+        """State at this moment."""
+        now = self._around.clock.now()
+        ledger = self.keeper.ledger
+        return CapStatus(
+            measure=self.measure,
+            declared=self._declared.units,
+            in_force=max(ledger.cap, ledger.assigned),
+            owned=self.holding.owned(now),
+            lent=self.holding.lent.units(now),
+            borrowed=self.holding.borrowed.units(now),
+            used=self.holding.usage.count(now),
+            held_back=self._held_back(now),
+        )
+
+    def _held_back(self, now: float) -> HeldBack:
+        ledger = self.keeper.ledger
+        if self._declared.units <= 0:
+            return HeldBack.CAP_IS_ZERO
+        if self.holding.units and now >= self.holding.lease_ends:
+            return HeldBack.LEASE_LAPSED
+        if self._failure is not HeldBack.NOTHING:
+            return self._failure
+        if max(ledger.cap, ledger.assigned) > self._declared.units:
+            return HeldBack.CUT_NOT_CONFIRMED
+        has_units = self.holding.limit(now) > 0
+        return HeldBack.NOTHING if has_units else HeldBack.NO_UNITS
+
+    def _plan(self, parts: int, *, is_candidate: bool) -> Plan:
+        return Plan(
+            generation=self._generation,
+            cap=self._declared.units,
+            lease_seconds=self._declared.lease_seconds,
+            parts=parts,
+            is_candidate=is_candidate,
+        )
+
+    def _cut_ahead(self, now: float) -> None:
+        """Use less at once, before the ledger records the cut."""
+        assigned = max(self.keeper.ledger.assigned, 1)
+        target = self.holding.units * self._declared.units // assigned
+        self.holding.aim_at(now, min(target, self.holding.target))
+
+    def _lenders(self) -> dict[str, int]:
+        return {
+            share.owner: share.target
+            for share in self.keeper.ledger.shares
+            if share.identity != self.keeper.identity
+        }
+
+    def _fail(
+        self,
+        failure: HeldBack,
+        jitter_s: tuple[float, float],
+        reason: str,
+    ) -> None:
+        now = self._around.clock.now()
+        self._failure = failure
+        self._due_at = now + self._around.rng.uniform(*jitter_s)
+        self._around.counters.add('cap_sync_failures', reason=reason)
+
+
+def _holding(measure: str) -> Holding:
+    if measure == CONCURRENCY:
+        return Holding(Usage(is_rate=False), _CONCURRENCY_HOLD_S)
+    return Holding()
--- /dev/null
+++ b/nutmegshore/caps/demand.py
@@ -0,0 +1,92 @@
+"""Who needs how many units of a cap."""
+
+import collections
+
+import attrs
+
+__all__ = ('Demand', 'Wish', 'Wishes', 'fair_split')
+
+_SLOT_S = 0.25
+_SLOTS_PER_S = 4
+_SLOTS = 12
+_WISH_AGE_S = 3
+
+
+class Demand:
+    """Units that the own callers asked for, granted or not, per second."""
+
+    def __init__(self) -> None:
+        """Start without demand."""
+        self._by_slot: collections.Counter[int] = collections.Counter()
+
+    def note(self, now: float, units: int) -> None:
+        """Count units that a caller asks for."""
+        self._by_slot[int(now / _SLOT_S)] += units
+
+    def wanted(self, now: float) -> int:
+        """Largest units per second within the last three seconds.
+
+        The maximum keeps units through short gaps, so that they do not flap.
+        """
+        last = int(now / _SLOT_S)
+        first = last - _SLOTS
+        for slot in tuple(self._by_slot):
+            if slot <= first:
+                self._by_slot.pop(slot)
+        starts = range(first + 1, last - _SLOTS_PER_S + 2)
+        return max(self._sum_from(start) for start in starts)
+
+    def mean(self, now: float) -> int:
+        """Units per second over the last three seconds, rounded up."""
+        first = int(now / _SLOT_S) - _SLOTS
+        total = sum(
+            units for slot, units in self._by_slot.items() if slot > first
+        )
+        return -(-total * _SLOTS_PER_S // _SLOTS)
+
+    def _sum_from(self, start: int) -> int:
+        slots = range(start, start + _SLOTS_PER_S)
+        return sum(self._by_slot.get(slot, 0) for slot in slots)
+
+
+@attrs.frozen
+class Wish:
+    """Units that another instance asked for and when it was heard."""
+
+    units: int
+    heard_at: float
+
+
+class Wishes:
+    """What other instances asked this owner for, aged."""
+
+    def __init__(self) -> None:
+        """Start without wishes."""
+        self._by_name: dict[str, Wish] = {}
+
+    def note(self, now: float, name: str, units: int) -> None:
+        """Remember the latest wish of an instance."""
+        self._by_name[name] = Wish(units, now)
+
+    def by_name(self, now: float) -> dict[str, int]:
+        """Units wished for by name; old wishes are forgotten."""
+        self._by_name = {
+            name: wish
+            for name, wish in self._by_name.items()
+            if now - wish.heard_at < _WISH_AGE_S
+        }
+        return {name: wish.units for name, wish in self._by_name.items()}
+
+
+def fair_split(units: int, wanted: dict[str, int]) -> dict[str, int]:
+    """Split whole units so that the smallest wishes are met first.
+
+    fair_split(10, {'a': 2, 'b': 9, 'c': 9})  # a 2, b 4, c 4
+    """
+    parts = {}
+    left = units
+    ordered = sorted((wish, name) for name, wish in wanted.items())
+    for index, (wish, name) in enumerate(ordered):
+        parts[name] = min(wish, left // (len(ordered) - index))
+        left -= parts[name]
+    return parts
