--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -88,9 +88,7 @@
 
     def used(self, start: float, end: float) -> float:
         """Units used per second between two times."""
-        units = sum(
-            units for at, units, _ in self.uses if start <= at < end
-        )
+        units = sum(units for at, units, _ in self.uses if start <= at < end)
         return units / (end - start)
 
 
--- a/nutmegshore/caps/cap.py
+++ b/nutmegshore/caps/cap.py
@@ -185,7 +185,8 @@
         """Handle a message about loans, and send what it calls for."""
         answer = self.exchange.receive(body, self._around.clock.now(), sender)
         if answer is not None:
-            self._around.counters.add('cap_loans', cap=self.key)
+            name = type(answer).__name__
+            self._around.counters.add('cap_answers', message=name)
             self._around.peers.send(sender, answer)
 
     def status(self) -> CapStatus:
--- a/nutmegshore/caps/demand.py
+++ b/nutmegshore/caps/demand.py
@@ -1,6 +1,7 @@
 """Who needs how many units of a cap."""
 
 import collections
+import math
 
 import attrs
 
@@ -10,6 +11,7 @@
 _SLOTS_PER_S = 4
 _SLOTS = 12
 _WISH_AGE_S = 3
+_RISE_DEVIATIONS = 4
 
 
 class Demand:
@@ -24,29 +26,27 @@
         self._by_slot[int(now / _SLOT_S)] += units
 
     def wanted(self, now: float) -> int:
-        """Largest units per second within the last three seconds.
+        """Units per second: the mean of three seconds, or a clear rise.
 
-        The maximum keeps units through short gaps, so that they do not flap.
+        The last second counts alone once it is too far above the mean for
+        random arrivals, so that a jump is seen at once and noise is not.
         """
         last = int(now / _SLOT_S)
-        first = last - _SLOTS
+        self._forget(last - _SLOTS)
+        mean = -(-self._sum_from(last - _SLOTS) * _SLOTS_PER_S // _SLOTS)
+        latest = self._sum_from(last - _SLOTS_PER_S)
+        is_rise = latest > mean + _RISE_DEVIATIONS * math.sqrt(mean)
+        return latest if is_rise else mean
+
+    def _forget(self, oldest: int) -> None:
         for slot in tuple(self._by_slot):
-            if slot <= first:
+            if slot < oldest:
                 self._by_slot.pop(slot)
-        starts = range(first + 1, last - _SLOTS_PER_S + 2)
-        return max(self._sum_from(start) for start in starts)
-
-    def mean(self, now: float) -> int:
-        """Units per second over the last three seconds, rounded up."""
-        first = int(now / _SLOT_S) - _SLOTS
-        total = sum(
-            units for slot, units in self._by_slot.items() if slot > first
-        )
-        return -(-total * _SLOTS_PER_S // _SLOTS)
 
     def _sum_from(self, start: int) -> int:
-        slots = range(start, start + _SLOTS_PER_S)
-        return sum(self._by_slot.get(slot, 0) for slot in slots)
+        return sum(
+            units for slot, units in self._by_slot.items() if slot >= start
+        )
 
 
 @attrs.frozen
--- a/nutmegshore/caps/exchange.py
+++ b/nutmegshore/caps/exchange.py
@@ -17,10 +17,9 @@
 
 __all__ = ('Exchange',)
 
-#: Loans are kept until the limit exceeds the demand by this factor, and
-#: asked for below the other; the gap between the two prevents flapping.
-_RETURN_MARGIN = 1.2
-_BORROW_MARGIN = 1.05
+#: Borrowed units are given back when the limit exceeds the demand by this
+#: factor, and asked for below the demand; the gap prevents flapping.
+_RETURN_MARGIN = 1.05
 
 Send = Callable[[str, Any], bool]
 
@@ -55,13 +54,11 @@
         wanted = min(self.wanted(now), declared)
         limit = self._holding.limit(now)
         needed = max(
-            math.ceil(wanted * _RETURN_MARGIN),
+            math.ceil(wanted * _RETURN_MARGIN) + 1,
             self._holding.usage.count(now),
         )
         _send_all(self._borrower.give_back(limit - needed), send)
-        missing = 0
-        if wanted:
-            missing = math.ceil(wanted * _BORROW_MARGIN) + 1 - limit
+        missing = wanted - max(limit, self._holding.owned(now))
         _send_all(self._borrower.requests(now, missing, lenders), send)
 
     def give_back_all(self, now: float, send: Send) -> None:
@@ -70,20 +67,17 @@
         _send_all(self._borrower.give_back(units), send)
 
     @functools.singledispatchmethod
-    def receive(self, body: Any, now: float, sender: str) -> Loan | None:
+    def receive(self, body: Any, now: float, sender: str) -> Any:
         """Handle a message; returns the answer to its sender, if any."""
         raise TypeError(type(body))
 
     @receive.register
     def _(self, body: LoanRequest, now: float, sender: str) -> Loan | None:
-        wanted = self._demand.mean(now)
-        if not self._holding.usage.is_rate:
-            wanted = self.wanted(now)
-        return self._lender.answer(now, sender, body, wanted)
+        return self._lender.answer(now, sender, body, self.wanted(now))
 
     @receive.register
-    def _(self, body: Loan, now: float, sender: str) -> None:
-        self._borrower.accept(sender, body)
+    def _(self, body: Loan, now: float, sender: str) -> LoanReturn | None:
+        return self._borrower.accept(sender, body)
 
     @receive.register
     def _(self, body: LoanReturn, now: float, sender: str) -> None:
--- a/nutmegshore/caps/holding.py
+++ b/nutmegshore/caps/holding.py
@@ -100,10 +100,13 @@
         self.set_aside = units
         self.set_aside_ends = now + _SET_ASIDE_S
 
-    def lend(self, now: float, key: str, loan: Part) -> None:
-        """Take units out of use for a loan that is about to be sent."""
+    def lend(self, now: float, key: str, loan: Part, before: int) -> None:
+        """Take units out of use for a loan that is about to be sent.
+
+        `before` are the units that this loan already had.
+        """
         self.lent.by_key[key] = loan
-        self.set_aside = max(self.set_aside - loan.units, 0)
+        self.set_aside = max(self.set_aside - max(loan.units - before, 0), 0)
 
     def loan_seconds(self, now: float, longest: float) -> float:
         """Length of a loan that ends before the own lease on any clock."""
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -12,6 +12,7 @@
     Claim,
     Identity,
     Ledger,
+    Share,
     claim_share,
     parse_ledger,
     write_ledger,
@@ -29,6 +30,10 @@
 
 _RENEWALS_PER_LEASE = 3
 _EARLIEST = 0.9
+#: Part of the lease that is left when a reading also renews.
+_RENEW_BELOW = 0.75
+#: While units have no owner, others are about to join.
+_JOINING_S = 3
 _TAKEOVER_JITTER_S = 2
 _CUT_JITTER_S = 0.3
 _TOKEN_BITS = 64
@@ -84,6 +89,7 @@
         self._operations = itertools.count(1)
         self.identity = self._draw_identity()
         self.ledger = Ledger()
+        self._joined: tuple[Share, ...] = ()
         self.read_at = -math.inf
         self.lease_seen_s = float(0)
 
@@ -106,9 +112,20 @@
             return
         claim = self._claim(now, plan, holding, is_leaving=is_leaving)
         ledger = claim_share(self.ledger, claim)
-        if ledger != self.ledger:
+        if self._is_due(now, ledger, holding):
             await self._write(stored, ledger, holding)
 
+    def _is_due(self, now: float, ledger: Ledger, holding: Holding) -> bool:
+        """Whether a write does more than renew early."""
+        own = ledger.share_of(self.identity)
+        present = self.ledger.share_of(self.identity)
+        if own is None or present is None:
+            return ledger != self.ledger
+        early = attrs.evolve(own, sequence=present.sequence)
+        is_renewal = ledger.with_share(early) == self.ledger
+        left = holding.lease_ends - now
+        return not is_renewal or left < own.lease_seconds * _RENEW_BELOW
+
     def next_at(self, now: float, plan: Plan, holding: Holding) -> float:
         """When the ledger is to be read next; infinite for never."""
         own = self.ledger.share_of(self.identity)
@@ -116,6 +133,9 @@
         if own is not None and own.target < own.units:
             cut_jitter = self._rng.uniform(0, _CUT_JITTER_S)
             times.append(now + WINDOW_S + cut_jitter)
+        if self.ledger.free > 0 and self.ledger.shares != self._joined:
+            self._joined = self.ledger.shares
+            times.append(now + _JOINING_S)
         if own is not None or plan.is_candidate:
             lease = min(plan.lease_seconds, self._lease_of(own, plan))
             early = self._rng.uniform(_EARLIEST, 1)
--- a/nutmegshore/caps/loans.py
+++ b/nutmegshore/caps/loans.py
@@ -20,35 +20,40 @@
 _ASK_EVERY_S = 0.4
 _REQUEST_AGE_S = 2
 _SHORTEST_LOAN_S = 0.5
-#: A loan above its fair part by less than this is left alone.
+#: Lent units above the fair part by less than this factor stay lent, and
+#: borrowers ask for this many times their need over all lenders.
 _SLACK = 1.25
 
 
 @message(_LOAN_REQUEST)
 @attrs.frozen
 class LoanRequest:
-    """Asks an owner for units, or to go on with a loan (`extends`).
+    """Asks an owner to lend `units` in all, those already lent included.
 
-    `wanted` are all units that the sender wants of this owner, those of its
-    present loans included; `owned` are the units that it owns itself.
+    `token` names the process that asks, `number` rises with each request of
+    it, and `owned` are the units that it owns itself.
     """
 
     cap: str
-    request: str
+    token: str
+    number: int
     units: int
-    wanted: int
     owned: int
-    extends: str = ''
 
 
 @message(_LOAN)
 @attrs.frozen
 class Loan:
-    """Lends units for some seconds, counted from before the request."""
+    """Lends `units` in all for some seconds, counted from the request.
+
+    `lender` names the process that lends; `token` and `number` are those of
+    the request.
+    """
 
     cap: str
-    request: str
-    loan: str
+    lender: str
+    token: str
+    number: int
     units: int
     seconds: float
 
@@ -56,21 +61,29 @@
 @message(_LOAN_RETURN)
 @attrs.frozen
 class LoanReturn:
-    """Says that the borrower has stopped using the units of a loan."""
+    """Says that the borrower uses only the units in `kept` from now on.
+
+    `number` is the last request that the borrower had sent; it accepts no
+    answer to a request up to this one any more.
+    """
 
     cap: str
-    loan: str
+    lender: str
+    token: str
+    number: int
+    kept: int
 
 
 class Lender:
     """Answers the loan requests for one cap."""
 
     def __init__(self, cap: str, token: str, holding: Holding) -> None:
-        """Lend from a holding; the token makes loan ids unique."""
+        """Lend from a holding; the token is new for each process."""
         self._cap = cap
         self._token = token
         self._holding = holding
-        self._numbers = itertools.count(1)
+        self._rests = itertools.count(1)
+        self._granted: dict[str, int] = {}
         self._wishes = Wishes()
 
     def answer(
@@ -86,18 +99,46 @@
         if holding.target < holding.units or seconds < _SHORTEST_LOAN_S:
             return None
         allowed = self._allowed(now, sender, request, wanted)
-        present = holding.lent.by_key.get(request.extends)
-        if present is not None and present.is_open(now, sender):
-            return self._extend(now, request, seconds, allowed)
-        if request.extends:
+        key = f'{sender}/{request.token}'
+        present = holding.lent.by_key.get(key)
+        if present is None or now >= present.ends:
+            present = Part(sender, 0, now)
+        units = self._size(now, present.units, request.units, allowed)
+        if units <= 0:
             return None
-        return self._lend(now, sender, request, (seconds, allowed))
+        self._keep_rest(key, present, units)
+        ends = max(present.ends, holding.loan_ends(now, seconds))
+        holding.lend(now, key, Part(sender, units, ends), present.units)
+        self._granted[key] = max(request.number, self._granted.get(key, 0))
+        return Loan(
+            self._cap,
+            self._token,
+            request.token,
+            request.number,
+            units,
+            seconds,
+        )
 
     def take_back(self, now: float, sender: str, returned: LoanReturn) -> None:
-        """Use the units of a returned loan again after one window."""
-        loan = self._holding.lent.by_key.get(returned.loan)
-        if loan is not None and loan.other == sender:
-            loan.ends = min(loan.ends, now + WINDOW_S)
+        """Use returned units again after one window.
+
+        The borrower uses no more than it says, so that what earlier, larger
+        grants left out of use comes back too.
+        A return that was sent before the last request that was granted is a
+        late or repeated one: the borrower may use more again.
+        """
+        key = f'{sender}/{returned.token}'
+        present = self._holding.lent.by_key.get(key)
+        if present is None or returned.lender != self._token:
+            return
+        if returned.number < self._granted.get(key, 0):
+            return
+        units = min(returned.kept, present.units)
+        self._keep_rest(key, present, units)
+        present.units = units
+        for rest_key, rest in self._holding.lent.by_key.items():
+            if rest_key.startswith(f'{key}/'):
+                rest.ends = min(rest.ends, now + WINDOW_S)
 
     def _allowed(
         self,
@@ -111,96 +152,51 @@
         An owner only gets what the lender does not need itself, since its
         own share is its fair part. Others share evenly with the lender.
         """
-        self._wishes.note(now, sender, request.wanted)
+        self._wishes.note(now, sender, request.units)
         wishes = self._wishes.by_name(now)
         units = self._holding.owned(now)
         if request.owned:
             return fair_split(max(units - wanted, 0), wishes)[sender]
         return fair_split(units, {**wishes, '': wanted})[sender]
 
-    def _lend(
-        self,
-        now: float,
-        sender: str,
-        request: LoanRequest,
-        terms: tuple[float, int],
-    ) -> Loan | None:
-        seconds, allowed = terms
-        holding = self._holding
-        lent = holding.lent.by_other(now)[sender]
-        asked = min(request.units, allowed - lent)
-        units = min(asked, holding.lendable(now))
-        if units < asked:
-            holding.reserve(now, asked)
-        if units <= 0:
-            return None
-        key = '{0}-{1}'.format(self._token, next(self._numbers))
-        ends = holding.loan_ends(now, seconds)
-        holding.lend(now, key, Part(sender, units, ends))
-        return Loan(self._cap, request.request, key, units, seconds)
-
-    def _extend(
-        self,
-        now: float,
-        request: LoanRequest,
-        seconds: float,
-        allowed: int,
-    ) -> Loan | None:
-        """Go on with a loan; what exceeds the fair part ends as agreed."""
-        present = self._holding.lent.by_key[request.extends]
-        units = present.units
-        if units > allowed * _SLACK + 1:
-            units = allowed
-        if units <= 0:
-            return None
+    def _size(self, now: float, lent: int, asked: int, allowed: int) -> int:
+        """New size of a loan; lowered only when far above the fair part."""
+        if lent > math.ceil(allowed * _SLACK) + 1:
+            return min(allowed, asked)
+        more = min(asked, allowed) - lent
+        if more <= 0:
+            return min(lent, asked)
+        lendable = self._holding.lendable(now)
+        if lendable < more:
+            self._holding.reserve(now, more)
+        return lent + min(more, lendable)
+
+    def _keep_rest(self, key: str, present: Part, units: int) -> None:
+        """Keep what a smaller loan leaves out of use until it ends."""
         if units < present.units:
-            key = '{0}-{1}'.format(self._token, next(self._numbers))
+            number = next(self._rests)
             rest = attrs.evolve(present, units=present.units - units)
-            self._holding.lent.by_key[key] = rest
-        present.units = units
-        present.ends = max(
-            present.ends,
-            self._holding.loan_ends(now, seconds),
-        )
-        return Loan(self._cap, request.request, request.extends, units, seconds)
+            self._holding.lent.by_key[f'{key}/{number}'] = rest
 
 
 @attrs.frozen
 class _Asked:
     lender: str
     sent_at: float
-    extends: str
-
-
-@attrs.frozen
-class _Terms:
-    lender: str
-    units: int
-    wanted: int
-    extends: str
-
-
-def _parts(missing: int, lenders: dict[str, int]) -> dict[str, int]:
-    total = sum(lenders.values())
-    if missing <= 0 or not total:
-        return {}
-    return {
-        name: math.ceil(missing * _SLACK * units / total)
-        for name, units in lenders.items()
-    }
 
 
 class Borrower:
     """Asks owners for units of one cap and keeps what it was lent."""
 
     def __init__(self, cap: str, token: str, holding: Holding) -> None:
-        """Borrow into a holding; the token makes request ids unique."""
+        """Borrow into a holding; the token is new for each process."""
         self._cap = cap
         self._token = token
         self._holding = holding
-        self._numbers = itertools.count(1)
-        self._asked: dict[str, _Asked] = {}
+        self._number = 0
+        self._asked: dict[int, _Asked] = {}
         self._asked_at: dict[str, float] = {}
+        self._accepted: dict[str, int] = {}
 
     def requests(
         self,
@@ -208,7 +204,7 @@
         missing: int,
         lenders: dict[str, int],
     ) -> list[tuple[str, LoanRequest]]:
-        """Requests to send now: extensions, and shares of what is missing.
+        """Requests to send now: for what is missing, or to go on.
 
         `lenders` are the owners with their units; each is asked for a part
         in proportion, a little more than needed.
@@ -216,78 +212,93 @@
         self._forget(now)
         held = self._holding.borrowed.by_other(now)
         parts = _parts(missing, lenders)
-        asked = [
-            (loan.other, loan.units, key)
-            for key, loan in self._holding.borrowed.by_key.items()
-            if loan.ends - now < _EXTEND_S
-        ]
-        asked.extend((name, units, '') for name, units in parts.items())
+        ending = {
+            part.other
+            for part in self._holding.borrowed.by_key.values()
+            if part.ends - now < _EXTEND_S
+        }
         return [
-            (
-                name,
-                self._ask(
-                    now,
-                    _Terms(name, units, held[name] + parts.get(name, 0), key),
-                ),
-            )
-            for name, units, key in asked
-            if self._is_due(now, name + key)
+            (name, self._ask(now, name, held[name] + parts.get(name, 0)))
+            for name in sorted(ending.union(parts))
+            if now - self._asked_at.get(name, -math.inf) >= _ASK_EVERY_S
         ]
 
-    def accept(self, sender: str, loan: Loan) -> bool:
+    def accept(self, sender: str, loan: Loan) -> LoanReturn | None:
         """Keep a loan that this process asked for and got no answer on.
 
         The loan counts from when the request was sent, so it ends here
-        before the lender's count ends. False if it is of no use.
+        before the lender's count ends. A smaller loan than before is
+        confirmed, so that the lender need not wait for the end of the rest.
         """
-        asked = self._asked.pop(loan.request, None)
-        if asked is None or asked.lender != sender:
-            return False
-        ends = asked.sent_at + loan.seconds
-        if asked.extends and asked.extends not in self._holding.borrowed.by_key:
-            return False
-        self._holding.borrowed.by_key[loan.loan] = Part(
-            sender, loan.units, ends
-        )
-        return True
+        asked = self._asked.get(loan.number)
+        if asked is None or (loan.token, sender) != (self._token, asked.lender):
+            return None
+        self._asked.pop(loan.number)
+        key = f'{sender}/{loan.lender}'
+        if loan.number <= self._accepted.get(key, 0):
+            return None
+        self._accepted[key] = loan.number
+        part = Part(sender, loan.units, asked.sent_at + loan.seconds)
+        present = self._holding.borrowed.by_key.get(key, part)
+        self._holding.borrowed.by_key[key] = part
+        if part.units >= present.units:
+            return None
+        self._forget_asked(sender)
+        return self._return(key, part)
 
     def give_back(self, surplus: int) -> list[tuple[str, LoanReturn]]:
-        """Drop whole loans within the surplus; returns what to send."""
+        """Stop using a surplus of borrowed units; returns what to send.
+
+        Answers that are still under way do not count any more, since they
+        were given before the lender knew of the return.
+        """
         returned = []
-        for key, loan in sorted(self._holding.borrowed.by_key.items()):
-            if loan.units <= surplus:
-                surplus -= loan.units
-                returned.append((loan.other, LoanReturn(self._cap, key)))
-        for _, message_body in returned:
-            self._holding.borrowed.by_key.pop(message_body.loan)
+        for key, part in sorted(self._holding.borrowed.by_key.items()):
+            units = min(part.units, surplus)
+            if units > 0:
+                surplus -= units
+                part.units -= units
+                returned.append((part.other, self._return(key, part)))
+        for lender, _ in returned:
+            self._forget_asked(lender)
         return returned
 
-    def _is_due(self, now: float, subject: str) -> bool:
-        if now - self._asked_at.get(subject, -math.inf) < _ASK_EVERY_S:
-            return False
-        self._asked_at[subject] = now
-        return True
-
-    def _ask(self, now: float, terms: '_Terms') -> LoanRequest:
-        request = '{0}-{1}'.format(self._token, next(self._numbers))
-        self._asked[request] = _Asked(terms.lender, now, terms.extends)
-        return LoanRequest(
+    def _return(self, key: str, part: Part) -> LoanReturn:
+        return LoanReturn(
             cap=self._cap,
-            request=request,
-            units=terms.units,
-            wanted=terms.wanted,
-            owned=self._holding.owned(now),
-            extends=terms.extends,
+            lender=key.rpartition('/')[-1],
+            token=self._token,
+            number=self._number,
+            kept=part.units,
         )
 
+    def _ask(self, now: float, name: str, units: int) -> LoanRequest:
+        self._number += 1
+        self._asked_at[name] = now
+        self._asked[self._number] = _Asked(name, now)
+        owned = self._holding.owned(now)
+        return LoanRequest(self._cap, self._token, self._number, units, owned)
+
+    def _forget_asked(self, lender: str) -> None:
+        self._asked = {
+            number: asked
+            for number, asked in self._asked.items()
+            if asked.lender != lender
+        }
+
     def _forget(self, now: float) -> None:
         self._asked = {
-            key: asked
-            for key, asked in self._asked.items()
+            number: asked
+            for number, asked in self._asked.items()
             if now - asked.sent_at < _REQUEST_AGE_S
         }
-        self._asked_at = {
-            key: asked_at
-            for key, asked_at in self._asked_at.items()
-            if now - asked_at < _LOAN_S
-        }
+
+
+def _parts(missing: int, lenders: dict[str, int]) -> dict[str, int]:
+    total = sum(lenders.values())
+    if missing <= 0 or not total:
+        return {}
+    return {
+        name: math.ceil(missing * _SLACK * units / total)
+        for name, units in lenders.items()
+    }
