Number renewals per process so that no sequence repeats

A share that was handed back and taken again began at sequence 1, and an instance that had seen the old share took the new one for it.

--- /dev/null
+++ b/bench/caps_faults.py
@@ -0,0 +1,187 @@
+"""Seeded schedules of faults against a fleet with one cap."""
+
+import asyncio
+import random
+
+import attrs
+
+from bench.caps_fleet import Fleet, FleetOptions
+from nutmegshore.clock import run_virtual
+
+__all__ = ('Verdict', 'run_schedule')
+
+_COUNT = 5
+_CAP = 60
+_LEASE_S = 10
+_RUN_S = 90
+_WARM_S = 4
+_PERIOD_S = 5
+_RATES = (0.995, 1, 1.005)
+_LONG_S = 25
+_SHORT_S = 3
+_MOST_LOST = 4
+_SLOW_S = (0.1, 4)
+_DOWN_S = (1, 40)
+_GAP_S = (0.2, 6)
+_HEAVY = 80
+
+
+@attrs.frozen
+class Verdict:
+    """What a schedule led to: uses over the cap, and uses in all."""
+
+    seed: int
+    over_cap: int
+    uses: int
+    faults: tuple[str, ...]
+
+
+class _Schedule:
+    """Draws faults and applies them, two at once in half the steps."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._faults = (
+            self._pause,
+            self._pause_after_take,
+            self._pause_in_renewal,
+            self._kill,
+            self._cut_one_way,
+            self._partition,
+            self._lose_answers,
+            self._slow,
+            self._down,
+            self._recap,
+            self._delete,
+            self._change_lease,
+        )
+        self.applied: list[str] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self, until: float) -> None:
+        """Apply faults until a time; their ends may come later."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            for fault in self._rng.sample(self._faults, self._rng.choice((1, 2))):
+                self.applied.append(fault.__name__[1:])
+                self._tasks.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self._rng.uniform(*_GAP_S))
+
+    async def stop(self) -> None:
+        """End all faults that still wait."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _one(self) -> str:
+        return self._rng.choice(sorted(self._fleet.by_name))
+
+    def _length(self) -> float:
+        longest = self._rng.choice((_SHORT_S, _LONG_S))
+        return self._rng.uniform(0.1, longest)
+
+    async def _pause(self) -> None:
+        self._fleet.by_name[self._one()].clock.pause(self._length())
+
+    async def _pause_after_take(self) -> None:
+        self._fleet.pause_after_take(self._one(), self._length())
+
+    async def _pause_in_renewal(self) -> None:
+        platform = self._fleet.by_name[self._one()].platform
+        waiting = (platform.pauses_before, platform.pauses_after)
+        self._rng.choice(waiting).append(self._length())
+
+    async def _kill(self) -> None:
+        if len(self._fleet.by_name) < _COUNT - 1:
+            return
+        name = self._one()
+        self._fleet.kill(name)
+        await asyncio.sleep(self._rng.choice((0, self._length())))
+        await self._fleet.spawn(name)
+
+    async def _cut_one_way(self) -> None:
+        self._fleet.network.cut(self._one(), self._one())
+        await asyncio.sleep(self._length())
+        self._fleet.network.heal()
+
+    async def _partition(self) -> None:
+        self._fleet.network.partition('east', 'west')
+        await asyncio.sleep(self._length())
+        self._fleet.network.heal()
+
+    async def _lose_answers(self) -> None:
+        lost = self._rng.randint(1, _MOST_LOST)
+        self._fleet.store.faults.lost_answers += lost
+
+    async def _slow(self) -> None:
+        faults = self._faults_of_platform()
+        faults.delay_s = self._rng.uniform(*_SLOW_S)
+        await asyncio.sleep(self._length())
+        faults.delay_s = 0
+
+    async def _down(self) -> None:
+        faults = self._faults_of_platform()
+        faults.is_down = True
+        await asyncio.sleep(self._rng.uniform(*_DOWN_S))
+        faults.is_down = False
+
+    def _faults_of_platform(self):
+        one = self._fleet.by_name[self._one()].platform.faults
+        return self._rng.choice((one, self._fleet.store.faults))
+
+    async def _recap(self) -> None:
+        cap = self._rng.choice((_CAP // 3, _CAP // 2, _CAP, 2 * _CAP))
+        await self._spread(cap)
+
+    async def _delete(self) -> None:
+        await self._spread(None)
+        await asyncio.sleep(self._length())
+        await self._spread(_CAP)
+
+    async def _change_lease(self) -> None:
+        self._fleet.lease_seconds = self._rng.choice((_LEASE_S, 3 * _LEASE_S))
+        await self._spread(_CAP)
+
+    async def _spread(self, cap: int | None) -> None:
+        """Declare at one instance first, at the others a little later."""
+        self._fleet.declare(cap, [self._one()])
+        await asyncio.sleep(self._rng.uniform(0, _SHORT_S))
+        self._fleet.spread(list(self._fleet.by_name))
+
+
+def run_schedule(seed: int) -> Verdict:
+    """Run one schedule; the same seed gives the same run."""
+    return run_virtual(lambda: _session(seed))
+
+
+async def _session(seed: int) -> Verdict:
+    rng = random.Random(seed)
+    salt = rng.random()
+    rates = {f'e{index}': rng.choice(_RATES) for index in range(_COUNT)}
+    options = FleetOptions(
+        seed=seed,
+        count=_COUNT,
+        cap=_CAP,
+        lease_seconds=_LEASE_S,
+        rates=rates,
+    )
+    fleet = Fleet(options, lambda name, at: _demand(salt, name, at))
+    schedule = _Schedule(fleet, rng)
+    await fleet.start()
+    await asyncio.sleep(_WARM_S)
+    await schedule.run(_RUN_S)
+    await schedule.stop()
+    await fleet.stop()
+    return Verdict(
+        seed=seed,
+        over_cap=fleet.judge.over_cap(),
+        uses=len(fleet.judge.uses),
+        faults=tuple(schedule.applied),
+    )
+
+
+def _demand(salt: float, name: str, at: float) -> float:
+    """Demand that moves to other instances every few seconds."""
+    drawn = random.Random(f'{salt}{name}{at // _PERIOD_S}').random()
+    return _HEAVY if drawn < 0.4 else drawn * _CAP / _COUNT
--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -9,7 +9,7 @@
 import attrs
 
 from nutmegshore.caps import Caps, Ledger, parse_ledger
-from nutmegshore.clock import Clock, VirtualClock
+from nutmegshore.clock import VirtualClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
 from nutmegshore.peers import Member, MemoryNetwork, Peers
@@ -17,7 +17,6 @@
     Expected,
     MemoryPlatform,
     MemoryStore,
-    Platform,
     StoredObject,
 )
 from nutmegshore.resources import Envelope, parse_spec
@@ -59,31 +58,32 @@
             self.overassigned += 1
         self.ledgers.append((_true_now(), ledger))
 
-    def over_cap(self, cap: int) -> int:
-        """Uses that made any window of one second exceed the cap.
+    def over_cap(self) -> int:
+        """Uses that made any window of one second exceed the cap in force.
 
         A lowered cap is in force from when no owner may use more than it.
         """
         over = self.overassigned
         held = 0
         window: collections.deque[tuple[float, int]] = collections.deque()
+        lowest = min((_in_force(found) for _, found in self.ledgers), default=0)
         for at, units, _ in sorted(self.uses):
             window.append((at, units))
             held += units
             while at - window[0][0] >= 1:
                 held -= window.popleft()[1]
-            over += held > self.in_force(at, cap)
+            over += held > lowest and held > self.in_force(at)
         return over
 
-    def in_force(self, at: float, cap: int) -> int:
+    def in_force(self, at: float) -> int:
         """Largest cap that was in force in the second before a time."""
-        caps = [cap]
+        caps = [0]
         for written_at, ledger in self.ledgers:
             if written_at > at:
                 break
             if written_at <= at - 1:
-                caps = []
-            caps.append(max(ledger.cap, ledger.assigned))
+                caps.clear()
+            caps.append(_in_force(ledger))
         return max(caps)
 
     def used(self, start: float, end: float) -> float:
@@ -92,6 +92,33 @@
         return units / (end - start)
 
 
+class PausingPlatform(MemoryPlatform):
+    """A client whose process can be stopped around its next write."""
+
+    def __init__(self, store: MemoryStore, clock: VirtualClock) -> None:
+        """Connect without pauses."""
+        super().__init__(store, clock)
+        self._process = clock
+        self.pauses_before: collections.deque[float] = collections.deque()
+        self.pauses_after: collections.deque[float] = collections.deque()
+
+    async def write(
+        self,
+        key: str,
+        body: bytes,
+        expected: Expected | None,
+        operation: str,
+    ) -> StoredObject:
+        """Write, and stop the process before or after the write counts."""
+        if self.pauses_before:
+            self._process.pause(self.pauses_before.popleft())
+        stored = await super().write(key, body, expected, operation)
+        if self.pauses_after:
+            self._process.pause(self.pauses_after.popleft())
+            await self._process.gate()
+        return stored
+
+
 class JudgedStore(MemoryStore):
     """A store that shows each stored ledger to the judge."""
 
@@ -132,7 +159,7 @@
 
     name: str
     clock: VirtualClock
-    platform: MemoryPlatform
+    platform: PausingPlatform
     table: ConfigurationTable
     peers: Peers
     caps: Caps
@@ -161,7 +188,9 @@
         self.by_name: dict[str, Instance] = {}
         self.chances: dict[str, _Chance] = {}
         self._generation = 0
-        self._declared: list[Envelope] = []
+        self._sending: set[asyncio.Task] = set()
+        self.declared: list[Envelope] = []
+        self.lease_seconds = options.lease_seconds
         self._incarnations: collections.Counter[str] = collections.Counter()
         for index, one in enumerate(_REGIONS):
             self.network.set_delay(one, one, _WITHIN_S)
@@ -176,37 +205,19 @@
     async def start(self) -> None:
         """Declare the cap and start all instances."""
         self.declare(self.options.cap)
-        for name in self.names:
-            await self.spawn(name)
+        await asyncio.gather(*[self.spawn(name) for name in self.names])
 
     def declare(self, cap: int | None, names: list[str] | None = None) -> None:
         """Declare a cap, or delete the shift, at these or all instances."""
         self._generation += 1
-        spec = None
-        if cap is not None:
-            fields = {
-                'service': 's',
-                'from_region': 'east',
-                'to_region': 'west',
-                'share': 1,
-                'cap': cap,
-                'lease_seconds': self.options.lease_seconds,
-            }
-            spec = parse_spec(KIND, fields)
-        envelope = Envelope(
-            kind=KIND,
-            name=NAME,
-            generation=self._generation,
-            uid='uid',
-            author='bench',
-            reason='',
-            operation=f'op-{self._generation}',
-            spec=spec,
-            is_deleted=spec is None,
-        )
-        self._declared = [envelope]
-        for name in self.by_name if names is None else names:
-            self.by_name[name].table.merge([envelope])
+        self.declared = [_envelope(self._generation, cap, self.lease_seconds)]
+        self.spread(list(self.by_name) if names is None else names)
+
+    def spread(self, names: list[str]) -> None:
+        """Bring what is declared to these instances."""
+        for name in names:
+            if name in self.by_name:
+                self.by_name[name].table.merge(self.declared)
 
     async def spawn(self, name: str) -> None:
         """Start an instance, also again under the name of a dead one."""
@@ -215,9 +226,9 @@
         region = _REGIONS[int(name[1:]) % len(_REGIONS)]
         member = Member(name, region, 'a', self._incarnations[name])
         peers = self.network.join(member, clock)
-        platform = MemoryPlatform(self.store, clock)
+        platform = PausingPlatform(self.store, clock)
         table = ConfigurationTable()
-        table.merge(self._declared)
+        table.merge(self.declared)
         rng = random.Random(self.rng.getrandbits(_TOKEN_BITS))
         caps = self.options.build(
             table, platform, peers, clock, rng, Counters()
@@ -259,10 +270,12 @@
             seconds = min(now - last, 4 * _STEP_S)
             last = now
             for _ in range(_poisson(rng, rate * seconds)):
-                await self._request(instance, rng)
+                self._request(instance, rng)
 
-    async def _request(self, instance: Instance, rng: random.Random) -> None:
+    def _request(self, instance: Instance, rng: random.Random) -> None:
         taken_at = instance.clock.now()
+        if instance.clock.is_paused:
+            return
         if not instance.caps.try_take(KIND, NAME):
             return
         pauses = self.chances[instance.name].pauses
@@ -272,8 +285,8 @@
             self.judge.use(instance.name)
             return
         task = asyncio.create_task(self._send(instance, taken_at, rng))
-        if instance.clock.is_paused:
-            await task
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
 
     async def _send(
         self,
@@ -288,6 +301,32 @@
             self.judge.use(instance.name)
 
 
+def _envelope(generation: int, cap: int | None, lease: int) -> Envelope:
+    fields = {
+        'service': 's',
+        'from_region': 'east',
+        'to_region': 'west',
+        'share': 1,
+        'cap': cap,
+        'lease_seconds': lease,
+    }
+    return Envelope(
+        kind=KIND,
+        name=NAME,
+        generation=generation,
+        uid='uid',
+        author='bench',
+        reason='',
+        operation=f'op-{generation}',
+        spec=None if cap is None else parse_spec(KIND, fields),
+        is_deleted=cap is None,
+    )
+
+
+def _in_force(ledger: Ledger) -> int:
+    return max(ledger.cap, ledger.assigned)
+
+
 def _true_now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -87,6 +87,7 @@
         self._absent_since = math.inf
         self._has_written = False
         self._operations = itertools.count(1)
+        self._sequences = itertools.count(1)
         self.identity = self._draw_identity()
         self.ledger = Ledger()
         self._joined: tuple[Share, ...] = ()
@@ -228,6 +229,7 @@
             lease_seconds=(
                 _LEAVING_LEASE_S if is_leaving else plan.lease_seconds
             ),
+            sequence=next(self._sequences),
             kept=holding.kept(now),
             lapsed=frozenset(lapsed),
             parts=plan.parts,
--- a/nutmegshore/caps/ledger.py
+++ b/nutmegshore/caps/ledger.py
@@ -34,7 +34,9 @@
     """Units that one incarnation of an instance may use under its lease.
 
     `target` is below `units` while the owner has not yet confirmed a cut.
-    The owner alone raises `sequence`, with each renewal; `lease_seconds` is
+    The owner alone sets `sequence`, anew with each renewal and never again
+    the same, also when it hands its share back and joins again: others could
+    take the new share for one that they saw long before. `lease_seconds` is
     the lease that this renewal counts on, whatever is declared later.
     """
 
@@ -107,6 +109,7 @@
     generation: int
     cap: int
     lease_seconds: float
+    sequence: int = 1
     kept: int = 0
     lapsed: frozenset[Identity] = frozenset()
     parts: int = 1
@@ -139,7 +142,7 @@
     renewed = attrs.evolve(
         own,
         lease_seconds=claim.lease_seconds,
-        sequence=own.sequence + 1,
+        sequence=claim.sequence,
     )
     return ledger.with_share(renewed)
 
