--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -41,12 +41,13 @@
 class Judge:
     """True times of all uses over all instances, and the caps in force."""
 
-    def __init__(self) -> None:
-        """Start without uses."""
+    def __init__(self, cap: int) -> None:
+        """Start without uses and with the cap that is declared first."""
         self.uses: list[tuple[float, int, str]] = []
-        self.caps_in_force: list[tuple[float, int]] = []
+        self.caps_in_force: list[tuple[float, int]] = [(0, cap)]
         self._assigned = 0
         self.overassigned = 0
+        self.has_ledger = True
 
     def use(self, name: str, units: int = 1) -> None:
         """Record that a request leaves now."""
@@ -138,7 +139,7 @@
     ) -> StoredObject:
         """Write conditionally, or raise `VersionConflict`."""
         stored = super().apply(key, body, expected, operation)
-        if key.startswith('caps/'):
+        if key.startswith('caps/') and self._judge.has_ledger:
             self._judge.wrote(parse_ledger(body))
         return stored
 
@@ -183,7 +184,7 @@
         """Build the surroundings; `start` runs the instances."""
         self.options = options
         self.rng = random.Random(options.seed)
-        self.judge = Judge()
+        self.judge = Judge(options.cap)
         self.store = JudgedStore(self.judge)
         self.store.faults.delay_s = _PLATFORM_S
         self.network = MemoryNetwork()
--- a/nutmegshore/caps/demand.py
+++ b/nutmegshore/caps/demand.py
@@ -12,6 +12,7 @@
 _SLOTS = 12
 _WISH_AGE_S = 3
 _RISE_DEVIATIONS = 4
+_TIGHT_DEVIATIONS = 2
 
 
 class Demand:
@@ -95,9 +96,9 @@
 def tight(wanted: int) -> int:
     """Units to hold for a demand while others lack units.
 
-    Random arrivals leave part of their units idle; one standard deviation
-    less is refused a little more often and leaves fewer idle.
+    Random arrivals leave part of their units idle; two standard deviations
+    less are refused more often and leave fewer idle.
 
-        tight(100)  # 90
+        tight(100)  # 80
     """
-    return wanted - math.isqrt(wanted)
+    return max(wanted - _TIGHT_DEVIATIONS * math.isqrt(wanted), 0)
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -12,7 +12,6 @@
     Claim,
     Identity,
     Ledger,
-    Share,
     claim_share,
     parse_ledger,
     write_ledger,
@@ -90,7 +89,7 @@
         self._sequences = itertools.count(1)
         self.identity = self._draw_identity()
         self.ledger = Ledger()
-        self._joined: tuple[Share, ...] = ()
+        self._joining = 0
         self.read_at = -math.inf
         self.lease_seen_s = float(0)
 
@@ -134,9 +133,8 @@
         if own is not None and own.target < own.units:
             cut_jitter = self._rng.uniform(0, _CUT_JITTER_S)
             times.append(now + WINDOW_S + cut_jitter)
-        if self.ledger.free > 0 and self.ledger.shares != self._joined:
-            self._joined = self.ledger.shares
-            times.append(now + _JOINING_S)
+        if self.ledger.free > 0 or not self.ledger.shares:
+            times.append(now + self._joining_s(plan))
         if own is not None or plan.is_candidate:
             lease = min(plan.lease_seconds, self._lease_of(own, plan))
             early = self._rng.uniform(_EARLIEST, 1)
@@ -148,6 +146,12 @@
             )
         return min(times)
 
+    def _joining_s(self, plan: Plan) -> float:
+        """Wait, longer each time, for others to take the free units."""
+        self._joining += 1
+        longest = plan.lease_seconds / _RENEWALS_PER_LEASE
+        return min(_JOINING_S * self._joining * self._joining, longest)
+
     def _lease_of(self, own: object, plan: Plan) -> float:
         return getattr(own, 'lease_seconds', plan.lease_seconds)
 
