--- a/bench/caps_policies.py
+++ b/bench/caps_policies.py
@@ -116,9 +116,7 @@
             await self._clock.sleep(WINDOW_S)
         if units == own.units and not is_renewal:
             return
-        share = Share(
-            *identity, units, units, 3 * _RENEW_S, own.sequence + 1
-        )
+        share = Share(*identity, units, units, 3 * _RENEW_S, own.sequence + 1)
         await write_resolved(
             self._platform,
             _KEY,
--- a/nutmegshore/caps/cap.py
+++ b/nutmegshore/caps/cap.py
@@ -29,6 +29,7 @@
 _CHANGE_JITTER_S = 0.3
 _CONFLICT_JITTER_S = (0.05, 0.5)
 _FAILURE_JITTER_S = (1, 5)
+_LEAVE_ATTEMPTS = 4
 
 
 class HeldBack(enum.Enum):
@@ -158,16 +159,23 @@
                 self._due_at = self.keeper.next_at(now, plan, self.holding)
 
     async def leave(self) -> None:
-        """Stop using the cap and hand the share back, in one attempt."""
+        """Stop using the cap and hand the share back, in a few attempts."""
         now = self._around.clock.now()
         self.exchange.give_back_all(now, self._around.peers.send)
         self.holding.aim_at(now, 0)
-        if not self.holding.units:
-            return
-        await self._around.clock.sleep(WINDOW_S)
+        if self.holding.units:
+            await self._around.clock.sleep(WINDOW_S)
+            await self._hand_back(_LEAVE_ATTEMPTS)
+
+    async def _hand_back(self, attempts: int) -> None:
         plan = self._plan(1, is_candidate=True)
         try:
             await self.keeper.sync(plan, self.holding, is_leaving=True)
+        except VersionConflict:
+            if attempts > 1:
+                jitter_s = self._around.rng.uniform(*_CONFLICT_JITTER_S)
+                await self._around.clock.sleep(jitter_s)
+                await self._hand_back(attempts - 1)
         except (PlatformError, InvalidObject):
             # The share lapses with its lease instead.
             self._around.counters.add('cap_leaves_failed')
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -107,7 +107,8 @@
         """
         stored = await self._platform.read(self._key)
         now = self._clock.now()
-        self._learn(now, stored, holding)
+        target = holding.target if is_leaving else math.inf
+        self._learn(now, stored, holding, target)
         if not self._may_write(now, plan, is_absent=stored is None):
             return
         claim = self._claim(now, plan, holding, is_leaving=is_leaving)
@@ -160,8 +161,12 @@
         now: float,
         stored: StoredObject | None,
         holding: Holding,
+        target: float,
     ) -> None:
-        """Take in a reading, and when each share was first seen so."""
+        """Take in a reading, and when each share was first seen so.
+
+        `target` bounds what the ledger lets this instance use.
+        """
         ledger = Ledger() if stored is None else parse_ledger(stored.body)
         self.read_at = now
         self.ledger = ledger
@@ -174,7 +179,7 @@
             holding.forfeit()
         else:
             holding.shrink(own.units)
-            holding.aim_at(now, min(own.target, own.units))
+            holding.aim_at(now, min(own.target, own.units, target))
 
     def _observe(self, now: float, ledger: Ledger, *, is_absent: bool) -> None:
         seen = {}
--- /dev/null
+++ b/tests/caps/test_ledger.py
@@ -0,0 +1,90 @@
+"""Tests of the ledger's form and of the claims on it."""
+
+import attrs
+import pytest
+
+from nutmegshore.caps.ledger import (
+    Claim,
+    Ledger,
+    Share,
+    claim_share,
+    parse_ledger,
+    write_ledger,
+)
+from nutmegshore.resources import InvalidObject
+
+_A = ('a', '1')
+_B = ('b', '1')
+
+
+def _claim(identity, **options):
+    options = {'generation': 1, 'cap': 10, 'lease_seconds': 60, **options}
+    return Claim(identity=identity, **options)
+
+
+def _two():
+    ledger = claim_share(Ledger(), _claim(_A, parts=2))
+    return claim_share(ledger, _claim(_B, parts=2))
+
+
+def test_a_ledger_reads_back_as_written():
+    """Guards against fields that get lost in the store."""
+    assert parse_ledger(write_ledger(_two())) == _two()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"generation": 1, "cap": true, "shares": []}',
+        b'{"generation": 1, "cap": 5, "shares": [{"owner": "a"}]}',
+        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 1, 9, 1),) * 2)),
+        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 2, 9, 1),))),
+        write_ledger(Ledger(1, 5, (Share('a', '1', -1, -1, 9, 1),))),
+        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 1, 0, 1),))),
+    ],
+)
+def test_a_malformed_ledger_is_refused(body):
+    """Guards against units that a damaged object would assign."""
+    with pytest.raises(InvalidObject):
+        parse_ledger(body)
+
+
+def test_units_are_assigned_once():
+    """Guards against a sum of shares above the cap."""
+    assert [share.units for share in _two().shares] == [5, 5]
+    assert claim_share(_two(), _claim(('c', '1'))) == _two()
+
+
+def test_a_cut_is_assigned_again_only_when_confirmed():
+    """Guards against a lower cap whose old owners still use theirs."""
+    lower = _claim(_A, generation=2, cap=4, kept=5)
+    cut = claim_share(_two(), lower)
+    assert [(one.units, one.target) for one in cut.shares] == [(5, 2), (5, 2)]
+    assert cut.free == 0
+    confirmed = claim_share(cut, attrs.evolve(lower, kept=2))
+    assert confirmed.assigned == 7
+
+
+def test_an_older_generation_changes_no_cap():
+    """Guards against an instance that lags and raises the cap again."""
+    lowered = claim_share(_two(), _claim(_A, generation=2, cap=4, kept=5))
+    stale = claim_share(lowered, _claim(_B, generation=1, kept=5))
+    assert stale.cap == 4
+
+
+def test_a_deleted_cap_is_owned_until_its_owners_let_go():
+    """Guards against a re-created object beside units still in use."""
+    ledger = claim_share(_two(), _claim(_A, generation=2, cap=0, kept=5))
+    again = claim_share(ledger, _claim(_B, generation=3, kept=5))
+    assert again.assigned <= again.cap
+
+
+def test_at_most_nine_own_shares():
+    """Guards against platform writes that grow with the entries."""
+    ledger = Ledger()
+    for index in range(20):
+        claim = _claim((f'e{index}', '1'), cap=900, parts=20)
+        ledger = claim_share(ledger, claim)
+    assert len(ledger.shares) == 9
