--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -220,8 +220,9 @@
     def spread(self, names: list[str]) -> None:
         """Bring what is declared to these instances."""
         for name in names:
-            if name in self.by_name:
-                self.by_name[name].table.merge(self.declared)
+            instance = self.by_name.get(name)
+            if instance is not None:
+                instance.table.merge(self.declared)
 
     async def spawn(self, name: str) -> None:
         """Start an instance, also again under the name of a dead one."""
--- a/bench/caps_policies.py
+++ b/bench/caps_policies.py
@@ -1,6 +1,7 @@
 """Other ways to keep a cap, to compare with the one that was chosen."""
 
 import asyncio
+import contextlib
 import math
 import random
 
@@ -19,7 +20,7 @@
 __all__ = ('StaticSplit', 'WriteGrants')
 
 _KEY = 'caps/shift/moved/requests'
-_PERIOD_S = 1
+_PERIOD_S = (0.8, 1.2)
 _MARGIN = 1.1
 _RENEW_S = 200
 
@@ -71,12 +72,9 @@
 class WriteGrants(StaticSplit):
     """Every instance writes into the ledger what it needs, each second."""
 
-    _task: asyncio.Task | None = None
-    _lease_ends = -math.inf
-    _lowered_at = -math.inf
-
     async def start(self) -> None:
         """Begin to claim."""
+        self._lease_ends = -math.inf
         self._demand = Demand()
         self._task = asyncio.create_task(self._run())
 
@@ -93,12 +91,10 @@
 
     async def _run(self) -> None:
         while True:
-            period_s = self._rng.uniform(0.8, 1.2) * _PERIOD_S
+            period_s = self._rng.uniform(*_PERIOD_S)
             await self._clock.sleep(period_s)
-            try:
+            with contextlib.suppress(PlatformError):
                 await self._claim()
-            except PlatformError:
-                continue
 
     async def _claim(self) -> None:
         stored = await self._platform.read(_KEY)
@@ -122,7 +118,7 @@
             _KEY,
             write_ledger(ledger.with_share(share)),
             stored and Expected.of(stored),
-            f'{identity[0]}-{self._rng.random()}',
+            str(self._rng.random()),
         )
         self._units = units
         self._lease_ends = started + 3 * _RENEW_S
--- a/bench/sessions/caps.py
+++ b/bench/sessions/caps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from types import MappingProxyType
@@ -37,6 +38,7 @@
 _STEADY_GOAL = 0.95
 _JUMP_GOAL = 0.8
 _CHOSEN = 'owners and loans'
+_COMPARED = 'one heavy'
 _POLICIES = MappingProxyType(
     {
         'static split': StaticSplit,
@@ -172,14 +174,13 @@
 def measure(seed: int) -> Findings:
     """Compare the policies and run the fault schedules."""
     cases = [
-        (policy, count, demand)
-        for policy in _POLICIES
-        for count in _SIZES
-        for demand in _DEMANDS
-        if demand == 'one heavy' or policy == _CHOSEN
+        case
+        for case in itertools.product(_POLICIES, _SIZES, _DEMANDS)
+        if case[-1] == _COMPARED or case[0] == _CHOSEN
     ]
     outages = [
-        (policy, *seconds) for policy in _POLICIES for seconds in _OUTAGES_S
+        (policy, *lengths)
+        for policy, lengths in itertools.product(_POLICIES, _OUTAGES_S)
     ]
     with ProcessPoolExecutor(_WORKERS) as workers:
         used = workers.map(functools.partial(_run_use, seed), cases)
--- a/nutmegshore/caps/cap.py
+++ b/nutmegshore/caps/cap.py
@@ -167,25 +167,12 @@
             await self._around.clock.sleep(WINDOW_S)
             await self._hand_back(_LEAVE_ATTEMPTS)
 
-    async def _hand_back(self, attempts: int) -> None:
-        plan = self._plan(1, is_candidate=True)
-        try:
-            await self.keeper.sync(plan, self.holding, is_leaving=True)
-        except VersionConflict:
-            if attempts > 1:
-                jitter_s = self._around.rng.uniform(*_CONFLICT_JITTER_S)
-                await self._around.clock.sleep(jitter_s)
-                await self._hand_back(attempts - 1)
-        except (PlatformError, InvalidObject):
-            # The share lapses with its lease instead.
-            self._around.counters.add('cap_leaves_failed')
-
     def balance(self, now: float) -> None:
         """Ask for missing units, go on with loans, or give them back."""
         self.exchange.balance(
             now,
             self._declared.units,
-            self._lenders(),
+            self.keeper.other_owners(),
             self._around.peers.send,
         )
 
@@ -212,6 +199,19 @@
             held_back=self._held_back(now),
         )
 
+    async def _hand_back(self, attempts: int) -> None:
+        plan = self._plan(1, is_candidate=True)
+        try:
+            await self.keeper.sync(plan, self.holding, is_leaving=True)
+        except VersionConflict:
+            if attempts > 1:
+                jitter_s = self._around.rng.uniform(*_CONFLICT_JITTER_S)
+                await self._around.clock.sleep(jitter_s)
+                await self._hand_back(attempts - 1)
+        except (PlatformError, InvalidObject):
+            # The share lapses with its lease instead.
+            self._around.counters.add('cap_leaves_failed')
+
     def _held_back(self, now: float) -> HeldBack:
         ledger = self.keeper.ledger
         if self._declared.units <= 0:
@@ -240,13 +240,6 @@
         target = self.holding.units * self._declared.units // assigned
         self.holding.aim_at(now, min(target, self.holding.target))
 
-    def _lenders(self) -> dict[str, int]:
-        return {
-            share.owner: share.target
-            for share in self.keeper.ledger.shares
-            if share.identity != self.keeper.identity
-        }
-
     def _fail(
         self,
         failure: HeldBack,
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -116,17 +116,6 @@
         if self._is_due(now, ledger, holding):
             await self._write(stored, ledger, holding)
 
-    def _is_due(self, now: float, ledger: Ledger, holding: Holding) -> bool:
-        """Whether a write does more than renew early."""
-        own = ledger.share_of(self.identity)
-        present = self.ledger.share_of(self.identity)
-        if own is None or present is None:
-            return ledger != self.ledger
-        early = attrs.evolve(own, sequence=present.sequence)
-        is_renewal = ledger.with_share(early) == self.ledger
-        left = holding.lease_ends - now
-        return not is_renewal or left < own.lease_seconds * _RENEW_BELOW
-
     def next_at(self, now: float, plan: Plan, holding: Holding) -> float:
         """When the ledger is to be read next; infinite for never."""
         own = self.ledger.share_of(self.identity)
@@ -137,7 +126,8 @@
         if self.ledger.free > 0 or not self.ledger.shares:
             times.append(now + self._joining_s(plan))
         if own is not None or plan.is_candidate:
-            lease = min(plan.lease_seconds, self._lease_of(own, plan))
+            lease = own.lease_seconds if own else plan.lease_seconds
+            lease = min(lease, plan.lease_seconds)
             early = self._rng.uniform(_EARLIEST, 1)
             times.append(now + lease / _RENEWALS_PER_LEASE * early)
             jitter = self._rng.uniform(0, _TAKEOVER_JITTER_S)
@@ -147,15 +137,31 @@
             )
         return min(times)
 
+    def other_owners(self) -> dict[str, int]:
+        """Units that may be used of each other owner, by its name."""
+        return {
+            share.owner: share.target
+            for share in self.ledger.shares
+            if share.identity != self.identity
+        }
+
+    def _is_due(self, now: float, ledger: Ledger, holding: Holding) -> bool:
+        """Whether a write does more than renew early."""
+        own = ledger.share_of(self.identity)
+        present = self.ledger.share_of(self.identity)
+        if own is None or present is None:
+            return ledger != self.ledger
+        early = attrs.evolve(own, sequence=present.sequence)
+        is_renewal = ledger.with_share(early) == self.ledger
+        left = holding.lease_ends - now
+        return not is_renewal or left < own.lease_seconds * _RENEW_BELOW
+
     def _joining_s(self, plan: Plan) -> float:
         """Wait, longer each time, for others to take the free units."""
         self._joining += 1
         longest = plan.lease_seconds / _RENEWALS_PER_LEASE
         return min(_JOINING_S * self._joining * self._joining, longest)
 
-    def _lease_of(self, own: object, plan: Plan) -> float:
-        return getattr(own, 'lease_seconds', plan.lease_seconds)
-
     def _learn(
         self,
         now: float,
--- a/tests/caps/test_caps.py
+++ b/tests/caps/test_caps.py
@@ -6,7 +6,7 @@
 
 from bench.caps_faults import run_isolated, run_schedule
 from bench.caps_fleet import KIND, NAME, Fleet, FleetOptions
-from nutmegshore.caps import HeldBack
+from nutmegshore.caps import HeldBack, parse_ledger
 from nutmegshore.clock import run_virtual
 
 
@@ -24,7 +24,7 @@
 
 
 def _status(fleet, name):
-    return fleet.by_name[name].caps.status(KIND, NAME)
+    return fleet.by_name[name].caps.status(KIND, NAME)[0]
 
 
 def test_a_jump_of_demand_is_followed_by_loans():
@@ -56,8 +56,8 @@
         await fleet.stop()
         return fleet.store.by_key
 
-    (stored,) = run_virtual(session).values()
-    assert b'"shares": []' in stored.body
+    bodies = [stored.body for stored in run_virtual(session).values()]
+    assert [parse_ledger(body).shares for body in bodies] == [()]
 
 
 def test_the_status_says_what_holds_a_cap_back():
@@ -71,9 +71,9 @@
         fleet.store.faults.is_down = True
         fleet.declare(10)
         await asyncio.sleep(3)
-        (cut,) = _status(fleet, 'e0')
+        cut = _status(fleet, 'e0')
         await asyncio.sleep(12)
-        (lapsed,) = _status(fleet, 'e0')
+        lapsed = _status(fleet, 'e0')
         fleet.declare(None)
         return cut, lapsed, fleet.by_name['e0'].caps.try_take(KIND, NAME)
 
--- a/tests/caps/test_ledger.py
+++ b/tests/caps/test_ledger.py
@@ -13,8 +13,15 @@
 )
 from nutmegshore.resources import InvalidObject
 
-_A = ('a', '1')
-_B = ('b', '1')
+_ANN = ('a', '1')
+_BEN = ('b', '1')
+
+
+_SHARE = Share('a', '1', 1, 1, 9, 1)
+
+
+def _body(*shares):
+    return write_ledger(Ledger(1, 5, shares))
 
 
 def _claim(identity, **options):
@@ -23,8 +30,8 @@
 
 
 def _two():
-    ledger = claim_share(Ledger(), _claim(_A, parts=2))
-    return claim_share(ledger, _claim(_B, parts=2))
+    ledger = claim_share(Ledger(), _claim(_ANN, parts=2))
+    return claim_share(ledger, _claim(_BEN, parts=2))
 
 
 def test_a_ledger_reads_back_as_written():
@@ -39,10 +46,10 @@
         b'[]',
         b'{"generation": 1, "cap": true, "shares": []}',
         b'{"generation": 1, "cap": 5, "shares": [{"owner": "a"}]}',
-        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 1, 9, 1),) * 2)),
-        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 2, 9, 1),))),
-        write_ledger(Ledger(1, 5, (Share('a', '1', -1, -1, 9, 1),))),
-        write_ledger(Ledger(1, 5, (Share('a', '1', 1, 1, 0, 1),))),
+        _body(_SHARE, _SHARE),
+        _body(attrs.evolve(_SHARE, target=2)),
+        _body(attrs.evolve(_SHARE, units=-1, target=-1)),
+        _body(attrs.evolve(_SHARE, lease_seconds=0)),
     ],
 )
 def test_a_malformed_ledger_is_refused(body):
@@ -59,9 +66,10 @@
 
 def test_a_cut_is_assigned_again_only_when_confirmed():
     """Guards against a lower cap whose old owners still use theirs."""
-    lower = _claim(_A, generation=2, cap=4, kept=5)
+    lower = _claim(_ANN, generation=2, cap=4, kept=5)
     cut = claim_share(_two(), lower)
-    assert [(one.units, one.target) for one in cut.shares] == [(5, 2), (5, 2)]
+    targets = [(share.units, share.target) for share in cut.shares]
+    assert targets == [(5, 2), (5, 2)]
     assert cut.free == 0
     confirmed = claim_share(cut, attrs.evolve(lower, kept=2))
     assert confirmed.assigned == 7
@@ -69,15 +77,15 @@
 
 def test_an_older_generation_changes_no_cap():
     """Guards against an instance that lags and raises the cap again."""
-    lowered = claim_share(_two(), _claim(_A, generation=2, cap=4, kept=5))
-    stale = claim_share(lowered, _claim(_B, generation=1, kept=5))
+    lowered = claim_share(_two(), _claim(_ANN, generation=2, cap=4, kept=5))
+    stale = claim_share(lowered, _claim(_BEN, generation=1, kept=5))
     assert stale.cap == 4
 
 
 def test_a_deleted_cap_is_owned_until_its_owners_let_go():
     """Guards against a re-created object beside units still in use."""
-    ledger = claim_share(_two(), _claim(_A, generation=2, cap=0, kept=5))
-    again = claim_share(ledger, _claim(_B, generation=3, kept=5))
+    ledger = claim_share(_two(), _claim(_ANN, generation=2, cap=0, kept=5))
+    again = claim_share(ledger, _claim(_BEN, generation=3, kept=5))
     assert again.assigned <= again.cap
 
 
--- a/tests/caps/test_loans.py
+++ b/tests/caps/test_loans.py
@@ -66,7 +66,7 @@
     _, borrower = _borrower()
     loan = _lend(lender, borrower, 0)
     borrower.accept('a', loan)
-    ((_, returned),) = borrower.give_back(loan.units)
+    returned = borrower.give_back(loan.units)[0][1]
     lender.take_back(1, 'b', returned)
     assert holding.limit(0.9 + WINDOW_S) == _UNITS - loan.units
     assert holding.limit(1.1 + WINDOW_S) == _UNITS
@@ -89,7 +89,7 @@
     _, borrower = _borrower()
     loan = _lend(lender, borrower, 0)
     borrower.accept('a', loan)
-    ((_, returned),) = borrower.give_back(loan.units)
+    returned = borrower.give_back(loan.units)[0][1]
     lender.take_back(1, 'b', returned)
     again = _lend(lender, borrower, 3)
     borrower.accept('a', again)
