Add links, mesh, membership and the spread of configuration

decode() let a TypeError out for a map with an unhashable key and allocated arrays of any announced length; both are bounded now.

--- a/nutmegshore/configuration/__init__.py
+++ b/nutmegshore/configuration/__init__.py
@@ -1,5 +1,16 @@
-"""The configuration in force and its merge rule."""
+"""The configuration in force, its merge rule and its spread."""
 
-from nutmegshore.configuration.table import ConfigurationTable
+from nutmegshore.configuration.follower import ConfigurationFollower
+from nutmegshore.configuration.problems import Problem, ProblemKind
+from nutmegshore.configuration.table import (
+    ConfigurationTable,
+    next_generation,
+)
 
-__all__ = ('ConfigurationTable',)
+__all__ = (
+    'ConfigurationFollower',
+    'ConfigurationTable',
+    'Problem',
+    'ProblemKind',
+    'next_generation',
+)
--- a/nutmegshore/configuration/table.py
+++ b/nutmegshore/configuration/table.py
@@ -6,7 +6,7 @@
 
 from nutmegshore.resources import Envelope
 
-__all__ = ('ConfigurationTable',)
+__all__ = ('ConfigurationTable', 'next_generation')
 
 _SpecType = TypeVar('_SpecType')
 Subscriber = Callable[[list[Envelope]], None]
@@ -86,3 +86,17 @@
     text = f'{text}\0{envelope.operation}'
     digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
     return int.from_bytes(digest.digest(), 'big')
+
+
+def next_generation(
+    in_force: Envelope | None,
+    stored: Envelope | None,
+) -> int:
+    """Generation of the next write of a name.
+
+    The store alone does not tell it: an object that vanished from there, or
+    went back, is still in force with its generation, and a write below that
+    would be accepted and never take effect.
+    """
+    known = [one.generation for one in (in_force, stored) if one is not None]
+    return max(known, default=0) + 1
--- a/nutmegshore/peers/__init__.py
+++ b/nutmegshore/peers/__init__.py
@@ -1,15 +1,30 @@
 """The other entries of the cluster."""
 
-from nutmegshore.peers.base import Member, Peers
+from nutmegshore.peers.base import Member, Peers, process_of
 from nutmegshore.peers.codec import decode, encode, message
+from nutmegshore.peers.link import Link, Transport
+from nutmegshore.peers.membership import first_incarnation
 from nutmegshore.peers.memory import MemoryNetwork, MemoryPeers
+from nutmegshore.peers.memory_link import LinkNetwork, MemoryTransport
+from nutmegshore.peers.mesh import MeshPeers
+from nutmegshore.peers.parts import MeshOptions
+from nutmegshore.peers.tcp import TcpTransport
 
 __all__ = (
+    'Link',
+    'LinkNetwork',
     'Member',
     'MemoryNetwork',
     'MemoryPeers',
+    'MemoryTransport',
+    'MeshOptions',
+    'MeshPeers',
     'Peers',
+    'TcpTransport',
+    'Transport',
     'decode',
     'encode',
+    'first_incarnation',
     'message',
+    'process_of',
 )
--- a/nutmegshore/peers/base.py
+++ b/nutmegshore/peers/base.py
@@ -6,11 +6,23 @@
 
 import attrs
 
-__all__ = ('Handler', 'Member', 'Peers')
+__all__ = ('PROCESS_BITS', 'Handler', 'Member', 'Peers', 'process_of')
 
 #: Called with the sender's name and the decoded message.
 Handler = Callable[[str, Any], None]
 
+#: Low bits of an incarnation that name the process; the rest is a counter.
+PROCESS_BITS = 20
+
+
+def process_of(incarnation: int) -> int:
+    """The part of an incarnation that stays while one process lives.
+
+    A refutation raises the counter above it; a restart under the same name
+    draws a new process number too.
+    """
+    return incarnation % 2**PROCESS_BITS
+
 
 @attrs.frozen
 class Member:
@@ -51,6 +63,15 @@
     def send(self, name: str, body: Any) -> bool:
         """Queue a message for one member; False if there is no way to it."""
 
+    def neighbours(self) -> list[str]:
+        """Names of the members that one message reaches directly."""
+        return sorted(set(self.live()) - {self.local.name})
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether every known member was tried once since the start."""
+        return True
+
     def broadcast(self, body: Any) -> None:
         """Send a message to every other live member."""
         for name in sorted(self.live()):
--- a/nutmegshore/peers/codec.py
+++ b/nutmegshore/peers/codec.py
@@ -1,7 +1,9 @@
 """msgpack encoding of the messages between entries."""
 
 import functools
+import typing
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Any, TypeVar
 
 import attrs
@@ -9,9 +11,18 @@
 
 from nutmegshore.errors import ErrorKind, LinkError
 
-__all__ = ('MAX_FRAME_BYTES', 'decode', 'encode', 'message')
+__all__ = (
+    'MAX_CONTAINER_ITEMS',
+    'MAX_FRAME_BYTES',
+    'decode',
+    'encode',
+    'message',
+)
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+#: msgpack allocates an array for its announced length before it reads the
+#: items, so nested headers of 4 million items each would exhaust the memory.
+MAX_CONTAINER_ITEMS = 16_384
 
 _TYPE_FIELD = 0
 _FIRST_FIELD = 1
@@ -71,7 +82,10 @@
     """Build a message from its unpacked map; None for an unknown type."""
     if not isinstance(fields, dict):
         raise LinkError(ErrorKind.MALFORMED_FRAME, 'not a map')
-    message_type = _types_by_number.get(fields.get(_TYPE_FIELD))
+    number = fields.get(_TYPE_FIELD)
+    if not isinstance(number, int):
+        raise LinkError(ErrorKind.MALFORMED_FRAME, 'no message number')
+    message_type = _types_by_number.get(number)
     if message_type is None:
         return None
     names = attrs.fields_dict(message_type)
@@ -81,13 +95,53 @@
         if index in fields
     }
     try:
-        return message_type(**present)
+        return message_type(**_checked(message_type, present))
     except (TypeError, ValueError) as failure:
         raise LinkError(ErrorKind.MALFORMED_FRAME, str(failure)) from failure
 
 
+def _checked(message_type: type, present: dict[str, Any]) -> dict[str, Any]:
+    for name, expected in _plain_types(message_type):
+        if name in present and not isinstance(present[name], expected):
+            raise ValueError(f'{name}: {expected} expected')
+    return present
+
+
+@functools.cache
+def _plain_types(message_type: type) -> list[tuple[str, tuple[type, ...]]]:
+    """Fields whose declared type can be checked before a handler runs."""
+    origins = {
+        name: typing.get_origin(field.type) or field.type
+        for name, field in attrs.fields_dict(message_type).items()
+    }
+    return [
+        (name, _ACCEPTED_TYPES[origin])
+        for name, origin in origins.items()
+        if origin in _ACCEPTED_TYPES
+    ]
+
+
+#: A whole number is sent where a float is declared and happens to be whole.
+_ACCEPTED_TYPES = MappingProxyType(
+    {
+        bool: (bool,),
+        bytes: (bytes,),
+        dict: (dict,),
+        float: (float, int),
+        int: (int,),
+        list: (list,),
+        str: (str,),
+    }
+)
+
+
 def _unpack(frame: bytes) -> Any:
     try:
-        return msgpack.unpackb(frame, strict_map_key=False, use_list=True)
-    except (ValueError, msgpack.UnpackException) as failure:
+        return msgpack.unpackb(
+            frame,
+            strict_map_key=False,
+            max_array_len=MAX_CONTAINER_ITEMS,
+            max_map_len=MAX_CONTAINER_ITEMS,
+        )
+    except (TypeError, ValueError, msgpack.UnpackException) as failure:
         raise LinkError(ErrorKind.MALFORMED_FRAME, str(failure)) from failure
--- /dev/null
+++ b/nutmegshore/peers/keeper.py
@@ -0,0 +1,176 @@
+"""The links of one member, from the first attempt to the end."""
+
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from nutmegshore.errors import ErrorKind, LinkError
+from nutmegshore.peers.base import process_of
+from nutmegshore.peers.handshake import (
+    PROTOCOL_MAJOR,
+    VERSION_SCALE,
+    shake_hands,
+)
+from nutmegshore.peers.link import Link, Transport
+from nutmegshore.peers.messages import Hello
+from nutmegshore.peers.parts import MeshOptions, MeshParts
+
+__all__ = ('Keeper',)
+
+_DIAL_S = 0.25
+_CHALLENGE_BYTES = 16
+#: A handshake that takes longer is given up.
+_HANDSHAKE_S = 5
+#: A link on which nothing came for this long is closed: the other end is
+#: gone, or the connection stalls.
+_SILENT_LINK_S = 4
+#: A link that was silent this long gives way to a new one of the same pair.
+_WEAK_LINK_S = 2
+
+
+@attrs.define
+class _LinkEvents:
+    """Where a keeper reports a new link and its messages."""
+
+    greet: Callable[[Link, Hello], None]
+    deliver: Callable[[str, Any], None]
+
+
+class Keeper:
+    """Opens, accepts, settles and closes links; one task for each."""
+
+    def __init__(
+        self,
+        parts: MeshParts,
+        transport: Transport,
+        options: MeshOptions,
+        greet: Callable[[Link, Hello], None],
+        deliver: Callable[[str, Any], None],
+    ) -> None:
+        """Keep no link yet."""
+        self._parts = parts
+        self._router = parts.router
+        self._transport = transport
+        self._options = options
+        self._events = _LinkEvents(greet, deliver)
+        self._opening: dict[Link, float] = {}
+        self._ranks: dict[str, tuple[int, bool]] = {}
+
+    async def run(self) -> None:
+        """Accept links, and dial those that are missing."""
+        self._transport.listen(self._accept)
+        while True:
+            for name, address in self._parts.dialler.take_due().items():
+                self._parts.tasks.spawn(self._dial(name, address))
+            self._close_overdue()
+            await self._parts.clock.sleep(_DIAL_S)
+
+    def close_useless(self) -> None:
+        """Close the links that are silent and those that nobody wants."""
+        for unwanted in self._parts.dialler.take_unwanted():
+            self._parts.counters.add('links_unwanted')
+            self._router.links[unwanted].close()
+        for name, link in list(self._router.links.items()):
+            if self._parts.prober.silence(name) > _SILENT_LINK_S:
+                self._parts.counters.add('links_silent')
+                link.close(ErrorKind.LINK_CLOSED)
+
+    async def stop(self) -> None:
+        """Accept no more links, and close all."""
+        for link in (*self._router.links.values(), *self._opening):
+            link.close()
+        await self._transport.stop()
+
+    def _accept(self, link: Link) -> None:
+        self._parts.tasks.spawn(self._serve(link, ''))
+
+    async def _dial(self, name: str, address: str) -> None:
+        try:
+            link = await self._transport.dial(address)
+        except LinkError:
+            self._parts.dialler.finish(name, is_linked=False)
+            return
+        await self._serve(link, name)
+
+    async def _serve(self, link: Link, dialled: str) -> None:
+        """Run one link from the handshake to its end."""
+        self._opening[link] = self._parts.clock.now() + _HANDSHAKE_S
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._end, link, dialled)
+            try:
+                await self._run_link(link, is_dialler=bool(dialled))
+            except LinkError as failure:
+                link.close(failure.kind)
+
+    async def _run_link(self, link: Link, *, is_dialler: bool) -> None:
+        hello = await shake_hands(
+            link,
+            self._make_hello(),
+            self._options.key,
+            is_dialler=is_dialler,
+        )
+        self._opening.pop(link, None)
+        if not self._adopt(link, hello, is_dialler=is_dialler):
+            return
+        async for body in link:
+            self._parts.prober.hear(hello.name)
+            self._events.deliver(hello.name, body)
+
+    def _adopt(self, link: Link, hello: Hello, *, is_dialler: bool) -> bool:
+        """Take a proven link into use; False if the pair has a better one."""
+        is_lower = self._parts.membership.local_name < hello.name
+        rank = (process_of(hello.incarnation), is_lower == is_dialler)
+        present = self._router.links.get(hello.name)
+        if present is not None:
+            if self._is_better(hello.name, rank):
+                return False
+            present.close()
+        self._ranks[hello.name] = rank
+        self._router.links[hello.name] = link
+        self._parts.counters.add('links_opened')
+        self._parts.prober.hear(hello.name)
+        self._events.greet(link, hello)
+        return True
+
+    def _is_better(self, name: str, rank: tuple[int, bool]) -> bool:
+        # Both ends keep the link that the lower name dialled. A link to an
+        # earlier process, or one that has gone silent, is not worth keeping.
+        process, is_by_lower = self._ranks[name]
+        if process != rank[0]:
+            return False
+        return is_by_lower and self._parts.prober.silence(name) < _WEAK_LINK_S
+
+    def _end(self, link: Link, dialled: str) -> None:
+        link.close()
+        self._opening.pop(link, None)
+        if link.close_reason is not None:
+            reason = link.close_reason.value
+            self._parts.counters.add('link_failures', reason=reason)
+        for name, present in list(self._router.links.items()):
+            if present is link:
+                self._router.links.pop(name)
+                self._parts.counters.add('links_closed')
+        if dialled:
+            is_linked = link.is_proven
+            self._parts.dialler.finish(dialled, is_linked=is_linked)
+
+    def _close_overdue(self) -> None:
+        now = self._parts.clock.now()
+        for link, until in list(self._opening.items()):
+            if until < now:
+                link.close(ErrorKind.LINK_CLOSED)
+
+    def _make_hello(self) -> Hello:
+        record = self._parts.membership.local
+        return Hello(
+            version=PROTOCOL_MAJOR * VERSION_SCALE,
+            cluster=self._options.cluster,
+            name=record.member.name,
+            incarnation=record.member.incarnation,
+            region=record.member.region,
+            availability_zone=record.member.availability_zone,
+            address=record.address,
+            challenge=self._parts.rng.randbytes(_CHALLENGE_BYTES),
+        )
--- /dev/null
+++ b/nutmegshore/peers/link.py
@@ -0,0 +1,92 @@
+"""A stream of messages to one other entry."""
+
+import abc
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from nutmegshore.errors import ErrorKind, LinkError
+from nutmegshore.peers.codec import encode
+
+__all__ = ('HELLO_BYTES', 'SEND_QUEUE_BYTES', 'Accept', 'Link', 'Transport')
+
+#: Frames before the proof of the key are at most this large, so that a
+#: stranger cannot make an entry buffer 4 MiB.
+HELLO_BYTES = 4096
+#: Bytes that may wait to be sent on one link before it is closed.
+SEND_QUEUE_BYTES = 8 * 1024 * 1024
+
+
+class Link(abc.ABC):
+    """An ordered, reliable stream of messages until it closes.
+
+    `is_proven` is set after the handshake and lifts the frame limit from
+    `HELLO_BYTES` to 4 MiB. `close_reason` is the error kind that closed the
+    link here, or None.
+
+        link.send(Ping())
+        async for body in link:
+            take(body)
+    """
+
+    def __init__(self) -> None:
+        """Start open and unproven."""
+        self.is_proven = False
+        self.is_closed = False
+        self.close_reason: ErrorKind | None = None
+
+    def send(self, body: Any) -> bool:
+        """Queue a message; False if the link is or gets closed."""
+        return self.send_frame(encode(body))
+
+    @abc.abstractmethod
+    def send_frame(self, frame: bytes) -> bool:
+        """Queue an encoded message; a full queue closes the link."""
+
+    @abc.abstractmethod
+    async def read(self) -> Any:
+        """Next message; None for an unknown type, `LinkError` at the end."""
+
+    @abc.abstractmethod
+    def close(self, reason: ErrorKind | None = None) -> None:
+        """Close the stream after what is queued; repeats do nothing."""
+
+    def __aiter__(self) -> 'Link':
+        """Iterate over received messages until the link closes."""
+        return self
+
+    async def __anext__(self) -> Any:
+        """Return the next message of a known type."""
+        body = None
+        while body is None:
+            body = await self._read_or_stop()
+        return body
+
+    async def _read_or_stop(self) -> Any:
+        try:
+            return await self.read()
+        except LinkError as failure:
+            if failure.kind is ErrorKind.LINK_CLOSED:
+                raise StopAsyncIteration from failure
+            raise
+
+
+#: Called with each link that another entry opens; it owns the link.
+Accept = Callable[[Link], None]
+
+
+class Transport(abc.ABC):
+    """Opens links to addresses and accepts them at its own."""
+
+    address: str
+
+    @abc.abstractmethod
+    def listen(self, accept: Accept) -> None:
+        """Hand links that others open to the function."""
+
+    @abc.abstractmethod
+    def dial(self, address: str) -> Awaitable[Link]:
+        """Open a link, or raise `LinkError`."""
+
+    @abc.abstractmethod
+    async def stop(self) -> None:
+        """Accept no more links."""
--- /dev/null
+++ b/nutmegshore/peers/membership.py
@@ -0,0 +1,172 @@
+"""What a member knows of the others."""
+
+import enum
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from nutmegshore.peers.base import PROCESS_BITS, Member, process_of
+from nutmegshore.peers.suspicion import Suspicions
+from nutmegshore.peers.topology import FULL_MESH_MEMBERS, Topology
+
+__all__ = (
+    'Membership',
+    'Record',
+    'State',
+    'first_incarnation',
+    'read_records',
+)
+
+
+class State(enum.IntEnum):
+    """State of one incarnation; it only ever rises."""
+
+    ALIVE = 0
+    LEAVING = 1
+    DEAD = 2
+
+
+@attrs.frozen
+class Record:
+    """A member with its address and state, as it travels in `News`."""
+
+    member: Member
+    address: str
+    state: State = State.ALIVE
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The record of the higher rank wins everywhere."""
+        return (self.member.incarnation, self.state)
+
+    def to_fields(self) -> list[object]:
+        """Fields in the order in which they travel."""
+        return [*attrs.astuple(self.member), self.address, int(self.state)]
+
+    @classmethod
+    def from_fields(cls, fields: list[object]) -> 'Record':
+        """Read a record; raises ValueError if it does not fit."""
+        known = fields[: len(_FIELD_TYPES)]
+        pairs = zip(known, _FIELD_TYPES, strict=True)
+        if not all(isinstance(field, expected) for field, expected in pairs):
+            raise ValueError('record does not fit')
+        *place, address, state = known
+        return cls(Member(*place), address, State(state))
+
+
+_FIELD_TYPES = (str, str, str, int, str, int)
+
+
+def first_incarnation(rng: random.Random) -> int:
+    """Incarnation of a process that knows nothing of earlier ones.
+
+    The low bits are drawn, so that two processes of one name differ even if
+    neither knows of the other. The counter starts at 1; the first member that
+    knows a higher one says so, and `Membership.merge` goes above it.
+    """
+    return 2**PROCESS_BITS + rng.getrandbits(PROCESS_BITS)
+
+
+class Membership:
+    """Records by name, with the suspicions against them.
+
+    The merge keeps the record of the higher (incarnation, state), so that
+    news may arrive in any order and from anyone.
+    """
+
+    def __init__(self, local: Record, full_mesh: int = FULL_MESH_MEMBERS):
+        """Start with the local member only."""
+        self.local_name = local.member.name
+        self.by_name = {self.local_name: local}
+        self._full_mesh = full_mesh
+        self.suspicions = Suspicions(self.local_name)
+        self._live: dict[str, Member] = {}
+        self._topology: Topology | None = None
+        self._refresh()
+
+    @property
+    def local(self) -> Record:
+        """The local member's record."""
+        return self.by_name[self.local_name]
+
+    @property
+    def topology(self) -> Topology:
+        """Wanted links among the live members."""
+        if self._topology is None:
+            self._topology = Topology(self._live.values(), self._full_mesh)
+        return self._topology
+
+    def live(self) -> dict[str, Member]:
+        """Members that are not dead, by name."""
+        return self._live
+
+    def dead(self) -> list[Record]:
+        """Records of the dead, in the order of their names."""
+        return [
+            record
+            for _, record in sorted(self.by_name.items())
+            if record.state is State.DEAD
+        ]
+
+    def merge(self, record: Record) -> bool:
+        """Take a record if it is newer; news of oneself is refuted."""
+        name = record.member.name
+        present = self.by_name.get(name)
+        if present is not None and record.rank <= present.rank:
+            return False
+        if name == self.local_name:
+            record = self._above(record.member.incarnation)
+        self._keep(record)
+        return True
+
+    def refute(self, incarnation: int) -> bool:
+        """Answer a suspicion against the local member; False if it is old."""
+        if incarnation < self.local.member.incarnation:
+            return False
+        self._keep(self._above(incarnation))
+        return True
+
+    def change_state(self, name: str, state: State) -> None:
+        """Set the state of a member's present incarnation."""
+        self._keep(attrs.evolve(self.by_name[name], state=state))
+
+    def _above(self, incarnation: int) -> Record:
+        local = self.local
+        counter = (incarnation >> PROCESS_BITS) + 1
+        process = process_of(local.member.incarnation)
+        raised = (counter << PROCESS_BITS) + process
+        member = attrs.evolve(local.member, incarnation=raised)
+        return attrs.evolve(local, member=member)
+
+    def _keep(self, record: Record) -> None:
+        name = record.member.name
+        present = self.by_name.get(name)
+        self.by_name[name] = record
+        is_same = present is not None and (
+            present.member.incarnation == record.member.incarnation
+        )
+        if not is_same or record.state is State.DEAD:
+            self.suspicions.clear(name)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self._topology = None
+        self._live = {
+            name: record.member
+            for name, record in sorted(self.by_name.items())
+            if record.state is not State.DEAD
+        }
+
+
+def read_records(fields: Iterable[list[object]]) -> list[Record]:
+    """Read the records of a `News`, without those that do not fit."""
+    read = (_read_record(one) for one in fields)
+    return [record for record in read if record is not None]
+
+
+def _read_record(fields: list[object]) -> Record | None:
+    try:
+        return Record.from_fields(fields)
+    except (TypeError, ValueError):
+        return None
--- /dev/null
+++ b/nutmegshore/peers/memory_link.py
@@ -0,0 +1,220 @@
+"""Links in memory for sessions on virtual time."""
+
+import asyncio
+import itertools
+from typing import Any
+
+from nutmegshore.clock import VirtualClock
+from nutmegshore.errors import ErrorKind, LinkError
+from nutmegshore.peers.base import Member
+from nutmegshore.peers.codec import MAX_FRAME_BYTES, decode
+from nutmegshore.peers.link import (
+    HELLO_BYTES,
+    SEND_QUEUE_BYTES,
+    Accept,
+    Link,
+    Transport,
+)
+
+__all__ = ('LinkNetwork', 'MemoryLink', 'MemoryTransport')
+
+
+class LinkNetwork:
+    """Joins `MemoryTransport`s, with delays, bytes/s and partitions.
+
+    `sent_bytes` and `sent_messages` count by sending member. A frame that is
+    sent during a cut is lost, and so is all that follows it on that link in
+    that direction, as on a TCP connection that gives up.
+    """
+
+    def __init__(self) -> None:
+        """Start without members, delays and cuts."""
+        self.by_address: dict[str, 'MemoryTransport'] = {}
+        self.sent_bytes: dict[str, int] = {}
+        self.sent_messages: dict[str, int] = {}
+        self.bytes_per_s = float('inf')
+        self._delays_s: dict[tuple[str, str], float] = {}
+        self._cuts: set[tuple[str, str]] = set()
+
+    def join(self, local: Member, clock: VirtualClock) -> 'MemoryTransport':
+        """Add a member at the address of its name."""
+        transport = MemoryTransport(self, local, clock)
+        self.by_address[local.name] = transport
+        return transport
+
+    def kill(self, name: str) -> None:
+        """Stop a member without a sign: what is sent to it is lost."""
+        transport = self.by_address.pop(name, None)
+        if transport is not None:
+            transport.is_killed = True
+
+    def delay_between(self, one: str, other: str, seconds: float) -> None:
+        """Fix the one-way delay between two regions, both ways."""
+        self._delays_s[one, other] = seconds
+        self._delays_s[other, one] = seconds
+
+    def delay_from(self, source: Member, target: Member) -> float:
+        """One-way delay in seconds."""
+        return self._delays_s.get((source.region, target.region), 0)
+
+    def cut(self, source: str, target: str) -> None:
+        """Lose what a member or region sends to another, one way."""
+        self._cuts.add((source, target))
+
+    def partition(self, one: str, other: str) -> None:
+        """Cut both directions between two members or regions."""
+        self.cut(one, other)
+        self.cut(other, one)
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self._cuts.clear()
+
+    def is_cut(self, source: Member, target: Member) -> bool:
+        """Whether what the source sends to the target is lost now."""
+        if not self._cuts:
+            return False
+        ends = itertools.product(
+            (source.name, source.region),
+            (target.name, target.region),
+        )
+        return not self._cuts.isdisjoint(ends)
+
+    def count(self, name: str, size: int) -> None:
+        """Count a sent frame."""
+        self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
+        self.sent_messages[name] = self.sent_messages.get(name, 0) + 1
+
+
+class MemoryLink(Link):
+    """One end of a link in memory."""
+
+    def __init__(self, owner: 'MemoryTransport') -> None:
+        """Belong to a member; `join` gives the other end."""
+        super().__init__()
+        self.owner = owner
+        self.other: 'MemoryLink | None' = None
+        self.is_broken = False
+        self._received: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._free_at_s = float(0)
+
+    def join(self, other: 'MemoryLink') -> None:
+        """Connect both ends."""
+        self.other = other
+        other.other = self
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Queue an encoded message; a full queue closes the link."""
+        if self.is_closed or self.owner.is_killed:
+            return False
+        self.owner.network.count(self.owner.local.name, len(frame))
+        rate = self.owner.network.bytes_per_s
+        now = asyncio.get_running_loop().time()
+        self._free_at_s = max(self._free_at_s, now) + len(frame) / rate
+        if (self._free_at_s - now) * min(rate, MAX_RATE) > SEND_QUEUE_BYTES:
+            self.close(ErrorKind.LINK_CLOSED)
+            return False
+        self._carry(frame)
+        return True
+
+    async def read(self) -> Any:
+        """Next message; None for an unknown type, `LinkError` at the end."""
+        frame = await self._received.get()
+        if self.owner.clock.is_paused:
+            await self.owner.clock.gate()
+        if frame is None or self.is_closed or self.owner.is_killed:
+            self.is_closed = True
+            raise LinkError(ErrorKind.LINK_CLOSED)
+        limit = MAX_FRAME_BYTES if self.is_proven else HELLO_BYTES
+        if len(frame) > limit:
+            raise LinkError(ErrorKind.FRAME_TOO_LARGE)
+        return decode(frame)
+
+    def close(self, reason: ErrorKind | None = None) -> None:
+        """Close the stream after what is queued; repeats do nothing."""
+        if self.is_closed:
+            return
+        if not self.owner.is_killed:
+            self._carry(None)
+        self.is_closed = True
+        self.close_reason = reason
+        self._received.put_nowait(None)
+
+    def arrive(self, frame: bytes | None) -> None:
+        """Take a frame, or the end of the stream, from the other end."""
+        self._received.put_nowait(frame)
+
+    def _carry(self, frame: bytes | None) -> None:
+        other = self.other
+        network = self.owner.network
+        ends = (self.owner.local, other.owner.local)
+        if self.is_broken or network.is_cut(*ends) or other.owner.is_killed:
+            self.is_broken = True
+            return
+        loop = asyncio.get_running_loop()
+        start = max(self._free_at_s, loop.time())
+        loop.call_at(
+            start + network.delay_from(*ends),
+            other.arrive,
+            frame,
+        )
+
+
+#: Keeps the product of an unlimited rate and no waiting time finite.
+MAX_RATE = 1e15
+
+
+class MemoryTransport(Transport):
+    """One member's way to the others of a `LinkNetwork`."""
+
+    def __init__(
+        self,
+        network: LinkNetwork,
+        local: Member,
+        clock: VirtualClock,
+    ) -> None:
+        """Listen at the address that is the member's name."""
+        self.network = network
+        self.local = local
+        self.clock = clock
+        self.address = local.name
+        self.is_killed = False
+        self._accept: Accept | None = None
+
+    def listen(self, accept: Accept) -> None:
+        """Hand links that others open to the function."""
+        self._accept = accept
+
+    async def dial(self, address: str) -> Link:
+        """Open a link, or raise `LinkError`."""
+        target = self.network.by_address.get(address)
+        if target is None or self._is_unreachable(target):
+            await self.clock.sleep(DIAL_FAILURE_S)
+            raise LinkError(ErrorKind.LINK_CLOSED, address)
+        delay = self.network.delay_from(self.local, target.local)
+        await self.clock.sleep(2 * delay)
+        near, far = MemoryLink(self), MemoryLink(target)
+        near.join(far)
+        target.take(far)
+        return near
+
+    def take(self, link: Link) -> None:
+        """Accept a link that another member opens."""
+        if self._accept is None or self.is_killed:
+            link.close()
+            return
+        self._accept(link)
+
+    async def stop(self) -> None:
+        """Accept no more links."""
+        self._accept = None
+        self.network.by_address.pop(self.address, None)
+
+    def _is_unreachable(self, target: 'MemoryTransport') -> bool:
+        network = self.network
+        there = network.is_cut(self.local, target.local)
+        return there or network.is_cut(target.local, self.local)
+
+
+#: Time until a connection that nobody answers is given up.
+DIAL_FAILURE_S = 1
--- /dev/null
+++ b/nutmegshore/peers/mesh.py
@@ -0,0 +1,134 @@
+"""The real `Peers`: links, membership and forwarding together."""
+
+import random
+from typing import Any
+
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
+from nutmegshore.peers import messages
+from nutmegshore.peers.base import Member, Peers
+from nutmegshore.peers.codec import decode
+from nutmegshore.peers.keeper import Keeper
+from nutmegshore.peers.link import Transport
+from nutmegshore.peers.membership import Record, State
+from nutmegshore.peers.news import Teller
+from nutmegshore.peers.parts import MeshOptions, MeshParts
+from nutmegshore.peers.prober import PROBE_S
+from nutmegshore.peers.seeds import SeedReader, SeedSource
+
+__all__ = ('MeshPeers',)
+
+
+class MeshPeers(Peers):
+    """Links to the other members, and the membership that they tell.
+
+    peers = MeshPeers(local, transport, options, seeds, (clock, rng, counters))
+    peers.start()
+    ...
+    peers.leave()
+    await peers.stop()
+
+    `leave` tells the others that this member will be gone and goes on
+    serving; `stop` tells them that it is gone. `local.incarnation` comes from
+    `first_incarnation` and rises while the process lives.
+    """
+
+    def __init__(
+        self,
+        local: Member,
+        transport: Transport,
+        options: MeshOptions,
+        seeds: SeedSource,
+        outer: tuple[Clock, random.Random, Counters],
+    ) -> None:
+        """Build the parts; nothing runs before `start`."""
+        super().__init__(local)
+        record = Record(local, transport.address)
+        self.parts = MeshParts(record, options.full_mesh, *outer)
+        self.membership = self.parts.membership
+        self._teller = Teller(self.parts, self._take_local)
+        self._seed_reader = SeedReader(self.parts, seeds, options.size_hint)
+        self._keeper = Keeper(
+            self.parts,
+            transport,
+            options,
+            self._teller.greet,
+            self.deliver,
+        )
+        self._subscribe_own()
+
+    def start(self) -> None:
+        """Accept links, and begin to dial and probe."""
+        tasks = self.parts.tasks
+        tasks.spawn(self._seed_reader.run())
+        tasks.spawn(self._keeper.run())
+        tasks.spawn(self._probe_all())
+
+    def leave(self) -> None:
+        """Tell the others that this member gets no new work."""
+        self.membership.change_state(self.local.name, State.LEAVING)
+        self._teller.tell(self.local.name)
+
+    async def stop(self) -> None:
+        """Tell the others that this member is gone, and end all tasks."""
+        self.membership.change_state(self.local.name, State.DEAD)
+        last = self.membership.local.to_fields()
+        self.parts.router.send_direct(messages.News([last]))
+        await self._keeper.stop()
+        await self.parts.tasks.stop()
+
+    def live(self) -> dict[str, Member]:
+        """Live members by name, the local one included."""
+        return self.membership.live()
+
+    def neighbours(self) -> list[str]:
+        """Names of the members that are linked now."""
+        return sorted(self.parts.router.links)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the list was read and every known member tried once."""
+        return self._seed_reader.has_read and self.parts.dialler.is_settled
+
+    def send(self, name: str, body: Any) -> bool:
+        """Queue a message for one member; False if there is no way to it."""
+        return self.parts.router.send(name, body)
+
+    def broadcast(self, body: Any) -> None:
+        """Send a message to every other live member."""
+        self.parts.router.broadcast(body)
+
+    def send_region(self, body: Any) -> None:
+        """Send a message to the other live members of the local region."""
+        self.parts.router.send_region(self.local.region, body)
+
+    def _take_local(self, member: Member) -> None:
+        self.local = member
+
+    def _subscribe_own(self) -> None:
+        prober = self.parts.prober
+        self.subscribe(messages.News, self._teller.take_news)
+        self.subscribe(messages.Suspect, self._teller.take_suspect)
+        self.subscribe(messages.Relay, self._take_relay)
+        self.subscribe(messages.Ping, prober.take_ping)
+        self.subscribe(messages.Ack, prober.take_ack)
+        self.subscribe(messages.PingRequest, prober.take_request)
+
+    async def _probe_all(self) -> None:
+        prober = self.parts.prober
+        await self.parts.clock.sleep(PROBE_S * self.parts.rng.random())
+        while True:
+            if prober.discount_pause():
+                self.parts.counters.add('own_pauses')
+            for name in prober.run_round():
+                self._teller.suspect(name)
+            self._keeper.close_useless()
+            self._teller.declare_deaths()
+            await self.parts.clock.sleep(PROBE_S)
+
+    def _take_relay(self, sender: str, relay: messages.Relay) -> None:
+        if not self.parts.router.take(sender, relay):
+            return
+        body = decode(relay.frame)
+        if body is not None and not isinstance(body, messages.Relay):
+            self.deliver(relay.origin, body)
--- /dev/null
+++ b/nutmegshore/peers/parts.py
@@ -0,0 +1,53 @@
+"""What the parts of a mesh share."""
+
+import random
+
+import attrs
+
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
+from nutmegshore.peers.dialler import Dialler
+from nutmegshore.peers.membership import Membership, Record
+from nutmegshore.peers.prober import Prober
+from nutmegshore.peers.router import Router
+from nutmegshore.peers.tasks import OwnedTasks
+from nutmegshore.peers.topology import FULL_MESH_MEMBERS
+
+__all__ = ('MeshOptions', 'MeshParts')
+
+
+@attrs.frozen
+class MeshOptions:
+    """What the operator declares of the cluster.
+
+    `size_hint` is about how many members there are; first reads of the
+    platform are spread over a time in proportion to it, so that a cluster
+    that boots at once stays under the platform's limit.
+    """
+
+    cluster: str
+    key: bytes = attrs.field(repr=False)
+    size_hint: int = FULL_MESH_MEMBERS
+    full_mesh: int = FULL_MESH_MEMBERS
+
+
+class MeshParts:
+    """The parts of one member's mesh, built from its outer parts."""
+
+    def __init__(
+        self,
+        local: Record,
+        full_mesh: int,
+        clock: Clock,
+        rng: random.Random,
+        counters: Counters,
+    ) -> None:
+        """Build parts that do nothing by themselves."""
+        self.clock = clock
+        self.rng = rng
+        self.counters = counters
+        self.membership = Membership(local, full_mesh)
+        self.router = Router(self.membership, rng, counters)
+        self.dialler = Dialler(self.membership, self.router, clock, rng)
+        self.prober = Prober(self.membership, self.router, clock, rng)
+        self.tasks = OwnedTasks('mesh', counters)
--- /dev/null
+++ b/nutmegshore/peers/router.py
@@ -0,0 +1,147 @@
+"""Messages over one or several links."""
+
+import collections
+import random
+from typing import Any
+
+from nutmegshore.counters import Counters
+from nutmegshore.peers.codec import encode
+from nutmegshore.peers.link import Link
+from nutmegshore.peers.membership import Membership
+from nutmegshore.peers.messages import Relay
+
+__all__ = ('HOP_LIMIT', 'SEEN_MESSAGES', 'Router')
+
+#: Links that a message may pass; a ring of 4096 members needs 12.
+HOP_LIMIT = 16
+#: Forwarded messages that are remembered to tell repeats.
+SEEN_MESSAGES = 8192
+_SEQUENCE_BITS = 48
+
+
+class Router:
+    """Sends over the links that are up, and forwards for others."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        rng: random.Random,
+        counters: Counters,
+    ) -> None:
+        """Start without links."""
+        self.links: dict[str, Link] = {}
+        self._membership = membership
+        self._counters = counters
+        self._local = membership.local_name
+        self._sequence = rng.getrandbits(_SEQUENCE_BITS)
+        self._seen: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+
+    def send(self, name: str, body: Any) -> bool:
+        """Send to one member, directly or by the next hop."""
+        frame = encode(body)
+        link = self.links.get(name)
+        if link is not None and link.send_frame(frame):
+            return True
+        return self._pass_on(self._wrap(frame, target=name), '')
+
+    def send_direct(self, body: Any) -> None:
+        """Send to the other end of every link."""
+        self._flood(encode(body), '', '')
+
+    def broadcast(self, body: Any) -> None:
+        """Send to every live member."""
+        if not self._membership.topology.is_full:
+            self._flood(encode(self._wrap(encode(body))), '', '')
+            return
+        for name in self._membership.live():
+            if name != self._local:
+                self.send(name, body)
+
+    def send_region(self, region: str, body: Any) -> None:
+        """Send to every live member of a region."""
+        if not self._membership.topology.is_full:
+            relay = self._wrap(encode(body), region=region)
+            self._flood(encode(relay), '', region)
+            return
+        for name, member in self._membership.live().items():
+            if member.region == region and name != self._local:
+                self.send(name, body)
+
+    def take(self, sender: str, relay: Relay) -> bool:
+        """Forward a message; True if it is for the local member too."""
+        if self._is_repeat(relay):
+            return False
+        if relay.target:
+            if relay.target == self._local:
+                return True
+            self._pass_on(relay, sender)
+            return False
+        if relay.hops < HOP_LIMIT:
+            self._flood(encode(_next_hop(relay)), sender, relay.region)
+        return relay.region in {'', self._region}
+
+    @property
+    def _region(self) -> str:
+        return self._membership.local.member.region
+
+    def _wrap(self, frame: bytes, target: str = '', region: str = '') -> Relay:
+        self._sequence += 1
+        relay = Relay(self._local, self._sequence, target, region, 0, frame)
+        self._is_repeat(relay)
+        return relay
+
+    def _is_repeat(self, relay: Relay) -> bool:
+        key = (relay.origin, relay.sequence)
+        # An addressed message may pass the same member twice while routes
+        # change; its hop limit ends it.
+        if not relay.target and key in self._seen:
+            self._counters.add('relay_repeats')
+            return True
+        self._seen[key] = None
+        if len(self._seen) > SEEN_MESSAGES:
+            self._seen.popitem(last=False)
+        return False
+
+    def _pass_on(self, relay: Relay, sender: str) -> bool:
+        hop = self._choose_hop(relay, sender)
+        if hop is None or relay.hops >= HOP_LIMIT:
+            self._counters.add('relay_dropped')
+            return False
+        return self.links[hop].send(_next_hop(relay))
+
+    def _choose_hop(self, relay: Relay, sender: str) -> str | None:
+        if relay.target in self.links:
+            return relay.target
+        topology = self._membership.topology
+        live = self._membership.live()
+        choices = [
+            name
+            for name in self.links
+            if name not in {sender, relay.origin} and name in live
+        ]
+        return min(
+            choices,
+            key=lambda name: topology.distance(name, relay.target),
+            default=None,
+        )
+
+    def _flood(self, frame: bytes, sender: str, region: str) -> None:
+        live = self._membership.live()
+        for name, link in list(self.links.items()):
+            member = live.get(name)
+            is_far = member is not None and member.region != region
+            if name != sender and not (region and is_far):
+                link.send_frame(frame)
+
+
+def _next_hop(relay: Relay) -> Relay:
+    return Relay(
+        relay.origin,
+        relay.sequence,
+        relay.target,
+        relay.region,
+        relay.hops + 1,
+        relay.frame,
+    )
--- /dev/null
+++ b/nutmegshore/peers/seeds.py
@@ -0,0 +1,61 @@
+"""Reading of the platform's list for members to dial."""
+
+from collections.abc import Awaitable, Callable
+
+from nutmegshore.errors import PlatformError
+from nutmegshore.peers.parts import MeshParts
+
+__all__ = ('SeedReader', 'SeedSource')
+
+#: Reads the platform's list as peer address by name.
+SeedSource = Callable[[], Awaitable[dict[str, str]]]
+
+#: Seconds between reads while there is no link, and at most.
+_FIRST_WAIT_S = 2
+_MAX_WAIT_S = 60
+#: First reads of the list that one second may hold in a boot of all.
+_READS_PER_S = 60
+
+
+class SeedReader:
+    """Reads the list at the start and whenever this member is alone.
+
+    A member with a link learns of all others over it, whatever the list
+    says.
+    """
+
+    def __init__(
+        self,
+        parts: MeshParts,
+        source: SeedSource,
+        size_hint: int,
+    ) -> None:
+        """Spread the first reads of `size_hint` members."""
+        self.has_read = False
+        self._parts = parts
+        self._source = source
+        self._spread_s = size_hint / _READS_PER_S
+
+    async def run(self) -> None:
+        """Read, and read again while alone."""
+        await self._parts.clock.sleep(self._spread_s * self._parts.rng.random())
+        wait_s: float = _FIRST_WAIT_S
+        while True:
+            await self._read()
+            await self._parts.clock.sleep(wait_s * self._jitter())
+            wait_s = min(2 * wait_s, _MAX_WAIT_S)
+            while self._parts.router.links:
+                wait_s = _FIRST_WAIT_S
+                await self._parts.clock.sleep(_MAX_WAIT_S * self._jitter())
+
+    async def _read(self) -> None:
+        try:
+            self._parts.dialler.seeds = await self._source()
+        except PlatformError:
+            self._parts.counters.add('seed_reads_failed')
+        # A platform that is down must not keep a member from its peers, nor
+        # from being told so.
+        self.has_read = True
+
+    def _jitter(self) -> float:
+        return (1 + self._parts.rng.random()) / 2
--- /dev/null
+++ b/nutmegshore/peers/topology.py
@@ -0,0 +1,99 @@
+"""Which members link to which."""
+
+import bisect
+import functools
+import hashlib
+from collections.abc import Iterable
+
+from nutmegshore.peers.base import Member
+
+__all__ = ('FULL_MESH_MEMBERS', 'Topology', 'ring_position')
+
+#: Up to this many members every pair is linked.
+FULL_MESH_MEMBERS = 16
+_POSITION_BYTES = 8
+_RING_SIZE = 2 ** (8 * _POSITION_BYTES)
+#: Next members on the ring, so that one death does not open it.
+_SUCCESSORS = 2
+_OTHER_REGION = 1
+_CACHED_POSITIONS = 65_536
+
+
+@functools.lru_cache(maxsize=_CACHED_POSITIONS)
+def ring_position(name: str) -> int:
+    """Place of a name on the ring."""
+    digest = hashlib.blake2b(name.encode(), digest_size=_POSITION_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+class _Ring:
+    """The members of one region by their place."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self.names = sorted(names, key=ring_position)
+        self._positions = [ring_position(name) for name in self.names]
+
+    def successor(self, position: int, offset: int = 0) -> str:
+        """The member at or after a place."""
+        index = bisect.bisect_left(self._positions, position % _RING_SIZE)
+        return self.names[(index + offset) % len(self.names)]
+
+
+class Topology:
+    """The wanted links among a set of members.
+
+    Up to `FULL_MESH_MEMBERS` members all are linked. Above that, a member
+    opens links to its next two on the ring of its region, to the members at
+    a half, a quarter, and so on, of the ring ahead of it, and to two in each
+    other region. Half of the ring is thus passed with each hop, and one
+    change of membership moves only the links that end at that member.
+    """
+
+    def __init__(
+        self,
+        members: Iterable[Member],
+        full_mesh: int = FULL_MESH_MEMBERS,
+    ) -> None:
+        """Place the members on the rings of their regions."""
+        self._region_of = {member.name: member.region for member in members}
+        by_region: dict[str, list[str]] = {}
+        for name, home in self._region_of.items():
+            by_region.setdefault(home, []).append(name)
+        self._rings = {
+            region: _Ring(names) for region, names in by_region.items()
+        }
+        self.is_full = len(self._region_of) <= full_mesh
+        self._by_name: dict[str, frozenset[str]] = {}
+
+    def neighbours(self, name: str) -> frozenset[str]:
+        """Members that this member opens links to."""
+        found = self._by_name.get(name)
+        if found is None:
+            found = self._find_neighbours(name)
+            self._by_name[name] = found
+        return found
+
+    def distance(self, name: str, target: str) -> tuple[int, int]:
+        """How far a member is from a target: region first, then ring."""
+        is_other = self._region_of.get(name) != self._region_of.get(target)
+        gap = (ring_position(name) - ring_position(target)) % _RING_SIZE
+        return (_OTHER_REGION * is_other, min(gap, _RING_SIZE - gap))
+
+    def _find_neighbours(self, name: str) -> frozenset[str]:
+        if self.is_full or name not in self._region_of:
+            return frozenset(self._region_of) - {name}
+        region = self._region_of[name]
+        wanted = set(self._near(name, self._rings[region]))
+        for other, ring in self._rings.items():
+            if other != region:
+                position = ring_position(name)
+                wanted.add(ring.successor(position))
+                wanted.add(ring.successor(position + _RING_SIZE // 2))
+        return frozenset(wanted - {name})
+
+    def _near(self, name: str, ring: _Ring) -> Iterable[str]:
+        position = ring_position(name)
+        for offset in range(1, _SUCCESSORS + 1):
+            yield ring.successor(position, offset)
+        for halvings in range(1, len(ring.names).bit_length() + 1):
+            yield ring.successor(position + _RING_SIZE // 2**halvings)
