--- a/bench/peers_cluster.py
+++ b/bench/peers_cluster.py
@@ -31,6 +31,7 @@
 )
 from nutmegshore.resources import (
     Envelope,
+    InvalidObject,
     config_key,
     parse_envelope,
     parse_spec,
@@ -42,6 +43,8 @@
 _REGIONS = ('west', 'north', 'south')
 _NEAR_S = 0.001
 _FAR_S = 0.055
+_SEED_BITS = 64
+_STEP_S = 0.1
 
 
 class ReplicaPlatform(MemoryPlatform):
@@ -69,6 +72,11 @@
         position = await super().read_position()
         return position if self.frozen is None else self.frozen[0]
 
+    async def read_seeds(self) -> dict[str, str]:
+        """Read the list as address by name."""
+        listed = await self.read_instances()
+        return {one.name: one.address for one in listed}
+
     async def watch(self, prefix: str, after: int) -> Changes:
         """Wait while frozen, then watch."""
         while self.frozen is not None:
@@ -86,7 +94,6 @@
     table: ConfigurationTable
     peers: MeshPeers
     follower: ConfigurationFollower
-    counters: Counters
     #: First time at which the table held a (key, generation) or above.
     seen_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
@@ -108,7 +115,7 @@
         """Name the members; nothing runs before `boot`."""
         self.rng = random.Random(seed)
         self.size = size
-        self.names = [f'e{index:03d}' for index in range(size)]
+        self.names = [f'e{index:03}' for index in range(size)]
         self.store = MemoryStore()
         self.store.faults.delay_s = store_delay_s
         self.network = LinkNetwork()
@@ -118,37 +125,48 @@
                 self.network.delay_between(one, other, delay)
         self.by_name: dict[str, Process] = {}
         self.ended: list[Process] = []
-        self.list_all()
+        self.list_instances(self.names)
 
     def region_of(self, name: str) -> str:
         """Region of a member."""
         return _REGIONS[self.names.index(name) % len(_REGIONS)]
 
-    def list_all(self, names: list[str] | None = None) -> None:
+    def list_instances(self, names: list[str]) -> None:
         """Set the platform's list of instances."""
-        self.store.instances[:] = [
+        self.store.instances = [
             ListedInstance(name, name, self.region_of(name), 'a')
-            for name in (self.names if names is None else names)
+            for name in names
         ]
 
     def start(self, name: str) -> Process:
         """Start a process under a name."""
-        rng = random.Random(self.rng.getrandbits(64))
         clock = VirtualClock()
+        platform = ReplicaPlatform(self.store, clock)
         region = self.region_of(name)
+        # The store is in the first region.
+        if region != _REGIONS[0]:
+            platform.faults.delay_s = 2 * _FAR_S
+        rng = random.Random(self.rng.getrandbits(_SEED_BITS))
         local = Member(name, region, f'{region}-a', first_incarnation(rng))
-        platform = ReplicaPlatform(self.store, clock)
         outer = (clock, rng, Counters())
+        process = self._build(local, platform, outer)
+        process.table.subscribe(process.note)
+        self.by_name[name] = process
+        process.peers.start()
+        process.follower.start()
+        return process
 
-        async def read_seeds() -> dict[str, str]:
-            listed = await platform.read_instances()
-            return {one.name: one.address for one in listed}
-
+    def _build(
+        self,
+        local: Member,
+        platform: ReplicaPlatform,
+        outer: tuple[VirtualClock, random.Random, Counters],
+    ) -> Process:
         peers = MeshPeers(
             local,
-            self.network.join(local, clock),
+            self.network.join(local, outer[0]),
             MeshOptions('bench', b'key', size_hint=self.size),
-            read_seeds,
+            platform.read_seeds,
             outer,
         )
         table = ConfigurationTable()
@@ -159,14 +177,8 @@
             outer,
             size_hint=self.size,
         )
-        process = Process(
-            name, clock, platform, table, peers, follower, outer[2]
-        )
-        table.subscribe(process.note)
-        self.by_name[name] = process
-        peers.start()
-        follower.start()
-        return process
+        name = local.name
+        return Process(name, outer[0], platform, table, peers, follower)
 
     async def boot(self, timeout_s: float = 60) -> float:
         """Start all; returns the seconds until all are ready."""
@@ -174,7 +186,7 @@
         for name in self.names:
             self.start(name)
         while not self.is_ready():
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(_STEP_S)
             passed = asyncio.get_running_loop().time() - began
             if passed > timeout_s:
                 raise RuntimeError('boot takes too long')
@@ -186,7 +198,9 @@
 
     async def kill(self, name: str) -> None:
         """End a process without a sign."""
-        process = self.by_name.pop(name)
+        process = self.by_name.pop(name, None)
+        if process is None:
+            return
         self.network.kill(name)
         await process.follower.stop()
         await process.peers.stop()
@@ -194,8 +208,7 @@
 
     async def stop(self) -> None:
         """End all processes."""
-        for name in list(self.by_name):
-            await self.kill(name)
+        await asyncio.gather(*[self.kill(name) for name in self.names])
 
     async def declare(
         self,
@@ -207,9 +220,9 @@
         process = self.by_name[writer]
         kind, name = key
         stored = await process.platform.read(config_key(kind, name))
-        present = parse_envelope(stored.body) if stored else None
+        present = _parse(stored)
         in_force = process.table.get(config_key(kind, name))
-        operation = f'{self.rng.getrandbits(64):016x}'
+        operation = self.rng.randbytes(8).hex()
         envelope = Envelope(
             kind=kind,
             name=name,
@@ -250,3 +263,14 @@
             found.extend(process.peers.parts.tasks.failures)
             found.extend(process.follower.failures)
         return found
+
+
+def _parse(stored: StoredObject | None) -> Envelope | None:
+    if stored is None:
+        return None
+    try:
+        return parse_envelope(stored.body)
+    except InvalidObject:
+        # Only a write past the operator API leaves such a body; a declared
+        # object replaces it.
+        return None
--- a/nutmegshore/configuration/history.py
+++ b/nutmegshore/configuration/history.py
@@ -86,17 +86,25 @@
         found, position, _ = self._by_key.get(key, (0, 0, 0))
         if found < generation:
             return {}
-        confirmed = {}
-        for name, process in live.items():
-            standing = self._standings.get(name)
-            if standing is None or standing.process != process:
-                continue
-            times = [at for place, at in standing.reached if place >= position]
-            if times:
-                confirmed[name] = times[0]
-        return confirmed
+        reached = {
+            name: self._reached_at(name, process, position)
+            for name, process in live.items()
+        }
+        return {name: at for name, at in reached.items() if at is not None}
 
     def merged_at(self, key: str, generation: int) -> float | None:
         """When the local table took a key at this generation or above."""
         found, _, at = self._by_key.get(key, (0, 0, 0))
         return at if found >= generation else None
+
+    def _reached_at(
+        self,
+        name: str,
+        process: int,
+        position: int,
+    ) -> float | None:
+        standing = self._standings.get(name)
+        if standing is None or standing.process != process:
+            return None
+        times = (at for place, at in standing.reached if place >= position)
+        return next(times, None)
--- a/nutmegshore/configuration/messages.py
+++ b/nutmegshore/configuration/messages.py
@@ -8,8 +8,10 @@
 
 __all__ = ('Digest', 'Entries', 'ProblemReport', 'Snapshot', 'Want')
 
+_FIRST_NUMBER = 20
 
-@message(20)
+
+@message(_FIRST_NUMBER)
 @attrs.frozen
 class Digest:
     """Digest of the sender's table, and whether the sender is ready."""
@@ -18,7 +20,7 @@
     is_ready: bool
 
 
-@message(21)
+@message(_FIRST_NUMBER + 1)
 @attrs.frozen
 class Want:
     """Asks for what the packed versions lack; empty asks for all."""
@@ -26,7 +28,7 @@
     versions: bytes
 
 
-@message(22)
+@message(_FIRST_NUMBER + 2)
 @attrs.frozen
 class Entries:
     """Envelopes as they are stored; `is_answer` ends a `Want`."""
@@ -35,7 +37,7 @@
     is_answer: bool = False
 
 
-@message(23)
+@message(_FIRST_NUMBER + 3)
 @attrs.frozen
 class Snapshot:
     """One part of a compressed list of envelopes with its checksum."""
@@ -46,7 +48,7 @@
     is_ready: bool
 
 
-@message(24)
+@message(_FIRST_NUMBER + 4)
 @attrs.frozen
 class ProblemReport:
     """Problems that a watcher of the platform sees now."""
--- a/nutmegshore/configuration/packing.py
+++ b/nutmegshore/configuration/packing.py
@@ -25,7 +25,7 @@
 #: Bytes of envelopes in one message; an envelope is at most 1 MB.
 _BATCH_BYTES = 2 * 1024 * 1024
 #: Bytes that a received payload may unpack to.
-_MAX_UNPACKED_BYTES = 16 * 1024 * 1024
+_MAX_UNPACKED_BYTES = 8 * _BATCH_BYTES
 _CHECKSUM_BYTES = 16
 _MARK_BYTES = 6
 _COMPRESSION = 6
--- a/nutmegshore/configuration/problems.py
+++ b/nutmegshore/configuration/problems.py
@@ -41,13 +41,17 @@
         return [self.key, self.kind.value, self.detail]
 
 
+#: Time of a report and the problems in it.
+_Report = tuple[float, list[Problem]]
+
+
 class Problems:
     """Problems that this process sees, and those that watchers report."""
 
     def __init__(self) -> None:
         """Start without problems."""
         self.own: dict[str, Problem] = {}
-        self._reported: dict[str, tuple[float, list[Problem]]] = {}
+        self._reported: dict[str, _Report] = {}
 
     def set_kind(self, key: str, kind: ProblemKind, detail: str) -> bool:
         """Note a problem of one's own; False if it is known."""
--- a/nutmegshore/peers/codec.py
+++ b/nutmegshore/peers/codec.py
@@ -1,10 +1,9 @@
 """msgpack encoding of the messages between entries."""
 
 import functools
-import typing
 from collections.abc import Callable
 from types import MappingProxyType
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_origin
 
 import attrs
 import msgpack
@@ -29,6 +28,8 @@
 
 _types_by_number: dict[int, type] = {}
 _numbers_by_type: dict[type, int] = {}
+#: Types that a field may have on arrival.
+_Accepted = tuple[type, ...]
 _Message = TypeVar('_Message', bound=type)
 
 
@@ -108,10 +109,10 @@
 
 
 @functools.cache
-def _plain_types(message_type: type) -> list[tuple[str, tuple[type, ...]]]:
+def _plain_types(message_type: type) -> list[tuple[str, _Accepted]]:
     """Fields whose declared type can be checked before a handler runs."""
     origins = {
-        name: typing.get_origin(field.type) or field.type
+        name: get_origin(field.type) or field.type
         for name, field in attrs.fields_dict(message_type).items()
     }
     return [
--- a/nutmegshore/peers/keeper.py
+++ b/nutmegshore/peers/keeper.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from nutmegshore.clock import Clock
 from nutmegshore.errors import ErrorKind, LinkError
 from nutmegshore.peers.base import process_of
 from nutmegshore.peers.handshake import (
@@ -38,6 +39,36 @@
     deliver: Callable[[str, Any], None]
 
 
+class _LinkTimes:
+    """When each link last brought something.
+
+    A member may well be heard by other ways while the link to it stalls.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_link: dict[Link, float] = {}
+
+    def note(self, link: Link) -> None:
+        """Note that the link brought something just now."""
+        self._by_link[link] = self._clock.now()
+
+    def forget(self, link: Link) -> None:
+        """Drop a link that ended."""
+        self._by_link.pop(link, None)
+
+    def silence(self, link: Link) -> float:
+        """Seconds since the link brought something."""
+        now = self._clock.now()
+        return now - self._by_link.get(link, now)
+
+    def discount(self, seconds: float) -> None:
+        """Leave the time out in which this process was away."""
+        self._by_link = {
+            link: at + seconds for link, at in self._by_link.items()
+        }
+
+
 class Keeper:
     """Opens, accepts, settles and closes links; one task for each."""
 
@@ -57,6 +88,7 @@
         self._events = _LinkEvents(greet, deliver)
         self._opening: dict[Link, float] = {}
         self._ranks: dict[str, tuple[int, bool]] = {}
+        self.received = _LinkTimes(parts.clock)
 
     async def run(self) -> None:
         """Accept links, and dial those that are missing."""
@@ -72,8 +104,8 @@
         for unwanted in self._parts.dialler.take_unwanted():
             self._parts.counters.add('links_unwanted')
             self._router.links[unwanted].close()
-        for name, link in list(self._router.links.items()):
-            if self._parts.prober.silence(name) > _SILENT_LINK_S:
+        for link in list(self._router.links.values()):
+            if self.received.silence(link) > _SILENT_LINK_S:
                 self._parts.counters.add('links_silent')
                 link.close(ErrorKind.LINK_CLOSED)
 
@@ -115,6 +147,7 @@
         if not self._adopt(link, hello, is_dialler=is_dialler):
             return
         async for body in link:
+            self.received.note(link)
             self._parts.prober.hear(hello.name)
             self._events.deliver(hello.name, body)
 
@@ -124,27 +157,34 @@
         rank = (process_of(hello.incarnation), is_lower == is_dialler)
         present = self._router.links.get(hello.name)
         if present is not None:
-            if self._is_better(hello.name, rank):
+            if self._is_better(hello.name, present, rank):
                 return False
             present.close()
         self._ranks[hello.name] = rank
         self._router.links[hello.name] = link
+        self.received.note(link)
         self._parts.counters.add('links_opened')
         self._parts.prober.hear(hello.name)
         self._events.greet(link, hello)
         return True
 
-    def _is_better(self, name: str, rank: tuple[int, bool]) -> bool:
+    def _is_better(
+        self,
+        name: str,
+        present: Link,
+        rank: tuple[int, bool],
+    ) -> bool:
         # Both ends keep the link that the lower name dialled. A link to an
         # earlier process, or one that has gone silent, is not worth keeping.
         process, is_by_lower = self._ranks[name]
         if process != rank[0]:
             return False
-        return is_by_lower and self._parts.prober.silence(name) < _WEAK_LINK_S
+        return is_by_lower and self.received.silence(present) < _WEAK_LINK_S
 
     def _end(self, link: Link, dialled: str) -> None:
         link.close()
         self._opening.pop(link, None)
+        self.received.forget(link)
         if link.close_reason is not None:
             reason = link.close_reason.value
             self._parts.counters.add('link_failures', reason=reason)
--- a/nutmegshore/peers/mesh.py
+++ b/nutmegshore/peers/mesh.py
@@ -118,8 +118,7 @@
         prober = self.parts.prober
         await self.parts.clock.sleep(PROBE_S * self.parts.rng.random())
         while True:
-            if prober.discount_pause():
-                self.parts.counters.add('own_pauses')
+            self._keeper.received.discount(prober.discount_pause())
             for name in prober.run_round():
                 self._teller.suspect(name)
             self._keeper.close_useless()
