--- /dev/null
+++ b/tests/peers/conftest.py
@@ -0,0 +1,72 @@
+"""Members on memory links for the tests of this folder."""
+
+import random
+
+import attrs
+import pytest
+
+from nutmegshore.clock import VirtualClock
+from nutmegshore.counters import Counters
+from nutmegshore.peers import (
+    LinkNetwork,
+    Member,
+    MeshOptions,
+    MeshPeers,
+    first_incarnation,
+)
+
+
+@attrs.define
+class _Net:
+    """A network with its members."""
+
+    network: LinkNetwork = attrs.field(factory=LinkNetwork)
+    clocks: dict = attrs.field(factory=dict)
+    meshes: dict = attrs.field(factory=dict)
+    listed: dict = attrs.field(factory=dict)
+
+    async def seeds(self):
+        return dict(self.listed)
+
+    def start(self, name, region='west', key=b'key', **options):
+        seed = options.pop('seed', name)
+        rng = random.Random(seed)
+        clock = VirtualClock()
+        local = Member(name, region, f'{region}-a', first_incarnation(rng))
+        mesh = MeshPeers(
+            local,
+            self.network.join(local, clock),
+            MeshOptions(options.pop('cluster', 'c'), key, **options),
+            self.seeds,
+            (clock, rng, Counters()),
+        )
+        self.clocks[name] = clock
+        self.meshes[name] = mesh
+        self.listed[name] = name
+        mesh.start()
+        return mesh
+
+    def start_many(self, count, **options):
+        for index in range(count):
+            region = ('west', 'north', 'south')[index % 3]
+            self.start(f'm{index:02}', region, **options)
+
+    async def kill(self, name):
+        self.network.kill(name)
+        await self.meshes.pop(name).stop()
+
+    def views(self):
+        return {name: set(mesh.live()) for name, mesh in self.meshes.items()}
+
+    def failures(self):
+        return [
+            failure
+            for mesh in self.meshes.values()
+            for failure in mesh.parts.tasks.failures
+        ]
+
+
+@pytest.fixture
+def net():
+    """Empty network of mesh members."""
+    return _Net()
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,86 @@
+"""Tests of the membership records and the rule for a death."""
+
+import itertools
+
+import attrs
+
+from nutmegshore.peers import Member, process_of
+from nutmegshore.peers.membership import Membership, Record, State
+from nutmegshore.peers.suspicion import SUSPICION_S, Suspicions
+
+
+def _record(name, incarnation=1, state=State.ALIVE):
+    return Record(Member(name, 'west', 'a', incarnation), name, state)
+
+
+def test_news_in_any_order_give_one_record():
+    """Guards against members that disagree after the same news."""
+    news = [
+        _record('b', 1, State.DEAD),
+        _record('b', 2),
+        _record('b', 2, State.LEAVING),
+        _record('b', 1),
+    ]
+    found = set()
+    for order in itertools.permutations(news):
+        membership = Membership(_record('a'))
+        for record in order:
+            membership.merge(record)
+        found.add(membership.by_name['b'])
+    assert found == {_record('b', 2, State.LEAVING)}
+
+
+def test_news_of_ones_own_death_are_refuted():
+    """Guards against a living member that stays out for good."""
+    membership = Membership(_record('a', 2**20 + 7))
+    assert membership.merge(_record('a', 2**20 + 7, State.DEAD))
+    local = membership.local
+    assert local.state is State.ALIVE
+    assert local.member.incarnation > 2**20 + 7
+    assert process_of(local.member.incarnation) == 7
+
+
+def test_a_restarted_process_goes_above_its_predecessor():
+    """Guards against a new process that passes for the old one."""
+    old = _record('a', 5 * 2**20 + 9)
+    membership = Membership(_record('a', 2**20 + 7))
+    membership.merge(old)
+    assert membership.local.rank > old.rank
+    assert process_of(membership.local.member.incarnation) == 7
+
+
+def test_a_refutation_clears_the_suspicions():
+    """Guards against a death by suspicions that were answered."""
+    membership = Membership(_record('a'))
+    membership.merge(_record('b', 1))
+    for accuser in ('a', 'c'):
+        membership.suspicions.accuse('b', accuser, 0)
+    membership.merge(_record('b', 2))
+    assert not membership.suspicions.due(100, membership.live())
+
+
+def test_a_death_needs_two_accusers_and_time():
+    """Guards against a death that one member decides alone."""
+    suspicions = Suspicions('a')
+    live = {'a', 'b', 'c'}
+    suspicions.accuse('b', 'a', 0)
+    assert not suspicions.due(SUSPICION_S + 1, live)
+    suspicions.accuse('b', 'c', SUSPICION_S)
+    assert suspicions.due(SUSPICION_S + 1, live) == ['b']
+    assert not suspicions.due(SUSPICION_S - 1, live)
+
+
+def test_who_is_alone_decides_alone():
+    """Guards against a cut-off member that waits for accusers for ever."""
+    suspicions = Suspicions('a')
+    for name in ('b', 'c'):
+        suspicions.accuse(name, 'a', 0)
+    assert suspicions.due(SUSPICION_S, {'a', 'b', 'c'}) == ['b', 'c']
+
+
+def test_a_record_reads_back_as_it_travelled():
+    """Guards against fields of a record that change places."""
+    record = _record('b', 3, State.LEAVING)
+    newer = [*record.to_fields(), 'field of a newer version']
+    assert Record.from_fields(newer) == record
+    assert attrs.asdict(record)['address'] == 'b'
--- /dev/null
+++ b/tests/peers/test_mesh.py
@@ -0,0 +1,225 @@
+"""Tests of the mesh over memory links on virtual time."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from nutmegshore.clock import run_virtual
+from nutmegshore.peers import message, process_of
+
+
+@message(9100)
+@attrs.frozen
+class _Note:
+    text: str
+
+
+def _record(mesh, notes):
+    mesh.subscribe(
+        _Note,
+        lambda sender, note: notes.append((mesh.local.name, sender)),
+    )
+
+
+@pytest.mark.parametrize('count', [9, 30])
+def test_all_find_each_other_and_one_link_per_pair_stays(net, count):
+    """Guards against pairs that go on closing each other's links."""
+
+    async def session():
+        net.start_many(count)
+        await asyncio.sleep(20)
+        links = {name: mesh.neighbours() for name, mesh in net.meshes.items()}
+        opened = [
+            mesh.parts.counters.total('links_opened')
+            for mesh in net.meshes.values()
+        ]
+        await asyncio.sleep(20)
+        later = [
+            mesh.parts.counters.total('links_opened')
+            for mesh in net.meshes.values()
+        ]
+        return links, opened == later, net.views(), net.failures()
+
+    links, is_quiet, views, failures = run_virtual(session)
+    assert not failures
+    assert is_quiet
+    assert all(len(view) == count for view in views.values())
+    for name, others in links.items():
+        assert all(name in links[other] for other in others)
+
+
+@pytest.mark.parametrize('count', [9, 30])
+def test_each_message_comes_once_to_those_it_is_for(net, count):
+    """Guards against forwarding that repeats, loses or leaks messages."""
+
+    async def session():
+        net.start_many(count)
+        await asyncio.sleep(20)
+        notes = []
+        for mesh in net.meshes.values():
+            _record(mesh, notes)
+        sender = net.meshes['m00']
+        found = []
+        sender.broadcast(_Note('all'))
+        await asyncio.sleep(2)
+        found.append(sorted(notes))
+        notes.clear()
+        sender.send_region(_Note('region'))
+        await asyncio.sleep(2)
+        found.append(sorted(notes))
+        notes.clear()
+        for name in net.meshes:
+            if name != 'm00':
+                sender.send(name, _Note('one'))
+        await asyncio.sleep(2)
+        return (*found, sorted(notes))
+
+    everyone = [(f'm{index:02}', 'm00') for index in range(1, count)]
+    near = everyone[2::3]
+    assert run_virtual(session) == (everyone, near, everyone)
+
+
+def test_a_dead_member_is_noticed_and_comes_back(net):
+    """Guards against the dead that stay and the restarted that stay out."""
+
+    async def session():
+        net.start_many(5)
+        await asyncio.sleep(10)
+        old = net.meshes['m01'].local.incarnation
+        await net.kill('m01')
+        await asyncio.sleep(10)
+        gone = net.views()
+        net.start('m01', 'north', seed='another process')
+        await asyncio.sleep(10)
+        seen = net.meshes['m00'].live()['m01'].incarnation
+        return gone, net.views(), old, seen
+
+    gone, back, old, seen = run_virtual(session)
+    assert all('m01' not in view for view in gone.values())
+    assert all(len(view) == 5 for view in back.values())
+    assert seen > old
+    assert process_of(seen) != process_of(old)
+
+
+def test_a_paused_prober_blames_nobody(net):
+    """Guards against a process that wakes and declares all others dead."""
+
+    async def session():
+        net.start_many(5)
+        await asyncio.sleep(10)
+        net.clocks['m00'].pause(10)
+        await asyncio.sleep(16)
+        blamed = net.meshes['m00'].parts.counters.total('suspicions')
+        return blamed, net.views()
+
+    blamed, views = run_virtual(session)
+    assert not blamed
+    assert all(len(view) == 5 for view in views.values())
+
+
+def test_one_cut_direction_kills_nobody(net):
+    """Guards against a verdict where helpers still hear the member."""
+
+    async def session():
+        net.start_many(6)
+        await asyncio.sleep(10)
+        net.network.cut('m00', 'm01')
+        await asyncio.sleep(30)
+        deaths = [
+            mesh.parts.counters.total('deaths_declared')
+            for mesh in net.meshes.values()
+        ]
+        notes = []
+        _record(net.meshes['m01'], notes)
+        net.meshes['m00'].send('m01', _Note('by another way'))
+        await asyncio.sleep(1)
+        return sum(deaths), notes
+
+    assert run_virtual(session) == (0, [('m01', 'm00')])
+
+
+def test_a_healed_partition_joins_again(net):
+    """Guards against two halves that each hold the other dead for ever."""
+
+    async def session():
+        net.start_many(9)
+        await asyncio.sleep(10)
+        net.network.partition('west', 'north')
+        net.network.partition('south', 'north')
+        await asyncio.sleep(120)
+        parted = net.views()
+        net.network.heal()
+        await asyncio.sleep(30)
+        return parted, net.views()
+
+    parted, healed = run_virtual(session)
+    assert parted['m01'] == {'m01', 'm04', 'm07'}
+    assert all(len(view) == 9 for view in healed.values())
+
+
+def test_a_lost_region_is_noticed_by_the_others(net):
+    """Guards against accusers that all died with the accused."""
+
+    async def session():
+        net.start_many(9)
+        await asyncio.sleep(10)
+        for name in ('m00', 'm03', 'm06'):
+            await net.kill(name)
+        await asyncio.sleep(12)
+        return net.views()
+
+    views = run_virtual(session)
+    assert all(len(view) == 6 for view in views.values())
+
+
+def test_a_list_of_the_dead_does_not_keep_a_member_out(net):
+    """Guards against trust in the platform's list."""
+
+    async def session():
+        net.start_many(4)
+        await asyncio.sleep(10)
+        net.listed = {f'dead{index}': f'dead{index}' for index in range(9)}
+        net.listed['m02'] = 'm02'
+        net.start('new')
+        await asyncio.sleep(30)
+        return net.views()
+
+    views = run_virtual(session)
+    assert all(len(view) == 5 for view in views.values())
+
+
+def test_a_leaving_member_is_told_and_gone_at_once(net):
+    """Guards against a planned stop that waits for the probes."""
+
+    async def session():
+        net.start_many(4)
+        await asyncio.sleep(10)
+        leaving = net.meshes.pop('m01')
+        leaving.leave()
+        await asyncio.sleep(0.5)
+        record = net.meshes['m00'].membership.by_name['m01']
+        await leaving.stop()
+        await asyncio.sleep(0.5)
+        return record.state.name, net.views()
+
+    state, views = run_virtual(session)
+    assert state == 'LEAVING'
+    assert all(len(view) == 3 for view in views.values())
+
+
+def test_strangers_are_refused_and_counted(net):
+    """Guards against a refusal that nobody can see."""
+
+    async def session():
+        mesh = net.start('a')
+        net.start('b', key=b'other')
+        net.start('c', cluster='other')
+        await asyncio.sleep(5)
+        counters = mesh.parts.counters
+        return [
+            counters.total('link_failures', reason=reason) > 0
+            for reason in ('peer_wrong_key', 'peer_wrong_cluster')
+        ] + [set(mesh.live())]
+
+    assert run_virtual(session) == [True, True, {'a'}]
