Settle doubtful changes of the store by a listing

A watch waits while peers bring newer entries, so what it then delivers may look older than the table without any fault of the store, or be a fault that was taken for a late event: a store that went back was reported in one region of three only. A change that looks older than the table now leads to one listing 2 s later, which decides.

--- a/nutmegshore/configuration/watcher.py
+++ b/nutmegshore/configuration/watcher.py
@@ -19,6 +19,9 @@
 _WATCH_S = 30
 #: Listings find what a watch lost.
 _LISTING_S = 120
+#: A change that looks older than a peer's, which came while the watch waited,
+#: is settled by a listing after this time.
+_DOUBT_S = 2
 
 
 class PlatformWatcher:
@@ -76,14 +79,24 @@
         last = {change.key: change.stored for change in changes.changes}
         self._take([stored for stored in last.values() if stored], before)
         for key, stored in last.items():
-            if stored is None and key in before:
-                self._note(key, ProblemKind.VANISHED, 'no tombstone')
+            if stored is None:
+                self._note_removal(key, before)
+
+    def _note_removal(self, key: str, before: dict[str, int]) -> None:
+        if key in before:
+            self._note(key, ProblemKind.VANISHED, 'no tombstone')
+        else:
+            self._doubt()
+
+    def _doubt(self) -> None:
+        self._list_at = min(self._list_at, self._clock.now() + _DOUBT_S)
 
     async def _watch(self) -> Changes | None:
         watch = asyncio.ensure_future(
             self._platform.watch(_CONFIG_PREFIX, self._position),
         )
-        limit = asyncio.ensure_future(self._clock.sleep(_WATCH_S))
+        wait_s = min(max(self._list_at - self._clock.now(), 0), _WATCH_S)
+        limit = asyncio.ensure_future(self._clock.sleep(wait_s))
         both = {watch, limit}
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
@@ -132,8 +145,10 @@
 
     def _compare(self, envelope: Envelope) -> None:
         present = self._table.get(envelope.key)
-        if present is None or present.generation != envelope.generation:
+        if present is None or present.generation < envelope.generation:
             self._problems.clear(envelope.key)
+        elif present.generation > envelope.generation:
+            self._doubt()
         elif present.operation == envelope.operation:
             self._problems.clear(envelope.key)
         else:
