--- a/bench/peers_cluster.py
+++ b/bench/peers_cluster.py
@@ -1,6 +1,7 @@
 """Many entries with mesh and configuration on virtual time."""
 
 import asyncio
+import itertools
 import random
 
 import attrs
@@ -115,18 +116,21 @@
         """Name the members; nothing runs before `boot`."""
         self.rng = random.Random(seed)
         self.size = size
-        self.names = [f'e{index:03}' for index in range(size)]
+        self.names = ['e{0:03}'.format(index) for index in range(size)]
         self.store = MemoryStore()
         self.store.faults.delay_s = store_delay_s
         self.network = LinkNetwork()
-        for one in _REGIONS:
-            for other in _REGIONS:
-                delay = _NEAR_S if one == other else _FAR_S
-                self.network.delay_between(one, other, delay)
+        self.set_far_delay()
         self.by_name: dict[str, Process] = {}
         self.ended: list[Process] = []
         self.list_instances(self.names)
 
+    def set_far_delay(self, seconds: float = _FAR_S) -> None:
+        """Set the one-way delay between regions."""
+        for one, other in itertools.product(_REGIONS, repeat=2):
+            delay = _NEAR_S if one == other else seconds
+            self.network.delay_between(one, other, delay)
+
     def region_of(self, name: str) -> str:
         """Region of a member."""
         return _REGIONS[self.names.index(name) % len(_REGIONS)]
--- a/nutmegshore/peers/codec.py
+++ b/nutmegshore/peers/codec.py
@@ -61,7 +61,7 @@
 def encode(body: Any) -> bytes:
     """Encode a registered message as one msgpack map."""
     fields = {_TYPE_FIELD: _numbers_by_type[type(body)]}
-    names = attrs.fields_dict(type(body))
+    names = _field_names(type(body))
     for index, name in enumerate(names, _FIRST_FIELD):
         fields[index] = getattr(body, name)
     return msgpack.packb(fields)
@@ -89,7 +89,7 @@
     message_type = _types_by_number.get(number)
     if message_type is None:
         return None
-    names = attrs.fields_dict(message_type)
+    names = _field_names(message_type)
     present = {
         name: fields[index]
         for index, name in enumerate(names, _FIRST_FIELD)
@@ -101,6 +101,11 @@
         raise LinkError(ErrorKind.MALFORMED_FRAME, str(failure)) from failure
 
 
+@functools.cache
+def _field_names(message_type: type) -> tuple[str, ...]:
+    return tuple(attrs.fields_dict(message_type))
+
+
 def _checked(message_type: type, present: dict[str, Any]) -> dict[str, Any]:
     for name, expected in _plain_types(message_type):
         if name in present and not isinstance(present[name], expected):
