Add the client-block table with overlays and store

The table keeps blocks sorted in packed arrays with the index of the block around each one; a look-up is one binary search and a walk up the nested blocks. Changes go in place or into a small set of additions that a sliced fold empties.

--- /dev/null
+++ b/nutmegshore/blocks/rankings.py
@@ -0,0 +1,65 @@
+"""Distinct ranked lists of sites, each kept once."""
+
+from array import array
+from collections.abc import Sequence
+
+from nutmegshore.errors import ErrorKind, ObjectError
+
+__all__ = ('MAX_RANKINGS', 'Rankings')
+
+#: Numbers of rankings take 16 bits; the last one marks a removed block.
+MAX_RANKINGS = 65_535
+
+
+class Rankings:
+    """Ranked lists by number, packed into one array of site numbers.
+
+    Many blocks share few distinct lists, so a block keeps only the number of
+    its list. Lists are never removed; a rebuild of the table starts with a
+    new object that holds only the lists in use.
+
+        rankings = Rankings()
+        number = rankings.intern((3, 1, 7))
+        rankings.get_sites(number)  # (3, 1, 7)
+    """
+
+    def __init__(self) -> None:
+        """Start without lists."""
+        self._packed = array('H')
+        self._ends = array('I', [0])
+        self._numbers: dict[bytes, int] = {}
+
+    def __len__(self) -> int:
+        """Count the distinct lists."""
+        return len(self._ends) - 1
+
+    def intern(self, sites: Sequence[int]) -> int:
+        """Number of a list, the same for equal lists.
+
+        Raises `ObjectError` when there are `MAX_RANKINGS` lists already, and
+        OverflowError for a site number of more than 16 bits.
+        """
+        packed = array('H', sites)
+        key = packed.tobytes()
+        number = self._numbers.get(key)
+        if number is None:
+            number = self._add(key, packed)
+        return number
+
+    def get_sites(self, number: int) -> tuple[int, ...]:
+        """Sites of a list, the best first."""
+        first = self._ends[number]
+        end = self._ends[number + 1]
+        return tuple(self._packed[first:end])
+
+    def _add(self, key: bytes, packed: 'array[int]') -> int:
+        number = len(self)
+        if number >= MAX_RANKINGS:
+            raise ObjectError(
+                ErrorKind.INVALID_OBJECT,
+                f'more than {MAX_RANKINGS} distinct rankings',
+            )
+        self._packed.extend(packed)
+        self._ends.append(len(self._packed))
+        self._numbers[key] = number
+        return number
--- /dev/null
+++ b/tests/blocks/test_block_table.py
@@ -0,0 +1,232 @@
+"""Tests of the longest-prefix table against a naive search."""
+
+import functools
+import itertools
+import socket
+import types
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from nutmegshore.blocks import BlockTable, Network
+from nutmegshore.blocks import table as table_module
+from nutmegshore.blocks.slices import WORK_PER_SLICE
+from nutmegshore.clock import Clock, VirtualClock, run_virtual
+
+#: Few distinct bits at the top, in the middle and at the end, so that nested
+#: blocks and blocks with the same start are common.
+_PLACES = types.MappingProxyType(
+    {
+        32: (31, 24, 23, 8, 1, 0),
+        128: (127, 96, 65, 64, 63, 32, 1, 0),
+    },
+)
+
+
+@st.composite
+def _addresses(draw, bits):
+    chosen = draw(st.sets(st.sampled_from(_PLACES[bits])))
+    return sum(1 << place for place in chosen)
+
+
+@st.composite
+def _networks(draw):
+    bits = draw(st.sampled_from([32, 128]))
+    places = st.sampled_from([0, *_PLACES[bits], bits])
+    host_bits = draw(places)
+    address = draw(_addresses(bits))
+    return Network(bits, address >> host_bits << host_bits, bits - host_bits)
+
+
+_SITES = st.lists(st.integers(0, 179), min_size=1, max_size=3, unique=True)
+
+
+@st.composite
+def _plans(draw):
+    """Two lists of changes over few networks, so that they meet often."""
+    pool = st.sampled_from(draw(st.lists(_networks(), min_size=1, max_size=9)))
+    sites = st.one_of(st.none(), _SITES.map(tuple))
+    changes = st.lists(st.tuples(pool, sites), max_size=20)
+    return draw(changes), draw(changes)
+
+
+_PROBES = st.one_of(
+    st.tuples(st.just(32), _addresses(32)),
+    st.tuples(st.just(128), _addresses(128)),
+)
+
+
+def _apply(table, expected, changes):
+    for network, sites in changes:
+        table.change(network, sites)
+        if sites is None:
+            expected.pop(network, None)
+        else:
+            expected[network] = sites
+
+
+def _probes(expected, drawn):
+    for network in expected:
+        end = network.start + (1 << network.host_bits)
+        for address in (network.start - 1, network.start, end - 1, end):
+            if 0 <= address < 1 << network.bits:
+                yield network.bits, address
+    yield from drawn
+
+
+def _check(naive, table, expected, drawn=()):
+    for bits, address in _probes(expected, drawn):
+        ranking = table.find_number(bits, address)
+        rankings = table.block_set.rankings
+        found = None if ranking < 0 else rankings.get_sites(ranking)
+        assert found == naive(expected, bits, address)
+    networks = [
+        block.network for bits in (32, 128) for block in table.iter_blocks(bits)
+    ]
+    assert networks == sorted(expected)
+
+
+def _fold(table, between=()):
+    async def session():
+        waiting = list(between)
+        async for _ in table.fold(VirtualClock()):
+            if waiting:
+                waiting.pop(0)()
+
+    run_virtual(session)
+
+
+@pytest.fixture
+def small_slices(monkeypatch):
+    """Slices of three blocks, so that small tables need several."""
+
+    def limited(rows, clock):
+        return slices(rows, clock, 3)
+
+    slices = table_module.iter_slices
+    monkeypatch.setattr(table_module, 'iter_slices', limited)
+
+
+_EXAMPLES = settings(
+    derandomize=True,
+    max_examples=150,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+@_EXAMPLES
+@given(_plans(), st.lists(_PROBES))
+def test_every_address_finds_its_longest_block(naive, plan, drawn):
+    """Guards against a wrong block after changes, a fold and more changes."""
+    table = BlockTable()
+    expected = {}
+    before, after = plan
+    _apply(table, expected, before)
+    _check(naive, table, expected, drawn)
+    _fold(table)
+    _check(naive, table, expected, drawn)
+    _apply(table, expected, after)
+    _check(naive, table, expected, drawn)
+    _fold(table)
+    _check(naive, table, expected, drawn)
+
+
+@_EXAMPLES
+@given(_plans())
+def test_changes_during_a_fold_stay(naive, small_slices, plan):
+    """Guards against a fold that reverts a change made while it ran."""
+    table = BlockTable()
+    expected = {}
+    before, during = plan
+    _apply(table, expected, before)
+    steps = [
+        functools.partial(_apply, table, expected, [change])
+        for change in during
+    ]
+    _fold(table, steps)
+    _check(naive, table, expected)
+
+
+def test_a_fold_empties_the_additions_and_drops_unused_rankings(make_block):
+    """Guards against additions and old rankings that pile up for ever."""
+    table = BlockTable()
+    for site in range(table_module.FOLD_AT):
+        table.put(make_block('10.0.0.0/8', site))
+        table.put(make_block(f'2001:db8:{site:x}::/48', 7))
+    assert table.is_fold_due
+    _fold(table)
+    assert not table.is_fold_due
+    assert len(table.block_set.rankings) == 2
+
+
+def test_a_load_that_begins_during_a_fold_wins(make_block):
+    """Guards against a fold that puts the table before the load back."""
+    table = BlockTable()
+    table.put(make_block('10.0.0.0/8', 1))
+    loads = []
+
+    def load():
+        rebuild = table.begin_rebuild()
+        loads.append(table.finish_rebuild(rebuild))
+
+    _fold(table, [load])
+    assert loads == [True]
+    assert table.find_sites(socket.inet_aton('10.0.0.1')) is None
+
+
+def test_a_fold_that_is_broken_off_changes_nothing(make_block):
+    """Guards against a table that can never be folded again."""
+    table = BlockTable()
+    table.put(make_block('10.0.0.0/8', 1))
+
+    async def session():
+        fold = table.fold(VirtualClock())
+        await anext(fold)
+        await fold.aclose()
+
+    run_virtual(session)
+    _fold(table)
+    assert not table.block_set.v4.added_count
+    assert table.find_sites(socket.inet_aton('10.0.0.1')) == (1,)
+
+
+class _CountingClock(Clock):
+    def __init__(self, count):
+        self._count = count
+        self.counts = [0]
+        self.is_running = False
+
+    def now(self):
+        return 0
+
+    async def sleep(self, seconds):
+        self.counts.append(self._count())
+
+
+def test_a_fold_gives_way_after_each_slice_of_work(make_block, monkeypatch):
+    """Guards against a fold that holds the loop for the whole table."""
+    table = BlockTable()
+    appended = []
+    append = table_module.Rebuild.append
+
+    def counted(rebuild, bits, row):
+        appended.append(row)
+        append(rebuild, bits, row)
+
+    monkeypatch.setattr(table_module.Rebuild, 'append', counted)
+    for site in range(3 * WORK_PER_SLICE):
+        table.put(make_block(f'2001:db8:{site:x}::/48', 7))
+    clock = _CountingClock(lambda: len(appended))
+
+    async def session():
+        async for _ in table.fold(clock):
+            clock.is_running = True
+
+    run_virtual(session)
+    steps = [
+        after - before for before, after in itertools.pairwise(clock.counts)
+    ]
+    assert max(steps) == WORK_PER_SLICE
+    assert sum(steps) == 3 * WORK_PER_SLICE
