--- a/nutmegshore/blocks/store.py
+++ b/nutmegshore/blocks/store.py
@@ -19,7 +19,7 @@
 from nutmegshore.blocks.family import Row
 from nutmegshore.blocks.rankings import Rankings
 from nutmegshore.errors import VersionConflict
-from nutmegshore.platform.base import (
+from nutmegshore.platform import (
     Expected,
     Platform,
     StoredObject,
--- /dev/null
+++ b/nutmegshore/entry/caps_gate.py
@@ -0,0 +1,22 @@
+"""Caps as the gate that steering asks."""
+
+from nutmegshore.caps import Caps
+from nutmegshore.steering import CapGate
+
+__all__ = ('CapsGate',)
+
+
+class CapsGate(CapGate):
+    """Admits requests by the units that this entry may use."""
+
+    def __init__(self, caps: Caps) -> None:
+        """Take units from the caps of this entry."""
+        self._caps = caps
+
+    def try_take(self, kind: str, name: str) -> bool:
+        """Take one unit of the named object's cap; False if there is none."""
+        return self._caps.try_take(kind, name)
+
+    def give_back(self, kind: str, name: str) -> None:
+        """Report the end of the request that took the unit."""
+        self._caps.release(kind, name)
--- /dev/null
+++ b/nutmegshore/entry/parts.py
@@ -0,0 +1,201 @@
+"""The parts of an entry behind its listeners."""
+
+import random
+
+import attrs
+
+from nutmegshore.callers import (
+    ForwardHooks,
+    Forwarder,
+    LookupAnswer,
+    LookupLedger,
+    check_service,
+    lookup_entries,
+)
+from nutmegshore.caps import Caps
+from nutmegshore.clock import Clock
+from nutmegshore.configuration import ConfigurationFollower, ConfigurationTable
+from nutmegshore.counters import Counters
+from nutmegshore.entry.caps_gate import CapsGate
+from nutmegshore.entry.keyed_records import KeyedRecords
+from nutmegshore.entry.quarantine_gate import QuarantineGate
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.once import OnceRecords, RecordSweep
+from nutmegshore.peers import Peers
+from nutmegshore.platform import Platform
+from nutmegshore.quarantine import Quarantine
+from nutmegshore.resources import Entry
+from nutmegshore.steering import Steering, Surroundings
+from nutmegshore.upstreams import UpstreamClient
+
+__all__ = ('EntryOptions', 'EntryParts', 'Outside')
+
+_RECORD_FLUSH_S = 5
+
+
+@attrs.frozen
+class Outside:
+    """What an entry reaches outside its process.
+
+    `rng` must differ for each process, also under the same name.
+    """
+
+    platform: Platform
+    peers: Peers
+    upstreams: UpstreamClient
+    clock: Clock
+    rng: random.Random
+    counters: Counters = attrs.field(factory=Counters)
+
+
+@attrs.frozen
+class EntryOptions:
+    """What the settings say of one entry."""
+
+    lookup_lifetime_s: float = 5
+
+
+class EntryParts:
+    """Everything in an entry but its listeners.
+
+    The same parts run behind real listeners and in sessions on virtual time:
+
+        parts = EntryParts(outside)
+        await parts.start()
+        await parts.forwarder.forward(request, receiver)
+        parts.leave()
+        await parts.stop()
+    """
+
+    def __init__(
+        self,
+        outside: Outside,
+        options: EntryOptions | None = None,
+    ) -> None:
+        """Join the parts; nothing runs before `start`."""
+        self.outside = outside
+        self.options = options or EntryOptions()
+        self.table = ConfigurationTable()
+        self._is_leaving = False
+        self._build_agreement(outside)
+        self._build_path(outside)
+
+    @property
+    def local_name(self) -> str:
+        """Name of this entry."""
+        return self.outside.peers.local.name
+
+    async def start(self) -> None:
+        """Begin to follow the configuration and to act on it."""
+        self.follower.start()
+        self.sweep.start()
+        await self.caps.start()
+        await self.steering.start()
+
+    def leave(self) -> None:
+        """Leave the look-up answers, here and at the peers."""
+        self._is_leaving = True
+        self.outside.peers.leave()
+
+    async def stop(self) -> None:
+        """End all tasks, after the last request has ended."""
+        await self.forwarder.drain()
+        await self.steering.stop()
+        await self.caps.stop()
+        await self.records.stop(_RECORD_FLUSH_S)
+        await self.sweep.stop()
+        await self.follower.stop()
+
+    def lookup(self, service: str) -> LookupAnswer:
+        """Entries that a caller should use, or raise `RequestError`."""
+        self.check_ready()
+        check_service(self.table, service)
+        answer = lookup_entries(
+            self.table,
+            self.outside.peers.local.region,
+            self.options.lookup_lifetime_s,
+            self._unusable_entries(),
+            self.outside.rng,
+        )
+        return self.ledger.note(answer)
+
+    def check_ready(self) -> None:
+        """Raise `RequestError` while there is no configuration to go by."""
+        if not self.follower.is_ready:
+            raise RequestError(ErrorKind.NOT_READY, self.local_name)
+
+    def _build_agreement(self, outside: Outside) -> None:
+        """Build what this entry agrees on with the others."""
+        around = (outside.clock, outside.rng, outside.counters)
+        self.follower = ConfigurationFollower(
+            self.table,
+            outside.platform,
+            outside.peers,
+            around,
+        )
+        self.caps = Caps(
+            self.table,
+            outside.platform,
+            outside.peers,
+            *around,
+        )
+        agreed = (outside.platform, outside.peers, outside.clock)
+        self.records = OnceRecords(*agreed, outside.counters)
+        self.sweep = RecordSweep(*agreed, outside.counters)
+        self.quarantine = Quarantine(
+            outside.peers,
+            outside.clock,
+            outside.counters,
+            self._usable_upstreams,
+            self._is_loss_explained,
+        )
+
+    def _build_path(self, outside: Outside) -> None:
+        """Build what a request passes."""
+        local = outside.peers.local
+        self.steering = Steering(
+            self.table,
+            local.region,
+            outside.rng,
+            Surroundings(
+                clock=outside.clock,
+                counters=outside.counters,
+                peers=outside.peers,
+                gate=CapsGate(self.caps),
+                availability_zone=local.availability_zone,
+            ),
+        )
+        self.ledger = LookupLedger(outside.clock)
+        self.forwarder = Forwarder(
+            self.steering,
+            outside.upstreams,
+            outside.clock,
+            outside.counters,
+            ForwardHooks(
+                gate=QuarantineGate(self.quarantine),
+                records=KeyedRecords(self.records),
+                check_ready=self.check_ready,
+            ),
+        )
+
+    def _unusable_entries(self) -> set[str]:
+        """Declared entries that are dead or leaving, as far as is known."""
+        declared = set(self.table.by_name(Entry))
+        usable = set(self.outside.peers.serving())
+        if self._is_leaving:
+            usable.discard(self.local_name)
+        return declared - usable
+
+    def _usable_upstreams(self, service: str) -> set[str]:
+        choices = self.steering.plan.choices.get(service, ())
+        leaving = self.steering.parts.leaving
+        return {
+            name
+            for choice in choices
+            for name in choice.upstreams
+            if name not in leaving
+        }
+
+    def _is_loss_explained(self, upstream: str) -> bool:
+        is_drained = upstream in self.steering.plan.drained
+        return is_drained or upstream in self.steering.parts.leaving
