--- a/nutmegshore/callers/attempts.py
+++ b/nutmegshore/callers/attempts.py
@@ -10,6 +10,8 @@
 __all__ = ('Attempts', 'TrackedReceiver')
 
 _MAX_ATTEMPTS = 3
+#: Answers up to this size are kept for repeats with the same key.
+_KEPT_BYTES = 16_384
 #: Failures of an upstream after which the request has certainly not run.
 _NOT_RUN = frozenset(
     (ErrorKind.UPSTREAM_UNREACHABLE, ErrorKind.UPSTREAM_REFUSED),
@@ -22,6 +24,8 @@
 
     receiver: AnswerReceiver
     has_begun: bool = False
+    kept: bytearray = attrs.field(factory=bytearray)
+    is_kept_whole: bool = True
 
     async def begin(self, head: AnswerHead) -> None:
         """Pass the head on."""
@@ -30,8 +34,21 @@
 
     async def receive(self, chunk: bytes) -> None:
         """Pass a piece on."""
+        self._keep(chunk)
         await self.receiver.receive(chunk)
 
+    @property
+    def kept_body(self) -> bytes | None:
+        """The whole body, or None if it was too large to keep."""
+        return bytes(self.kept) if self.is_kept_whole else None
+
+    def _keep(self, chunk: bytes) -> None:
+        if len(self.kept) + len(chunk) > _KEPT_BYTES:
+            self.is_kept_whole = False
+            self.kept.clear()
+        elif self.is_kept_whole:
+            self.kept += chunk
+
 
 class Attempts:
     """Decides after each failure whether another attempt is allowed.
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -34,13 +35,21 @@
 _MS_PER_S = 1000
 
 
+def _pass() -> None:
+    """Let every request pass."""
+
+
 @attrs.frozen
 class ForwardHooks:
-    """The parts that each request passes besides steering."""
+    """The parts that each request passes besides steering.
+
+    `check_ready` raises `RequestError` while nothing may be forwarded.
+    """
 
     gate: RequestGate = attrs.field(factory=OpenGate)
     records: OnceRecords = attrs.field(factory=NoRecords)
     retries: RetryPolicy = attrs.field(factory=RetryFreely)
+    check_ready: Callable[[], None] = _pass
 
 
 class Forwarder:
@@ -159,7 +168,7 @@
         except BaseException:
             await _settle(found, attempts)
             raise
-        await found.finish(head)
+        await found.finish(head, attempts.tracked.kept_body)
         return head
 
     async def _run(
--- a/nutmegshore/callers/record.py
+++ b/nutmegshore/callers/record.py
@@ -29,8 +29,8 @@
     The methods of this base class do nothing.
     """
 
-    async def finish(self, head: AnswerHead) -> None:
-        """Record that the request ran and how it was answered."""
+    async def finish(self, head: AnswerHead, body: bytes | None) -> None:
+        """Record how the request was answered; None: body not kept."""
 
     async def release(self) -> None:
         """Record that the request certainly did not run."""
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -151,11 +151,15 @@
         """Remember the kind; the message defaults to the kind's name."""
         super().__init__(message or kind.value)
         self.kind = kind
+        self.is_outcome_unknown = False
 
     @property
     def answer(self) -> Answer:
         """Status and outcome for this error."""
-        return ANSWERS[self.kind]
+        answer = ANSWERS[self.kind]
+        if self.is_outcome_unknown:
+            return attrs.evolve(answer, outcome=Outcome.UNKNOWN)
+        return answer
 
 
 class RequestError(NutmegshoreError):
