--- a/nutmegshore/callers/attempts.py
+++ b/nutmegshore/callers/attempts.py
@@ -66,6 +66,7 @@
     ) -> None:
         """Start without an attempt."""
         self.tried: list[str] = []
+        self.failed_with: ErrorKind | None = None
         self.may_have_run = False
         self.tracked = TrackedReceiver(receiver)
         self._outgoing = outgoing
@@ -81,6 +82,7 @@
 
     def check_retry(self, failure: RequestError, now: float) -> None:
         """Return if another attempt is allowed, else raise the failure."""
+        self.failed_with = failure.kind
         if failure.answer.outcome is not Outcome.NOT_RUN:
             self._unknown = failure
         self.may_have_run = self._unknown is not None
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -86,9 +86,7 @@
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
             stack.callback(self._leave)
-            service = self._service(request)
-            ready = await self._prepare(request, service)
-            self._hooks.gate.check(ready)
+            service, ready = await self._check(request)
             if ready.idempotency_key and not service.idempotent:
                 return await self._run_recorded(ready, service, receiver)
             attempts = self._attempts(ready, service, receiver)
@@ -105,6 +103,25 @@
         if not self.in_flight:
             self._drained.set()
 
+    async def _check(
+        self,
+        request: CallerRequest,
+    ) -> tuple[Service, CallerRequest]:
+        """Check a request before its at-most-once record is read.
+
+        An earlier request with the same key may have run, so that a keyed
+        request that is refused here has an unknown outcome.
+        """
+        try:
+            self._hooks.check_ready()
+            service = self._service(request)
+            ready = await self._prepare(request, service)
+            self._hooks.gate.check(ready)
+        except RequestError as refusal:
+            refusal.is_outcome_unknown = bool(request.idempotency_key)
+            raise
+        return service, ready
+
     def _service(self, request: CallerRequest) -> Service:
         service = self._steering.plan.services.get(request.service)
         if service is None:
@@ -193,6 +210,8 @@
             request.deadline,
             frozenset(attempts.tried),
             functools.partial(self._hooks.gate.allows, request),
+            attempts.failed_with,
+            _body_bytes(request),
         )
         try:
             self._check_deadline(request)
@@ -242,6 +261,12 @@
         await claim.release()
 
 
+def _body_bytes(request: CallerRequest) -> int:
+    """Length of the body where it is known, else 0."""
+    length = request.body.length if request.body else None
+    return length or 0
+
+
 def _outgoing(request: CallerRequest, service: Service) -> UpstreamRequest:
     return UpstreamRequest(
         request_id=request.request_id,
