--- a/bench/sessions/caps.py
+++ b/bench/sessions/caps.py
@@ -35,6 +35,7 @@
 _OUTAGE_AT_S = 20
 _LOADED_S = 15
 _READ_S = 5
+_QUIET_S = 600
 _STEADY_GOAL = 0.95
 _JUMP_GOAL = 0.8
 _CHOSEN = 'owners and loans'
@@ -171,6 +172,29 @@
     return _HEAVY if name == 'e4' else 0
 
 
+def _run_calls(seed: int, count: int) -> tuple[float, float, int]:
+    """Platform reads and writes per second of one cap in quiet times."""
+    return run_virtual(lambda: _quiet(seed, count))
+
+
+async def _quiet(seed: int, count: int) -> tuple[float, float, int]:
+    fleet = Fleet(
+        FleetOptions(seed=seed, count=count, cap=_CAP, step_s=1),
+        lambda name, at: 1,
+    )
+    await fleet.start()
+    await asyncio.sleep(_OUTAGE_AT_S)
+    before = _calls(fleet)
+    await asyncio.sleep(_QUIET_S)
+    reads, writes, _ = _calls(fleet)
+    await fleet.stop()
+    return (
+        (reads - before[0]) / _QUIET_S,
+        (writes - before[1]) / _QUIET_S,
+        fleet.judge.over_cap(),
+    )
+
+
 def measure(seed: int) -> Findings:
     """Compare the policies and run the fault schedules."""
     cases = [
@@ -188,17 +212,29 @@
         seeds = range(seed, seed + _SCHEDULES)
         faulty = workers.map(run_schedule, seeds, chunksize=5)
         alone = workers.map(run_isolated, seeds[:_ISOLATED])
+        quiet = dict(
+            zip(
+                _SIZES,
+                workers.map(functools.partial(_run_calls, seed), _SIZES),
+                strict=True,
+            ),
+        )
         results = list(used)
         ends = dict(zip(outages, lasted, strict=True))
         verdicts = [*faulty, *alone]
     over = [
         *[found.over_cap for found in results],
         *[found[-1] for found in ends.values()],
+        *[found[-1] for found in quiet.values()],
         *[verdict.over_cap for verdict in verdicts],
     ]
     return Findings(
         measures=(*_use_measures(seed, results), _over_measure(seed, over)),
-        tables=(_use_table(results), _outage_table(ends)),
+        tables=(
+            _use_table(results),
+            _outage_table(ends),
+            _quiet_table(quiet),
+        ),
     )
 
 
@@ -278,5 +314,15 @@
     return Table('Use of a cap in a platform outage', columns, tuple(rows))
 
 
+def _quiet_table(quiet: dict[int, tuple[float, float, int]]) -> Table:
+    columns = ('entries', 'reads/s', 'writes/s', 'over_cap')
+    rows = [
+        tuple(map(_cell, (count, *found))) for count, found in quiet.items()
+    ]
+    return Table(
+        'Platform calls of one cap with a lease of 600 s', columns, tuple(rows)
+    )
+
+
 def _cell(found: object) -> str:
-    return format(found, '.3f') if isinstance(found, float) else str(found)
+    return format(found, '.4f') if isinstance(found, float) else str(found)
