--- a/bench/caps_faults.py
+++ b/bench/caps_faults.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-from bench.caps_fleet import Fleet, FleetOptions
+from bench.caps_fleet import Fleet, FleetOptions, Instance
 from nutmegshore.clock import run_virtual
+from nutmegshore.platform.memory import Faults
 
 __all__ = ('Verdict', 'run_isolated', 'run_schedule')
 
@@ -89,18 +90,22 @@
     def _one(self) -> str:
         return self._rng.choice(sorted(self._fleet.by_name))
 
+    def _instance(self) -> Instance:
+        return self._fleet.by_name[self._one()]
+
     def _length(self) -> float:
         longest = self._rng.choice((_SHORT_S, _LONG_S))
         return self._rng.uniform(0.1, longest)
 
     async def _pause(self) -> None:
-        self._fleet.by_name[self._one()].clock.pause(self._length())
+        clock = self._instance().clock
+        clock.pause(self._length())
 
     async def _pause_after_take(self) -> None:
         self._fleet.pause_after_take(self._one(), self._length())
 
     async def _pause_in_renewal(self) -> None:
-        platform = self._fleet.by_name[self._one()].platform
+        platform = self._instance().platform
         waiting = (platform.pauses_before, platform.pauses_after)
         self._rng.choice(waiting).append(self._length())
 
@@ -138,8 +143,8 @@
         await asyncio.sleep(self._rng.uniform(*_DOWN_S))
         faults.is_down = False
 
-    def _faults_of_platform(self):
-        one = self._fleet.by_name[self._one()].platform.faults
+    def _faults_of_platform(self) -> Faults:
+        one = self._instance().platform.faults
         return self._rng.choice((one, self._fleet.store.faults))
 
     async def _recap(self) -> None:
@@ -196,7 +201,8 @@
         await asyncio.sleep(_POLL_S)
     fleet.declare(_CAP, ['e1'])
     await asyncio.sleep(_POLL_S)
-    fleet.by_name['e0'].platform.faults.is_down = True
+    owner = fleet.by_name['e0'].platform
+    owner.faults.is_down = True
     await asyncio.sleep(lease_s + _LOADED_S)
     await fleet.stop()
     return Verdict(seed, fleet.judge.over_cap(), len(fleet.judge.uses), ())
--- a/bench/caps_rules.py
+++ b/bench/caps_rules.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import math
 import sys
 from collections.abc import Iterator
@@ -22,6 +23,8 @@
 
 _SEEDS = 200
 _WORKERS = 4
+#: The wait that the shorter of two declared leases calls for.
+_SHORT_LEASE_S = 11.5
 
 #: Rules whose absence shows in tenths of a second only.
 _NARROW = frozenset(
@@ -51,15 +54,40 @@
 
 
 def _ripe(wait):
-    def ripe_at(self, held):
-        return {
-            share.identity: self._seen[share.identity].first_at
-            + wait(share.lease_seconds, held.hold_s)
-            for share in self.ledger.shares
-            if share.identity != self.identity
-        }
+    return functools.partialmethod(_ripe_at, wait)
 
-    return ripe_at
+
+def _ripe_at(self, wait, held):
+    return {
+        share.identity: self._seen[share.identity].first_at
+        + wait(share.lease_seconds, held.hold_s)
+        for share in self.ledger.shares
+        if share.identity != self.identity
+    }
+
+
+def _target(self, now):
+    return self.target
+
+
+def _end_a_second_on(self, now, seconds):
+    return now + 1
+
+
+def _end(self, now, seconds):
+    return now + seconds
+
+
+def _longest(self, now, longest):
+    return longest
+
+
+def _keep_asked(self, lender):
+    """Forget nothing."""
+
+
+def _always(self, taken_at):
+    return True
 
 
 def _lendable(self, now):
@@ -145,7 +173,11 @@
             ),
         ],
         'lease written by the owner counts': [
-            (keeper.Keeper, '_ripe_at', _ripe(lambda lease, hold: 11.5)),
+            (
+                keeper.Keeper,
+                '_ripe_at',
+                _ripe(lambda lease, hold: _SHORT_LEASE_S),
+            ),
         ],
         'a renewal is conditional': [
             (keeper, 'write_resolved', _write_blind),
@@ -156,26 +188,26 @@
         'sequences never repeat': [(ledger, '_put', _put_next)],
         'a cut is confirmed by its owner': [(ledger, '_recap', _cut_at_once)],
         'a cut is confirmed after a window': [
-            (_Holding, 'kept', lambda self, now: self.target),
+            (_Holding, 'kept', _target),
         ],
         'lent units wait for the end of the loan': [
-            (_Holding, 'loan_ends', lambda self, now, seconds: now + 1),
+            (_Holding, 'loan_ends', _end_a_second_on),
         ],
         'lent units wait for window and drift': [
-            (_Holding, 'loan_ends', lambda self, now, seconds: now + seconds),
+            (_Holding, 'loan_ends', _end),
         ],
         'loan ends before the lease': [
-            (_Holding, 'loan_seconds', lambda self, now, longest: longest),
+            (_Holding, 'loan_seconds', _longest),
         ],
         'only unused units are lent': [(_Holding, 'lendable', _lendable)],
         'returned units wait for a window': [
             (loans.Lender, 'take_back', _take_back_now),
         ],
         'answers before a return do not count': [
-            (_Borrower, '_forget_asked', lambda self, lender: None),
+            (_Borrower, '_forget_asked', _keep_asked),
         ],
         'a request is sent right after its check': [
-            (Caps, 'is_sendable', lambda self, taken_at: True),
+            (Caps, 'is_sendable', _always),
         ],
     },
 )
