--- a/nutmegshore/blocks/bodies.py
+++ b/nutmegshore/blocks/bodies.py
@@ -4,7 +4,7 @@
 import sys
 import zlib
 from array import array
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import Any
 
 import msgpack
@@ -19,6 +19,7 @@
     'read_numbers',
     'read_start',
     'read_starts',
+    'swap_sites',
     'write_body',
     'write_numbers',
     'write_start',
@@ -30,6 +31,8 @@
 #: Bound on a body after decompression, against one made to exhaust memory.
 _MAX_PLAIN_BYTES = 8_000_000
 _START_BYTES = 16
+_HALF_BITS = 64
+_LOW_MASK = (1 << _HALF_BITS) - 1
 
 
 class ChunkFault(ObjectError):
@@ -99,11 +102,27 @@
     return _little_endian(numbers)
 
 
-def write_starts(bits: int, starts: Iterable[int]) -> bytes:
-    """Encode the first addresses of blocks of one family."""
+def swap_sites(packed: bytes) -> bytes:
+    """Turn 16-bit numbers from or to the stored order, the lower byte first.
+
+    They are stored as machines of the usual byte order keep them, since every
+    load reads thousands of lists.
+    """
+    if sys.byteorder == 'little':
+        return packed
+    return write_numbers(read_numbers('H', packed))
+
+
+def write_starts(bits: int, starts: Sequence[int]) -> bytes:
+    """Encode the first addresses of blocks of one family.
+
+    IPv6 addresses are written as all upper and then all lower halves.
+    """
     if bits == V4_BITS:
         return write_numbers(array('I', starts))
-    return b''.join(write_start(start) for start in starts)
+    halves = array('Q', [start >> _HALF_BITS for start in starts])
+    halves.extend(start & _LOW_MASK for start in starts)
+    return write_numbers(halves)
 
 
 def read_starts(bits: int, packed: bytes) -> tuple[int, ...]:
@@ -112,11 +131,10 @@
         return tuple(read_numbers('I', packed))
     if len(packed) % _START_BYTES:
         raise ValueError('starts are cut')
-    parts = range(0, len(packed), _START_BYTES)
-    return tuple(
-        read_start(packed[slice(first, first + _START_BYTES)])
-        for first in parts
-    )
+    halves = read_numbers('Q', packed)
+    count = len(halves) // 2
+    pairs = zip(halves[:count], halves[count:], strict=True)
+    return tuple(high << _HALF_BITS | low for high, low in pairs)
 
 
 def _little_endian(numbers: 'array[int]') -> 'array[int]':
--- a/nutmegshore/blocks/chunks.py
+++ b/nutmegshore/blocks/chunks.py
@@ -35,14 +35,14 @@
 
     `version` is the number of the last change that is contained. `starts`
     holds one number a block; `rankings` gives for each block the index of its
-    list in `lists`.
+    list in `lists`, which are packed as in `Rankings`.
     """
 
     generation: int
     index: int
     version: int
     bits: int
-    lists: tuple[tuple[int, ...], ...]
+    lists: tuple[bytes, ...]
     starts: tuple[int, ...]
     host_bits: bytes
     rankings: 'array[int]'
@@ -121,7 +121,7 @@
         index=delta.index,
         version=delta.last,
         bits=bits,
-        lists=tuple(rankings.get_sites(number) for number in lists),
+        lists=tuple(rankings.write_packed(number) for number in lists),
         starts=tuple(starts),
         host_bits=bytes(host_bits),
         rankings=numbers,
@@ -130,7 +130,7 @@
 
 def iter_rows(chunk: Chunk, rankings: Rankings) -> Iterator[Row]:
     """Iterate over a chunk's blocks with their numbers in `rankings`."""
-    numbers = [rankings.intern(sites) for sites in chunk.lists]
+    numbers = [rankings.intern_packed(packed) for packed in chunk.lists]
     columns = zip(chunk.starts, chunk.host_bits, chunk.rankings, strict=True)
     for start, host_bits, ranking in columns:
         yield start, host_bits, numbers[ranking]
--- a/nutmegshore/blocks/codec.py
+++ b/nutmegshore/blocks/codec.py
@@ -16,6 +16,8 @@
     'write_manifest',
 )
 
+_SITE_BYTES = 2
+
 #: What reading fields of an unexpected form raises; IndexError and KeyError
 #: are lookup errors.
 _MALFORMED = (ValueError, TypeError, LookupError, OverflowError)
@@ -28,7 +30,7 @@
         chunk.index,
         chunk.version,
         chunk.bits,
-        chunk.lists,
+        [bodies.swap_sites(packed) for packed in chunk.lists],
         bodies.write_starts(chunk.bits, chunk.starts),
         chunk.host_bits,
         bodies.write_numbers(chunk.rankings),
@@ -93,7 +95,7 @@
         index=int(fields[1]),
         version=int(fields[2]),
         bits=bits,
-        lists=tuple(_read_sites(sites) for sites in lists),
+        lists=tuple(_read_packed(packed) for packed in lists),
         starts=bodies.read_starts(bits, starts),
         host_bits=bytes(host_bits),
         rankings=bodies.read_numbers('H', rankings),
@@ -151,6 +153,12 @@
     return tuple(array('H', raw))
 
 
+def _read_packed(raw: Any) -> bytes:
+    if not isinstance(raw, bytes) or len(raw) % _SITE_BYTES:
+        raise ValueError('a list of sites is cut')
+    return bodies.swap_sites(raw)
+
+
 def _read_list(raw: Any) -> list[Any]:
     if not isinstance(raw, list):
         raise TypeError('not a list')
--- a/nutmegshore/blocks/overlays.py
+++ b/nutmegshore/blocks/overlays.py
@@ -177,12 +177,13 @@
 
         Raises ValueError for another length.
         """
-        ranking = self._table.find(packed)
+        block_set = self._table.block_set
+        ranking = block_set.find(packed)
         if ranking == NOT_FOUND:
             return None
         if self._version != self._overlays.version:
             self._forget()
-        if self._rankings is not self._table.block_set.rankings:
+        if self._rankings is not block_set.rankings:
             self._forget()
         return self._settled.get(ranking) or self._decide(ranking)
 
--- a/nutmegshore/blocks/packed.py
+++ b/nutmegshore/blocks/packed.py
@@ -23,6 +23,9 @@
 
 _TOP_SHIFT = 16
 _HALF_BITS = 64
+#: One of so many upper halves is kept in a list as well, where the first
+#: steps of a search are faster than in the array.
+_SAMPLE_STEP = 256
 _LOW_MASK = (1 << _HALF_BITS) - 1
 
 
@@ -136,7 +139,13 @@
     def find(self, address: int) -> int:
         """Index of the longest live block around an address."""
         starts = self.starts
-        index = self.find_last(address)
+        tops = self._tops
+        top = (address >> _TOP_SHIFT) + 1
+        # As in find_last, but a call costs as much as the whole search.
+        if top < len(tops):
+            index = bisect_right(starts, address, tops[top - 1], tops[top]) - 1
+        else:
+            index = bisect_right(starts, address) - 1
         while index >= 0:
             apart = (address ^ starts[index]) >> self.host_bits[index]
             if not apart and self.rankings[index] != REMOVED:
@@ -166,6 +175,7 @@
         super().__init__()
         self.highs = array('Q')
         self.lows = array('Q')
+        self._samples: list[int] = []
 
     def get_start(self, index: int) -> int:
         """First address of a block."""
@@ -174,8 +184,12 @@
     def find_last(self, address: int) -> int:
         """Index of the last block that starts at or before an address."""
         high = address >> _HALF_BITS
-        index = bisect_right(self.highs, high) - 1
-        if index < 0 or self.highs[index] != high:
+        place = bisect_right(self._samples, high) * _SAMPLE_STEP
+        if not place:
+            return NOT_FOUND
+        end = min(place, len(self.highs))
+        index = bisect_right(self.highs, high, place - _SAMPLE_STEP, end) - 1
+        if self.highs[index] != high:
             return index
         first = bisect_left(self.highs, high, 0, index)
         low = address & _LOW_MASK
@@ -199,7 +213,10 @@
         return NOT_FOUND
 
     def _append_start(self, start: int) -> None:
-        self.highs.append(start >> _HALF_BITS)
+        high = start >> _HALF_BITS
+        if len(self.highs) % _SAMPLE_STEP == 0:
+            self._samples.append(high)
+        self.highs.append(high)
         self.lows.append(start & _LOW_MASK)
 
 
--- a/nutmegshore/blocks/rankings.py
+++ b/nutmegshore/blocks/rankings.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         """Start without lists."""
-        self._packed = array('H')
+        self._joined = array('H')
         self._ends = array('I', [0])
         self._numbers: dict[bytes, int] = {}
 
@@ -39,27 +39,36 @@
         Raises `ObjectError` when there are `MAX_RANKINGS` lists already, and
         OverflowError for a site number of more than 16 bits.
         """
-        packed = array('H', sites)
-        key = packed.tobytes()
-        number = self._numbers.get(key)
+        return self.intern_packed(array('H', sites).tobytes())
+
+    def intern_packed(self, packed: bytes) -> int:
+        """Number of a list given as the bytes of its array of 16-bit sites."""
+        number = self._numbers.get(packed)
         if number is None:
-            number = self._add(key, packed)
+            number = self._add(packed)
         return number
 
     def get_sites(self, number: int) -> tuple[int, ...]:
         """Sites of a list, the best first."""
+        return tuple(self._get_array(number))
+
+    def write_packed(self, number: int) -> bytes:
+        """Bytes of a list, as `intern_packed` takes them."""
+        return self._get_array(number).tobytes()
+
+    def _get_array(self, number: int) -> 'array[int]':
         first = self._ends[number]
         end = self._ends[number + 1]
-        return tuple(self._packed[first:end])
+        return self._joined[first:end]
 
-    def _add(self, key: bytes, packed: 'array[int]') -> int:
+    def _add(self, packed: bytes) -> int:
         number = len(self)
         if number >= MAX_RANKINGS:
             raise ObjectError(
                 ErrorKind.INVALID_OBJECT,
                 f'more than {MAX_RANKINGS} distinct rankings',
             )
-        self._packed.extend(packed)
-        self._ends.append(len(self._packed))
-        self._numbers[key] = number
+        self._joined.frombytes(packed)
+        self._ends.append(len(self._joined))
+        self._numbers[packed] = number
         return number
--- a/nutmegshore/blocks/table.py
+++ b/nutmegshore/blocks/table.py
@@ -40,6 +40,14 @@
         """The family of addresses of this many bits."""
         return self.v4 if bits == V4_BITS else self.v6
 
+    def find(self, packed: bytes) -> int:
+        """Ranking for an address of 4 or 16 bytes, or NOT_FOUND."""
+        if len(packed) == V4_BYTES:
+            # Most callers; they need no look at the form of the address.
+            return self.v4.find(int.from_bytes(packed, 'big'))
+        bits, address = read_address(packed)
+        return self.get_family(bits).find(address)
+
     def change(self, network: Network, sites: tuple[int, ...] | None) -> None:
         """Put a block, or remove it where `sites` is None."""
         family = self.get_family(network.bits)
@@ -117,11 +125,7 @@
 
         Raises ValueError for another length.
         """
-        if len(packed) == V4_BYTES:
-            # IPv4 callers are most of all; they need no look at the form.
-            return self.block_set.v4.find(int.from_bytes(packed, 'big'))
-        bits, address = read_address(packed)
-        return self.block_set.get_family(bits).find(address)
+        return self.block_set.find(packed)
 
     def find_number(self, bits: int, address: int) -> int:
         """Ranking for an address given as a number of 32 or 128 bits."""
