Join all parts in the entry daemon

Cause: caps, at-most-once records, the quarantine, the peer mesh and the configuration's spread existed beside the daemon. EntryParts joins them behind the listeners, on real links as on virtual time; the daemon leaves the look-up answers and serves on before it stops. Owners of records are compared by process, since a refuted suspicion raises the incarnation.

--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -1,33 +1,45 @@
-"""The entry daemon: its parts, their tasks, its start and stop."""
+"""The entry daemon: its listeners, its start and its stop."""
 
-import asyncio
+import functools
 import random
-
-from tornado.httpserver import HTTPServer
+import time
 
 from nutmegshore.callers import (
-    Forwarder,
-    LookupAnswer,
-    check_service,
-    lookup_entries,
+    CallerServer,
+    ListenerStop,
     make_caller_application,
 )
 from nutmegshore.clock import Clock, SystemClock
-from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
-from nutmegshore.errors import PlatformError
+from nutmegshore.entry.overview import (
+    is_region_reporter,
+    make_providers,
+    make_status_board,
+)
+from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
+from nutmegshore.entry.seeds import read_seeds
 from nutmegshore.logs import get_logger
+from nutmegshore.operators import StatusWriter
 from nutmegshore.operators.assembly import make_operator_side
-from nutmegshore.platform import HttpPlatform, Platform, StoredObject
-from nutmegshore.resources import InvalidObject, parse_envelope
-from nutmegshore.settings import EntrySettings
-from nutmegshore.steering import Steering
+from nutmegshore.peers import (
+    Member,
+    MeshOptions,
+    MeshPeers,
+    TcpTransport,
+    first_incarnation,
+)
+from nutmegshore.platform import HttpPlatform, Platform
+from nutmegshore.settings import (
+    EntrySettings,
+    make_peer_contexts,
+)
 from nutmegshore.upstreams.curl import CurlUpstreams
 
 __all__ = ('EntryDaemon',)
 
-_CONFIG_PREFIX = 'config/'
-_RETRY_S = 1
+_SEED_BITS = 64
+_PEERS = 'peers'
+_CALLERS = 'callers'
 
 
 class EntryDaemon:
@@ -48,45 +60,42 @@
         """Build the parts; nothing runs before `start`."""
         self._settings = settings
         self._clock = clock or SystemClock()
+        self.counters = Counters()
+        # Identities of processes and operations must never repeat, so the
+        # seed comes from the system.
+        self._rng = random.Random(random.SystemRandom().getrandbits(_SEED_BITS))
         self._platform = platform or HttpPlatform(
             settings.get('platform', 'url'),
         )
-        self._region = settings.get('instance', 'region')
-        self._rng = random.Random(settings.get('instance', 'name'))
-        self.counters = Counters()
-        self.table = ConfigurationTable()
-        self.operators = make_operator_side(
-            settings,
-            self._platform,
-            self.table,
-            self.counters,
+        self._upstreams = CurlUpstreams(self._clock)
+        self._transport = TcpTransport(
+            settings.get(_PEERS, 'address'),
+            settings.get(_PEERS, 'port'),
+            *make_peer_contexts(settings),
         )
+        self.peers = self._make_peers()
+        self.parts = self._make_parts()
+        self.operators = self._make_operators()
         self._log = get_logger('entry')
-        self._tasks: list[asyncio.Task] = []
-        self._servers: dict[str, HTTPServer] = {}
+        self._server: CallerServer | None = None
 
     async def start(self) -> None:
-        """Read the configuration and open the listeners."""
-        steering = Steering(self.table, self._region, self._rng)
-        forwarder = Forwarder(
-            steering,
-            CurlUpstreams(self._clock),
-            self._clock,
-            self.counters,
-        )
-        callers = make_caller_application(
-            forwarder,
-            self._lookup,
+        """Join the peers, and open the listeners."""
+        self.peers.start()
+        await self.parts.start()
+        self._status_writer.start()
+        application = make_caller_application(
+            self.parts.forwarder,
+            self.parts.lookup,
             self.counters,
+            self._clock,
         )
-        follow = asyncio.create_task(self._follow_platform())
-        self._tasks.append(follow)
-        self._servers['callers'] = callers.listen(
-            self._settings.get('callers', 'port'),
-            self._settings.get('callers', 'address'),
+        self._server = application.listen(
+            self._settings.get(_CALLERS, 'port'),
+            self._settings.get(_CALLERS, 'address'),
         )
-        self._servers['operators'] = self.operators.listen()
-        self._log.info('started', name=self._settings.get('instance', 'name'))
+        self.operators.listen()
+        self._log.info('started', name=self.parts.local_name)
 
     def reload(self, settings: EntrySettings) -> None:
         """Take tokens, client certificates and TLS files from settings.
@@ -94,60 +103,96 @@
         Everything else needs a restart. Raises `SettingsError` for TLS files
         that cannot be read; what was in use stays.
         """
+        contexts = make_peer_contexts(settings)
         self.operators.reload(settings)
+        self._transport.reload_tls(*contexts)
         self._log.info('reloaded')
 
     async def stop(self) -> None:
-        """Close the listeners and end all tasks."""
-        closing = [_close(server) for server in self._servers.values()]
-        await asyncio.gather(*closing)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Stop without cutting a request or stranding a caller.
+
+        The entry leaves the look-up answers, serves on for the lifetime of
+        those that name it, finishes its requests, and then closes.
+        """
+        self._log.info('stopping')
+        self.parts.leave()
+        lifetime_s = self._settings.get('lookup', 'lifetime_seconds')
+        await ListenerStop(
+            self.parts.local_name,
+            self._server,
+            self.parts.forwarder,
+            self.parts.ledger,
+            self._clock,
+            lifetime_s,
+        ).run()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close everything at once; requests in flight are cut."""
+        await self._server.close_all_connections()
+        self._server.stop()
+        await self._status_writer.stop()
+        await self.parts.stop()
+        await self.peers.stop()
+        await self._transport.stop()
+        await self._close_operators()
+        self._upstreams.close()
         self._log.info('stopped')
 
-    def _lookup(self, service: str) -> LookupAnswer:
-        check_service(self.table, service)
-        return lookup_entries(
-            self.table,
-            self._region,
+    async def _close_operators(self) -> None:
+        self.operators.server.stop()
+        await self.operators.server.close_all_connections()
+
+    def _make_peers(self) -> MeshPeers:
+        get = functools.partial(self._settings.get, 'instance')
+        local = Member(
+            get('name'),
+            get('region'),
+            get('availability_zone'),
+            first_incarnation(self._rng),
+        )
+        options = MeshOptions(
+            cluster=self._settings.get(_PEERS, 'cluster'),
+            key=self._settings.get(_PEERS, 'key').encode(),
+        )
+        return MeshPeers(
+            local,
+            self._transport,
+            options,
+            functools.partial(read_seeds, self._platform, local.name),
+            (self._clock, self._rng, self.counters),
+        )
+
+    def _make_parts(self) -> EntryParts:
+        outside = Outside(
+            platform=self._platform,
+            peers=self.peers,
+            upstreams=self._upstreams,
+            clock=self._clock,
+            rng=self._rng,
+            counters=self.counters,
+        )
+        options = EntryOptions(
             self._settings.get('lookup', 'lifetime_seconds'),
-            (),
-            self._rng,
         )
+        parts = EntryParts(outside, options)
+        self._upstreams.on_report = parts.note_report
+        return parts
 
-    async def _follow_platform(self) -> None:
-        """Merge the platform's listing, then what its watch delivers."""
-        while True:
-            try:
-                await self._watch_platform()
-            except PlatformError as failure:
-                reason = failure.kind.value
-                self.counters.add('platform_failures', reason=reason)
-                await self._clock.sleep(_RETRY_S)
-
-    async def _watch_platform(self) -> None:
-        # The position is read before the listing, so that no change falls
-        # between the two.
-        position = await self._platform.read_position()
-        self._merge(await self._platform.iter_objects(_CONFIG_PREFIX))
-        while True:
-            changes = await self._platform.watch(_CONFIG_PREFIX, position)
-            position = changes.position
-            self._merge(
-                [change.stored for change in changes.changes if change.stored],
-            )
-
-    def _merge(self, stored: list[StoredObject]) -> None:
-        envelopes = []
-        for found in stored:
-            try:
-                envelopes.append(parse_envelope(found.body))
-            except InvalidObject:
-                self.counters.add('configuration_rejected', key=found.key)
-        self.table.merge(envelopes)
-
-
-async def _close(server: HTTPServer) -> None:
-    server.stop()
-    await server.close_all_connections()
+    def _make_operators(self):
+        board = make_status_board(self.parts, time.time)
+        self._status_writer = StatusWriter(
+            self._platform,
+            board,
+            self._clock,
+            functools.partial(is_region_reporter, self.parts),
+            self.counters,
+            self._rng,
+        )
+        return make_operator_side(
+            self._settings,
+            self._platform,
+            self.parts.table,
+            self.counters,
+            make_providers(self.parts, board, self._platform),
+        )
--- /dev/null
+++ b/nutmegshore/entry/overview.py
@@ -0,0 +1,216 @@
+"""What the operator listener shows of the parts of an entry."""
+
+import functools
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
+
+import attrs
+
+from nutmegshore.caps import CapStatus
+from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.entry.parts import EntryParts
+from nutmegshore.operators import (
+    Conflict,
+    Explanation,
+    Providers,
+    StatusBoard,
+    StatusPart,
+    read_statuses,
+)
+from nutmegshore.platform import Platform
+from nutmegshore.resources import Drain, Envelope, Limit, Shift
+from nutmegshore.steering import (
+    DrainProgress,
+    DrainState,
+    find_conflicts,
+)
+from nutmegshore.steering import Explanation as SteeringExplanation
+
+__all__ = ('is_region_reporter', 'make_providers', 'make_status_board')
+
+_CAPPED = (('shift', Shift), ('limit', Limit))
+
+
+def make_status_board(
+    parts: EntryParts,
+    wall_s: Callable[[], float],
+) -> StatusBoard:
+    """Status of each object, from the caps, drains and problems."""
+    board = StatusBoard(
+        parts.table,
+        parts.outside.peers.local.region,
+        wall_s,
+        functools.partial(_members_of, parts),
+    )
+    board.add_provider(functools.partial(_cap_parts, parts))
+    board.add_provider(functools.partial(_drain_parts, parts))
+    board.add_provider(functools.partial(_problem_parts, parts))
+    return board
+
+
+def make_providers(
+    parts: EntryParts,
+    board: StatusBoard,
+    platform: Platform,
+) -> Providers:
+    """What the resource API answers from the parts."""
+    return Providers(
+        explain=functools.partial(_explain, parts),
+        find_conflicts=_find_conflicts,
+        iter_statuses=board.iter_statuses,
+        read_statuses=functools.partial(read_statuses, platform),
+        why_not_ready=functools.partial(_why_not_ready, parts),
+        why_not_healthy=functools.partial(_why_not_healthy, parts),
+    )
+
+
+def is_region_reporter(parts: EntryParts) -> bool:
+    """Whether this entry writes the statuses of its region."""
+    local = parts.outside.peers.local
+    names = [
+        name
+        for name, member in parts.outside.peers.live().items()
+        if member.region == local.region
+    ]
+    return min(names) == local.name
+
+
+def _why_not_ready(parts: EntryParts) -> str:
+    return '' if parts.follower.is_ready else 'configuration not complete'
+
+
+def _why_not_healthy(parts: EntryParts) -> str:
+    failures = parts.follower.failures
+    return repr(failures[0]) if failures else ''
+
+
+def _drains_left(parts: EntryParts) -> dict[str, int]:
+    """Own requests that still run in drained upstreams, by drain."""
+    own = parts.steering.parts.estimate.own
+    left = dict.fromkeys(parts.table.by_name(Drain), 0)
+    for upstream, origin in parts.steering.plan.drained.items():
+        left[origin.name] = left.get(origin.name, 0) + own[upstream]
+    return left
+
+
+def _members_of(parts: EntryParts, envelope: Envelope) -> Iterable[str]:
+    return parts.follower.confirmations(envelope.key, envelope.generation)
+
+
+def _cap_parts(parts: EntryParts) -> Iterator[StatusPart]:
+    for kind, spec_type in _CAPPED:
+        for name in parts.table.by_name(spec_type):
+            statuses = parts.caps.status(kind, name)
+            yield StatusPart(
+                kind,
+                name,
+                done=_cap_figures(statuses),
+                held_back_by=_cap_obstacles(statuses),
+            )
+
+
+def _cap_figures(statuses: Iterable[CapStatus]) -> Mapping[str, float]:
+    shown = ('in_force', 'owned', 'lent', 'borrowed', 'used')
+    return {
+        '_'.join((status.measure, field)): getattr(status, field)
+        for status in statuses
+        for field in shown
+    }
+
+
+def _cap_obstacles(statuses: Iterable[CapStatus]) -> tuple[str, ...]:
+    return tuple(
+        ': '.join((status.measure, status.held_back.value))
+        for status in statuses
+        if status.held_back.value
+    )
+
+
+def _drain_parts(parts: EntryParts) -> Iterator[StatusPart]:
+    paced = set()
+    for progress in parts.steering.drain_progress():
+        paced.add(progress.origin.name)
+        yield _paced_drain(progress)
+    for name, left in _drains_left(parts).items():
+        if name not in paced:
+            yield StatusPart(
+                'drain',
+                name,
+                done={'requests_left': left},
+                progress=0 if left else 1,
+            )
+
+
+def _paced_drain(progress: DrainProgress) -> StatusPart:
+    share = progress.moved / progress.total if progress.total else 1
+    is_held = progress.state is DrainState.HELD
+    return StatusPart(
+        'drain',
+        progress.origin.name,
+        done={'moved': progress.moved, 'total': progress.total},
+        progress=share,
+        held_back_by=(progress.reason,) if is_held else (),
+        origins=(progress.origin,),
+    )
+
+
+def _problem_parts(parts: EntryParts) -> Iterator[StatusPart]:
+    for problem in parts.follower.problems:
+        _, kind, name = problem.key.split('/', 2)
+        text = ': '.join((problem.kind.value, problem.detail))
+        yield StatusPart(kind, name, problems=(text,))
+
+
+def _find_conflicts(by_key: Mapping[str, Envelope]) -> list[Conflict]:
+    table = ConfigurationTable()
+    table.merge(by_key.values())
+    found = {
+        (conflict.winner, conflict.loser): Conflict(
+            _short(conflict.winner),
+            _short(conflict.loser),
+            conflict.reason,
+        )
+        for envelope in by_key.values()
+        for conflict in find_conflicts(table, envelope)
+    }
+    return [conflict for _, conflict in sorted(found.items())]
+
+
+def _short(key: str) -> str:
+    """Kind and name of an object's key in the store."""
+    return key.partition('/')[2]
+
+
+def _explain(
+    parts: EntryParts,
+    service: str,
+    region: str,
+) -> list[Explanation]:
+    services = [service] if service else sorted(parts.steering.plan.services)
+    region = region or parts.outside.peers.local.region
+    return [
+        _show(parts.steering.explain(name, region), region)
+        for name in services
+        if name in parts.steering.plan.services
+    ]
+
+
+def _show(found: SteeringExplanation, region: str) -> Explanation:
+    chosen = [
+        {
+            'region': choice.region,
+            'upstreams': sorted(choice.upstreams),
+            'origins': _origins(choice.origins),
+        }
+        for choice in found.chosen
+    ]
+    moved = [{'shifts': _origins(found.shifts)}] if found.shifts else []
+    skipped = [
+        {'skipped': choice.region, 'origins': _origins(choice.origins)}
+        for choice in found.skipped
+    ]
+    return Explanation(found.service, region, (*chosen, *moved, *skipped))
+
+
+def _origins(origins: Iterable[Any]) -> list[dict[str, Any]]:
+    return [attrs.asdict(origin) for origin in origins]
--- a/nutmegshore/entry/parts.py
+++ b/nutmegshore/entry/parts.py
@@ -74,7 +74,7 @@
     ) -> None:
         """Join the parts; nothing runs before `start`."""
         self.outside = outside
-        self.options = options or EntryOptions()
+        self._options = options or EntryOptions()
         self.table = ConfigurationTable()
         self._is_leaving = False
         self._build_agreement(outside)
@@ -88,7 +88,7 @@
     async def start(self) -> None:
         """Begin to follow the configuration and to act on it."""
         self.follower.start()
-        self.sweep.start()
+        self._sweep.start()
         await self.caps.start()
         await self.steering.start()
 
@@ -102,8 +102,8 @@
         await self.forwarder.drain()
         await self.steering.stop()
         await self.caps.stop()
-        await self.records.stop(_RECORD_FLUSH_S)
-        await self.sweep.stop()
+        await self._records.stop(_RECORD_FLUSH_S)
+        await self._sweep.stop()
         await self.follower.stop()
 
     def lookup(self, service: str) -> LookupAnswer:
@@ -113,7 +113,7 @@
         answer = lookup_entries(
             self.table,
             self.outside.peers.local.region,
-            self.options.lookup_lifetime_s,
+            self._options.lookup_lifetime_s,
             self._unusable_entries(),
             self.outside.rng,
         )
@@ -124,6 +124,18 @@
         if not self.follower.is_ready:
             raise RequestError(ErrorKind.NOT_READY, self.local_name)
 
+    def note_report(
+        self,
+        name: str,
+        is_leaving: bool,
+        busy_slots: float | None,
+    ) -> None:
+        """Take what an answer said of its upstream."""
+        if is_leaving:
+            self.steering.note_leaving(name)
+        if busy_slots is not None:
+            self.steering.note_report(name, busy_slots)
+
     def _build_agreement(self, outside: Outside) -> None:
         """Build what this entry agrees on with the others."""
         around = (outside.clock, outside.rng, outside.counters)
@@ -140,8 +152,8 @@
             *around,
         )
         agreed = (outside.platform, outside.peers, outside.clock)
-        self.records = OnceRecords(*agreed, outside.counters)
-        self.sweep = RecordSweep(*agreed, outside.counters)
+        self._records = OnceRecords(*agreed, outside.counters)
+        self._sweep = RecordSweep(*agreed, outside.counters)
         self.quarantine = Quarantine(
             outside.peers,
             outside.clock,
@@ -173,7 +185,7 @@
             outside.counters,
             ForwardHooks(
                 gate=QuarantineGate(self.quarantine),
-                records=KeyedRecords(self.records),
+                records=KeyedRecords(self._records),
                 check_ready=self.check_ready,
             ),
         )
--- a/nutmegshore/once/owners.py
+++ b/nutmegshore/once/owners.py
@@ -7,7 +7,7 @@
 from nutmegshore.once.claim import Claim, RecordWriter
 from nutmegshore.once.messages import OnceAnswer, OnceQuery
 from nutmegshore.once.record import Record, RecordState, write_record
-from nutmegshore.peers import Peers
+from nutmegshore.peers import Member, Peers, process_of
 from nutmegshore.platform import StoredObject
 
 __all__ = ('ASK_AGAIN_S', 'Owners')
@@ -48,7 +48,7 @@
         if record.owner == self._peers.local.name:
             return await self._own_answer(key)
         owner = self._peers.live().get(record.owner)
-        if owner is None or owner.incarnation < record.incarnation:
+        if owner is None or not _is_same_process(owner, record):
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN, key)
         future = self._answers.get(key)
         if future is None:
@@ -92,6 +92,11 @@
         future.set_result(answer)
 
 
+def _is_same_process(owner: Member, record: Record) -> bool:
+    """Whether the member is still the process that owns the record."""
+    return process_of(owner.incarnation) == process_of(record.incarnation)
+
+
 def _answer_of(key: str, claim: Claim | None) -> OnceAnswer:
     # Without a claim, an earlier process of this name owned the record.
     if claim is None:
--- a/nutmegshore/operators/declare.py
+++ b/nutmegshore/operators/declare.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -84,8 +85,13 @@
         platform: Platform,
         table: ConfigurationTable,
         rng: random.Random | None = None,
+        check_ready: Callable[[], None] | None = None,
     ) -> None:
-        """Write through a platform client into a configuration table."""
+        """Write through a platform client into a configuration table.
+
+        `check_ready` raises an error while the table lacks what peers have.
+        """
+        self._check_ready = check_ready
         self._platform = platform
         self._table = table
         self._rng = rng or random.SystemRandom()
@@ -98,6 +104,8 @@
         `PlatformAnswerLost` the declaration may be in the store.
         """
         spec = check_declaration(declaration)
+        if self._check_ready is not None:
+            self._check_ready()
         found = await self._find(declaration)
         _check_generation(declaration, found)
         envelope = self._next_envelope(declaration, spec, found)
--- a/nutmegshore/peers/base.py
+++ b/nutmegshore/peers/base.py
@@ -63,6 +63,13 @@
     def send(self, name: str, body: Any) -> bool:
         """Queue a message for one member; False if there is no way to it."""
 
+    def serving(self) -> dict[str, Member]:
+        """Live members that take new work, by name."""
+        return self.live()
+
+    def leave(self) -> None:
+        """Tell the others that this member takes no new work."""
+
     def neighbours(self) -> list[str]:
         """Names of the members that one message reaches directly."""
         return sorted(set(self.live()) - {self.local.name})
--- a/nutmegshore/peers/membership.py
+++ b/nutmegshore/peers/membership.py
@@ -101,6 +101,14 @@
         """Members that are not dead, by name."""
         return self._live
 
+    def serving(self) -> dict[str, Member]:
+        """Members that are neither dead nor leaving, by name."""
+        return {
+            name: record.member
+            for name, record in sorted(self.by_name.items())
+            if record.state is State.ALIVE
+        }
+
     def dead(self) -> list[Record]:
         """Records of the dead, in the order of their names."""
         return [
--- a/nutmegshore/peers/mesh.py
+++ b/nutmegshore/peers/mesh.py
@@ -81,6 +81,10 @@
         """Live members by name, the local one included."""
         return self.membership.live()
 
+    def serving(self) -> dict[str, Member]:
+        """Live members that take new work, by name."""
+        return self.membership.serving()
+
     def neighbours(self) -> list[str]:
         """Names of the members that are linked now."""
         return sorted(self.parts.router.links)
--- a/nutmegshore/settings/__init__.py
+++ b/nutmegshore/settings/__init__.py
@@ -6,11 +6,12 @@
     parse_settings,
     read_settings,
 )
-from nutmegshore.settings.tls import make_tls_context
+from nutmegshore.settings.tls import make_peer_contexts, make_tls_context
 
 __all__ = (
     'DEPLOYMENTS',
     'EntrySettings',
+    'make_peer_contexts',
     'make_tls_context',
     'parse_settings',
     'read_settings',
--- a/nutmegshore/settings/parse.py
+++ b/nutmegshore/settings/parse.py
@@ -126,6 +126,7 @@
     for name in ('certificate', _KEY):
         if uses_tls and not tls.get(name, name):
             faults.append(f'[tls] {name}: missing, needed by tls = yes')
+    faults.extend(_peer_faults(by_section['peers'], tls))
     if operators.get('subjects') and not operators.get(_TLS):
         faults.append('[operators] subjects: expected tls = yes with them')
     if operators.get('subjects') and not tls.get('client_ca'):
@@ -133,6 +134,18 @@
     return faults
 
 
+def _peer_faults(
+    peers: dict[str, Any],
+    tls: dict[str, Any],
+) -> list[str]:
+    faults = []
+    if not peers.get(_KEY, _KEY) and not _is_loopback(peers.get('address')):
+        faults.append('[peers] key: missing, needed but on a loopback address')
+    if peers.get(_TLS) and not tls.get('client_ca'):
+        faults.append('[tls] client_ca: missing, needed by [peers] tls = yes')
+    return faults
+
+
 def _is_loopback(address: str | None) -> bool:
     # A faulty address is None here and has a fault of its own.
     return address is None or ipaddress.ip_address(address).is_loopback
--- a/nutmegshore/settings/tls.py
+++ b/nutmegshore/settings/tls.py
@@ -5,7 +5,7 @@
 from nutmegshore.errors import SettingsError
 from nutmegshore.settings.parse import EntrySettings
 
-__all__ = ('make_tls_context',)
+__all__ = ('make_peer_contexts', 'make_tls_context')
 
 _TLS = 'tls'
 
@@ -28,6 +28,26 @@
     return context
 
 
+def make_peer_contexts(
+    settings: EntrySettings,
+) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Contexts for accepted and for dialled peer links, or two times None.
+
+    Both sides show a certificate of the CA. Host names are not checked: peers
+    go by IP number, and the hello proves the cluster key.
+    """
+    server = make_tls_context(settings, 'peers')
+    if server is None:
+        return None, None
+    server.verify_mode = ssl.CERT_REQUIRED
+    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    client.check_hostname = False
+    client.minimum_version = ssl.TLSVersion.TLSv1_2
+    _load_files(client, settings)
+    client.verify_mode = ssl.CERT_REQUIRED
+    return server, client
+
+
 def _load_files(context: ssl.SSLContext, settings: EntrySettings) -> None:
     certificate = settings.get(_TLS, 'certificate')
     client_ca = settings.get(_TLS, 'client_ca')
--- a/tests/blocks/test_block_table.py
+++ b/tests/blocks/test_block_table.py
@@ -201,6 +201,9 @@
     def now(self):
         return 0
 
+    def wall(self):
+        return 0
+
     async def sleep(self, seconds):
         self.counts.append(self._count())
 
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -19,7 +19,7 @@
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.steering import Steering
+from nutmegshore.steering import Steering, Surroundings
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 
 _OK = AnswerHead(200, (('Content-Length', '2'),))
@@ -113,8 +113,8 @@
 
 
 @pytest.fixture
-def steering(table, declare):
-    """Steering with four upstreams of orders and of idempotent tallies."""
+def make_steering(table, declare):
+    """Function that builds, on a clock, steering with four upstreams each."""
     place = {'region': 'west', 'availability_zone': 'west-a'}
     found = [
         declare('region', 'west', {'availability_zones': ['west-a']}),
@@ -136,7 +136,9 @@
             for number in range(1, 5)
         )
     table.merge(found)
-    return Steering(table, 'west', random.Random(7))
+    return lambda clock: Steering(
+        table, 'west', random.Random(7), Surroundings(clock)
+    )
 
 
 @pytest.fixture
@@ -151,14 +153,14 @@
 
 
 @pytest.fixture
-def listen(steering):
+def listen(make_steering):
     """Context manager that opens a listener on a free port."""
 
     @contextlib.asynccontextmanager
     async def opened(upstreams, clock=None, **changes):
         clock = clock or SystemClock()
         counters = Counters()
-        forwarder = Forwarder(steering, upstreams, clock, counters)
+        forwarder = Forwarder(make_steering(clock), upstreams, clock, counters)
         entries = (EntryAnswer('e1', '127.0.0.1:1', 'west'),)
         server = CallerServer(
             ListenerParts(
--- a/tests/callers/test_forward.py
+++ b/tests/callers/test_forward.py
@@ -21,6 +21,7 @@
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver, BodySource
 
 _HEAD = AnswerHead(200, ())
+_EARLIER_REQUESTS = 40
 _LOST = ErrorKind.UPSTREAM_LOST
 _REFUSED = ErrorKind.UPSTREAM_REFUSED
 _UNREACHABLE = ErrorKind.UPSTREAM_UNREACHABLE
@@ -72,8 +73,8 @@
     def __init__(self):
         self.seen = []
 
-    async def finish(self, head):
-        self.seen.append(('finish', head.status))
+    async def finish(self, head, body):
+        self.seen.append(('finish', head.status, body))
 
     async def release(self):
         self.seen.append('release')
@@ -96,17 +97,22 @@
 
 
 @pytest.fixture
-def run(steering):
+def run(make_steering):
     """Function that forwards a request and returns how it ended."""
 
     def forwarded(upstreams_of, request, **hooks):
         async def session():
             upstreams = upstreams_of()
             counters = Counters()
+            clock = VirtualClock()
+            steering = make_steering(clock)
+            # Earlier requests have filled the retry budget.
+            for _ in range(_EARLIER_REQUESTS):
+                steering.parts.budget.note_request()
             forwarder = Forwarder(
                 steering,
                 upstreams,
-                VirtualClock(),
+                clock,
                 counters,
                 ForwardHooks(**hooks),
             )
@@ -115,7 +121,7 @@
             except RequestError as error:
                 head = error.kind
             await forwarder.drain()
-            in_flight = sum(steering.in_flight.values())
+            in_flight = sum(steering.parts.estimate.own.values())
             return head, upstreams, counters, in_flight
 
         return run_virtual(session)
@@ -241,7 +247,7 @@
 @pytest.mark.parametrize(
     ('failure', 'noted'),
     [
-        (None, ('finish', 200)),
+        (None, ('finish', 200, b'ok')),
         (_LOST, 'lose'),
         (_REFUSED, 'release'),
     ],
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -25,6 +25,8 @@
 [operators]
 port = {operators}
 unauthenticated = yes
+[lookup]
+lifetime_seconds = 0
 [platform]
 url = http://127.0.0.1:{platform}
 """
@@ -61,6 +63,12 @@
     return response.body.decode()
 
 
+async def _until_ready(url):
+    async with asyncio.timeout(30):
+        while (await AsyncHTTPClient().fetch(url, raise_error=False)).error:
+            await asyncio.sleep(0)
+
+
 async def _session():
     ports = {
         'callers': _free_port(),
@@ -72,6 +80,7 @@
     operators = 'http://127.0.0.1:{operators}/objects'.format(**ports)
     callers = 'http://127.0.0.1:{callers}'.format(**ports)
     place = {'region': 'west', 'availability_zone': 'west-a'}
+    await _until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
     await _call(
         'PUT', f'{operators}/region/west', {'availability_zones': ['west-a']}
     )
