--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -34,13 +35,21 @@
 _MS_PER_S = 1000
 
 
+def _pass() -> None:
+    """Let every request pass."""
+
+
 @attrs.frozen
 class ForwardHooks:
-    """The parts that each request passes besides steering."""
+    """The parts that each request passes besides steering.
+
+    `check_ready` raises `RequestError` while nothing may be forwarded.
+    """
 
     gate: RequestGate = attrs.field(factory=OpenGate)
     records: OnceRecords = attrs.field(factory=NoRecords)
     retries: RetryPolicy = attrs.field(factory=RetryFreely)
+    check_ready: Callable[[], None] = _pass
 
 
 class Forwarder:
@@ -77,9 +86,7 @@
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
             stack.callback(self._leave)
-            service = self._service(request)
-            ready = await self._prepare(request, service)
-            self._hooks.gate.check(ready)
+            service, ready = await self._check(request)
             if ready.idempotency_key and not service.idempotent:
                 return await self._run_recorded(ready, service, receiver)
             attempts = self._attempts(ready, service, receiver)
@@ -96,6 +103,25 @@
         if not self.in_flight:
             self._drained.set()
 
+    async def _check(
+        self,
+        request: CallerRequest,
+    ) -> tuple[Service, CallerRequest]:
+        """Check a request before its at-most-once record is read.
+
+        An earlier request with the same key may have run, so that a keyed
+        request that is refused here has an unknown outcome.
+        """
+        try:
+            self._hooks.check_ready()
+            service = self._service(request)
+            ready = await self._prepare(request, service)
+            self._hooks.gate.check(ready)
+        except RequestError as refusal:
+            refusal.is_outcome_unknown = bool(request.idempotency_key)
+            raise
+        return service, ready
+
     def _service(self, request: CallerRequest) -> Service:
         service = self._steering.plan.services.get(request.service)
         if service is None:
@@ -159,7 +185,7 @@
         except BaseException:
             await _settle(found, attempts)
             raise
-        await found.finish(head)
+        await found.finish(head, attempts.tracked.kept_body)
         return head
 
     async def _run(
@@ -184,6 +210,8 @@
             request.deadline,
             frozenset(attempts.tried),
             functools.partial(self._hooks.gate.allows, request),
+            attempts.failed_with,
+            _body_bytes(request),
         )
         try:
             self._check_deadline(request)
@@ -233,6 +261,12 @@
         await claim.release()
 
 
+def _body_bytes(request: CallerRequest) -> int:
+    """Length of the body where it is known, else 0."""
+    length = request.body.length if request.body else None
+    return length or 0
+
+
 def _outgoing(request: CallerRequest, service: Service) -> UpstreamRequest:
     return UpstreamRequest(
         request_id=request.request_id,
--- /dev/null
+++ b/nutmegshore/entry/daemon.py
@@ -0,0 +1,198 @@
+"""The entry daemon: its listeners, its start and its stop."""
+
+import functools
+import random
+import time
+
+from nutmegshore.callers import (
+    CallerServer,
+    ListenerStop,
+    make_caller_application,
+)
+from nutmegshore.clock import Clock, SystemClock
+from nutmegshore.counters import Counters
+from nutmegshore.entry.overview import (
+    is_region_reporter,
+    make_providers,
+    make_status_board,
+)
+from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
+from nutmegshore.entry.seeds import read_seeds
+from nutmegshore.logs import get_logger
+from nutmegshore.operators import StatusWriter
+from nutmegshore.operators.assembly import make_operator_side
+from nutmegshore.peers import (
+    Member,
+    MeshOptions,
+    MeshPeers,
+    TcpTransport,
+    first_incarnation,
+)
+from nutmegshore.platform import HttpPlatform, Platform
+from nutmegshore.settings import (
+    EntrySettings,
+    make_peer_contexts,
+)
+from nutmegshore.upstreams.curl import CurlUpstreams
+
+__all__ = ('EntryDaemon',)
+
+_SEED_BITS = 64
+_PEERS = 'peers'
+_CALLERS = 'callers'
+
+
+class EntryDaemon:
+    """One entry instance.
+
+    daemon = EntryDaemon(settings)
+    await daemon.start()
+    ...
+    await daemon.stop()
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: Platform | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        """Build the parts; nothing runs before `start`."""
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self.counters = Counters()
+        # Identities of processes and operations must never repeat, so the
+        # seed comes from the system.
+        self._rng = random.Random(random.SystemRandom().getrandbits(_SEED_BITS))
+        self._platform = platform or HttpPlatform(
+            settings.get('platform', 'url'),
+        )
+        self._upstreams = CurlUpstreams(self._clock)
+        self._transport = TcpTransport(
+            settings.get(_PEERS, 'address'),
+            settings.get(_PEERS, 'port'),
+            *make_peer_contexts(settings),
+        )
+        self.peers = self._make_peers()
+        self.parts = self._make_parts()
+        self.operators = self._make_operators()
+        self._log = get_logger('entry')
+        self._server: CallerServer | None = None
+
+    async def start(self) -> None:
+        """Join the peers, and open the listeners."""
+        self.peers.start()
+        await self.parts.start()
+        self._status_writer.start()
+        application = make_caller_application(
+            self.parts.forwarder,
+            self.parts.lookup,
+            self.counters,
+            self._clock,
+        )
+        self._server = application.listen(
+            self._settings.get(_CALLERS, 'port'),
+            self._settings.get(_CALLERS, 'address'),
+        )
+        self.operators.listen()
+        self._log.info('started', name=self.parts.local_name)
+
+    def reload(self, settings: EntrySettings) -> None:
+        """Take tokens, client certificates and TLS files from settings.
+
+        Everything else needs a restart. Raises `SettingsError` for TLS files
+        that cannot be read; what was in use stays.
+        """
+        contexts = make_peer_contexts(settings)
+        self.operators.reload(settings)
+        self._transport.reload_tls(*contexts)
+        self._log.info('reloaded')
+
+    async def stop(self) -> None:
+        """Stop without cutting a request or stranding a caller.
+
+        The entry leaves the look-up answers, serves on for the lifetime of
+        those that name it, finishes its requests, and then closes.
+        """
+        self._log.info('stopping')
+        self.parts.leave()
+        lifetime_s = self._settings.get('lookup', 'lifetime_seconds')
+        await ListenerStop(
+            self.parts.local_name,
+            self._server,
+            self.parts.forwarder,
+            self.parts.ledger,
+            self._clock,
+            lifetime_s,
+        ).run()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close everything at once; requests in flight are cut."""
+        await self._server.close_all_connections()
+        self._server.stop()
+        await self._status_writer.stop()
+        await self.parts.stop()
+        await self.peers.stop()
+        await self._transport.stop()
+        await self._close_operators()
+        self._upstreams.close()
+        self._log.info('stopped')
+
+    async def _close_operators(self) -> None:
+        self.operators.server.stop()
+        await self.operators.server.close_all_connections()
+
+    def _make_peers(self) -> MeshPeers:
+        get = functools.partial(self._settings.get, 'instance')
+        local = Member(
+            get('name'),
+            get('region'),
+            get('availability_zone'),
+            first_incarnation(self._rng),
+        )
+        options = MeshOptions(
+            cluster=self._settings.get(_PEERS, 'cluster'),
+            key=self._settings.get(_PEERS, 'key').encode(),
+        )
+        return MeshPeers(
+            local,
+            self._transport,
+            options,
+            functools.partial(read_seeds, self._platform, local.name),
+            (self._clock, self._rng, self.counters),
+        )
+
+    def _make_parts(self) -> EntryParts:
+        outside = Outside(
+            platform=self._platform,
+            peers=self.peers,
+            upstreams=self._upstreams,
+            clock=self._clock,
+            rng=self._rng,
+            counters=self.counters,
+        )
+        options = EntryOptions(
+            self._settings.get('lookup', 'lifetime_seconds'),
+        )
+        parts = EntryParts(outside, options)
+        self._upstreams.on_report = parts.note_report
+        return parts
+
+    def _make_operators(self):
+        board = make_status_board(self.parts, time.time)
+        self._status_writer = StatusWriter(
+            self._platform,
+            board,
+            self._clock,
+            functools.partial(is_region_reporter, self.parts),
+            self.counters,
+            self._rng,
+        )
+        return make_operator_side(
+            self._settings,
+            self._platform,
+            self.parts.table,
+            self.counters,
+            make_providers(self.parts, board, self._platform),
+        )
