Add a demonstration in one process with ledgers

The stand-in platform, stand-in upstreams, nine entries and seeded callers run on loopback ports that the system chooses. Shifts, drains and stops are judged from the ledgers of upstreams and callers only.

--- a/nutmegshore/commands/application.py
+++ b/nutmegshore/commands/application.py
@@ -9,6 +9,7 @@
 from nutmegshore.commands.apply import ApplyCommand
 from nutmegshore.commands.base import Context, ExitCode
 from nutmegshore.commands.daemon import EntryCommand, PlatformCommand
+from nutmegshore.commands.demo import DemoCommand
 from nutmegshore.commands.intents import DrainCommand, ShiftCommand
 from nutmegshore.commands.local import (
     CheckCommand,
@@ -31,6 +32,7 @@
     ApplyCommand,
     CheckCommand,
     DeleteCommand,
+    DemoCommand,
     DrainCommand,
     EntryCommand,
     ExampleCommand,
--- /dev/null
+++ b/nutmegshore/demo/cluster.py
@@ -0,0 +1,259 @@
+"""The platform, upstreams and entries of one demonstration."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from nutmegshore.clock import Clock
+from nutmegshore.demo.exchange import NotAccepted, exchange
+from nutmegshore.demo.ledgers import RunLedger
+from nutmegshore.demo.upstreams import StandinUpstream, UpstreamPlace
+from nutmegshore.entry import EntryDaemon
+from nutmegshore.examples import list_objects
+from nutmegshore.operators.http_client import HttpOperatorClient, Server
+from nutmegshore.platform import ListedInstance, MemoryStore, make_standin
+from nutmegshore.settings import EntrySettings, parse_settings
+
+__all__ = ('Cluster', 'EntryPlace', 'Profile', 'profile_of')
+
+_LOOPBACK = '127.0.0.1'
+_LOOKUP_LIMIT_S = 1
+_POLL_S = 0.05
+
+_SETTINGS = """
+[instance]
+name = {name}
+region = {region}
+availability_zone = {zone}
+[callers]
+address = 127.0.0.1
+port = {callers}
+[operators]
+port = {operators}
+unauthenticated = yes
+[peers]
+port = {peers}
+cluster = demo
+key = key-of-the-demonstration
+[platform]
+url = http://127.0.0.1:{platform}
+[lookup]
+lifetime_seconds = {lifetime}
+"""
+
+
+@attrs.frozen
+class Profile:
+    """How upstreams treat requests: seconds of service, bytes of answer."""
+
+    service_s: float
+    answer_bytes: int
+
+
+_LOOKUP = Profile(0.015, 2_000)
+_WRITE = Profile(0.03, 500)
+_UPLOAD = Profile(0.06, 200)
+_BULK = Profile(0.08, 300_000)
+
+
+def profile_of(spec: dict[str, Any]) -> Profile:
+    """Profile of a service; bulk is idempotent with the lowest priority."""
+    if spec['idempotent']:
+        return _LOOKUP if spec.get('hedge') else _BULK
+    return _UPLOAD if 'deadline_ms' in spec else _WRITE
+
+
+@attrs.frozen
+class EntryPlace:
+    """One entry with the ports that were chosen for it."""
+
+    name: str
+    region: str
+    zone: str
+    callers: int
+    operators: int
+    peers: int
+
+    @property
+    def address(self) -> str:
+        """Where callers reach it."""
+        return f'{_LOOPBACK}:{self.callers}'
+
+    def settings(self, platform: int, lifetime: float) -> EntrySettings:
+        """Settings of the entry."""
+        return parse_settings(
+            _SETTINGS.format(
+                platform=platform,
+                lifetime=lifetime,
+                **attrs.asdict(self),
+            ),
+        )
+
+    @property
+    def listed(self) -> ListedInstance:
+        """The line of this entry in the platform's list."""
+        peers = f'{_LOOPBACK}:{self.peers}'
+        return ListedInstance(self.name, peers, self.region, self.zone)
+
+
+class Cluster:
+    """Everything of a demonstration but its callers.
+
+        cluster = Cluster('vestfold', clock, random.Random(7), 1)
+        await cluster.start()
+        ...
+        await cluster.stop()
+    """
+
+    def __init__(
+        self,
+        deployment: str,
+        clock: Clock,
+        rng: random.Random,
+        lifetime: float,
+    ) -> None:
+        """Build the upstreams; nothing listens before `start`."""
+        self.objects = list_objects(deployment)
+        self.runs = RunLedger()
+        self.store = MemoryStore()
+        self._clock = clock
+        self._lifetime = lifetime
+        self.upstreams = dict(self._make_upstreams(rng))
+        self.places: list[EntryPlace] = []
+        self.daemons: dict[str, EntryDaemon] = {}
+        self._platform: HTTPServer | None = None
+
+    def specs(self, kind: str) -> dict[str, dict[str, Any]]:
+        """Specs of the declared objects of one kind by name."""
+        return {
+            found['name']: found['spec']
+            for found in self.objects
+            if found['kind'] == kind
+        }
+
+    async def start(self) -> None:
+        """Start all parts, declare all objects and wait for readiness."""
+        for upstream in self.upstreams.values():
+            upstream.start()
+        sockets = bind_sockets(0, _LOOPBACK)
+        self._platform = HTTPServer(make_standin(self.store))
+        self._platform.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        self.places = self._choose_ports()
+        self.store.instances = [place.listed for place in self.places]
+        await asyncio.gather(
+            *(self._start_entry(place, port) for place in self.places),
+        )
+        await self._declare_all()
+        await asyncio.gather(
+            *(self._until_listed(place) for place in self.places),
+        )
+
+    async def declare(
+        self,
+        kind: str,
+        name: str,
+        spec: dict[str, Any] | None,
+        reason: str,
+    ) -> None:
+        """Write an object at the first entry, or delete it with None."""
+        port = self.places[0].operators
+        client = HttpOperatorClient(Server(f'http://{_LOOPBACK}:{port}'))
+        try:
+            await client.write(kind, name, spec, None, reason)
+        except BaseException:
+            client.close()
+            raise
+        client.close()
+
+    async def stop_entry(self, name: str) -> None:
+        """Stop one entry as planned and take it from the platform's list."""
+        await self.daemons.pop(name).stop()
+        self.store.instances = [
+            place.listed for place in self.places if place.name in self.daemons
+        ]
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        stopping = [daemon.stop() for daemon in self.daemons.values()]
+        await asyncio.gather(*stopping, return_exceptions=True)
+        for upstream in self.upstreams.values():
+            upstream.kill()
+        if self._platform is not None:
+            self._platform.stop()
+
+    def _make_upstreams(
+        self,
+        rng: random.Random,
+    ) -> Iterator[tuple[str, StandinUpstream]]:
+        services = self.specs('service')
+        for name, spec in self.specs('upstream').items():
+            service = services[spec['service']]
+            profile = profile_of(service)
+            place = UpstreamPlace(
+                name=name,
+                service=spec['service'],
+                region=spec['region'],
+                slots=spec['slots'],
+                is_idempotent=service['idempotent'],
+                service_s=profile.service_s,
+                answer_bytes=profile.answer_bytes,
+            )
+            drawn = random.Random(rng.random())
+            yield name, StandinUpstream(place, self.runs, self._clock, drawn)
+
+    def _choose_ports(self) -> list[EntryPlace]:
+        """Choose free ports, all bound at once so that none is drawn twice."""
+        specs = self.specs('entry')
+        held = [bind_sockets(0, _LOOPBACK)[0] for _ in range(3 * len(specs))]
+        ports = [sock.getsockname()[1] for sock in held]
+        for sock in held:
+            sock.close()
+        return [
+            EntryPlace(
+                name,
+                spec['region'],
+                spec['availability_zone'],
+                *[ports.pop() for _ in range(3)],
+            )
+            for name, spec in specs.items()
+        ]
+
+    async def _start_entry(self, place: EntryPlace, platform: int) -> None:
+        daemon = EntryDaemon(place.settings(platform, self._lifetime))
+        self.daemons[place.name] = daemon
+        await daemon.start()
+
+    async def _declare_all(self) -> None:
+        addresses = {
+            **{name: up.address for name, up in self.upstreams.items()},
+            **{place.name: place.address for place in self.places},
+        }
+        fields = {'upstream': 'address', 'entry': 'caller_address'}
+        for found in self.objects:
+            spec = found['spec']
+            if found['kind'] in fields:
+                address = addresses[found['name']]
+                spec = {**spec, fields[found['kind']]: address}
+            await self.declare(found['kind'], found['name'], spec, 'demo')
+
+    async def _until_listed(self, place: EntryPlace) -> None:
+        """Wait until an entry lists all entries; the caller limits it."""
+        head = (
+            'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
+        )
+        is_ready = False
+        while not is_ready:
+            await self._clock.sleep(_POLL_S)
+            try:
+                came = await exchange(place.address, head, b'', _LOOKUP_LIMIT_S)
+            except NotAccepted:
+                continue
+            is_ready = all(
+                other.address.encode() in came.body for other in self.places
+            )
