--- a/nutmegshore/demo/callers.py
+++ b/nutmegshore/demo/callers.py
@@ -152,8 +152,9 @@
     def _head(self, wish: _Wish, request_id: str) -> str:
         method = 'POST' if wish.body else 'GET'
         service = wish.kind.service
+        # Repeats of a key must be equal, so the path names the caller only.
         lines = [
-            f'{method} /{service}/{request_id.rpartition("-")[0]} HTTP/1.1',
+            f'{method} /{service}/{self._name} HTTP/1.1',
             'Host: demo',
             'Connection: close',
             f'{CALLER_REGION}: {self._region}',
@@ -162,6 +163,7 @@
         ]
         if wish.body:
             length = len(wish.body)
+            lines.append('Content-Type: application/octet-stream')
             lines.append(f'Content-Length: {length}')
         if wish.key:
             lines.append(f'{IDEMPOTENCY_KEY}: {wish.key}')
@@ -171,9 +173,7 @@
         """Ask again for entries when the cached answer has expired."""
         if self._setting.clock.now() < self._valid_until:
             return
-        head = (
-            'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
-        )
+        head = 'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
         for address in self._rng.sample(self._known, len(self._known)):
             asked_at = self._setting.clock.now()
             try:
--- a/nutmegshore/demo/cluster.py
+++ b/nutmegshore/demo/cluster.py
@@ -55,10 +55,10 @@
     answer_bytes: int
 
 
-_LOOKUP = Profile(0.015, 2_000)
-_WRITE = Profile(0.03, 500)
-_UPLOAD = Profile(0.06, 200)
-_BULK = Profile(0.08, 300_000)
+_LOOKUP = Profile(service_s=0.015, answer_bytes=2_000)
+_WRITE = Profile(service_s=0.03, answer_bytes=500)
+_UPLOAD = Profile(service_s=0.06, answer_bytes=200)
+_BULK = Profile(service_s=0.08, answer_bytes=300_000)
 
 
 def profile_of(spec: dict[str, Any]) -> Profile:
@@ -104,10 +104,10 @@
 class Cluster:
     """Everything of a demonstration but its callers.
 
-        cluster = Cluster('vestfold', clock, random.Random(7), 1)
-        await cluster.start()
-        ...
-        await cluster.stop()
+    cluster = Cluster('vestfold', clock, random.Random(7), 1)
+    await cluster.start()
+    ...
+    await cluster.stop()
     """
 
     def __init__(
@@ -118,7 +118,7 @@
         lifetime: float,
     ) -> None:
         """Build the upstreams; nothing listens before `start`."""
-        self.objects = list_objects(deployment)
+        self.declared = list_objects(deployment)
         self.runs = RunLedger()
         self.store = MemoryStore()
         self._clock = clock
@@ -132,7 +132,7 @@
         """Specs of the declared objects of one kind by name."""
         return {
             found['name']: found['spec']
-            for found in self.objects
+            for found in self.declared
             if found['kind'] == kind
         }
 
@@ -235,7 +235,7 @@
             **{place.name: place.address for place in self.places},
         }
         fields = {'upstream': 'address', 'entry': 'caller_address'}
-        for found in self.objects:
+        for found in self.declared:
             spec = found['spec']
             if found['kind'] in fields:
                 address = addresses[found['name']]
@@ -244,9 +244,7 @@
 
     async def _until_listed(self, place: EntryPlace) -> None:
         """Wait until an entry lists all entries; the caller limits it."""
-        head = (
-            'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
-        )
+        head = 'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
         is_ready = False
         while not is_ready:
             await self._clock.sleep(_POLL_S)
--- a/nutmegshore/demo/report.py
+++ b/nutmegshore/demo/report.py
@@ -113,8 +113,7 @@
             f' moved={shift.moved}',
             f'drain_seconds={_show(self.drain_s)}',
             f'stop_seconds={_show(self.stop_s)}',
-            f'wrong={wrong} false_not_run={false_not_run}'
-            f' most_inside={inside}',
+            f'wrong={wrong} false_not_run={false_not_run} most_inside={inside}',
             *[f'reason {name}={count}' for name, count in reasons.items()],
         ]
 
--- a/nutmegshore/demo/script.py
+++ b/nutmegshore/demo/script.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from types import MappingProxyType
 
 import attrs
 
@@ -32,6 +33,7 @@
 _THINK_S = 0.25
 _SHARE = 0.6
 _CAP = 6
+_P99 = 0.99
 _UPLOAD_BYTES = 300_000
 #: Callers of the busiest region, as a part of all.
 _BUSY_PART = 0.5
@@ -203,10 +205,10 @@
     """The mix: look-ups, keyed writes, uploads and bulk reads."""
     lookup, write, upload, bulk = services
     return (
-        Kind(lookup, 0.65),
-        Kind(write, 0.2, 200, is_keyed=True),
-        Kind(upload, 0.08, _UPLOAD_BYTES),
-        Kind(bulk, 0.07),
+        Kind(lookup, weight=0.65),
+        Kind(write, weight=0.2, body_bytes=200, is_keyed=True),
+        Kind(upload, weight=0.08, body_bytes=_UPLOAD_BYTES),
+        Kind(bulk, weight=0.07),
     )
 
 
@@ -277,14 +279,16 @@
     ][number]
 
 
-_STEPS = {
-    'steady': _steady,
-    'shift': _shift,
-    'drain': _drain,
-    'kill': _kill,
-    'return': _return,
-    'stop': _stop,
-}
+_STEPS = MappingProxyType(
+    {
+        'steady': _steady,
+        'shift': _shift,
+        'drain': _drain,
+        'kill': _kill,
+        'return': _return,
+        'stop': _stop,
+    }
+)
 
 
 def _count_shift(session: _Session) -> None:
@@ -309,14 +313,16 @@
     asked = session.report.callers.asked
     answered = [found for found in asked if not found.verdict.reason]
     p50 = quantile_ms(answered, 1 / 2) or 0
-    p99 = quantile_ms(answered, 0.99) or 0
+    p99 = quantile_ms(answered, _P99) or 0
     moved = session.report.runs.times(
         lambda run: run.at > now - 1 and session.is_shifted(run),
     )
     local = session.report.runs.times(
-        lambda run: run.at > now - 1
-        and run.service == session.service
-        and run.caller_region == session.region,
+        lambda run: (
+            run.at > now - 1
+            and run.service == session.service
+            and run.caller_region == session.region
+        ),
     )
     share = len(moved) / max(len(local), 1)
     return (
--- a/nutmegshore/demo/upstreams.py
+++ b/nutmegshore/demo/upstreams.py
@@ -38,6 +38,8 @@
 #: A cold upstream is slower by up to this factor, until it has served enough.
 _COLD_FACTOR = 3
 _COLD_REQUESTS = 10
+#: Service times lie between these multiples of the mean.
+_SPREAD = (0.5, 1.5)
 #: Zero linger makes a close send a reset instead of an orderly end.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -62,10 +64,10 @@
 class StandinUpstream:
     """One upstream on a port that the system chooses.
 
-        upstream = StandinUpstream(place, ledger, clock, random.Random(7))
-        upstream.start()
-        upstream.kill()
-        upstream.start()  # comes back cold, on the same port
+    upstream = StandinUpstream(place, ledger, clock, random.Random(7))
+    upstream.start()
+    upstream.kill()
+    upstream.start()  # comes back cold, on the same port
     """
 
     def __init__(
@@ -160,7 +162,7 @@
     def _draw_service_s(self) -> float:
         warmth = min(self._served / _COLD_REQUESTS, 1)
         factor = _COLD_FACTOR - (_COLD_FACTOR - 1) * warmth
-        return self.place.service_s * factor * self._rng.uniform(0.5, 1.5)
+        return self.place.service_s * factor * self._rng.uniform(*_SPREAD)
 
 
 class _UpstreamHandler(RequestHandler):
--- /dev/null
+++ b/tests/demo/test_script.py
@@ -0,0 +1,51 @@
+"""Short runs of the demonstration over real sockets."""
+
+import asyncio
+
+import pytest
+
+from nutmegshore.clock import SystemClock
+from nutmegshore.demo import DemoOptions, run_demo
+from nutmegshore.demo.ledgers import Told
+
+
+@pytest.fixture(scope='module', params=['vestfold', 'patelwadi'])
+def report(request):
+    """Report of a short run."""
+    options = DemoOptions(request.param, seed=7, seconds=1, callers=12)
+    return asyncio.run(run_demo(options, SystemClock()))
+
+
+def test_the_counts_of_a_run_add_up(report):
+    """Guards against requests that no column of the last line counts."""
+    asked = report.callers.asked
+    assert asked
+    assert sum(report.callers.count(told) for told in Told) == len(asked)
+    assert report.last_line.startswith(f'demo: requests={len(asked)} ')
+    assert report.lines[-1] == report.last_line
+
+
+def test_every_phase_gets_requests_in_order(report):
+    """Guards against a script that skips a phase or swaps two."""
+    ordered = sorted(report.callers.asked, key=lambda found: found.began)
+    seen = list(dict.fromkeys(found.phase for found in ordered))
+    assert seen == report.phases
+
+
+def test_no_wait_of_the_script_ran_into_its_limit(report):
+    """Guards against a hang and a drain that does not take effect."""
+    assert not report.failures
+
+
+def test_every_answer_belongs_to_a_run(report):
+    """Guards against callers that are told of answers nobody gave."""
+    ran = {run.request_id for run in report.runs.runs}
+    keys = {run.key for run in report.runs.runs}
+    for found in report.callers.asked:
+        if found.verdict.told is Told.ANSWERED:
+            assert found.request_id in ran or found.key in keys
+
+
+def test_a_short_run_keeps_every_promise(report):
+    """Guards against cut, doubled, over-cap and wrong answers in a run."""
+    assert report.is_good, '\n'.join(report.lines)
