--- a/nutmegshore/demo/callers.py
+++ b/nutmegshore/demo/callers.py
@@ -18,7 +18,14 @@
     REQUEST_ID,
 )
 
-__all__ = ('Caller', 'CallerSetting', 'Kind', 'judge')
+__all__ = (
+    'Caller',
+    'CallerSetting',
+    'Kind',
+    'judge',
+    'make_kinds',
+    'run_callers',
+)
 
 _LIMIT_S = 6
 _LOOKUP_LIMIT_S = 2
@@ -27,6 +34,12 @@
 _REPEAT_SHARE = 0.1
 _MAX_SENDS = 3
 _OK = 200
+_LOOKUP_WEIGHT = 0.65
+_WRITE_WEIGHT = 0.2
+_UPLOAD_WEIGHT = 0.08
+_BULK_WEIGHT = 0.07
+_WRITE_BYTES = 200
+_UPLOAD_BYTES = 300_000
 
 
 @attrs.frozen
@@ -103,8 +116,10 @@
 
     async def _send_and_repeat(self, wish: _Wish) -> None:
         """Send, and repeat a request with a key through another entry."""
-        for turn in range(_MAX_SENDS):
+        turn = 0
+        while turn < _MAX_SENDS:
             told = await self._ask(wish, turn)
+            turn += 1
             is_open = told is Told.UNKNOWN
             is_repeated = is_open or self._rng.random() < _REPEAT_SHARE
             if not (wish.key and is_repeated):
@@ -139,7 +154,9 @@
         """Use the first entry of the answer that accepts a connection."""
         start = turn % max(len(self._entries), 1)
         head = self._head(wish, request_id)
-        for address in self._entries[start:] + self._entries[:start]:
+        untried = self._entries[start:] + self._entries[:start]
+        while untried:
+            address = untried.pop(0)
             try:
                 came = await exchange(address, head, wish.body, _LIMIT_S)
             except NotAccepted:
@@ -174,7 +191,9 @@
         if self._setting.clock.now() < self._valid_until:
             return
         head = 'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
-        for address in self._rng.sample(self._known, len(self._known)):
+        untried = self._rng.sample(self._known, len(self._known))
+        while untried:
+            address = untried.pop()
             asked_at = self._setting.clock.now()
             try:
                 came = await exchange(address, head, b'', _LOOKUP_LIMIT_S)
@@ -225,6 +244,17 @@
     return Verdict(Told.ANSWERED)
 
 
+def make_kinds(services: list[str]) -> tuple[Kind, ...]:
+    """The mix: look-ups, keyed writes, uploads and bulk reads."""
+    lookup, write, upload, bulk = services
+    return (
+        Kind(lookup, _LOOKUP_WEIGHT),
+        Kind(write, _WRITE_WEIGHT, _WRITE_BYTES, is_keyed=True),
+        Kind(upload, _UPLOAD_WEIGHT, _UPLOAD_BYTES),
+        Kind(bulk, _BULK_WEIGHT),
+    )
+
+
 async def run_callers(
     callers: list[Caller],
     think_s: float,
--- a/nutmegshore/demo/cluster.py
+++ b/nutmegshore/demo/cluster.py
@@ -24,6 +24,14 @@
 _LOOPBACK = '127.0.0.1'
 _LOOKUP_LIMIT_S = 1
 _POLL_S = 0.05
+_PORTS_PER_ENTRY = 3
+_LOOKUP_S = 0.015
+_WRITE_S = 0.03
+_UPLOAD_S = 0.06
+_BULK_S = 0.08
+_LOOKUP_BYTES = 2000
+_RECEIPT_BYTES = 500
+_BULK_BYTES = 300_000
 
 _SETTINGS = """
 [instance]
@@ -55,10 +63,10 @@
     answer_bytes: int
 
 
-_LOOKUP = Profile(service_s=0.015, answer_bytes=2_000)
-_WRITE = Profile(service_s=0.03, answer_bytes=500)
-_UPLOAD = Profile(service_s=0.06, answer_bytes=200)
-_BULK = Profile(service_s=0.08, answer_bytes=300_000)
+_LOOKUP = Profile(_LOOKUP_S, _LOOKUP_BYTES)
+_WRITE = Profile(_WRITE_S, _RECEIPT_BYTES)
+_UPLOAD = Profile(_UPLOAD_S, _RECEIPT_BYTES)
+_BULK = Profile(_BULK_S, _BULK_BYTES)
 
 
 def profile_of(spec: dict[str, Any]) -> Profile:
@@ -210,7 +218,8 @@
     def _choose_ports(self) -> list[EntryPlace]:
         """Choose free ports, all bound at once so that none is drawn twice."""
         specs = self.specs('entry')
-        held = [bind_sockets(0, _LOOPBACK)[0] for _ in range(3 * len(specs))]
+        wanted = _PORTS_PER_ENTRY * len(specs)
+        held = [bind_sockets(0, _LOOPBACK)[0] for _ in range(wanted)]
         ports = [sock.getsockname()[1] for sock in held]
         for sock in held:
             sock.close()
@@ -219,7 +228,7 @@
                 name,
                 spec['region'],
                 spec['availability_zone'],
-                *[ports.pop() for _ in range(3)],
+                *[ports.pop() for _ in range(_PORTS_PER_ENTRY)],
             )
             for name, spec in specs.items()
         ]
@@ -235,11 +244,13 @@
             **{place.name: place.address for place in self.places},
         }
         fields = {'upstream': 'address', 'entry': 'caller_address'}
-        for found in self.declared:
+        pending = list(self.declared)
+        while pending:
+            found = pending.pop(0)
             spec = found['spec']
-            if found['kind'] in fields:
-                address = addresses[found['name']]
-                spec = {**spec, fields[found['kind']]: address}
+            field = fields.get(found['kind'])
+            if field:
+                spec = {**spec, field: addresses[found['name']]}
             await self.declare(found['kind'], found['name'], spec, 'demo')
 
     async def _until_listed(self, place: EntryPlace) -> None:
--- a/nutmegshore/demo/exchange.py
+++ b/nutmegshore/demo/exchange.py
@@ -7,6 +7,7 @@
 __all__ = ('Exchange', 'NotAccepted', 'exchange')
 
 _CHUNK_BYTES = 65_536
+_HEX = 16
 _END_OF_HEAD = b'\r\n\r\n'
 #: Largest answer that a caller of the demonstration takes.
 _MAX_ANSWER_BYTES = 4_000_000
@@ -81,10 +82,7 @@
     head, end, body = came.partition(_END_OF_HEAD)
     if not end:
         return Exchange(failure=failure or 'closed')
-    lines = head.decode('latin-1').split('\r\n')
-    pairs = [line.partition(':') for line in lines[1:]]
-    headers = {name.strip().lower(): text.strip() for name, _, text in pairs}
-    status = int(lines[0].split()[1])
+    status, headers = _parse_head(head.decode('latin-1').split('\r\n'))
     if headers.get('transfer-encoding') == 'chunked':
         body, is_whole = _join_chunks(body)
     else:
@@ -92,14 +90,20 @@
     return Exchange(status, headers, body, is_whole, failure)
 
 
+def _parse_head(lines: list[str]) -> tuple[int, dict[str, str]]:
+    pairs = [line.partition(':') for line in lines[1:]]
+    headers = {name.strip().lower(): text.strip() for name, _, text in pairs}
+    return int(lines[0].split()[1]), headers
+
+
 def _join_chunks(framed: bytes) -> tuple[bytes, bool]:
     """Body of a chunked answer, and whether its last chunk came."""
     parts = []
     while framed:
         size_line, _, framed = framed.partition(b'\r\n')
-        size = int(size_line.split(b';')[0] or b'0', 16)
+        size = int(size_line.split(b';')[0] or b'0', _HEX)
         if not size:
             return b''.join(parts), True
         parts.append(framed[:size])
-        framed = framed[size + 2 :]
+        framed = framed[size:].removeprefix(b'\r\n')
     return b''.join(parts), False
--- a/nutmegshore/demo/script.py
+++ b/nutmegshore/demo/script.py
@@ -8,7 +8,12 @@
 import attrs
 
 from nutmegshore.clock import Clock
-from nutmegshore.demo.callers import Caller, CallerSetting, Kind, run_callers
+from nutmegshore.demo.callers import (
+    Caller,
+    CallerSetting,
+    make_kinds,
+    run_callers,
+)
 from nutmegshore.demo.cluster import Cluster
 from nutmegshore.demo.ledgers import (
     CallerLedger,
@@ -21,7 +26,7 @@
 __all__ = ('DemoOptions', 'run_demo')
 
 _START_LIMIT_S = 30
-_CALL_LIMIT_S = 10
+_STEP_LIMIT_S = 30
 _END_LIMIT_S = 25
 _DRAIN_LIMIT_S = 10
 _POLL_S = 0.1
@@ -34,7 +39,6 @@
 _SHARE = 0.6
 _CAP = 6
 _P99 = 0.99
-_UPLOAD_BYTES = 300_000
 #: Callers of the busiest region, as a part of all.
 _BUSY_PART = 0.5
 
@@ -103,18 +107,20 @@
         elif not is_usable and self.unusable_since is None:
             self.unusable_since = now
 
+    def is_source(self, run: Run) -> bool:
+        """Whether a run is of the shifted service and source region."""
+        is_ours = run.service == self.service
+        return is_ours and run.caller_region == self.region
+
     def is_shifted(self, run: Run) -> bool:
         """Whether a run counts against the cap."""
         is_within = self.shift_began <= run.at <= self.shift_ended
         is_excused = any(
             since <= run.at <= until for since, until in self.unusable
         )
-        is_moved = (
-            run.caller_region == self.region and run.region == self.target
-        )
+        is_moved = self.is_source(run) and run.region == self.target
         is_excused = is_excused or self.unusable_since is not None
-        is_ours = run.service == self.service and is_moved
-        return is_ours and is_within and not is_excused
+        return is_moved and is_within and not is_excused
 
 
 async def run_demo(options: DemoOptions, clock: Clock) -> Report:
@@ -142,10 +148,14 @@
         run_callers(callers, _THINK_S, lambda: session.is_ending),
     )
     progress = asyncio.create_task(_show_progress(session))
-    for phase in _PHASES:
+    phases = list(_PHASES)
+    while phases:
+        phase = phases.pop(0)
         session.phase = phase
-        step = _STEPS[phase](session)
-        await _limited(session, f'phase {phase}', step, _CALL_LIMIT_S * 3)
+        step = _STEPS.get(phase)
+        if step is not None:
+            what = f'phase {phase}'
+            await _limited(session, what, step(session), _STEP_LIMIT_S)
         if load.done():
             break
         await session.clock.sleep(session.options.seconds / len(_PHASES))
@@ -175,7 +185,7 @@
 
 def _make_callers(session: _Session, rng: random.Random) -> list[Caller]:
     setting = CallerSetting(
-        kinds=_make_kinds(list(session.cluster.specs('service'))),
+        kinds=make_kinds(list(session.cluster.specs('service'))),
         ledger=session.report.callers,
         clock=session.clock,
         phase=lambda: session.phase,
@@ -201,21 +211,6 @@
     ]
 
 
-def _make_kinds(services: list[str]) -> tuple[Kind, ...]:
-    """The mix: look-ups, keyed writes, uploads and bulk reads."""
-    lookup, write, upload, bulk = services
-    return (
-        Kind(lookup, weight=0.65),
-        Kind(write, weight=0.2, body_bytes=200, is_keyed=True),
-        Kind(upload, weight=0.08, body_bytes=_UPLOAD_BYTES),
-        Kind(bulk, weight=0.07),
-    )
-
-
-async def _steady(session: _Session) -> None:
-    """Only the load."""
-
-
 async def _shift(session: _Session) -> None:
     spec = {
         'service': session.service,
@@ -281,7 +276,6 @@
 
 _STEPS = MappingProxyType(
     {
-        'steady': _steady,
         'shift': _shift,
         'drain': _drain,
         'kill': _kill,
@@ -314,20 +308,20 @@
     answered = [found for found in asked if not found.verdict.reason]
     p50 = quantile_ms(answered, 1 / 2) or 0
     p99 = quantile_ms(answered, _P99) or 0
-    moved = session.report.runs.times(
-        lambda run: run.at > now - 1 and session.is_shifted(run),
-    )
-    local = session.report.runs.times(
-        lambda run: (
-            run.at > now - 1
-            and run.service == session.service
-            and run.caller_region == session.region
-        ),
-    )
-    share = len(moved) / max(len(local), 1)
     return (
         f't={seconds:.0f}s phase={session.phase} requests={len(asked)}'
         f' answered={len(answered)} p50_ms={p50:.0f} p99_ms={p99:.0f}'
+        + _write_steering(session, now)
+    )
+
+
+def _write_steering(session: _Session, now: float) -> str:
+    times = session.report.runs.times
+    since = now - 1
+    moved = times(lambda run: run.at > since and session.is_shifted(run))
+    local = times(lambda run: run.at > since and session.is_source(run))
+    share = len(moved) / max(len(local), 1)
+    return (
         f' shifted={share:.2f} cap_use={len(moved)}/{_CAP}'
         f' drain={session.drain_state}'
     )
--- a/nutmegshore/demo/upstreams.py
+++ b/nutmegshore/demo/upstreams.py
@@ -6,11 +6,13 @@
 import random
 import socket
 import struct
+import weakref
 from http import HTTPStatus
 from typing import Any
 
 import attrs
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -61,6 +63,20 @@
     answer_bytes: int
 
 
+class _Server(HTTPServer):
+    """Remembers its connections, which a kill resets."""
+
+    streams: weakref.WeakSet[IOStream]
+
+    def initialize(self, *positional: Any, **options: Any) -> None:
+        super().initialize(*positional, **options)
+        self.streams = weakref.WeakSet()
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+
 class StandinUpstream:
     """One upstream on a port that the system chooses.
 
@@ -89,7 +105,7 @@
         self._served = 0
         self._inside = 0
         self._slots = asyncio.Semaphore(place.slots)
-        self._server: HTTPServer | None = None
+        self._server: _Server | None = None
 
     @property
     def address(self) -> str:
@@ -108,7 +124,7 @@
         self._served = 0
         self._inside = 0
         self._slots = asyncio.Semaphore(self.place.slots)
-        self._server = HTTPServer(
+        self._server = _Server(
             Application(
                 [('.*', _UpstreamHandler, {'upstream': self})],
                 log_function=_log_nothing,
@@ -124,9 +140,7 @@
         if self._server is None:
             return
         self._server.stop()
-        # HTTPServer has no public list of its connections.
-        for connection in list(self._server._connections):  # noqa: SLF001 - see above
-            stream = connection.stream
+        for stream in list(self._server.streams):
             if stream.socket is not None:
                 stream.socket.setsockopt(
                     socket.SOL_SOCKET,
