Stop an entry of the busiest region and redraw taken ports

With two runs at once, one ended with "Address already in use" because another process took a port between its choice and the entry's start. An entry now draws other ports up to five times.

Tests also hold a hang and the runs that a cap does not count.

--- a/nutmegshore/demo/cluster.py
+++ b/nutmegshore/demo/cluster.py
@@ -25,6 +25,7 @@
 _LOOKUP_LIMIT_S = 1
 _POLL_S = 0.05
 _PORTS_PER_ENTRY = 3
+_MAX_PORT_TRIES = 5
 _LOOKUP_S = 0.015
 _WRITE_S = 0.03
 _UPLOAD_S = 0.06
@@ -152,11 +153,10 @@
         self._platform = HTTPServer(make_standin(self.store))
         self._platform.add_sockets(sockets)
         port = sockets[0].getsockname()[1]
-        self.places = self._choose_ports()
+        names = self.specs('entry')
+        starting = [self._start_entry(name, port) for name in names]
+        self.places = await asyncio.gather(*starting)
         self.store.instances = [place.listed for place in self.places]
-        await asyncio.gather(
-            *(self._start_entry(place, port) for place in self.places),
-        )
         await self._declare_all()
         await asyncio.gather(
             *(self._until_listed(place) for place in self.places),
@@ -215,28 +215,22 @@
             drawn = random.Random(rng.random())
             yield name, StandinUpstream(place, self.runs, self._clock, drawn)
 
-    def _choose_ports(self) -> list[EntryPlace]:
-        """Choose free ports, all bound at once so that none is drawn twice."""
-        specs = self.specs('entry')
-        wanted = _PORTS_PER_ENTRY * len(specs)
-        held = [bind_sockets(0, _LOOPBACK)[0] for _ in range(wanted)]
-        ports = [sock.getsockname()[1] for sock in held]
-        for sock in held:
-            sock.close()
-        return [
-            EntryPlace(
-                name,
-                spec['region'],
-                spec['availability_zone'],
-                *[ports.pop() for _ in range(_PORTS_PER_ENTRY)],
-            )
-            for name, spec in specs.items()
-        ]
-
-    async def _start_entry(self, place: EntryPlace, platform: int) -> None:
-        daemon = EntryDaemon(place.settings(platform, self._lifetime))
-        self.daemons[place.name] = daemon
-        await daemon.start()
+    async def _start_entry(self, name: str, platform: int) -> EntryPlace:
+        """Start an entry; another process can take a free port before it."""
+        tries = 0
+        while True:
+            tries += 1
+            place = _choose_place(name, self.specs('entry')[name])
+            daemon = EntryDaemon(place.settings(platform, self._lifetime))
+            self.daemons[name] = daemon
+            try:
+                await daemon.start()
+            except OSError:
+                await daemon.stop()
+                if tries == _MAX_PORT_TRIES:
+                    raise
+                continue
+            return place
 
     async def _declare_all(self) -> None:
         addresses = {
@@ -266,3 +260,12 @@
             is_ready = all(
                 other.address.encode() in came.body for other in self.places
             )
+
+
+def _choose_place(name: str, spec: dict[str, Any]) -> EntryPlace:
+    """Choose free ports, all bound at once so that none is drawn twice."""
+    held = [bind_sockets(0, _LOOPBACK)[0] for _ in range(_PORTS_PER_ENTRY)]
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return EntryPlace(name, spec['region'], spec['availability_zone'], *ports)
--- a/nutmegshore/demo/script.py
+++ b/nutmegshore/demo/script.py
@@ -257,8 +257,13 @@
 
 
 async def _stop(session: _Session) -> None:
-    # The first entry takes the operator's calls, so another one stops.
-    place = session.cluster.places[-1]
+    # The first entry takes the operator's calls, so another one of the
+    # busiest region stops.
+    place = [
+        found
+        for found in session.cluster.places
+        if found.region == session.region
+    ][-1]
     began = session.clock.now()
     await session.cluster.stop_entry(place.name)
     session.report.stop_s = session.clock.now() - began
--- a/tests/demo/test_script.py
+++ b/tests/demo/test_script.py
@@ -1,12 +1,14 @@
 """Short runs of the demonstration over real sockets."""
 
 import asyncio
+import random
 
 import pytest
 
 from nutmegshore.clock import SystemClock
-from nutmegshore.demo import DemoOptions, run_demo
-from nutmegshore.demo.ledgers import Told
+from nutmegshore.demo import DemoOptions, Report, run_demo, script
+from nutmegshore.demo.cluster import Cluster
+from nutmegshore.demo.ledgers import CallerLedger, Run, Told
 
 
 @pytest.fixture(scope='module', params=['vestfold', 'patelwadi'])
@@ -49,3 +51,32 @@
 def test_a_short_run_keeps_every_promise(report):
     """Guards against cut, doubled, over-cap and wrong answers in a run."""
     assert report.is_good, '\n'.join(report.lines)
+
+
+def test_a_hang_ends_the_run_with_a_reason(monkeypatch):
+    """Guards against a part that never starts and holds the run up."""
+    monkeypatch.setattr(script, '_START_LIMIT_S', 0)
+    options = DemoOptions('patelwadi', seed=7, seconds=1, callers=1)
+    report = asyncio.run(run_demo(options, SystemClock()))
+    assert 'start: no end' in report.failures[0]
+    assert not report.is_good
+
+
+def test_runs_without_a_usable_source_do_not_count_against_the_cap():
+    """Guards against a fail-over that is counted as an over-full shift."""
+
+    async def session():
+        options = DemoOptions('patelwadi', seed=7, seconds=1, callers=1)
+        clock = SystemClock()
+        cluster = Cluster('patelwadi', clock, random.Random(7), 1)
+        report = Report(cluster.runs, CallerLedger())
+        found = script._Session(options, clock, cluster, report)
+        found.shift_began = 0
+        moved = Run('t', 'tallies', 'north', 'west', 'c', '', 9, True)
+        nowhere = found.is_shifted(moved)
+        found.note_usable()
+        counted = [nowhere, found.is_shifted(moved)]
+        other = Run('t', 'tallies', 'south', 'west', 'c', '', 9, True)
+        return counted, found.is_shifted(other)
+
+    assert asyncio.run(session()) == ([True, False], False)
