--- a/nutmegshore/entry/overview.py
+++ b/nutmegshore/entry/overview.py
@@ -43,6 +43,7 @@
         functools.partial(_members_of, parts),
     )
     board.add_provider(functools.partial(_cap_parts, parts))
+    board.add_provider(functools.partial(_shift_parts, parts))
     board.add_provider(functools.partial(_drain_parts, parts))
     board.add_provider(functools.partial(_problem_parts, parts))
     return board
@@ -126,6 +127,18 @@
     )
 
 
+def _shift_parts(parts: EntryParts) -> Iterator[StatusPart]:
+    tally = parts.steering.parts.shifts
+    for name, counts in tally.by_name.items():
+        obstacle = tally.held_back_by(name)
+        yield StatusPart(
+            'shift',
+            name,
+            done={result.value: count for result, count in counts.items()},
+            held_back_by=(obstacle,) if obstacle else (),
+        )
+
+
 def _drain_parts(parts: EntryParts) -> Iterator[StatusPart]:
     paced = set()
     for progress in parts.steering.drain_progress():
--- a/nutmegshore/steering/parts.py
+++ b/nutmegshore/steering/parts.py
@@ -16,6 +16,7 @@
 from nutmegshore.steering.leaving import LeavingUpstreams
 from nutmegshore.steering.retry import RetryBudget
 from nutmegshore.steering.slots import SlotLedger
+from nutmegshore.steering.shift_tally import ShiftTally
 from nutmegshore.steering.slow_start import SlowStart
 
 __all__ = ('LonePeers', 'Parts', 'Surroundings', 'free_slots')
@@ -64,6 +65,7 @@
     rooms: RegionRooms
     links: LinkMeter
     budget: RetryBudget
+    shifts: ShiftTally
     slots: SlotLedger
 
     @classmethod
@@ -91,6 +93,7 @@
             rooms=RegionRooms(clock),
             links=LinkMeter(clock),
             budget=RetryBudget(clock, around.counters),
+            shifts=ShiftTally(around.counters),
             slots=SlotLedger(),
         )
 
--- a/nutmegshore/steering/router.py
+++ b/nutmegshore/steering/router.py
@@ -10,6 +10,7 @@
 from nutmegshore.steering.parts import Parts
 from nutmegshore.steering.permit import Pending, Permit, RouteRequest, Unit
 from nutmegshore.steering.plan import Origin, Plan, RegionChoice
+from nutmegshore.steering.shift_tally import ShiftResult
 
 __all__ = ('Router',)
 
@@ -114,16 +115,26 @@
             return None
         request = pending.request
         for choice in self.plan.choices[request.service]:
-            is_target = choice.region == shift.spec.to_region
-            if is_target and self._access.has_room(choice, request):
-                return self._place_in(
-                    choice,
-                    self.candidates.find(choice, request),
-                    request,
-                    shift,
-                )
+            if choice.region == shift.spec.to_region:
+                return self._move_to(choice, request, shift)
         return None
 
+    def _move_to(
+        self,
+        choice: RegionChoice,
+        request: RouteRequest,
+        shift: Envelope,
+    ) -> Permit | None:
+        tally = self._parts.shifts
+        if not self._access.has_room(choice, request):
+            tally.note(shift.name, ShiftResult.NO_ROOM)
+            return None
+        candidates = self.candidates.find(choice, request)
+        permit = self._place_in(choice, candidates, request, shift)
+        result = ShiftResult.MOVED if permit else ShiftResult.NO_UNIT
+        tally.note(shift.name, result)
+        return permit
+
     def _place_in(
         self,
         choice: RegionChoice,
--- a/tests/steering/test_steering.py
+++ b/tests/steering/test_steering.py
@@ -128,8 +128,11 @@
     return declare('shift', 'm', spec)
 
 
-@pytest.mark.parametrize('units', [0, 2])
-def test_a_shift_moves_only_with_a_unit(units, declare, shift):
+@pytest.mark.parametrize(
+    ('units', 'expected'),
+    [(0, 'no_unit'), (2, 'no_room')],
+)
+def test_a_shift_moves_only_with_a_unit(units, expected, declare, shift):
     """Guards against a shift that goes above its cap."""
     gate = _OpenGate(units)
 
@@ -142,6 +145,8 @@
         assert len(moved) == min(units, 1)
         assert all(one.origins[-1].name == 'm' for one in moved)
         assert len(gate.taken) == len(moved)
+        obstacle = west.parts.shifts.held_back_by('m')
+        assert obstacle == expected
 
     _run(declare, check, gate=gate)
 
