Leave busy entries out of the look-up answers

Cause: look-up answers left out dead and leaving entries, but not those that lack their core.

pytest tests/entry: one late check less than four changes nothing, four do; a dead busy entry is forgotten.

--- a/nutmegshore/entry/parts.py
+++ b/nutmegshore/entry/parts.py
@@ -1,5 +1,6 @@
 """The parts of an entry behind its listeners."""
 
+import asyncio
 import random
 
 import attrs
@@ -18,6 +19,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.entry.caps_gate import CapsGate
 from nutmegshore.entry.keyed_records import KeyedRecords
+from nutmegshore.entry.overload import OverloadWatch
 from nutmegshore.entry.quarantine_gate import QuarantineGate
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.once import OnceRecords, RecordSweep
@@ -89,6 +91,7 @@
         """Begin to follow the configuration and to act on it."""
         self.follower.start()
         self._sweep.start()
+        self._overload.start()
         await self.caps.start()
         await self.steering.start()
 
@@ -103,7 +106,7 @@
         await self.steering.stop()
         await self.caps.stop()
         await self._records.stop(_RECORD_FLUSH_S)
-        await self._sweep.stop()
+        await asyncio.gather(self._sweep.stop(), self._overload.stop())
         await self.follower.stop()
 
     def lookup(self, service: str) -> LookupAnswer:
@@ -154,6 +157,11 @@
         agreed = (outside.platform, outside.peers, outside.clock)
         self._records = OnceRecords(*agreed, outside.counters)
         self._sweep = RecordSweep(*agreed, outside.counters)
+        self._overload = OverloadWatch(
+            outside.peers,
+            outside.clock,
+            outside.counters,
+        )
         self.quarantine = Quarantine(
             outside.peers,
             outside.clock,
@@ -191,12 +199,14 @@
         )
 
     def _unusable_entries(self) -> set[str]:
-        """Declared entries that are dead or leaving, as far as is known."""
+        """Declared entries that are dead, leaving or too busy."""
         declared = set(self.table.by_name(Entry))
-        usable = set(self.outside.peers.serving())
+        serving = set(self.outside.peers.serving())
         if self._is_leaving:
-            usable.discard(self.local_name)
-        return declared - usable
+            serving.discard(self.local_name)
+        usable = serving - self._overload.overloaded()
+        # When all are busy, a busy entry is better than none.
+        return declared - (usable & declared or serving)
 
     def _usable_upstreams(self, service: str) -> set[str]:
         choices = self.steering.plan.choices.get(service, ())
