--- a/nutmegshore/steering/router.py
+++ b/nutmegshore/steering/router.py
@@ -149,7 +149,7 @@
         wanted: list[Unit] = [('limit', limit) for limit in choice.limits]
         if shift is not None:
             wanted.append(('shift', shift.name))
-        if self._take_all(wanted):
+        if self._take_all(wanted, request.body_bytes):
             origins = (*choice.origins, *map(Origin.of, filter(None, [shift])))
             choice = RegionChoice(choice.region, choice.upstreams, origins)
             return self._permit(name, choice, request, tuple(wanted))
@@ -157,11 +157,11 @@
             raise RequestError(ErrorKind.CAP_REACHED, request.service)
         return None
 
-    def _take_all(self, wanted: list[Unit]) -> bool:
+    def _take_all(self, wanted: list[Unit], size_bytes: int) -> bool:
         gate = self._parts.gate
         taken: list[Unit] = []
         for unit in wanted:
-            if not gate.try_take(*unit):
+            if not gate.try_take(*unit, size_bytes):
                 for earlier in taken:
                     gate.give_back(*earlier)
                 return False
--- a/tests/steering/test_steering.py
+++ b/tests/steering/test_steering.py
@@ -29,7 +29,7 @@
         self.units = units
         self.taken = []
 
-    def try_take(self, kind, name):
+    def try_take(self, kind, name, size_bytes=0):
         """Take a unit while there is one."""
         if len(self.taken) >= self.units:
             return False
