--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 STAMP = $(VENV)/.installed-$(shell cksum requirements.lock | cut -d' ' -f1)
 BIN = $(VENV)/bin
 SOURCES = nutmegshore tests bench
+FORMATTED = $(SOURCES) tools examples
 
 .PHONY: setup demo check style format binary bench capacity clean
 
@@ -23,12 +24,12 @@
 	$(BIN)/python -m pytest
 
 style: setup
-	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff format --check $(FORMATTED)
 	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/python tools/noqa_count.py
 
 format: setup
-	$(BIN)/ruff format $(SOURCES) tools
+	$(BIN)/ruff format $(FORMATTED)
 
 binary: dist/nutmegshore
 
--- a/tests/entry/test_caps_gate.py
+++ b/tests/entry/test_caps_gate.py
@@ -15,7 +15,10 @@
 _UNIT_BYTES = 65_536
 
 
-@pytest.mark.parametrize(('units', 'taken'), [(0, 5), (1, 4), (3, 1), (5, 0)])
+@pytest.mark.parametrize(
+    ('units', 'taken'),
+    [(0, 5), (1, 4), (3, 1), (5, 0)],
+)
 def test_a_cap_of_bytes_counts_the_length_of_bodies(
     units, taken, table, declare
 ):
