--- a/bench/peers_cluster.py
+++ b/bench/peers_cluster.py
@@ -152,7 +152,7 @@
         """Set the one-way delay between regions."""
         for one, other in itertools.product(_REGIONS, repeat=2):
             delay = _NEAR_S if one == other else seconds
-            self.network.delay_between(one, other, delay)
+            self.network.set_delay(one, other, delay)
 
     def region_of(self, name: str) -> str:
         """Region of a member."""
--- a/nutmegshore/peers/memory.py
+++ b/nutmegshore/peers/memory.py
@@ -1,32 +1,27 @@
 """A network in memory that joins the entries of a session."""
 
 import asyncio
-import itertools
 from typing import Any
 
 from nutmegshore.clock import VirtualClock
 from nutmegshore.peers.base import Member, Peers
 from nutmegshore.peers.codec import decode, encode
+from nutmegshore.peers.paths import MemoryPaths
 
 __all__ = ('MemoryNetwork', 'MemoryPeers')
 
 
-class MemoryNetwork:
+class MemoryNetwork(MemoryPaths):
     """Carries encoded messages between `MemoryPeers` on virtual time.
 
-    Delays are set between regions; `cut` stops one direction between two
-    members, regions or both ways with `partition`. Messages to a member that
-    is paused wait until it wakes; those to a dead one are lost. `sent_bytes`
-    and `sent_messages` count by sender.
+    Messages to a member that is paused wait until it wakes; those to a dead
+    one are lost.
     """
 
     def __init__(self) -> None:
         """Start with no members and no delay."""
+        super().__init__()
         self.by_name: dict[str, 'MemoryPeers'] = {}
-        self.sent_bytes: dict[str, int] = {}
-        self.sent_messages: dict[str, int] = {}
-        self._delays_s: dict[tuple[str, str], float] = {}
-        self._cuts: set[tuple[str, str]] = set()
 
     def join(self, local: Member, clock: VirtualClock) -> 'MemoryPeers':
         """Add a member, in place of an earlier one of the same name."""
@@ -38,42 +33,13 @@
         """Take a member out; what is under way to it is lost."""
         self.by_name.pop(name, None)
 
-    def set_delay(self, one: str, other: str, seconds: float) -> None:
-        """Set the one-way delay between two regions, both ways."""
-        self._delays_s[one, other] = seconds
-        self._delays_s[other, one] = seconds
-
-    def cut(self, source: str, target: str) -> None:
-        """Lose what a member or region sends to another, in one direction."""
-        self._cuts.add((source, target))
-
-    def partition(self, one: str, other: str) -> None:
-        """Cut both directions between two members or regions."""
-        self.cut(one, other)
-        self.cut(other, one)
-
-    def heal(self) -> None:
-        """Undo all cuts."""
-        self._cuts.clear()
-
-    def is_cut(self, source: Member, target: Member) -> bool:
-        """Whether messages from the source to the target are lost now."""
-        ends = itertools.product(
-            (source.name, source.region),
-            (target.name, target.region),
-        )
-        return not self._cuts.isdisjoint(ends)
-
     def carry(self, source: Member, name: str, frame: bytes) -> None:
         """Deliver a frame after the delay between the two regions."""
-        sender = source.name
-        self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(frame)
-        self.sent_messages[sender] = self.sent_messages.get(sender, 0) + 1
+        self.count(source.name, len(frame))
         target = self.by_name.get(name)
         if target is None or self.is_cut(source, target.local):
             return
-        regions = (source.region, target.local.region)
-        delay = self._delays_s.get(regions, 0)
+        delay = self.delay_from(source, target.local)
         loop = asyncio.get_running_loop()
         loop.call_later(delay, self._arrive, source, target, frame)
 
--- a/nutmegshore/peers/memory_link.py
+++ b/nutmegshore/peers/memory_link.py
@@ -1,7 +1,6 @@
 """Links in memory for sessions on virtual time."""
 
 import asyncio
-import itertools
 from typing import Any
 
 from nutmegshore.clock import VirtualClock
@@ -15,26 +14,23 @@
     Link,
     Transport,
 )
+from nutmegshore.peers.paths import MemoryPaths
 
 __all__ = ('LinkNetwork', 'MemoryLink', 'MemoryTransport')
 
 
-class LinkNetwork:
+class LinkNetwork(MemoryPaths):
     """Joins `MemoryTransport`s, with delays, bytes/s and partitions.
 
-    `sent_bytes` and `sent_messages` count by sending member. A frame that is
-    sent during a cut is lost, and so is all that follows it on that link in
-    that direction, as on a TCP connection that gives up.
+    A frame that is sent during a cut is lost, and so is all that follows it on
+    that link in that direction, as on a TCP connection that gives up.
     """
 
     def __init__(self) -> None:
         """Start without members, delays and cuts."""
+        super().__init__()
         self.by_address: dict[str, 'MemoryTransport'] = {}
-        self.sent_bytes: dict[str, int] = {}
-        self.sent_messages: dict[str, int] = {}
         self.bytes_per_s = float('inf')
-        self._delays_s: dict[tuple[str, str], float] = {}
-        self._cuts: set[tuple[str, str]] = set()
 
     def join(self, local: Member, clock: VirtualClock) -> 'MemoryTransport':
         """Add a member at the address of its name."""
@@ -48,43 +44,6 @@
         if transport is not None:
             transport.is_killed = True
 
-    def delay_between(self, one: str, other: str, seconds: float) -> None:
-        """Fix the one-way delay between two regions, both ways."""
-        self._delays_s[one, other] = seconds
-        self._delays_s[other, one] = seconds
-
-    def delay_from(self, source: Member, target: Member) -> float:
-        """One-way delay in seconds."""
-        return self._delays_s.get((source.region, target.region), 0)
-
-    def cut(self, source: str, target: str) -> None:
-        """Lose what a member or region sends to another, one way."""
-        self._cuts.add((source, target))
-
-    def partition(self, one: str, other: str) -> None:
-        """Cut both directions between two members or regions."""
-        self.cut(one, other)
-        self.cut(other, one)
-
-    def heal(self) -> None:
-        """Undo all cuts."""
-        self._cuts.clear()
-
-    def is_cut(self, source: Member, target: Member) -> bool:
-        """Whether what the source sends to the target is lost now."""
-        if not self._cuts:
-            return False
-        ends = itertools.product(
-            (source.name, source.region),
-            (target.name, target.region),
-        )
-        return not self._cuts.isdisjoint(ends)
-
-    def count(self, name: str, size: int) -> None:
-        """Count a sent frame."""
-        self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
-        self.sent_messages[name] = self.sent_messages.get(name, 0) + 1
-
 
 class MemoryLink(Link):
     """One end of a link in memory."""
