--- a/bench/caps_faults.py
+++ b/bench/caps_faults.py
@@ -15,6 +15,7 @@
 
 _COUNT = 5
 _CAP = 60
+_CAPS = (_CAP // 3, _CAP // 2, _CAP, 2 * _CAP)
 _LEASE_S = 10
 #: The short lease shows a missing window, the long one missing drift.
 _ISOLATED_LEASES_S = (60, 600)
@@ -47,126 +48,159 @@
     faults: tuple[str, ...]
 
 
-class _Schedule:
-    """Draws faults and applies them, two at once in half the steps."""
+class _Targets:
+    """Draws what a fault hits and for how long."""
 
     def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self._faults = (
-            self._pause,
-            self._pause_after_take,
-            self._pause_in_renewal,
-            self._kill,
-            self._cut_one_way,
-            self._partition,
-            self._lose_answers,
-            self._slow,
-            self._down,
-            self._recap,
-            self._delete,
-            self._change_lease,
-        )
-        self.applied: list[str] = []
-        self._tasks: list[asyncio.Task] = []
-
-    async def run(self, until: float) -> None:
-        """Apply faults until a time; their ends may come later."""
-        loop = asyncio.get_running_loop()
-        while loop.time() < until:
-            for fault in self._rng.sample(
-                self._faults, self._rng.choice((1, 2))
-            ):
-                self.applied.append(fault.__name__[1:])
-                self._tasks.append(asyncio.create_task(fault()))
-            await asyncio.sleep(self._rng.uniform(*_GAP_S))
 
-    async def stop(self) -> None:
-        """End all faults that still wait."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _one(self) -> str:
+    def name(self) -> str:
+        """Name of a live instance."""
         return self._rng.choice(sorted(self._fleet.by_name))
 
-    def _instance(self) -> Instance:
-        return self._fleet.by_name[self._one()]
+    def instance(self) -> Instance:
+        """A live instance."""
+        return self._fleet.by_name[self.name()]
 
-    def _length(self) -> float:
+    def seconds(self) -> float:
+        """Length of a fault, short or long."""
         longest = self._rng.choice((_SHORT_S, _LONG_S))
         return self._rng.uniform(0.1, longest)
 
-    async def _pause(self) -> None:
-        clock = self._instance().clock
-        clock.pause(self._length())
+    def platform(self) -> Faults:
+        """Faults of the platform for one instance or for all."""
+        one = self.instance().platform.faults
+        return self._rng.choice((one, self._fleet.store.faults))
+
+
+class _Faults:
+    """Faults of processes, network, platform and declarations."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._targets = _Targets(fleet, rng)
+
+    async def pause(self) -> None:
+        """Stop a process for a while."""
+        clock = self._targets.instance().clock
+        clock.pause(self._targets.seconds())
 
-    async def _pause_after_take(self) -> None:
-        self._fleet.pause_after_take(self._one(), self._length())
+    async def pause_after_take(self) -> None:
+        """Stop a process between a check and the sending."""
+        self._fleet.pause_after_take(
+            self._targets.name(), self._targets.seconds()
+        )
 
-    async def _pause_in_renewal(self) -> None:
-        platform = self._instance().platform
+    async def pause_in_renewal(self) -> None:
+        """Stop a process around its next write to the platform."""
+        platform = self._targets.instance().platform
         waiting = (platform.pauses_before, platform.pauses_after)
-        self._rng.choice(waiting).append(self._length())
+        self._rng.choice(waiting).append(self._targets.seconds())
 
-    async def _kill(self) -> None:
+    async def kill(self) -> None:
+        """End a process and start it again, if most are there."""
         if len(self._fleet.by_name) < _COUNT - 1:
             return
-        name = self._one()
+        name = self._targets.name()
         self._fleet.kill(name)
-        await asyncio.sleep(self._rng.choice((0, self._length())))
+        await asyncio.sleep(self._rng.choice((0, self._targets.seconds())))
         await self._fleet.spawn(name)
 
-    async def _cut_one_way(self) -> None:
-        self._fleet.network.cut(self._one(), self._one())
-        await asyncio.sleep(self._length())
+    async def cut_one_way(self) -> None:
+        """Cut one direction between two instances for a while."""
+        self._fleet.network.cut(self._targets.name(), self._targets.name())
+        await asyncio.sleep(self._targets.seconds())
         self._fleet.network.heal()
 
-    async def _partition(self) -> None:
+    async def partition(self) -> None:
+        """Cut two regions from each other for a while."""
         self._fleet.network.partition('east', 'west')
-        await asyncio.sleep(self._length())
+        await asyncio.sleep(self._targets.seconds())
         self._fleet.network.heal()
 
-    async def _lose_answers(self) -> None:
+    async def lose_answers(self) -> None:
+        """Lose the answers of the next writes."""
         lost = self._rng.randint(1, _MOST_LOST)
         self._fleet.store.faults.lost_answers += lost
 
-    async def _slow(self) -> None:
-        faults = self._faults_of_platform()
+    async def slow(self) -> None:
+        """Let each platform call take up to 4 s for a while."""
+        faults = self._targets.platform()
         faults.delay_s = self._rng.uniform(*_SLOW_S)
-        await asyncio.sleep(self._length())
+        await asyncio.sleep(self._targets.seconds())
         faults.delay_s = 0
 
-    async def _down(self) -> None:
-        faults = self._faults_of_platform()
+    async def down(self) -> None:
+        """Take the platform away for a while."""
+        faults = self._targets.platform()
         faults.is_down = True
         await asyncio.sleep(self._rng.uniform(*_DOWN_S))
         faults.is_down = False
 
-    def _faults_of_platform(self) -> Faults:
-        one = self._instance().platform.faults
-        return self._rng.choice((one, self._fleet.store.faults))
-
-    async def _recap(self) -> None:
-        cap = self._rng.choice((_CAP // 3, _CAP // 2, _CAP, 2 * _CAP))
-        await self._spread(cap)
+    async def recap(self) -> None:
+        """Declare another cap."""
+        await self._spread(self._rng.choice(_CAPS))
 
-    async def _delete(self) -> None:
+    async def delete(self) -> None:
+        """Delete the shift and declare it again."""
         await self._spread(None)
-        await asyncio.sleep(self._length())
+        await asyncio.sleep(self._targets.seconds())
         await self._spread(_CAP)
 
-    async def _change_lease(self) -> None:
+    async def change_lease(self) -> None:
+        """Declare another lease."""
         self._fleet.lease_seconds = self._rng.choice((_LEASE_S, 3 * _LEASE_S))
         await self._spread(_CAP)
 
     async def _spread(self, cap: int | None) -> None:
         """Declare at one instance first, at the others a little later."""
-        self._fleet.declare(cap, [self._one()])
+        self._fleet.declare(cap, [self._targets.name()])
         await asyncio.sleep(self._rng.uniform(0, _SHORT_S))
         self._fleet.spread(list(self._fleet.by_name))
 
 
+class _Schedule:
+    """Draws faults and applies them, two at once in half the steps."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self._rng = rng
+        faults = _Faults(fleet, rng)
+        self._faults = (
+            faults.pause,
+            faults.pause_after_take,
+            faults.pause_in_renewal,
+            faults.kill,
+            faults.cut_one_way,
+            faults.partition,
+            faults.lose_answers,
+            faults.slow,
+            faults.down,
+            faults.recap,
+            faults.delete,
+            faults.change_lease,
+        )
+        self.applied: list[str] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self, until: float) -> None:
+        """Apply faults until a time; their ends may come later."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            count = self._rng.choice((1, 2))
+            for fault in self._rng.sample(self._faults, count):
+                self.applied.append(fault.__name__)
+                self._tasks.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self._rng.uniform(*_GAP_S))
+
+    async def stop(self) -> None:
+        """End all faults that still wait."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
 def run_schedule(seed: int) -> Verdict:
     """Run one schedule; the same seed gives the same run."""
     return run_virtual(lambda: _session(seed))
--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -166,6 +166,7 @@
     platform: PausingPlatform
     table: ConfigurationTable
     peers: Peers
+    rng: random.Random
     caps: Caps
     callers: asyncio.Task | None = None
 
@@ -226,23 +227,12 @@
 
     async def spawn(self, name: str) -> None:
         """Start an instance, also again under the name of a dead one."""
-        self._incarnations[name] += 1
-        clock = VirtualClock(self.options.rates.get(name, 1))
-        region = _REGIONS[int(name[1:]) % len(_REGIONS)]
-        member = Member(name, region, 'a', self._incarnations[name])
-        peers = self.network.join(member, clock)
-        platform = PausingPlatform(self.store, clock)
-        table = ConfigurationTable()
-        table.merge(self.declared)
-        rng = random.Random(self.rng.getrandbits(_TOKEN_BITS))
-        caps = self.options.build(
-            table, platform, peers, clock, rng, Counters()
-        )
-        instance = Instance(name, clock, platform, table, peers, caps)
+        instance = self._build(name)
         self.by_name[name] = instance
         self.chances[name] = _Chance()
-        await caps.start()
-        callers = self._call(instance, random.Random(rng.random()))
+        await instance.caps.start()
+        rng = random.Random(instance.rng.random())
+        callers = self._call(instance, rng)
         instance.callers = asyncio.create_task(callers)
 
     def kill(self, name: str) -> None:
@@ -264,6 +254,24 @@
         stops = [one.caps.stop() for one in self.by_name.values()]
         await asyncio.gather(*stops)
 
+    def _build(self, name: str) -> Instance:
+        clock = VirtualClock(self.options.rates.get(name, 1))
+        peers = self.network.join(self._next_member(name), clock)
+        platform = PausingPlatform(self.store, clock)
+        table = ConfigurationTable()
+        table.merge(self.declared)
+        rng = random.Random(self.rng.getrandbits(_TOKEN_BITS))
+        caps = self.options.build(
+            table, platform, peers, clock, rng, Counters()
+        )
+        return Instance(name, clock, platform, table, peers, rng, caps)
+
+    def _next_member(self, name: str) -> Member:
+        """Member with the next incarnation of a name."""
+        self._incarnations[name] += 1
+        region = _REGIONS[int(name[1:]) % len(_REGIONS)]
+        return Member(name, region, 'a', self._incarnations[name])
+
     async def _call(self, instance: Instance, rng: random.Random) -> None:
         """Callers of one instance: random arrivals at the demanded rate."""
         step_s = self.options.step_s
--- a/bench/caps_policies.py
+++ b/bench/caps_policies.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+import attrs
+
 from nutmegshore.caps import Ledger, Share, parse_ledger, write_ledger
 from nutmegshore.caps.demand import Demand
 from nutmegshore.caps.drift import SEND_S, WINDOW_S
@@ -14,7 +16,12 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformError
 from nutmegshore.peers import Peers
-from nutmegshore.platform import Expected, Platform, write_resolved
+from nutmegshore.platform import (
+    Expected,
+    Platform,
+    StoredObject,
+    write_resolved,
+)
 from nutmegshore.resources import Shift
 
 __all__ = ('StaticSplit', 'WriteGrants')
@@ -98,12 +105,10 @@
 
     async def _claim(self) -> None:
         stored = await self._platform.read(_KEY)
-        cap = self._table.by_name(Shift)['moved'].spec.cap
-        ledger = parse_ledger(stored.body) if stored else Ledger(1, cap)
+        ledger = self._parse(stored)
+        own = self._own_share(ledger)
         started = self._clock.now()
         wanted = math.ceil(self._demand.wanted(started) * _MARGIN)
-        identity = (self._peers.local.name, '1')
-        own = ledger.share_of(identity) or Share(*identity, 0, 0, 1, 0)
         units = min(wanted, own.units + ledger.free)
         is_renewal = self._lease_ends - started < 2 * _RENEW_S
         if units < own.units:
@@ -112,13 +117,35 @@
             await self._clock.sleep(WINDOW_S)
         if units == own.units and not is_renewal:
             return
-        share = Share(*identity, units, units, 3 * _RENEW_S, own.sequence + 1)
+        share = attrs.evolve(
+            own,
+            units=units,
+            target=units,
+            lease_seconds=3 * _RENEW_S,
+            sequence=own.sequence + 1,
+        )
+        await self._write(ledger.with_share(share), stored)
+        self._units = units
+        self._lease_ends = started + 3 * _RENEW_S
+
+    def _parse(self, stored: StoredObject | None) -> Ledger:
+        if stored is not None:
+            return parse_ledger(stored.body)
+        return Ledger(1, self._table.by_name(Shift)['moved'].spec.cap)
+
+    def _own_share(self, ledger: Ledger) -> Share:
+        identity = (self._peers.local.name, '1')
+        return ledger.share_of(identity) or Share(*identity, 0, 0, 1, 0)
+
+    async def _write(
+        self,
+        ledger: Ledger,
+        stored: StoredObject | None,
+    ) -> None:
         await write_resolved(
             self._platform,
             _KEY,
-            write_ledger(ledger.with_share(share)),
+            write_ledger(ledger),
             stored and Expected.of(stored),
             str(self._rng.random()),
         )
-        self._units = units
-        self._lease_ends = started + 3 * _RENEW_S
--- a/bench/sessions/caps.py
+++ b/bench/sessions/caps.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from bench.caps_faults import run_isolated, run_schedule
+from bench.caps_faults import Verdict, run_isolated, run_schedule
 from bench.caps_fleet import Fleet, FleetOptions
 from bench.caps_policies import StaticSplit, WriteGrants
 from bench.measure import Findings, Measure, Table
@@ -56,6 +56,16 @@
         'three heavy': ({'e0': 400, 'e1': 300, 'e2': 300}, 480),
     },
 )
+#: All demands for the chosen policy, one for the others.
+_USE_CASES = tuple(
+    case
+    for case in itertools.product(_POLICIES, _SIZES, _DEMANDS)
+    if case[-1] == _COMPARED or case[0] == _CHOSEN
+)
+_OUTAGE_CASES = tuple(
+    (policy, *lengths)
+    for policy, lengths in itertools.product(_POLICIES, _OUTAGES_S)
+)
 
 
 @attrs.frozen
@@ -89,30 +99,34 @@
     case: tuple[str, int, str],
     build: Callable[..., Any],
 ) -> _Result:
-    policy, count, demand = case
+    _, count, demand = case
     options = FleetOptions(seed=seed, count=count, cap=_CAP, build=build)
     fleet = Fleet(options, functools.partial(_wanted, demand, count))
     fleet.judge.has_ledger = build is Caps
     await fleet.start()
-    start, end = _STEADY_S
-    await asyncio.sleep(start)
-    before = _calls(fleet)
-    await asyncio.sleep(end - start)
-    after = _calls(fleet)
+    per_s = await _steady_calls(fleet)
     await asyncio.sleep(_JUMPED_S)
     now = asyncio.get_running_loop().time()
-    per_s = [(new - old) / (end - start) for new, old in zip(after, before)]
     await fleet.stop()
-    judge = fleet.judge
     return _Result(
         *case,
-        judge.used(start, end) / _CAP,
-        judge.used(now - 1, now) / _CAP,
-        judge.over_cap(),
+        fleet.judge.used(*_STEADY_S) / _CAP,
+        fleet.judge.used(now - 1, now) / _CAP,
+        fleet.judge.over_cap(),
         *per_s,
     )
 
 
+async def _steady_calls(fleet: Fleet) -> list[float]:
+    """Reads, writes and messages per second in the steady time."""
+    start, end = _STEADY_S
+    await asyncio.sleep(start)
+    before = _calls(fleet)
+    await asyncio.sleep(end - start)
+    counts = zip(before, _calls(fleet), strict=True)
+    return [(late - early) / (end - start) for early, late in counts]
+
+
 def _wanted(demand: str, count: int, name: str, at: float) -> float:
     if at >= _JUMP_AT_S:
         return _HEAVY if name == 'e4' else 0
@@ -197,47 +211,56 @@
 
 def measure(seed: int) -> Findings:
     """Compare the policies and run the fault schedules."""
-    cases = [
-        case
-        for case in itertools.product(_POLICIES, _SIZES, _DEMANDS)
-        if case[-1] == _COMPARED or case[0] == _CHOSEN
-    ]
-    outages = [
-        (policy, *lengths)
-        for policy, lengths in itertools.product(_POLICIES, _OUTAGES_S)
-    ]
     with ProcessPoolExecutor(_WORKERS) as workers:
-        used = workers.map(functools.partial(_run_use, seed), cases)
-        lasted = workers.map(functools.partial(_run_outage, seed), outages)
-        seeds = range(seed, seed + _SCHEDULES)
-        faulty = workers.map(run_schedule, seeds, chunksize=5)
-        alone = workers.map(run_isolated, seeds[:_ISOLATED])
-        quiet = dict(
-            zip(
-                _SIZES,
-                workers.map(functools.partial(_run_calls, seed), _SIZES),
-                strict=True,
-            ),
-        )
-        results = list(used)
-        ends = dict(zip(outages, lasted, strict=True))
-        verdicts = [*faulty, *alone]
-    over = [
-        *[found.over_cap for found in results],
-        *[found[-1] for found in ends.values()],
-        *[found[-1] for found in quiet.values()],
-        *[verdict.over_cap for verdict in verdicts],
-    ]
+        runs = _run_all(seed, workers)
     return Findings(
-        measures=(*_use_measures(seed, results), _over_measure(seed, over)),
+        measures=(
+            *_use_measures(seed, runs.results),
+            _over_measure(seed, runs.over_caps()),
+        ),
         tables=(
-            _use_table(results),
-            _outage_table(ends),
-            _quiet_table(quiet),
+            _use_table(runs.results),
+            _outage_table(runs.outages),
+            _quiet_table(runs.quiet),
         ),
     )
 
 
+@attrs.frozen
+class _Runs:
+    """What all runs showed, the outages and quiet times by their case."""
+
+    results: list[_Result]
+    outages: dict[tuple[str, int, int], tuple[float, float, int]]
+    verdicts: list[Verdict]
+    quiet: dict[int, tuple[float, float, int]]
+
+    def over_caps(self) -> list[int]:
+        """Uses over the cap of each run."""
+        return [
+            *[found.over_cap for found in self.results],
+            *[found[-1] for found in self.outages.values()],
+            *[found[-1] for found in self.quiet.values()],
+            *[verdict.over_cap for verdict in self.verdicts],
+        ]
+
+
+def _run_all(seed: int, workers: ProcessPoolExecutor) -> _Runs:
+    """Give all runs to the workers, then wait for them."""
+    used = workers.map(functools.partial(_run_use, seed), _USE_CASES)
+    lasted = workers.map(functools.partial(_run_outage, seed), _OUTAGE_CASES)
+    seeds = range(seed, seed + _SCHEDULES)
+    faulty = workers.map(run_schedule, seeds, chunksize=5)
+    alone = workers.map(run_isolated, seeds[:_ISOLATED])
+    calls = workers.map(functools.partial(_run_calls, seed), _SIZES)
+    return _Runs(
+        results=list(used),
+        outages=dict(zip(_OUTAGE_CASES, lasted, strict=True)),
+        verdicts=[*faulty, *alone],
+        quiet=dict(zip(_SIZES, calls, strict=True)),
+    )
+
+
 def _use_measures(seed: int, results: list[_Result]) -> list[Measure]:
     measures = []
     for count in _SIZES:
@@ -310,7 +333,8 @@
         '15 s later',
         'over',
     )
-    rows = [tuple(map(_cell, (*case, *found))) for case, found in ends.items()]
+    found = [(*case, *measured) for case, measured in ends.items()]
+    rows = [tuple(map(_cell, one)) for one in found]
     return Table('Use of a cap in a platform outage', columns, tuple(rows))
 
 
--- a/bench/sessions/peers.py
+++ b/bench/sessions/peers.py
@@ -139,8 +139,9 @@
 
 def _extend(places: list[float], known: tuple[float, float]) -> float:
     """Extend the line through two known points to the third place."""
-    slope = (known[1] - known[0]) / (places[1] - places[0])
-    return known[1] + slope * (places[2] - places[1])
+    first, second, third = places
+    slope = (known[1] - known[0]) / (second - first)
+    return known[1] + slope * (third - second)
 
 
 def _reverts(verdicts: list[Verdict], seed: int) -> Measure:
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -60,7 +60,7 @@
         cluster.network.partition('south', 'west')
         cluster.network.partition('south', 'north')
         for name in ('e002', 'e005', 'e008'):
-            cluster.by_name[name].platform.faults.is_down = True
+            cluster.by_name[name].set_store_down(is_down=True)
         await cluster.declare('e000', _KEY, None)
         await asyncio.sleep(20)
         before = sorted(_in_force(cluster))
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -49,7 +49,7 @@
     def start_many(self, count, **options):
         for index in range(count):
             region = ('west', 'north', 'south')[index % 3]
-            self.start(f'm{index:02}', region, **options)
+            self.start('m{0:02}'.format(index), region, **options)
 
     async def kill(self, name):
         self.network.kill(name)
@@ -58,6 +58,13 @@
     def views(self):
         return {name: set(mesh.live()) for name, mesh in self.meshes.items()}
 
+    def total(self, name, metric):
+        counters = self.meshes[name].parts.counters
+        return counters.total(metric)
+
+    def totals(self, metric):
+        return [self.total(name, metric) for name in self.meshes]
+
     def failures(self):
         return [
             failure
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -30,15 +30,9 @@
         net.start_many(count)
         await asyncio.sleep(20)
         links = {name: mesh.neighbours() for name, mesh in net.meshes.items()}
-        opened = [
-            mesh.parts.counters.total('links_opened')
-            for mesh in net.meshes.values()
-        ]
+        opened = net.totals('links_opened')
         await asyncio.sleep(20)
-        later = [
-            mesh.parts.counters.total('links_opened')
-            for mesh in net.meshes.values()
-        ]
+        later = net.totals('links_opened')
         return links, opened == later, net.views(), net.failures()
 
     links, is_quiet, views, failures = run_virtual(session)
@@ -75,7 +69,7 @@
         await asyncio.sleep(2)
         return (*found, sorted(notes))
 
-    everyone = [(f'm{index:02}', 'm00') for index in range(1, count)]
+    everyone = [('m{0:02}'.format(index), 'm00') for index in range(1, count)]
     near = everyone[2::3]
     assert run_virtual(session) == (everyone, near, everyone)
 
@@ -110,8 +104,7 @@
         await asyncio.sleep(10)
         net.clocks['m00'].pause(10)
         await asyncio.sleep(16)
-        blamed = net.meshes['m00'].parts.counters.total('suspicions')
-        return blamed, net.views()
+        return net.total('m00', 'suspicions'), net.views()
 
     blamed, views = run_virtual(session)
     assert not blamed
@@ -126,11 +119,7 @@
         await asyncio.sleep(10)
         net.network.cut('m00', 'm01')
         await asyncio.sleep(30)
-        wrong = [
-            mesh.parts.counters.total(metric)
-            for mesh in net.meshes.values()
-            for metric in ('suspicions', 'deaths_declared')
-        ]
+        wrong = [*net.totals('suspicions'), *net.totals('deaths_declared')]
         notes = []
         _record(net.meshes['m01'], notes)
         net.meshes['m00'].send('m01', _Note('by another way'))
@@ -199,7 +188,8 @@
         leaving = net.meshes.pop('m01')
         leaving.leave()
         await asyncio.sleep(0.5)
-        record = net.meshes['m00'].membership.by_name['m01']
+        membership = net.meshes['m00'].membership
+        record = membership.by_name['m01']
         await leaving.stop()
         await asyncio.sleep(0.5)
         return record.state.name, net.views()
--- a/tests/peers/test_stream.py
+++ b/tests/peers/test_stream.py
@@ -48,7 +48,13 @@
 
 _TEXT = st.text('ab', max_size=4)
 _VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers(-5, 5) | _TEXT | st.binary(),
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(-5, 5),
+        _TEXT,
+        st.binary(),
+    ),
     lambda inner: st.lists(inner, max_size=4),
     max_leaves=8,
 )
--- a/tests/peers/test_tcp.py
+++ b/tests/peers/test_tcp.py
@@ -44,15 +44,19 @@
     return mesh
 
 
+def _sizes(meshes):
+    return {len(mesh.live()) for mesh in meshes}
+
+
 def test_three_members_meet_over_tcp():
     """Guards against a mesh that only works in memory."""
 
     async def session():
         listed = {}
         meshes = [_start(name, listed) for name in ('a', 'b', 'c')]
-        await _until(lambda: all(len(one.live()) == 3 for one in meshes))
+        await _until(lambda: _sizes(meshes) == {3})
         await meshes[0].stop()
-        await _until(lambda: all(len(one.live()) == 2 for one in meshes[1:]))
+        await _until(lambda: _sizes(meshes[1:]) == {2})
         failures = [one.parts.tasks.failures for one in meshes]
         await asyncio.gather(*[one.stop() for one in meshes[1:]])
         return failures
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -6,7 +6,7 @@
 
 def _members(count):
     return [
-        Member(f'm{index:03}', ('w', 'n', 's')[index % 3], 'a')
+        Member('m{0:03}'.format(index), ('w', 'n', 's')[index % 3], 'a')
         for index in range(count)
     ]
 
@@ -15,7 +15,7 @@
     pairs = set()
     for member in members:
         for name in topology.neighbours(member.name):
-            pairs.add(frozenset({member.name, name}))
+            pairs.add(frozenset((member.name, name)))
     return pairs
 
 
