Run the peers session in four worker processes

The three sizes and four fault schedules ran one after the other. They share nothing, so a pool of four workers runs them, the largest size first because it takes the longest.

--- a/bench/sessions/peers.py
+++ b/bench/sessions/peers.py
@@ -3,6 +3,8 @@
 import itertools
 import math
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
 from bench.measure import Chart, Findings, Measure, Table
 from bench.peers_faults import Verdict, run_schedule
@@ -11,6 +13,7 @@
 
 __all__ = ('measure',)
 
+_WORKERS = 4
 _LONG_RUN = 550
 _SCHEDULES = 4
 _MEDIAN = 50
@@ -29,8 +32,7 @@
 
 def measure(seed: int) -> Findings:
     """Measure three sizes and a handful of fault schedules."""
-    recorded = [_run(plan, seed) for plan in PLANS]
-    verdicts = [run_schedule(seed + index) for index in range(_SCHEDULES)]
+    recorded, verdicts = _run_all(seed)
     measures = [_measures(one, seed) for one in recorded]
     return Findings(
         measures=(
@@ -50,6 +52,17 @@
     )
 
 
+def _run_all(seed: int) -> tuple[list[Recorded], list[Verdict]]:
+    """Run all sizes and schedules, the longest session first."""
+    with ProcessPoolExecutor(_WORKERS) as workers:
+        plans = reversed(PLANS)
+        sizes = workers.map(partial(_run, seed=seed), plans)
+        seeds = range(seed, seed + _SCHEDULES)
+        verdicts = list(workers.map(run_schedule, seeds))
+        recorded = list(sizes)
+    return list(reversed(recorded)), verdicts
+
+
 def _run(plan: Plan, seed: int) -> Recorded:
     return run_virtual(lambda: Session(plan, seed).run())
 
