Stop a daemon whose start failed

Cause: the demonstration draws other ports when one is taken and stops the daemon that could not start; that stop raised, because there was no listener yet. tests/test_entry.py: start on a taken port raises OSError, stop ends, no task of the daemon is left.

--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -80,7 +80,11 @@
         self._server: CallerServer | None = None
 
     async def start(self) -> None:
-        """Join the peers, and open the listeners."""
+        """Join the peers, and open the listeners.
+
+        Raises OSError for an address that is taken; `stop` is called then
+        too.
+        """
         self.peers.start()
         await self.parts.start()
         self._status_writer.start()
@@ -115,6 +119,9 @@
         those that name it, finishes its requests, and then closes.
         """
         self._log.info('stopping')
+        if self._server is None:
+            await self.abort()
+            return
         self.parts.leave()
         lifetime_s = self._settings.get('lookup', 'lifetime_seconds')
         await ListenerStop(
@@ -129,8 +136,9 @@
 
     async def abort(self) -> None:
         """Close everything at once; requests in flight are cut."""
-        await self._server.close_all_connections()
-        self._server.stop()
+        if self._server is not None:
+            await self._server.close_all_connections()
+            self._server.stop()
         await self._status_writer.stop()
         await self.parts.stop()
         await self.peers.stop()
@@ -140,8 +148,10 @@
         self._log.info('stopped')
 
     async def _close_operators(self) -> None:
-        self.operators.server.stop()
-        await self.operators.server.close_all_connections()
+        server = self.operators.server
+        if server is not None:
+            server.stop()
+            await server.close_all_connections()
 
     def _make_peers(self) -> MeshPeers:
         get = functools.partial(self._settings.get, 'instance')
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -115,6 +115,28 @@
     assert after == {'t2'}
 
 
+async def _start_on_taken_port():
+    taken, port = bind_unused_port()
+    ports = {
+        'callers': port,
+        'operators': _free_port(),
+        'platform': _listen(make_standin(MemoryStore())),
+    }
+    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    with pytest.raises(OSError, match='in use'):
+        await daemon.start()
+    await daemon.stop()
+    taken.close()
+    return asyncio.all_tasks() - {asyncio.current_task()}
+
+
+def test_a_start_on_a_taken_port_can_be_stopped():
+    """Guards against a failed start that leaves tasks behind."""
+    left = asyncio.run(_start_on_taken_port())
+    own = [task for task in left if 'nutmegshore' in repr(task)]
+    assert own == []
+
+
 @pytest.mark.parametrize('key', ['[callers]\nprot = 1', '[callerz]\nport=1'])
 def test_a_misspelled_setting_names_the_nearest(key):
     """Guards against an unknown key that is silently ignored."""
