Test the loss of an availability zone

Nine members in three availability zones lose one with three members at once. The others must agree within 7.5 s: 2.5 s of silence, 3 s to refute and a probe round of 1 s for each, plus 0.1 s for delivery. Nobody else may be declared dead or even have to refute a suspicion.

--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -32,7 +32,8 @@
         seed = options.pop('seed', name)
         rng = random.Random(seed)
         clock = VirtualClock()
-        local = Member(name, region, f'{region}-a', first_incarnation(rng))
+        zone = options.pop('zone', f'{region}-a')
+        local = Member(name, region, zone, first_incarnation(rng))
         mesh = MeshPeers(
             local,
             self.network.join(local, clock),
@@ -58,6 +59,17 @@
     def views(self):
         return {name: set(mesh.live()) for name, mesh in self.meshes.items()}
 
+    def dead(self):
+        return {
+            name: {record.member.name for record in mesh.membership.dead()}
+            for name, mesh in self.meshes.items()
+        }
+
+    def incarnations(self):
+        return {
+            name: mesh.local.incarnation for name, mesh in self.meshes.items()
+        }
+
     def total(self, name, metric):
         counters = self.meshes[name].parts.counters
         return counters.total(metric)
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -6,7 +6,8 @@
 import pytest
 
 from nutmegshore.clock import run_virtual
-from nutmegshore.peers import message, process_of
+from nutmegshore.peers import message, process_of, prober
+from nutmegshore.peers.suspicion import SUSPICION_S
 
 
 @message(9100)
@@ -163,6 +164,37 @@
     assert all(len(view) == 6 for view in views.values())
 
 
+#: Silence until a suspicion, time to refute, and one round for each to be
+#: noticed; members of a full mesh need no news from others.
+_DEATH_S = prober._SUSPECT_S + SUSPICION_S + 2 * prober.PROBE_S
+_ZONES = ('west-a', 'west-b', 'north-a')
+
+
+def test_a_lost_availability_zone_is_noticed_in_time(net):
+    """Guards against several deaths at once that hold each other up."""
+
+    async def session():
+        for index in range(9):
+            zone = _ZONES[index % 3]
+            net.start(f'm{index}', zone.partition('-')[0], zone=zone)
+        await asyncio.sleep(10)
+        await asyncio.gather(*[net.kill(name) for name in ('m0', 'm3', 'm6')])
+        before = net.incarnations()
+        await asyncio.sleep(_DEATH_S + 0.1)
+        noticed = net.views()
+        await asyncio.sleep(20)
+        is_same = net.incarnations() == before
+        return noticed, net.dead(), net.views(), is_same
+
+    noticed, dead, later, is_same = run_virtual(session)
+    left = {'m1', 'm2', 'm4', 'm5', 'm7', 'm8'}
+    assert noticed == dict.fromkeys(left, left)
+    assert dead == dict.fromkeys(left, {'m0', 'm3', 'm6'})
+    assert later == noticed
+    # A suspicion or verdict that was wrong is refuted by a higher incarnation.
+    assert is_same
+
+
 def test_a_list_of_the_dead_does_not_keep_a_member_out(net):
     """Guards against trust in the platform's list."""
 
