Bound the load messages above 16 members

Cause: with forwarding links send_region floods, so each load message passed every link of its region, and summaries went to each member of the other regions one by one.

Change: above 16 members a load message goes to the linked members of the region, lenders and the member that sums up the region; the time between two grows by 250 ms per 32 members; summaries go once a second, flooded once per region. Up to 16 members the same messages go as before.

--- a/bench/capacity_cluster.py
+++ b/bench/capacity_cluster.py
@@ -11,7 +11,13 @@
 from nutmegshore.resources import Envelope, parse_spec
 from nutmegshore.steering import Steering, Surroundings
 
-__all__ = ('ClusterCost', 'Rate', 'make_envelope', 'measure_cluster')
+__all__ = (
+    'ClusterCost',
+    'Rate',
+    'make_envelope',
+    'make_upstream',
+    'measure_cluster',
+)
 
 _SETTLE_S = 12
 _WINDOW_S = 5
@@ -63,6 +69,17 @@
     )
 
 
+def make_upstream(region: str) -> dict:
+    """Spec of an upstream of service `s`."""
+    return {
+        'service': 's',
+        'region': region,
+        'availability_zone': f'{region}-a',
+        'address': '127.0.0.1:1',
+        'slots': _BUSY_UPSTREAMS,
+    }
+
+
 def measure_cluster(size: int, seed: int) -> ClusterCost:
     """Run one size on virtual time."""
     return run_virtual(lambda: _run(size, seed))
@@ -71,30 +88,38 @@
 async def _run(size: int, seed: int) -> ClusterCost:
     cluster = Cluster(size, seed)
     await cluster.boot()
-    objects = _objects(cluster)
+    declared = _declared(cluster)
     for process in cluster.by_name.values():
-        process.table.merge(objects)
+        process.table.merge(declared)
     await asyncio.sleep(_SETTLE_S)
     calls = dict(cluster.store.call_counts)
     quiet = await _window(cluster)
-    reads = _per_s(cluster, calls, 'read') + _per_s(cluster, calls, 'watch')
-    writes = _per_s(cluster, calls, 'write')
+    reads = _per_s(cluster, calls, ('read', 'watch'))
+    writes = _per_s(cluster, calls, ('write',))
+    load, largest = await _run_steered(cluster, seed)
+    await cluster.stop()
+    return ClusterCost(size, quiet, load.less(quiet), largest, reads, writes)
+
+
+async def _run_steered(cluster: Cluster, seed: int) -> tuple[Rate, float]:
     steered = [_steer(one, seed) for one in cluster.by_name.values()]
     await asyncio.gather(*[one.start() for one in steered])
     await asyncio.sleep(_SETTLE_S)
     before = dict(cluster.network.sent_bytes)
     load = await _window(cluster)
     after = cluster.network.sent_bytes
-    largest = max(after[name] - before[name] for name in cluster.names)
     await asyncio.gather(*[one.stop() for one in steered])
-    await cluster.stop()
-    return ClusterCost(
-        size, quiet, load.less(quiet), largest / _WINDOW_S, reads, writes
-    )
+    largest = max(after[name] - before[name] for name in cluster.names)
+    return load, largest / _WINDOW_S
 
 
-def _per_s(cluster: Cluster, before: dict[str, int], call: str) -> float:
-    return (cluster.store.call_counts[call] - before.get(call, 0)) / _WINDOW_S
+def _per_s(
+    cluster: Cluster,
+    before: dict[str, int],
+    calls: tuple[str, ...],
+) -> float:
+    counts = cluster.store.call_counts
+    return sum(counts[one] - before.get(one, 0) for one in calls) / _WINDOW_S
 
 
 async def _window(cluster: Cluster) -> Rate:
@@ -112,7 +137,7 @@
     )
 
 
-def _objects(cluster: Cluster) -> list[Envelope]:
+def _declared(cluster: Cluster) -> list[Envelope]:
     regions = ('west', 'north', 'south')
     found = [
         make_envelope('region', one, {'availability_zones': [f'{one}-a']})
@@ -123,14 +148,8 @@
     found.append(make_envelope('service', 's', service))
     for index in range(cluster.size * _UPSTREAMS_PER_ENTRY):
         region = regions[index % len(regions)]
-        raw = {
-            'service': 's',
-            'region': region,
-            'availability_zone': f'{region}-a',
-            'address': '127.0.0.1:1',
-            'slots': _BUSY_UPSTREAMS,
-        }
-        found.append(make_envelope('upstream', f's-{index:04}', raw))
+        name = 's-{0:04}'.format(index)
+        found.append(make_envelope('upstream', name, make_upstream(region)))
     return found
 
 
--- a/bench/capacity_fit.py
+++ b/bench/capacity_fit.py
@@ -38,7 +38,8 @@
 
 def fit_power(points: Mapping[float, float]) -> Fit:
     """Least squares of a x**b over logarithms; values must be above 0."""
-    logs = {math.log(size): math.log(found) for size, found in points.items()}
+    sizes = map(math.log, points)
+    logs = dict(zip(sizes, map(math.log, points.values()), strict=True))
     start, slope = _least_squares(logs)
     return _with_residual(Fit('power', math.exp(start), slope, 0), points)
 
@@ -65,6 +66,7 @@
 
 
 def _with_residual(fit: Fit, points: Mapping[float, float]) -> Fit:
-    largest = max(abs(found) for found in points.values()) or 1
-    worst = max(abs(fit.at(size) - found) for size, found in points.items())
+    largest = max(map(abs, points.values())) or 1
+    gaps = [fit.at(size) - found for size, found in points.items()]
+    worst = max(map(abs, gaps))
     return attrs.evolve(fit, residual=worst / largest)
--- a/nutmegshore/peers/base.py
+++ b/nutmegshore/peers/base.py
@@ -85,10 +85,11 @@
             if name != self.local.name:
                 self.send(name, body)
 
-    def send_region(self, body: Any) -> None:
-        """Send a message to the other live members of the local region."""
+    def send_region(self, body: Any, region: str = '') -> None:
+        """Send to the other live members of a region, else the local one."""
+        wanted = region or self.local.region
         for name, member in sorted(self.live().items()):
-            is_near = member.region == self.local.region
+            is_near = member.region == wanted
             if is_near and name != self.local.name:
                 self.send(name, body)
 
--- a/nutmegshore/peers/mesh.py
+++ b/nutmegshore/peers/mesh.py
@@ -102,9 +102,9 @@
         """Send a message to every other live member."""
         self.parts.router.broadcast(body)
 
-    def send_region(self, body: Any) -> None:
-        """Send a message to the other live members of the local region."""
-        self.parts.router.send_region(self.local.region, body)
+    def send_region(self, body: Any, region: str = '') -> None:
+        """Send to the other live members of a region, else the local one."""
+        self.parts.router.send_region(region or self.local.region, body)
 
     def _take_local(self, member: Member) -> None:
         self.local = member
--- a/nutmegshore/steering/estimate.py
+++ b/nutmegshore/steering/estimate.py
@@ -9,8 +9,10 @@
 
 __all__ = ('BusyEstimate',)
 
-#: A peer's load message counts this long: four messages at 250 ms.
-_PEER_LIFETIME_S = 1
+#: Time between the load messages of a peer in a small cluster.
+_INTERVAL_S = 0.25
+#: A peer's load message counts for this many intervals between messages.
+_PEER_LIFETIME_INTERVALS = 4
 #: The excess of an upstream's own report falls to 1/e in this time.
 _REPORT_FADE_S = 1
 _REPORTS_KEPT = 4
@@ -73,9 +75,10 @@
             default=-math.inf,
         )
 
-    def drop_old(self) -> None:
-        """Forget peers that have been silent for too long."""
-        oldest = self._clock.now() - _PEER_LIFETIME_S
+    def drop_old(self, interval_s: float = _INTERVAL_S) -> None:
+        """Forget peers silent for four intervals between their messages."""
+        lifetime_s = interval_s * _PEER_LIFETIME_INTERVALS
+        oldest = self._clock.now() - lifetime_s
         for sender, load in tuple(self._peers.items()):
             if load.received_at < oldest:
                 self._drop(sender)
--- a/nutmegshore/steering/exchange.py
+++ b/nutmegshore/steering/exchange.py
@@ -1,13 +1,34 @@
 """Exchange of load messages with the other entries."""
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterable
 
 from nutmegshore.steering.draining import Draining
 from nutmegshore.steering.messages import Load, RegionLoad, UpstreamLeaving
 from nutmegshore.steering.parts import Parts, free_slots
 from nutmegshore.steering.plan import Plan
 
-__all__ = ('LoadExchange',)
+__all__ = ('LOAD_INTERVAL_S', 'LoadExchange', 'count_rounds')
+
+#: Time between two rounds, and between two messages of a small cluster.
+LOAD_INTERVAL_S = 0.25
+#: Up to this many members every pair is linked and hears each message.
+#: Above it the links flood what goes to a region: 739 messages/s per member
+#: at 60 members.
+_ALL_TOLD_MEMBERS = 16
+#: Members above the bound that add one round to the time between messages;
+#: the member that sums up its region then hears at most 128 a second.
+_MEMBERS_PER_ROUND = 32
+#: Rounds between two summaries of a region in a large cluster: half of the
+#: time for which a summary counts.
+_SUMMARY_ROUNDS = 4
+
+
+def count_rounds(members: int) -> int:
+    """Rounds from one load message to the next in a cluster of this size."""
+    if members <= _ALL_TOLD_MEMBERS:
+        return 1
+    return max(math.ceil(members / _MEMBERS_PER_ROUND), 1)
 
 
 class LoadExchange:
@@ -27,32 +48,28 @@
         self._draining = draining
         self._on_load = on_load
         self._remote: set[str] = set()
+        self._round = 0
         peers = parts.peers
         peers.subscribe(Load, self._take_load)
         peers.subscribe(RegionLoad, self._take_region)
         peers.subscribe(UpstreamLeaving, self._take_leaving)
 
     def send(self, plan: Plan, queued: dict[str, int]) -> None:
-        """Send one round of messages."""
+        """Send what is due in one round."""
         parts = self._parts
-        parts.estimate.drop_old()
-        parts.slots.forget(parts.members_of(plan.region))
+        members = len(parts.peers.live())
+        is_small = members <= _ALL_TOLD_MEMBERS
+        rounds = count_rounds(members)
+        near = parts.members_of(plan.region)
+        parts.estimate.drop_old(rounds * LOAD_INTERVAL_S)
+        parts.slots.forget(near)
         parts.budget.roll()
-        load = Load(
-            {
-                name: count
-                for name, count in parts.estimate.own.items()
-                if count
-            },
-            parts.budget.requests,
-            parts.budget.retries,
-            self._draining.moved(),
-            parts.slots.borrowed_from(),
-        )
-        parts.peers.send_region(load)
-        self._send_remote(load)
-        if min(parts.members_of(plan.region), default='') == _own_name(parts):
+        if self._round % rounds == 0:
+            self._send_load(is_small=is_small)
+        is_due = is_small or self._round % _SUMMARY_ROUNDS == 0
+        if is_due and min(near, default='') == _own_name(parts):
             self._send_room(plan, queued)
+        self._round += 1
         self.tell_leaving()
 
     def tell_leaving(self) -> None:
@@ -60,7 +77,35 @@
         for name in self._parts.leaving.take_untold():
             self._parts.peers.broadcast(UpstreamLeaving(name))
 
-    def _send_remote(self, load: Load) -> None:
+    def _send_load(self, *, is_small: bool) -> None:
+        parts = self._parts
+        in_flight = parts.estimate.own.items()
+        load = Load(
+            {name: count for name, count in in_flight if count},
+            parts.budget.requests,
+            parts.budget.retries,
+            self._draining.moved(),
+            parts.slots.borrowed_from(),
+        )
+        if is_small:
+            parts.peers.send_region(load)
+        else:
+            for name in self._concerned(load):
+                parts.peers.send(name, load)
+        self._send_remote(load, is_small=is_small)
+
+    def _concerned(self, load: Load) -> Iterable[str]:
+        """Who hears this entry in a large region.
+
+        Neighbours check retries and drains against a sample of the region,
+        lenders correct their loans, and the lowest name sums up the region.
+        """
+        parts = self._parts
+        near = parts.members_of(parts.peers.local.region)
+        wanted = {*parts.peers.neighbours(), *load.borrowed, min(near)}
+        return sorted(wanted & set(near) - {_own_name(parts)})
+
+    def _send_remote(self, load: Load, *, is_small: bool) -> None:
         """Tell a region what this entry runs there, and once when it ends."""
         used = {
             region
@@ -68,12 +113,14 @@
             if count
         }
         for region in sorted(used | self._remote):
-            for name in sorted(self._parts.members_of(region)):
+            names = sorted(self._parts.members_of(region))
+            for name in names if is_small else names[:1]:
                 self._parts.peers.send(name, load)
         self._remote = used
 
     def _send_room(self, plan: Plan, queued: dict[str, int]) -> None:
-        members = len(self._parts.members_of(plan.region))
+        parts = self._parts
+        members = len(parts.members_of(plan.region))
         room = {
             service: -queued.get(service, 0) * members
             for service in plan.services
@@ -81,10 +128,10 @@
         for service, choices in plan.choices.items():
             for choice in choices:
                 if choice.region == plan.region:
-                    room[service] += free_slots(self._parts, choice.upstreams)
-        for name, member in sorted(self._parts.peers.live().items()):
-            if member.region != plan.region:
-                self._parts.peers.send(name, RegionLoad(room))
+                    room[service] += free_slots(parts, choice.upstreams)
+        regions = {one.region for one in parts.peers.live().values()}
+        for region in sorted(regions - {plan.region}):
+            parts.peers.send_region(RegionLoad(room), region)
 
     def _take_load(self, sender: str, load: Load) -> None:
         self._parts.estimate.note_peer(sender, load.in_flight)
--- a/nutmegshore/steering/steering.py
+++ b/nutmegshore/steering/steering.py
@@ -7,7 +7,7 @@
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.resources import Envelope, Region
-from nutmegshore.steering.exchange import LoadExchange
+from nutmegshore.steering.exchange import LOAD_INTERVAL_S, LoadExchange
 from nutmegshore.steering.hedge import HedgePolicy
 from nutmegshore.steering.leaving import DrainProgress
 from nutmegshore.steering.lending import SlotLending
@@ -26,8 +26,6 @@
 
 __all__ = ('Permit', 'RouteRequest', 'Steering')
 
-_LOAD_INTERVAL_S = 0.25
-
 
 class Steering:
     """Steers the requests that one entry receives.
@@ -179,7 +177,7 @@
             self._exchange.send(self.plan, self._queues.lengths())
             if self._state.is_changed(self.plan):
                 self._follow([])
-            await self.parts.clock.sleep(_LOAD_INTERVAL_S)
+            await self.parts.clock.sleep(LOAD_INTERVAL_S)
 
 
 def _admit_attempt(budget: RetryBudget, request: RouteRequest) -> None:
