--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -74,8 +74,12 @@
 def _row(name: str, points: dict[int, float], target: int = _LONG_RUN) -> Row:
     # Up to 16 members every pair is linked; nine do not lie on the line of
     # the clusters that forward.
-    large = {size: found for size, found in points.items() if size != 9}
-    fitted = points if len(points) == 3 else large
+    large = {
+        size: found
+        for size, found in points.items()
+        if size != _CLUSTER_SIZES[0]
+    }
+    fitted = points if len(points) == len(_CAP_SIZES) else large
     return Row(name, points, target, fit_best(fitted), target in points)
 
 
@@ -144,9 +148,10 @@
 
 
 def _to_text(rows: list[Row], seed: int, loop_s: float) -> str:
+    command = f'Command: `make capacity SEED={seed}`.'
+    turns = 'Reference loop of 100,000 turns: {0:.6f} s.'.format(loop_s)
     lines = [
-        f'Command: `make capacity SEED={seed}`. Reference loop: '
-        f'{loop_s:.6f} s for 100,000 turns.',
+        f'{command} {turns}',
         '',
         '| figure | by size | fit | residual | long-run size | value |',
         '|---|---|---|---|---|---|',
@@ -156,15 +161,17 @@
 
 
 def _to_line(row: Row) -> str:
-    points = [f'{size}: {found:.4g}' for size, found in row.points.items()]
+    points = [
+        '{0}: {1:.4g}'.format(size, found) for size, found in row.points.items()
+    ]
     source = 'measured' if row.is_measured else row.fit.form
     cells = (
         row.name,
         ', '.join(points),
         source,
-        f'{row.fit.residual:.2f}',
+        '{0:.2f}'.format(row.fit.residual),
         str(row.target),
-        f'{row.long_run:.4g}',
+        '{0:.4g}'.format(row.long_run),
     )
     return '| {0} |'.format(' | '.join(cells))
 
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -30,6 +30,7 @@
 _STATUS_S = 60
 _LOAD = 0.8
 _NINE = 9
+_DONE_STATUS = 200
 _REGIONS = 3
 _SLOT_NUMBERS = frozenset((33, 34, 35))
 
@@ -60,28 +61,25 @@
     await fleet.start()
     await asyncio.sleep(_WARM_S)
     before = _totals(fleet)
-    began = time.process_time()
     await asyncio.sleep(_CAPS_S)
-    spent = time.process_time() - began
-    pairs = zip(_totals(fleet), before, strict=True)
-    rates = [(late - early) / _CAPS_S for late, early in pairs]
+    after = _totals(fleet)
     await fleet.stop()
-    names = ('messages', 'bytes', 'reads', 'writes')
-    return {**dict(zip(names, rates, strict=True)), 'cpu_s': spent / _CAPS_S}
+    return {name: (after[name] - before[name]) / _CAPS_S for name in after}
 
 
 def _one_heavy(name: str, at: float) -> float:
     return 2 * _CAP if name == 'e0' else 0
 
 
-def _totals(fleet: Fleet) -> tuple[int, ...]:
+def _totals(fleet: Fleet) -> dict[str, float]:
     calls = fleet.store.call_counts
-    return (
-        sum(fleet.network.sent_messages.values()),
-        sum(fleet.network.sent_bytes.values()),
-        calls['read'] + calls['watch'],
-        calls['write'],
-    )
+    return {
+        'messages': sum(fleet.network.sent_messages.values()),
+        'bytes': sum(fleet.network.sent_bytes.values()),
+        'reads': calls['read'] + calls['watch'],
+        'writes': calls['write'],
+        'cpu_s': time.process_time(),
+    }
 
 
 async def _run_slots(size: int, seed: int) -> dict[str, float]:
@@ -90,15 +88,14 @@
         upstreams=VESTFOLD.upstreams * size // _NINE,
         entries_per_region=size // _REGIONS,
     )
-    scenario = Scenario(deployment, 'steering', _offer, _SLOTS_S)
-    world = World(scenario, seed)
+    world = World(Scenario(deployment, 'steering', _offer, _SLOTS_S), seed)
     counted: collections.Counter[str] = collections.Counter()
-    carry = world.network.carry
-    world.network.carry = partial(_count_slots, counted, carry)
+    carry = partial(_count_slots, counted, world.network.carry)
+    world.network.carry = carry
     await world.run()
+    counted['requests'] = len(world.outcomes)
     shared = size * _SLOTS_S
-    rates = {name: found / shared for name, found in counted.items()}
-    return {**rates, 'requests': len(world.outcomes) / shared}
+    return {name: found / shared for name, found in counted.items()}
 
 
 def _offer(region: str, seconds: float) -> float:
@@ -113,12 +110,8 @@
 
 
 async def _run_once(requests: int) -> dict[str, float]:
-    clock = VirtualClock()
     store = MemoryStore()
-    member = Member('e1', 'west', 'west-a')
-    peers = MemoryNetwork().join(member, clock)
-    platform = MemoryPlatform(store, clock)
-    records = OnceRecords(platform, peers, clock, Counters())
+    records = _make_records(store)
     began = time.process_time()
     await asyncio.gather(*[_claim(records, one) for one in range(requests)])
     await records.stop(_WARM_S)
@@ -132,33 +125,47 @@
     }
 
 
+def _make_records(store: MemoryStore) -> OnceRecords:
+    clock = VirtualClock()
+    member = Member('e1', 'west', 'west-a')
+    peers = MemoryNetwork().join(member, clock)
+    platform = MemoryPlatform(store, clock)
+    return OnceRecords(platform, peers, clock, Counters())
+
+
 async def _claim(records: OnceRecords, number: int) -> None:
     request = KeyedRequest('orders', '', str(number), 'digest', _WARM_S)
     claim = await records.begin(request)
-    claim.finish(RecordedAnswer(200))
+    claim.finish(RecordedAnswer(_DONE_STATUS))
 
 
 async def _run_status(count: int, seed: int) -> dict[str, float]:
-    table = ConfigurationTable()
     store = MemoryStore()
-    clock = VirtualClock()
-    board = StatusBoard(table, 'west', clock.now, lambda envelope: ['e1'])
-    rng = random.Random(seed)
-    platform = MemoryPlatform(store, clock)
-    writer = StatusWriter(platform, board, clock, lambda: True, Counters(), rng)
-    raw = {'region': 'west'}
-    table.merge(
-        [make_envelope('drain', f'd{index}', raw) for index in range(count)],
-    )
+    writer = _make_writer(store, count, seed)
     began = time.process_time()
     writer.start()
     await asyncio.sleep(_STATUS_S)
     await writer.stop()
     spent = time.process_time() - began
-    writes = store.call_counts['write']
     stored = sum(len(one.body) for one in store.by_key.values())
     return {
-        'writes': writes / _STATUS_S,
+        'writes': store.call_counts['write'] / _STATUS_S,
         'stored': stored / max(len(store.by_key), 1),
         'cpu_s': spent / _STATUS_S,
     }
+
+
+def _make_writer(store: MemoryStore, count: int, seed: int) -> StatusWriter:
+    table = ConfigurationTable()
+    clock = VirtualClock()
+    raw = {'region': 'west'}
+    names = [f'd{index}' for index in range(count)]
+    table.merge([make_envelope('drain', name, raw) for name in names])
+    return StatusWriter(
+        MemoryPlatform(store, clock),
+        StatusBoard(table, 'west', clock.now, lambda envelope: ['e1']),
+        clock,
+        lambda: True,
+        Counters(),
+        random.Random(seed),
+    )
