--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,7 +16,7 @@
 _DEFAULT_SEED = 7
 _LONG_RUN = 550
 _LONG_UPSTREAMS = 2000
-_CLUSTER_SIZES = (9, 30, 60, 90)
+_CLUSTER_SIZES = (9, 30, 60, 90, 150)
 _CAP_SIZES = (9, 30, 60)
 _LOOKUP_SIZES = (9, 30, 90, _LONG_RUN)
 _PLAN_SIZES = (220, 660, _LONG_UPSTREAMS)
@@ -39,10 +39,23 @@
 
     @property
     def long_run(self) -> float:
-        """Measured value at the target size, else that of the fit."""
+        """Measured value at the target size, else that of the fit.
+
+        A fit that falls with the size is not extended: the largest measured
+        value stands instead.
+        """
         if self.is_measured:
             return self.points[self.target]
-        return self.fit.at(self.target)
+        return max(self.fit.at(self.target), *self.points.values())
+
+    @property
+    def source(self) -> str:
+        """Where the long-run value comes from."""
+        if self.is_measured:
+            return 'measured'
+        if self.fit.at(self.target) < max(self.points.values()):
+            return 'largest measured'
+        return self.fit.form
 
 
 def main() -> int:
@@ -164,11 +177,10 @@
     points = [
         '{0}: {1:.4g}'.format(size, found) for size, found in row.points.items()
     ]
-    source = 'measured' if row.is_measured else row.fit.form
     cells = (
         row.name,
         ', '.join(points),
-        source,
+        row.source,
         '{0:.2f}'.format(row.fit.residual),
         str(row.target),
         '{0:.4g}'.format(row.long_run),
