--- a/nutmegshore/steering/lending.py
+++ b/nutmegshore/steering/lending.py
@@ -42,12 +42,13 @@
         if now < due:
             return
         self._asked_at[service] = now
-        local = self._parts.peers.local
-        names = sorted(self._parts.members_of(local.region))
-        others = [name for name in names if name != local.name]
+        peers = self._parts.peers
+        near = self._parts.members_of(peers.local.region)
+        # A question to a member that is not linked would pass several links.
+        others = sorted(set(near).intersection(peers.neighbours()))
         asked = min(_ASKED_PEERS, len(others))
         for name in self._parts.rng.sample(others, asked):
-            self._parts.peers.send(name, SlotWanted(service, count))
+            peers.send(name, SlotWanted(service, count))
 
     def note_release(self, name: str) -> None:
         """Return a borrowed slot, if there is one, after a request ended."""
