--- a/nutmegshore/steering/exchange.py
+++ b/nutmegshore/steering/exchange.py
@@ -102,7 +102,11 @@
         """
         parts = self._parts
         near = parts.members_of(parts.peers.local.region)
-        wanted = {*parts.peers.neighbours(), *load.borrowed, min(near)}
+        wanted = {
+            *parts.peers.neighbours(),
+            *load.borrowed,
+            min(near, default=''),
+        }
         return sorted(wanted & set(near) - {_own_name(parts)})
 
     def _send_remote(self, load: Load, *, is_small: bool) -> None:
