--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -21,7 +21,8 @@
 
 def test_the_residual_names_the_worst_point():
     """Guards against a bent curve that is reported as a good line."""
-    assert fit_line({1: 0, 2: 3, 3: 0}).residual == pytest.approx(2 / 3)
+    fit = fit_line({1: 0, 2: 3, 3: 0})
+    assert fit.residual == pytest.approx(2 / 3)
 
 
 def test_two_points_are_no_fit():
