--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,21 @@
 """Fixtures that many test files share."""
 
+import hypothesis
 import pytest
 
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.resources import Envelope, parse_spec
 
+# The same examples on every run and no time limit, so that the verdict does
+# not depend on chance or on the load of the machine.
+hypothesis.settings.register_profile(
+    'repeatable',
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+hypothesis.settings.load_profile('repeatable')
+
 
 @pytest.fixture
 def declare():
