--- /dev/null
+++ b/bench/whole_cluster.py
@@ -0,0 +1,445 @@
+"""Nine whole entries of a deployment on virtual time, with their callers."""
+
+import asyncio
+import collections
+import functools
+import random
+
+import attrs
+
+from bench.caps_fleet import Judge, JudgedStore
+from bench.peers_cluster import ReplicaPlatform
+from nutmegshore.callers import CallerRequest
+from nutmegshore.clock import VirtualClock
+from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
+from nutmegshore.errors import ErrorKind, ObjectError, Outcome, RequestError
+from nutmegshore.errors import PlatformError
+from nutmegshore.examples.deployments import DEPLOYMENTS, list_objects
+from nutmegshore.operators.declare import Declaration, Declarer
+from nutmegshore.peers import LinkNetwork, Member, MeshOptions, MeshPeers
+from nutmegshore.peers import first_incarnation
+from nutmegshore.platform import ListedInstance
+from nutmegshore.resources import Envelope, parse_spec, write_envelope
+from nutmegshore.upstreams import AnswerHead, AnswerReceiver
+from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
+
+__all__ = ('CAP', 'Call', 'Entry', 'Ledgers', 'Whole', 'now')
+
+CAP = 6
+CRASH = '/crash'
+_SHARE = 0.9
+_LIFETIME_S = 3
+_NEAR_S = 0.001
+_STORE_S = 0.005
+_BITS = 64
+_SERVICE_S = 0.1
+_LEASE_S = 10
+_CALLER_GAP_S = 0.2
+_REPEAT_SHARE = 0.5
+_KEYED_SHARE = 0.35
+_LOOKUP_SHARE = 0.6
+_REPEATS = 3
+
+
+def now() -> float:
+    """True time of the session in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request of a caller, and what it was answered."""
+
+    request_id: str
+    service: str
+    key: str
+    entry: str
+    begun_at: float
+    ended_at: float = float('inf')
+    answer: str = ''
+    heads: int = 0
+    kind: str = ''
+    outcome: Outcome | None = None
+
+
+class _Receiver(AnswerReceiver):
+    def __init__(self, call: Call) -> None:
+        self._call = call
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Count the heads; a whole answer has one."""
+        self._call.heads += 1
+
+    async def receive(self, chunk: bytes) -> None:
+        """Keep the answer."""
+        self._call.answer += chunk.decode()
+
+
+@attrs.define
+class Ledgers:
+    """What the fakes and the callers recorded, all in true time."""
+
+    judge: Judge = attrs.field(factory=functools.partial(Judge, CAP))
+    calls: list[Call] = attrs.field(factory=list)
+    #: (time, entry, upstream, request id) of each request that left an entry.
+    sends: list[tuple[float, str, str, str]] = attrs.field(factory=list)
+    #: (time, upstream, request id) of each start in a slot.
+    starts: list[tuple[float, str, str]] = attrs.field(factory=list)
+    #: (time, run of an entry, key, generation) of each change of a table.
+    merges: list[tuple[float, int, str, int]] = attrs.field(factory=list)
+    accepted: list[tuple[float, str, Envelope]] = attrs.field(factory=list)
+    #: (entry or region, start, end) of pauses, cuts and starts.
+    disturbed: list[tuple[str, float, float]] = attrs.field(factory=list)
+    #: (entry, start, end) of each planned stop.
+    stops: list[tuple[str, float, float]] = attrs.field(factory=list)
+    failures: list[str] = attrs.field(factory=list)
+
+
+class _Starts(collections.Counter):
+    """The run counts of one upstream, with the time of each start."""
+
+    def __init__(self, name: str, ledgers: Ledgers) -> None:
+        super().__init__()
+        self._name = name
+        self._ledgers = ledgers
+
+    def __setitem__(self, request_id: str, count: int) -> None:
+        super().__setitem__(request_id, count)
+        self._ledgers.starts.append((now(), self._name, request_id))
+
+
+class _Upstreams(MemoryUpstreams):
+    """One entry's client: records what it sends, and obeys partitions."""
+
+    def __init__(self, whole: 'Whole', local: Member, clock: VirtualClock):
+        super().__init__(clock, whole.rng, self._delay)
+        self.by_name = whole.upstreams
+        self._whole = whole
+        self._local = local
+
+    async def send(self, name, upstream, request, receiver) -> AnswerHead:
+        """Run the request in the named upstream unless it is cut off."""
+        place = Member(name, upstream.region, '')
+        if self._whole.network.is_cut(self._local, place):
+            raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE, name)
+        entry = self._local.name
+        sent = (now(), entry, name, request.request_id)
+        self._whole.ledgers.sends.append(sent)
+        whole = self._whole
+        ends = (self._local.region, upstream.region)
+        if request.service == whole.lookups and ends == whole.regions[:2]:
+            whole.ledgers.judge.use(entry)
+        return await super().send(name, upstream, request, receiver)
+
+    def _delay(self, name: str) -> float:
+        is_near = self._whole.region_by_upstream[name] == self._local.region
+        return _NEAR_S if is_near else self._whole.far_s
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One run of an entry; a start under the same name is another run."""
+
+    run: int
+    name: str
+    region: str
+    clock: VirtualClock
+    platform: ReplicaPlatform
+    peers: MeshPeers
+    parts: EntryParts
+    declarer: Declarer
+    calls: set[asyncio.Task] = attrs.field(factory=set)
+
+    def note(self, ledgers: Ledgers, newer: list[Envelope]) -> None:
+        """Record what the table took."""
+        for one in newer:
+            ledgers.merges.append((now(), self.run, one.key, one.generation))
+
+
+class Whole:
+    """A session's store, network, upstreams, entries and callers."""
+
+    def __init__(self, deployment: str, seed: int) -> None:
+        """Name the members; nothing runs before `boot`."""
+        self.rng = random.Random(seed)
+        found = DEPLOYMENTS[deployment]
+        self.regions = found.regions
+        self.far_s = found.delay_ms / 1000
+        self.lookups, self.orders = tuple(found.loads)[:2]
+        self.ledgers = Ledgers()
+        self.store = JudgedStore(self.ledgers.judge)
+        self.store.faults.delay_s = _STORE_S
+        self.network = LinkNetwork()
+        self.upstreams: dict[str, MemoryUpstream] = {}
+        self.region_by_upstream: dict[str, str] = {}
+        self.by_name: dict[str, Entry] = {}
+        self.region_by_entry: dict[str, str] = {}
+        self._runs = 0
+        self._ids = 0
+        self._tasks: set[asyncio.Task] = set()
+        self._declare_all(list_objects(deployment))
+
+    async def boot(self) -> None:
+        """Start all entries and wait until they are ready."""
+        for name in self.region_by_entry:
+            self.start(name)
+        while not all(one.parts.follower.is_ready for one in self.entries()):
+            await asyncio.sleep(_CALLER_GAP_S)
+
+    def entries(self) -> list[Entry]:
+        """Entries that run, in the order of their names."""
+        return [one for _, one in sorted(self.by_name.items())]
+
+    def start(self, name: str) -> None:
+        """Start an entry under a name."""
+        region = self.region_by_entry[name]
+        clock = VirtualClock()
+        rng = random.Random(self.rng.getrandbits(_BITS))
+        local = Member(name, region, f'{region}-a', first_incarnation(rng))
+        platform = ReplicaPlatform(self.store, clock)
+        outside = self._outside(local, platform, clock, rng)
+        parts = EntryParts(outside, EntryOptions(_LIFETIME_S))
+        outside.upstreams.on_report = parts.note_report
+        self._runs += 1
+        declarer = Declarer(platform, parts.table, rng, parts.check_ready)
+        entry = Entry(
+            self._runs,
+            name,
+            region,
+            clock,
+            platform,
+            outside.peers,
+            parts,
+            declarer,
+        )
+        parts.table.subscribe(functools.partial(entry.note, self.ledgers))
+        self.by_name[name] = entry
+        outside.peers.start()
+        self.spawn(parts.start())
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run work that ends with the session; its failure is recorded."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def kill(self, name: str) -> None:
+        """End an entry without a sign."""
+        entry = self.by_name.pop(name, None)
+        if entry is None:
+            return
+        self.network.kill(name)
+        entry.platform.faults.is_down = True
+        for task in entry.calls:
+            task.cancel()
+        self.spawn(self._end(entry))
+
+    async def stop_by_plan(self, name: str) -> None:
+        """Leave, wait for the look-up lifetime, stop."""
+        entry = self.by_name[name]
+        began = now()
+        entry.parts.leave()
+        await entry.clock.sleep(_LIFETIME_S)
+        if self.by_name.get(name) is not entry:
+            return
+        await entry.parts.stop()
+        self.ledgers.stops.append((name, began, now()))
+        if self.by_name.get(name) is not entry:
+            return
+        # What is still in flight now ends with the process.
+        self.by_name.pop(name)
+        for task in entry.calls:
+            task.cancel()
+        await entry.peers.stop()
+        self.network.kill(name)
+
+    async def stop(self) -> None:
+        """End the session; a request in flight is let finish before."""
+        for name in list(self.by_name):
+            self.kill(name)
+        await asyncio.sleep(1)
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def declare(self, name, subject, spec, expected=None) -> bool:
+        """Declare through an entry; True where it was accepted."""
+        entry = self.by_name.get(name)
+        if entry is None or entry.clock.is_paused:
+            return False
+        wish = Declaration(*subject, spec, f'by-{name}', 'bench', expected)
+        try:
+            envelope = await entry.declarer.declare(wish)
+        except (PlatformError, ObjectError, RequestError):
+            return False
+        self.ledgers.accepted.append((now(), name, envelope))
+        return True
+
+    def shift_spec(self, cap: int) -> dict:
+        """The shift that the sessions declare."""
+        return {
+            'service': self.lookups,
+            'from_region': self.regions[0],
+            'to_region': self.regions[1],
+            'share': _SHARE,
+            'cap': cap,
+            'lease_seconds': _LEASE_S,
+        }
+
+    async def call(self, entry: Entry, service, target, key='') -> Call:
+        """Send one request through an entry; returns how it ended."""
+        self._ids += 1
+        call = Call(f'r{self._ids}', service, key, entry.name, now())
+        self.ledgers.calls.append(call)
+        task = asyncio.ensure_future(self._forward(entry, call, target))
+        entry.calls.add(task)
+        task.add_done_callback(entry.calls.discard)
+        await asyncio.wait([task])
+        call.ended_at = now()
+        if task.cancelled():
+            call.kind = 'cancelled'
+        elif task.exception():
+            failure = task.exception()
+            call.kind = getattr(failure, 'kind', ErrorKind.MALFORMED_REQUEST)
+            call.kind = call.kind.value
+            call.outcome = failure.answer.outcome
+        return call
+
+    async def run_caller(self, home: str, seed: str) -> None:
+        """Requests of the callers beside one entry, as long as it runs."""
+        rng = random.Random(seed)
+        known: tuple[str, ...] = ()
+        until = float(0)
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / _CALLER_GAP_S))
+            if now() >= until:
+                known, until = self._look_up(home, until)
+            names = [name for name in known if name in self.by_name]
+            if names:
+                self.spawn(self._request(rng, names))
+
+    def _look_up(self, home: str, until: float):
+        near = self.by_name.get(home)
+        for entry in filter(None, (near, *self.entries())):
+            if not entry.clock.is_paused:
+                try:
+                    found = entry.parts.lookup(self.lookups)
+                except RequestError:
+                    continue
+                names = tuple(one.name for one in found.entries)
+                return names, now() + found.lifetime_seconds
+        return (), until
+
+    async def _request(self, rng: random.Random, names: list[str]) -> None:
+        entry = self.by_name[names[0]]
+        if rng.random() < _LOOKUP_SHARE:
+            await self.call(entry, self.lookups, '/item')
+            return
+        self._ids += 1
+        target = f'/order-{self._ids}'
+        is_keyed = rng.random() < _KEYED_SHARE / (1 - _LOOKUP_SHARE)
+        if not is_keyed:
+            await self.call(entry, self.orders, target)
+            return
+        await self._request_keyed(rng, entry, target)
+
+    async def _request_keyed(self, rng, entry: Entry, target: str) -> None:
+        """Repeat after an unknown outcome, at random, and at once."""
+        key = f'key{target}'
+        first = self.spawn(self.call(entry, self.orders, target, key))
+        if rng.random() < _REPEAT_SHARE:
+            await asyncio.sleep(rng.uniform(0, 2 * _SERVICE_S))
+            await self._repeat(rng, target, key)
+        call = await first
+        for _ in range(_REPEATS):
+            if call is None or call.answer:
+                return
+            await asyncio.sleep(rng.uniform(0, 1))
+            call = await self._repeat(rng, target, key)
+
+    async def _repeat(self, rng, target: str, key: str) -> Call | None:
+        entries = self.entries()
+        if not entries:
+            return None
+        return await self.call(rng.choice(entries), self.orders, target, key)
+
+    async def _forward(self, entry: Entry, call: Call, target: str) -> None:
+        await entry.clock.gate()
+        request = CallerRequest(
+            request_id=call.request_id,
+            service=call.service,
+            method='POST' if call.service == self.orders else 'GET',
+            target=target,
+            headers=(),
+            idempotency_key=call.key,
+        )
+        await entry.parts.forwarder.forward(request, _Receiver(call))
+        await entry.clock.gate()
+
+    async def _end(self, entry: Entry) -> None:
+        await entry.parts.stop()
+        await entry.peers.stop()
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.ledgers.failures.append(repr(task.exception()))
+
+    def _outside(self, local, platform, clock, rng) -> Outside:
+        outside = Outside(
+            platform,
+            None,
+            _Upstreams(self, local, clock),
+            clock,
+            rng,
+        )
+        peers = MeshPeers(
+            local,
+            self.network.join(local, clock),
+            MeshOptions('bench', b'key', size_hint=len(self.region_by_entry)),
+            platform.read_seeds,
+            (clock, rng, outside.counters),
+        )
+        return attrs.evolve(outside, peers=peers)
+
+    def _declare_all(self, objects: list[dict]) -> None:
+        shift = self.shift_spec(CAP)
+        moved = {'kind': 'shift', 'name': 'moved', 'spec': shift}
+        for index, one in enumerate((*objects, moved)):
+            operation = f'first-{index}'
+            spec = parse_spec(one['kind'], one['spec'])
+            envelope = Envelope(
+                one['kind'],
+                one['name'],
+                1,
+                operation,
+                'bench',
+                '',
+                operation,
+                spec,
+            )
+            body = write_envelope(envelope)
+            self.store.apply(envelope.key, body, None, operation)
+            self._take(one['kind'], one['name'], spec)
+        self.store.instances = [
+            ListedInstance(name, name, region, f'{region}-a')
+            for name, region in self.region_by_entry.items()
+        ]
+        for region in self.regions:
+            for other in self.regions:
+                delay = _NEAR_S if region == other else self.far_s
+                self.network.delay_between(region, other, delay)
+
+    def _take(self, kind: str, name: str, spec) -> None:
+        if kind == 'entry':
+            self.region_by_entry[name] = spec.region
+        elif kind == 'upstream':
+            self.region_by_upstream[name] = spec.region
+            self.upstreams[name] = MemoryUpstream(
+                slots=spec.slots,
+                service_time_s=_SERVICE_S,
+                queue_limit=spec.slots,
+                crash_mark=CRASH,
+                run_counts=_Starts(name, self.ledgers),
+            )
--- /dev/null
+++ b/bench/whole_faults.py
@@ -0,0 +1,424 @@
+"""Seeded schedules of faults against whole entries, and their judge."""
+
+import asyncio
+import collections
+import random
+
+import attrs
+
+from bench.whole_cluster import CAP, CRASH, Call, Whole, now
+from nutmegshore.clock import run_virtual
+from nutmegshore.errors import Outcome
+
+__all__ = ('MEASURES', 'Verdict', 'run_schedule')
+
+MEASURES = (
+    'over_cap',
+    'region_overload',
+    'crossed',
+    'doubled',
+    'false_not_run',
+    'late_work',
+    'cut_by_stop',
+    'config_revert',
+)
+_DEPLOYMENTS = ('vestfold', 'patelwadi')
+_RUN_S = 30
+_WARM_S = 4
+_QUIET_S = 6
+_GAP_S = (0.5, 3)
+_LENGTH_S = (0.5, 7)
+_LATE_S = 3
+_SURGE = 240
+_SURGE_GAP_S = 0.01
+_CAPS = (CAP // 3, CAP // 2, CAP, 2 * CAP)
+_CRASHES = 4
+_RULE = ('rule', 'raced')
+_SHIFT = ('shift', 'moved')
+_CUT_KINDS = ('cancelled', 'stopping', 'not_ready')
+
+
+@attrs.frozen
+class Verdict:
+    """Breaches by measure, and what the schedule did."""
+
+    seed: int
+    breaches: dict[str, int]
+    faults: tuple[str, ...]
+    calls: int
+    answered: int
+    failures: tuple[str, ...]
+
+
+class _Schedule:
+    """Draws faults and applies them, two at once in half the steps."""
+
+    def __init__(self, whole: Whole, rng: random.Random) -> None:
+        self._whole = whole
+        self._rng = rng
+        self._drains = 0
+        self._faults = (
+            self._down,
+            self._slow,
+            self._lose_answers,
+            self._lag_list,
+            self._pause,
+            self._kill,
+            self._stop_by_plan,
+            self._partition,
+            self._crash_upstream,
+            self._crash_request,
+            self._drain,
+            self._recap,
+            self._delete_shift,
+            self._race,
+            self._surge,
+        )
+        self.applied: list[str] = []
+
+    async def run(self, until: float) -> None:
+        """Apply faults until a time; each ends by itself."""
+        tasks = []
+        while now() < until:
+            count = self._rng.choice((1, 2))
+            for fault in self._rng.sample(self._faults, count):
+                self.applied.append(fault.__name__[1:])
+                tasks.append(self._whole.spawn(fault()))
+            await asyncio.sleep(self._rng.uniform(*_GAP_S))
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _length(self) -> float:
+        return self._rng.uniform(*_LENGTH_S)
+
+    def _one(self) -> str:
+        return self._rng.choice(sorted(self._whole.by_name))
+
+    def _platform_faults(self):
+        store = self._whole.store.faults
+        one = self._whole.by_name[self._one()].platform.faults
+        return self._rng.choice((store, one))
+
+    async def _down(self) -> None:
+        faults = self._platform_faults()
+        faults.is_down = True
+        await asyncio.sleep(self._length())
+        if faults is self._whole.store.faults or not self._is_dead(faults):
+            faults.is_down = False
+
+    def _is_dead(self, faults) -> bool:
+        entries = self._whole.entries()
+        return all(one.platform.faults is not faults for one in entries)
+
+    async def _slow(self) -> None:
+        faults = self._platform_faults()
+        before = faults.delay_s
+        faults.delay_s = self._rng.uniform(0.1, 2)
+        await asyncio.sleep(self._length())
+        faults.delay_s = min(before, 0.005)
+
+    async def _lose_answers(self) -> None:
+        self._whole.store.faults.lost_answers += self._rng.randint(1, 4)
+
+    async def _lag_list(self) -> None:
+        self._whole.store.faults.list_lag_s = self._length()
+
+    def _disturb(self, name: str, seconds: float) -> None:
+        span = (name, now(), now() + seconds)
+        self._whole.ledgers.disturbed.append(span)
+
+    async def _pause(self) -> None:
+        name = self._one()
+        seconds = self._length()
+        self._disturb(name, seconds)
+        self._whole.by_name[name].clock.pause(seconds)
+
+    def _is_few(self) -> bool:
+        return len(self._whole.by_name) < len(self._whole.region_by_entry) - 1
+
+    async def _kill(self) -> None:
+        if self._is_few():
+            return
+        name = self._one()
+        self._whole.kill(name)
+        await asyncio.sleep(self._rng.choice((0, self._length())))
+        self._start(name)
+
+    def _start(self, name: str) -> None:
+        if name not in self._whole.by_name:
+            self._disturb(name, _LATE_S)
+            self._whole.start(name)
+
+    async def _stop_by_plan(self) -> None:
+        if self._is_few():
+            return
+        name = self._one()
+        await self._whole.stop_by_plan(name)
+        await asyncio.sleep(self._length())
+        self._start(name)
+
+    async def _partition(self) -> None:
+        seconds = self._length()
+        ends = self._rng.sample(self._whole.regions, 2)
+        for region in ends:
+            self._disturb(region, seconds)
+        self._whole.network.partition(*ends)
+        await asyncio.sleep(seconds)
+        self._whole.network.heal()
+
+    def _order_upstream(self) -> str:
+        names = [
+            name
+            for name in sorted(self._whole.upstreams)
+            if name.startswith(self._whole.orders)
+        ]
+        return self._rng.choice(names)
+
+    async def _crash_upstream(self) -> None:
+        upstream = self._whole.upstreams[self._order_upstream()]
+        upstream.crash()
+        await asyncio.sleep(self._length())
+        upstream.restart()
+
+    async def _crash_request(self) -> None:
+        target = f'{CRASH}-{self._rng.random()}'
+        for _ in range(_CRASHES):
+            entry = self._whole.by_name[self._one()]
+            await self._whole.call(entry, self._whole.orders, target)
+            await asyncio.sleep(self._rng.uniform(0.1, 1))
+        for upstream in self._whole.upstreams.values():
+            if upstream.is_down:
+                upstream.restart()
+
+    async def _drain(self) -> None:
+        """Drain an upstream; half the time delete and create it again."""
+        self._drains += 1
+        subject = ('drain', f'd{self._drains}')
+        spec = {'upstream': self._order_upstream()}
+        for wanted in self._rng.choice(((spec,), (spec, None, spec))):
+            await self._whole.declare(self._one(), subject, wanted)
+            await asyncio.sleep(self._length())
+        await self._whole.declare(self._one(), subject, None)
+
+    async def _recap(self) -> None:
+        spec = self._whole.shift_spec(self._rng.choice(_CAPS))
+        await self._whole.declare(self._one(), _SHIFT, spec)
+
+    async def _delete_shift(self) -> None:
+        await self._whole.declare(self._one(), _SHIFT, None)
+        await asyncio.sleep(self._length())
+        await self._recap()
+
+    async def _race(self) -> None:
+        """Two operators at two entries write what both saw last."""
+        names = (self._one(), self._one())
+        key = 'config/{0}/{1}'.format(*_RULE)
+        present = self._whole.by_name[names[0]].parts.table.get(key)
+        seen = present.generation if present else 0
+        wishes = [
+            self._whole.declare(name, _RULE, _rule(10 + index), seen)
+            for index, name in enumerate(names)
+        ]
+        await asyncio.gather(*wishes)
+
+    async def _surge(self) -> None:
+        """Orders beyond the capacity of the last region, at its entries."""
+        region = self._whole.regions[-1]
+        for index in range(_SURGE):
+            entries = [
+                one for one in self._whole.entries() if one.region == region
+            ]
+            if entries:
+                entry = entries[index % len(entries)]
+                work = self._whole.call(entry, self._whole.orders, f'/s{index}')
+                self._whole.spawn(work)
+            await asyncio.sleep(_SURGE_GAP_S)
+
+
+def _rule(after_seconds: float) -> dict:
+    return {
+        'trigger': 'reports_stopped',
+        'action': 'hold',
+        'after_seconds': after_seconds,
+    }
+
+
+def run_schedule(seed: int) -> Verdict:
+    """Run one schedule; the deployments alternate by seed."""
+    return run_virtual(lambda: _session(seed))
+
+
+async def _session(seed: int) -> Verdict:
+    rng = random.Random(seed)
+    whole = Whole(_DEPLOYMENTS[seed % 2], seed)
+    await whole.boot()
+    await asyncio.sleep(_WARM_S)
+    for home in whole.region_by_entry:
+        whole.spawn(whole.run_caller(home, f'{seed}{home}'))
+    schedule = _Schedule(whole, rng)
+    await schedule.run(_RUN_S - _QUIET_S)
+    _heal(whole)
+    await asyncio.sleep(_QUIET_S)
+    reverted = config_revert(whole)
+    await whole.stop()
+    ledgers = whole.ledgers
+    breaches = {
+        'over_cap': ledgers.judge.over_cap(),
+        'region_overload': region_overload(whole),
+        'crossed': crossed(whole),
+        'doubled': doubled(whole),
+        'false_not_run': false_not_run(whole),
+        'late_work': late_work(whole),
+        'cut_by_stop': cut_by_stop(whole),
+        'config_revert': reverted,
+    }
+    return Verdict(
+        seed,
+        breaches,
+        tuple(schedule.applied),
+        len(ledgers.calls),
+        sum(bool(call.answer) for call in ledgers.calls),
+        tuple(ledgers.failures),
+    )
+
+
+def _heal(whole: Whole) -> None:
+    whole.network.heal()
+    whole.store.faults.is_down = False
+    whole.store.faults.delay_s = 0.005
+    whole.store.faults.lost_answers = 0
+    whole.store.faults.list_lag_s = 0
+    for entry in whole.entries():
+        entry.platform.faults.is_down = False
+        entry.platform.faults.delay_s = 0
+
+
+def region_overload(whole: Whole) -> int:
+    """Requests that came to an upstream with its slots and queue room full.
+
+    The queue room equals the slots, and no fault takes out more upstreams
+    than the rest can carry, so each of these was sent by a decision.
+    """
+    return sum(one.refused for one in whole.upstreams.values())
+
+
+def crossed(whole: Whole) -> int:
+    """Answers that are not the whole answer to the caller's own request."""
+    ran = _ran_by_key(whole)
+    wrong = 0
+    for call in whole.ledgers.calls:
+        own = ran[call.key][:1] if call.key else [call.request_id]
+        is_wrong = call.answer and [call.answer] != own
+        is_cut_short = not call.kind and call.heads != 1
+        wrong += bool(is_wrong or (is_cut_short and call.ended_at < _INF))
+    return wrong
+
+
+_INF = float('inf')
+
+
+def _ran_by_key(whole: Whole) -> dict[str, list[str]]:
+    """Request ids in the order of their starts, by idempotency key."""
+    keys = {call.request_id: call.key for call in whole.ledgers.calls}
+    ran = collections.defaultdict(list)
+    for _, _, request_id in whole.ledgers.starts:
+        ran[keys[request_id]].append(request_id)
+    return ran
+
+
+def doubled(whole: Whole) -> int:
+    """Runs of non-idempotent requests beyond the first, by id and by key."""
+    starts = collections.Counter()
+    by_id = {call.request_id: call for call in whole.ledgers.calls}
+    for _, _, request_id in whole.ledgers.starts:
+        call = by_id[request_id]
+        if call.service == whole.orders:
+            starts[call.key or request_id] += 1
+    return sum(count - 1 for count in starts.values())
+
+
+def false_not_run(whole: Whole) -> int:
+    """Requests called not run that ran, or whose key had run before."""
+    started_at = {}
+    keys = {call.request_id: call.key for call in whole.ledgers.calls}
+    for at, _, request_id in whole.ledgers.starts:
+        started_at.setdefault(request_id, -1)
+        started_at.setdefault(keys[request_id] or request_id, at)
+    return sum(
+        call.outcome is Outcome.NOT_RUN and _had_run(call, started_at)
+        for call in whole.ledgers.calls
+    )
+
+
+def _had_run(call: Call, started_at: dict[str, float]) -> bool:
+    is_own = call.request_id in started_at
+    return is_own or started_at.get(call.key, _INF) <= call.ended_at
+
+
+def late_work(whole: Whole) -> int:
+    """Requests sent to a drained upstream too late by undisturbed entries.
+
+    An entry has 3 s from the acceptance, or from the end of its last pause,
+    cut or start, whichever is later.
+    """
+    late = 0
+    for name, since, until in _drained(whole):
+        for at, entry, upstream, _ in whole.ledgers.sends:
+            if upstream == name and since + _LATE_S < at < until:
+                late += at > _due_at(whole, entry, since, at)
+    return late
+
+
+def _drained(whole: Whole):
+    """Upstream, time of acceptance and time of the next write."""
+    by_key = collections.defaultdict(list)
+    for at, _, envelope in whole.ledgers.accepted:
+        by_key[envelope.key].append((at, envelope))
+    for key, writes in by_key.items():
+        if key.startswith('config/drain/'):
+            ends = [at for at, _ in writes[1:]]
+            for (at, one), end in zip(writes, [*ends, _INF], strict=True):
+                if one.spec is not None:
+                    yield one.spec.upstream, at, end
+
+
+def _due_at(whole: Whole, entry: str, since: float, at: float) -> float:
+    places = (entry, whole.region_by_entry[entry])
+    ends = [
+        end
+        for place, start, end in whole.ledgers.disturbed
+        if place in places and start <= at and end >= since
+    ]
+    return max([since, *ends]) + _LATE_S
+
+
+def cut_by_stop(whole: Whole) -> int:
+    """Requests at an entry before its planned stop ended that were cut."""
+    return sum(
+        call.entry == name
+        and call.begun_at <= end
+        and call.ended_at >= begun
+        and (call.kind in _CUT_KINDS or call.ended_at > end)
+        for name, begun, end in whole.ledgers.stops
+        for call in whole.ledgers.calls
+    )
+
+
+def config_revert(whole: Whole) -> int:
+    """Tables that went back, accepted writes that met or are not in force."""
+    newest: dict[tuple[int, str], int] = {}
+    breaches = 0
+    for _, run, key, generation in whole.ledgers.merges:
+        breaches += generation <= newest.get((run, key), 0)
+        newest[run, key] = generation
+    operations = {}
+    last = {}
+    for _, _, one in whole.ledgers.accepted:
+        place = (one.key, one.generation)
+        breaches += operations.setdefault(place, one.operation) != one.operation
+        if one.generation > last.get(one.key, 0):
+            last[one.key] = one.generation
+    for entry in whole.entries():
+        for key, generation in last.items():
+            present = entry.parts.table.get(key)
+            breaches += present is None or present.generation < generation
+    return breaches
