--- /dev/null
+++ b/bench/sessions/whole.py
@@ -0,0 +1,168 @@
+"""Whole entries of both deployments under faults, and one fixed session."""
+
+import asyncio
+import functools
+from concurrent.futures import ProcessPoolExecutor
+
+import attrs
+
+from bench.measure import Findings, Measure, Table
+from bench.whole_cluster import CRASH, Whole, now
+from bench.whole_faults import MEASURES, Verdict, run_schedule
+from bench.whole_rules import RULES, without
+from nutmegshore.clock import run_virtual
+
+__all__ = ('find_reds', 'measure', 'run_without')
+
+_WORKERS = 6
+_SCHEDULES = 200
+_PROOFS = 12
+_WARM_S = 4
+_CRASHES = 8
+_CRASH_GAP_S = 0.5
+_POLL_S = 0.01
+_MOST_LOST = 2
+_DRAIN_REQUESTS = 30
+_DRAINED_S = 10
+
+
+@attrs.frozen
+class _Fixed:
+    """What the fixed session recorded."""
+
+    lost: int
+    refused_good: int
+    drain_s: float
+    longest_left_s: float
+
+
+def measure(seed: int) -> Findings:
+    """Run 200 schedules, the fixed session and the proofs of the checks."""
+    with ProcessPoolExecutor(_WORKERS) as pool:
+        seeds = range(seed, seed + _SCHEDULES)
+        verdicts = list(pool.map(run_schedule, seeds))
+        proofs = [
+            (name, find_reds(pool, name, seed, _PROOFS)) for name in MEASURES
+        ]
+    fixed = run_virtual(lambda: _fixed_session(seed))
+    rows = [
+        (name, RULES[name][0], f'{len(reds)} of {_PROOFS}')
+        for name, reds in proofs
+    ]
+    return Findings(
+        measures=(*_breaches(verdicts, seed), *_figures(fixed, seed)),
+        tables=(
+            Table('Rules taken out', ('check', 'rule', 'seeds red'), rows),
+        ),
+    )
+
+
+def find_reds(pool, name: str, first: int, count: int) -> list[int]:
+    """Seeds whose check turns red without its rule."""
+    seeds = range(first, first + count)
+    verdicts = pool.map(functools.partial(run_without, name), seeds)
+    return [one.seed for one in verdicts if one.breaches[name]]
+
+
+def run_without(name: str, seed: int) -> Verdict:
+    """Run a schedule without the rule behind a measure."""
+    with without(name):
+        return run_schedule(seed)
+
+
+def _breaches(verdicts: list[Verdict], seed: int) -> list[Measure]:
+    measures = []
+    for name in MEASURES:
+        found = sum(one.breaches[name] for one in verdicts)
+        unit = f'breaches in {len(verdicts)} schedules'
+        measures.append(Measure(name, found, unit, '0', seed, found == 0))
+    return measures
+
+
+def _figures(fixed: _Fixed, seed: int) -> list[Measure]:
+    lost = fixed.lost
+    beyond_s = fixed.drain_s - fixed.longest_left_s
+    return [
+        Measure(
+            'crash_upstreams_lost',
+            lost,
+            'upstreams',
+            'stopped before it takes down a third upstream',
+            seed,
+            lost <= _MOST_LOST,
+        ),
+        Measure(
+            'crash_good_refused',
+            fixed.refused_good,
+            'requests refused as quarantined',
+            'as few as possible',
+            seed,
+        ),
+        Measure('drain_s', fixed.drain_s, 's', 'reported', seed),
+        Measure(
+            'drain_beyond_longest_s',
+            beyond_s,
+            's beyond the longest request left',
+            'new work stops within 3 s',
+            seed,
+        ),
+    ]
+
+
+async def _fixed_session(seed: int) -> _Fixed:
+    whole = Whole('vestfold', seed)
+    await whole.boot()
+    await asyncio.sleep(_WARM_S)
+    for home in whole.region_by_entry:
+        whole.spawn(whole.run_caller(home, f'{seed}{home}'))
+    await asyncio.sleep(_WARM_S)
+    await _repeat_crash(whole)
+    lost = sum(one.is_down for one in whole.upstreams.values())
+    for upstream in whole.upstreams.values():
+        if upstream.is_down:
+            upstream.restart()
+    await asyncio.sleep(_WARM_S)
+    drain_s, left_s = await _drain(whole)
+    await whole.stop()
+    refused = [
+        call
+        for call in whole.ledgers.calls
+        if call.kind == 'quarantined' and not call.is_crashing
+    ]
+    return _Fixed(lost, len(refused), drain_s, left_s)
+
+
+async def _repeat_crash(whole: Whole) -> None:
+    entries = whole.entries()
+    for index in range(_CRASHES):
+        entry = entries[index % len(entries)]
+        await whole.call(entry, whole.orders, CRASH)
+        await asyncio.sleep(_CRASH_GAP_S)
+
+
+async def _drain(whole: Whole) -> tuple[float, float]:
+    """Seconds to empty a busy upstream, and of the longest request in it."""
+    entries = whole.entries()
+    for index in range(_DRAIN_REQUESTS):
+        entry = entries[index % len(entries)]
+        work = whole.call(entry, whole.orders, f'/long-{index}')
+        whole.spawn(work)
+    await asyncio.sleep(_POLL_S)
+    name, upstream = max(
+        whole.upstreams.items(), key=lambda found: found[1].inside
+    )
+    subject = ('drain', 'fixed')
+    await whole.declare(entries[0].name, subject, {'upstream': name})
+    accepted = now()
+    empty_at = accepted
+    while now() < accepted + _DRAINED_S:
+        await asyncio.sleep(_POLL_S)
+        if upstream.inside:
+            empty_at = now()
+    calls = {call.request_id: call for call in whole.ledgers.calls}
+    ends = [
+        calls[request_id].ended_at - accepted
+        for at, _, sent_to, request_id in whole.ledgers.sends
+        if sent_to == name and at <= accepted
+    ]
+    return empty_at - accepted, max(ends)
--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -55,6 +55,7 @@
     key: str
     entry: str
     begun_at: float
+    is_crashing: bool = False
     ended_at: float = float('inf')
     answer: str = ''
     heads: int = 0
@@ -291,6 +292,7 @@
         """Send one request through an entry; returns how it ended."""
         self._ids += 1
         call = Call(f'r{self._ids}', service, key, entry.name, now())
+        call.is_crashing = CRASH in target
         self.ledgers.calls.append(call)
         task = asyncio.ensure_future(self._forward(entry, call, target))
         entry.calls.add(task)
