--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -88,6 +88,8 @@
     starts: list[tuple[float, str, str]] = attrs.field(factory=list)
     #: (time, run of an entry, key, generation) of each change of a table.
     merges: list[tuple[float, int, str, int]] = attrs.field(factory=list)
+    #: (time, key) of each attempt to declare, whatever came of it.
+    asked: list[tuple[float, str]] = attrs.field(factory=list)
     accepted: list[tuple[float, str, Envelope]] = attrs.field(factory=list)
     #: (entry or region, start, end) of pauses, cuts and starts.
     disturbed: list[tuple[str, float, float]] = attrs.field(factory=list)
@@ -150,6 +152,8 @@
     parts: EntryParts
     declarer: Declarer
     calls: set[asyncio.Task] = attrs.field(factory=set)
+    #: Whether its listener is closed, so that callers are turned away.
+    is_closed: bool = False
 
     def note(self, ledgers: Ledgers, newer: list[Envelope]) -> None:
         """Record what the table took."""
@@ -242,6 +246,10 @@
         began = now()
         entry.parts.leave()
         await entry.clock.sleep(_LIFETIME_S)
+        # As the daemon does, the listener closes before the parts stop; what
+        # it has accepted by then reaches the forwarder.
+        entry.is_closed = True
+        await entry.clock.sleep(_NEAR_S)
         if self.by_name.get(name) is not entry:
             return
         await entry.parts.stop()
@@ -269,6 +277,7 @@
         entry = self.by_name.get(name)
         if entry is None or entry.clock.is_paused:
             return False
+        self.ledgers.asked.append((now(), 'config/{0}/{1}'.format(*subject)))
         wish = Declaration(*subject, spec, f'by-{name}', 'bench', expected)
         try:
             envelope = await entry.declarer.declare(wish)
@@ -293,6 +302,9 @@
         self._ids += 1
         call = Call(f'r{self._ids}', service, key, entry.name, now())
         call.is_crashing = CRASH in target
+        if entry.is_closed:
+            call.kind = 'closed'
+            return call
         self.ledgers.calls.append(call)
         task = asyncio.ensure_future(self._forward(entry, call, target))
         entry.calls.add(task)
@@ -410,7 +422,7 @@
         moved = {'kind': 'shift', 'name': 'moved', 'spec': shift}
         for index, one in enumerate((*objects, moved)):
             operation = f'first-{index}'
-            spec = parse_spec(one['kind'], one['spec'])
+            spec = parse_spec(one['kind'], self._spec(one))
             envelope = Envelope(
                 one['kind'],
                 one['name'],
@@ -433,6 +445,18 @@
                 delay = _NEAR_S if region == other else self.far_s
                 self.network.delay_between(region, other, delay)
 
+    def _spec(self, one: dict) -> dict:
+        """Spec with the shift's target as the farthest from its source.
+
+        Load that spills over goes to the nearest region first, so that the
+        requests from source to target are those of the shift.
+        """
+        if one['kind'] != 'region' or one['name'] != self.regions[0]:
+            return one['spec']
+        delays = dict(one['spec']['delay_ms'])
+        delays[self.regions[-1]] /= 2
+        return {**one['spec'], 'delay_ms': delays}
+
     def _take(self, kind: str, name: str, spec) -> None:
         if kind == 'entry':
             self.region_by_entry[name] = spec.region
