--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -39,6 +39,7 @@
 _KEYED_SHARE = 0.35
 _LOOKUP_SHARE = 0.6
 _REPEATS = 3
+_NO_SPILL_MS = 10_000
 
 
 def now() -> float:
@@ -446,16 +447,18 @@
                 self.network.delay_between(region, other, delay)
 
     def _spec(self, one: dict) -> dict:
-        """Spec with the shift's target as the farthest from its source.
+        """Spec by which look-ups leave the source region by the shift only.
 
-        Load that spills over goes to the nearest region first, so that the
-        requests from source to target are those of the shift.
+        Load spills over when the local wait is worth the declared delay and
+        near the queue target, so both are declared long there.
         """
-        if one['kind'] != 'region' or one['name'] != self.regions[0]:
-            return one['spec']
-        delays = dict(one['spec']['delay_ms'])
-        delays[self.regions[-1]] /= 2
-        return {**one['spec'], 'delay_ms': delays}
+        spec = one['spec']
+        if (one['kind'], one['name']) == ('service', self.lookups):
+            return {**spec, 'queue_target_ms': _NO_SPILL_MS}
+        if (one['kind'], one['name']) == ('region', self.regions[0]):
+            delays = dict.fromkeys(spec['delay_ms'], _NO_SPILL_MS)
+            return {**spec, 'delay_ms': delays}
+        return spec
 
     def _take(self, kind: str, name: str, spec) -> None:
         if kind == 'entry':
--- a/bench/whole_faults.py
+++ b/bench/whole_faults.py
@@ -158,9 +158,7 @@
 
     async def _partition(self) -> None:
         seconds = self._length()
-        # A source without its nearest region would spill to the target.
-        regions = self._whole.regions
-        ends = (regions[1], self._rng.choice((regions[0], regions[2])))
+        ends = self._rng.sample(self._whole.regions, 2)
         for region in ends:
             self._disturb(region, seconds)
         self._whole.network.partition(*ends)
@@ -382,7 +380,9 @@
         if key.startswith('config/drain/'):
             asked = [at for at, name in whole.ledgers.asked if name == key]
             for at, one in writes:
-                end = min((later for later in asked if later > at), default=_INF)
+                end = min(
+                    (later for later in asked if later > at), default=_INF
+                )
                 if one.spec is not None:
                     yield one.spec.upstream, at, end
 
--- a/bench/whole_rules.py
+++ b/bench/whole_rules.py
@@ -61,9 +61,16 @@
         ),
         'false_not_run': (
             'a keyed request refused before its record was read is unknown',
-            [(NutmegshoreError, 'is_outcome_unknown', property(
-                lambda _: False, lambda *_: None,
-            ))],
+            [
+                (
+                    NutmegshoreError,
+                    'is_outcome_unknown',
+                    property(
+                        lambda _: False,
+                        lambda *_: None,
+                    ),
+                )
+            ],
         ),
         'late_work': (
             'the plan leaves drained upstreams out',
