--- a/bench/sessions/whole.py
+++ b/bench/sessions/whole.py
@@ -7,8 +7,11 @@
 import attrs
 
 from bench.measure import Findings, Measure, Table
-from bench.whole_cluster import CRASH, Whole, now
-from bench.whole_faults import MEASURES, Verdict, run_schedule
+from bench.whole_callers import Callers
+from bench.whole_cluster import CRASH, Whole
+from bench.whole_faults import Verdict, run_schedule
+from bench.whole_judge import MEASURES
+from bench.whole_ledgers import now
 from bench.whole_rules import RULES, without
 from nutmegshore.clock import run_virtual
 
@@ -113,8 +116,7 @@
     whole = Whole('vestfold', seed)
     await whole.boot()
     await asyncio.sleep(_WARM_S)
-    for home in whole.region_by_entry:
-        whole.spawn(whole.run_caller(home, f'{seed}{home}'))
+    Callers(whole).start(seed)
     await asyncio.sleep(_WARM_S)
     await _repeat_crash(whole)
     lost = sum(one.is_down for one in whole.upstreams.values())
--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -1,18 +1,20 @@
 """Nine whole entries of a deployment on virtual time, with their callers."""
 
 import asyncio
-import collections
 import functools
+import itertools
 import random
 
 import attrs
 
-from bench.caps_fleet import Judge, JudgedStore
+from bench.caps_fleet import JudgedStore
 from bench.peers_cluster import ReplicaPlatform
+from bench.whole_ledgers import CAP, Call, Ledgers, Receiver, Starts, now
+from nutmegshore import resources
 from nutmegshore.callers import CallerRequest
 from nutmegshore.clock import VirtualClock
 from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
-from nutmegshore.errors import ErrorKind, ObjectError, Outcome, RequestError
+from nutmegshore.errors import ErrorKind, ObjectError, RequestError
 from nutmegshore.errors import PlatformError
 from nutmegshore.examples.deployments import DEPLOYMENTS, list_objects
 from nutmegshore.operators.declare import Declaration, Declarer
@@ -20,12 +22,11 @@
 from nutmegshore.peers import first_incarnation
 from nutmegshore.platform import ListedInstance
 from nutmegshore.resources import Envelope, parse_spec, write_envelope
-from nutmegshore.upstreams import AnswerHead, AnswerReceiver
+from nutmegshore.upstreams import AnswerHead
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
 
-__all__ = ('CAP', 'Call', 'Entry', 'Ledgers', 'Whole', 'now')
+__all__ = ('CRASH', 'Entry', 'Whole')
 
-CAP = 6
 CRASH = '/crash'
 _SHARE = 0.9
 _LIFETIME_S = 3
@@ -34,84 +35,10 @@
 _BITS = 64
 _SERVICE_S = 0.1
 _LEASE_S = 10
-_CALLER_GAP_S = 0.2
-_REPEAT_SHARE = 0.5
-_KEYED_SHARE = 0.35
-_LOOKUP_SHARE = 0.6
-_REPEATS = 3
+_POLL_S = 0.2
 _NO_SPILL_MS = 10_000
 
 
-def now() -> float:
-    """True time of the session in seconds."""
-    return asyncio.get_running_loop().time()
-
-
-@attrs.define(eq=False)
-class Call:
-    """One request of a caller, and what it was answered."""
-
-    request_id: str
-    service: str
-    key: str
-    entry: str
-    begun_at: float
-    is_crashing: bool = False
-    ended_at: float = float('inf')
-    answer: str = ''
-    heads: int = 0
-    kind: str = ''
-    outcome: Outcome | None = None
-
-
-class _Receiver(AnswerReceiver):
-    def __init__(self, call: Call) -> None:
-        self._call = call
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Count the heads; a whole answer has one."""
-        self._call.heads += 1
-
-    async def receive(self, chunk: bytes) -> None:
-        """Keep the answer."""
-        self._call.answer += chunk.decode()
-
-
-@attrs.define
-class Ledgers:
-    """What the fakes and the callers recorded, all in true time."""
-
-    judge: Judge = attrs.field(factory=functools.partial(Judge, CAP))
-    calls: list[Call] = attrs.field(factory=list)
-    #: (time, entry, upstream, request id) of each request that left an entry.
-    sends: list[tuple[float, str, str, str]] = attrs.field(factory=list)
-    #: (time, upstream, request id) of each start in a slot.
-    starts: list[tuple[float, str, str]] = attrs.field(factory=list)
-    #: (time, run of an entry, key, generation) of each change of a table.
-    merges: list[tuple[float, int, str, int]] = attrs.field(factory=list)
-    #: (time, key) of each attempt to declare, whatever came of it.
-    asked: list[tuple[float, str]] = attrs.field(factory=list)
-    accepted: list[tuple[float, str, Envelope]] = attrs.field(factory=list)
-    #: (entry or region, start, end) of pauses, cuts and starts.
-    disturbed: list[tuple[str, float, float]] = attrs.field(factory=list)
-    #: (entry, start, end) of each planned stop.
-    stops: list[tuple[str, float, float]] = attrs.field(factory=list)
-    failures: list[str] = attrs.field(factory=list)
-
-
-class _Starts(collections.Counter):
-    """The run counts of one upstream, with the time of each start."""
-
-    def __init__(self, name: str, ledgers: Ledgers) -> None:
-        super().__init__()
-        self._name = name
-        self._ledgers = ledgers
-
-    def __setitem__(self, request_id: str, count: int) -> None:
-        super().__setitem__(request_id, count)
-        self._ledgers.starts.append((now(), self._name, request_id))
-
-
 class _Upstreams(MemoryUpstreams):
     """One entry's client: records what it sends, and obeys partitions."""
 
@@ -171,7 +98,9 @@
         found = DEPLOYMENTS[deployment]
         self.regions = found.regions
         self.far_s = found.delay_ms / 1000
-        self.lookups, self.orders = tuple(found.loads)[:2]
+        names = tuple(found.loads)
+        self.lookups = names[0]
+        self.orders = names[1]
         self.ledgers = Ledgers()
         self.store = JudgedStore(self.ledgers.judge)
         self.store.faults.delay_s = _STORE_S
@@ -190,7 +119,7 @@
         for name in self.region_by_entry:
             self.start(name)
         while not all(one.parts.follower.is_ready for one in self.entries()):
-            await asyncio.sleep(_CALLER_GAP_S)
+            await asyncio.sleep(_POLL_S)
 
     def entries(self) -> list[Entry]:
         """Entries that run, in the order of their names."""
@@ -321,64 +250,6 @@
             call.outcome = failure.answer.outcome
         return call
 
-    async def run_caller(self, home: str, seed: str) -> None:
-        """Requests of the callers beside one entry, as long as it runs."""
-        rng = random.Random(seed)
-        known: tuple[str, ...] = ()
-        until = float(0)
-        while True:
-            await asyncio.sleep(rng.expovariate(1 / _CALLER_GAP_S))
-            if now() >= until:
-                known, until = self._look_up(home, until)
-            names = [name for name in known if name in self.by_name]
-            if names:
-                self.spawn(self._request(rng, names))
-
-    def _look_up(self, home: str, until: float):
-        near = self.by_name.get(home)
-        for entry in filter(None, (near, *self.entries())):
-            if not entry.clock.is_paused:
-                try:
-                    found = entry.parts.lookup(self.lookups)
-                except RequestError:
-                    continue
-                names = tuple(one.name for one in found.entries)
-                return names, now() + found.lifetime_seconds
-        return (), until
-
-    async def _request(self, rng: random.Random, names: list[str]) -> None:
-        entry = self.by_name[names[0]]
-        if rng.random() < _LOOKUP_SHARE:
-            await self.call(entry, self.lookups, '/item')
-            return
-        self._ids += 1
-        target = f'/order-{self._ids}'
-        is_keyed = rng.random() < _KEYED_SHARE / (1 - _LOOKUP_SHARE)
-        if not is_keyed:
-            await self.call(entry, self.orders, target)
-            return
-        await self._request_keyed(rng, entry, target)
-
-    async def _request_keyed(self, rng, entry: Entry, target: str) -> None:
-        """Repeat after an unknown outcome, at random, and at once."""
-        key = f'key{target}'
-        first = self.spawn(self.call(entry, self.orders, target, key))
-        if rng.random() < _REPEAT_SHARE:
-            await asyncio.sleep(rng.uniform(0, 2 * _SERVICE_S))
-            await self._repeat(rng, target, key)
-        call = await first
-        for _ in range(_REPEATS):
-            if call is None or call.answer:
-                return
-            await asyncio.sleep(rng.uniform(0, 1))
-            call = await self._repeat(rng, target, key)
-
-    async def _repeat(self, rng, target: str, key: str) -> Call | None:
-        entries = self.entries()
-        if not entries:
-            return None
-        return await self.call(rng.choice(entries), self.orders, target, key)
-
     async def _forward(self, entry: Entry, call: Call, target: str) -> None:
         await entry.clock.gate()
         request = CallerRequest(
@@ -389,7 +260,7 @@
             headers=(),
             idempotency_key=call.key,
         )
-        await entry.parts.forwarder.forward(request, _Receiver(call))
+        await entry.parts.forwarder.forward(request, Receiver(call))
         await entry.clock.gate()
 
     async def _end(self, entry: Entry) -> None:
@@ -418,33 +289,21 @@
         )
         return attrs.evolve(outside, peers=peers)
 
-    def _declare_all(self, objects: list[dict]) -> None:
+    def _declare_all(self, manifest: list[dict]) -> None:
         shift = self.shift_spec(CAP)
         moved = {'kind': 'shift', 'name': 'moved', 'spec': shift}
-        for index, one in enumerate((*objects, moved)):
-            operation = f'first-{index}'
-            spec = parse_spec(one['kind'], self._spec(one))
-            envelope = Envelope(
-                one['kind'],
-                one['name'],
-                1,
-                operation,
-                'bench',
-                '',
-                operation,
-                spec,
-            )
+        for index, one in enumerate((*manifest, moved)):
+            envelope = _first_envelope(one, self._spec(one), f'first-{index}')
             body = write_envelope(envelope)
-            self.store.apply(envelope.key, body, None, operation)
-            self._take(one['kind'], one['name'], spec)
+            self.store.apply(envelope.key, body, None, envelope.operation)
+            self._take(envelope)
         self.store.instances = [
             ListedInstance(name, name, region, f'{region}-a')
             for name, region in self.region_by_entry.items()
         ]
-        for region in self.regions:
-            for other in self.regions:
-                delay = _NEAR_S if region == other else self.far_s
-                self.network.delay_between(region, other, delay)
+        for one, other in itertools.product(self.regions, repeat=2):
+            delay = _NEAR_S if one == other else self.far_s
+            self.network.delay_between(one, other, delay)
 
     def _spec(self, one: dict) -> dict:
         """Spec by which look-ups leave the source region by the shift only.
@@ -460,15 +319,30 @@
             return {**spec, 'delay_ms': delays}
         return spec
 
-    def _take(self, kind: str, name: str, spec) -> None:
-        if kind == 'entry':
+    def _take(self, envelope: Envelope) -> None:
+        name = envelope.name
+        spec = envelope.spec
+        if isinstance(spec, resources.Entry):
             self.region_by_entry[name] = spec.region
-        elif kind == 'upstream':
+        elif isinstance(spec, resources.Upstream):
             self.region_by_upstream[name] = spec.region
             self.upstreams[name] = MemoryUpstream(
                 slots=spec.slots,
                 service_time_s=_SERVICE_S,
                 queue_limit=spec.slots,
                 crash_mark=CRASH,
-                run_counts=_Starts(name, self.ledgers),
+                run_counts=Starts(name, self.ledgers),
             )
+
+
+def _first_envelope(one: dict, raw: dict, operation: str) -> Envelope:
+    return Envelope(
+        kind=one['kind'],
+        name=one['name'],
+        generation=1,
+        uid=operation,
+        author='bench',
+        reason='',
+        operation=operation,
+        spec=parse_spec(one['kind'], raw),
+    )
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bench.whole_faults import MEASURES, run_schedule
+from bench.whole_faults import run_schedule
+from bench.whole_judge import MEASURES
 from bench.whole_rules import without
 
 _RUN_S = 20
