--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -10,7 +10,6 @@
 from bench.caps_fleet import JudgedStore
 from bench.peers_cluster import ReplicaPlatform
 from bench.whole_ledgers import CAP, Call, Ledgers, Receiver, Starts, now
-from nutmegshore import resources
 from nutmegshore.callers import CallerRequest
 from nutmegshore.clock import VirtualClock
 from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
@@ -21,7 +20,13 @@
 from nutmegshore.peers import LinkNetwork, Member, MeshOptions, MeshPeers
 from nutmegshore.peers import first_incarnation
 from nutmegshore.platform import ListedInstance
-from nutmegshore.resources import Envelope, parse_spec, write_envelope
+from nutmegshore.resources import Entry as EntrySpec
+from nutmegshore.resources import (
+    Envelope,
+    Upstream,
+    parse_spec,
+    write_envelope,
+)
 from nutmegshore.upstreams import AnswerHead
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
 
@@ -322,9 +327,9 @@
     def _take(self, envelope: Envelope) -> None:
         name = envelope.name
         spec = envelope.spec
-        if isinstance(spec, resources.Entry):
+        if isinstance(spec, EntrySpec):
             self.region_by_entry[name] = spec.region
-        elif isinstance(spec, resources.Upstream):
+        elif isinstance(spec, Upstream):
             self.region_by_upstream[name] = spec.region
             self.upstreams[name] = MemoryUpstream(
                 slots=spec.slots,
