--- a/bench/whole_callers.py
+++ b/bench/whole_callers.py
@@ -14,6 +14,7 @@
 _LOOKUP_SHARE = 0.6
 _REPEAT_SHARE = 0.5
 _REPEATS = 3
+_BULK_SHARE = 0.05
 _REPEAT_S = 0.2
 
 
@@ -57,6 +58,9 @@
 
     async def _request(self, rng: random.Random, names: list[str]) -> None:
         entry = self._whole.by_name[names[0]]
+        if rng.random() < _BULK_SHARE:
+            await self._whole.call(entry, self._whole.bulk, '/pull')
+            return
         if rng.random() < _LOOKUP_SHARE:
             await self._whole.call(entry, self._whole.lookups, '/item')
             return
--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -39,6 +39,8 @@
 _STORE_S = 0.005
 _BITS = 64
 _SERVICE_S = 0.1
+#: Longer than a stop takes besides, so that it must wait for these.
+_BULK_S = 3
 _LEASE_S = 10
 _POLL_S = 0.2
 _NO_SPILL_MS = 10_000
@@ -106,6 +108,7 @@
         names = tuple(found.loads)
         self.lookups = names[0]
         self.orders = names[1]
+        self.bulk = names[-1]
         self.ledgers = Ledgers()
         self.store = JudgedStore(self.ledgers.judge)
         self.store.faults.delay_s = _STORE_S
@@ -324,6 +327,9 @@
             return {**spec, 'delay_ms': delays}
         return spec
 
+    def _service_s(self, service: str) -> float:
+        return _BULK_S if service == self.bulk else _SERVICE_S
+
     def _take(self, envelope: Envelope) -> None:
         name = envelope.name
         spec = envelope.spec
@@ -333,7 +339,7 @@
             self.region_by_upstream[name] = spec.region
             self.upstreams[name] = MemoryUpstream(
                 slots=spec.slots,
-                service_time_s=_SERVICE_S,
+                service_time_s=self._service_s(spec.service),
                 queue_limit=spec.slots,
                 crash_mark=CRASH,
                 run_counts=Starts(name, self.ledgers),
--- a/bench/whole_faults.py
+++ b/bench/whole_faults.py
@@ -7,7 +7,7 @@
 
 from bench import whole_judge as judge
 from bench.whole_callers import Callers
-from bench.whole_cluster import CRASH, Whole
+from bench.whole_cluster import CRASH, Entry, Whole
 from bench.whole_ledgers import CAP, now
 from nutmegshore.clock import run_virtual
 
@@ -25,6 +25,8 @@
 _SURGE_GAP_S = 0.01
 _CAPS = (CAP // 3, CAP // 2, CAP, 2 * CAP)
 _CRASHES = 4
+_PULLS = 3
+_PULL_GAP_S = 0.8
 _RULE = ('rule', 'raced')
 _SHIFT = ('shift', 'moved')
 
@@ -122,6 +124,7 @@
         if self._is_few():
             return
         name = self._one()
+        self._whole.spawn(self._pull(self._whole.by_name[name]))
         await self._whole.stop_by_plan(name)
         await asyncio.sleep(self._length())
         self._start(name)
@@ -138,6 +141,13 @@
         await asyncio.sleep(seconds)
         self._whole.network.heal()
 
+    async def _pull(self, entry: Entry) -> None:
+        """Long requests of callers whose look-up answers are still valid."""
+        for _ in range(_PULLS):
+            await asyncio.sleep(_PULL_GAP_S)
+            call = self._whole.call(entry, self._whole.bulk, '/pull')
+            self._whole.spawn(call)
+
     def _is_few(self) -> bool:
         return len(self._whole.by_name) < len(self._whole.region_by_entry) - 1
 
