--- a/bench/whole_judge.py
+++ b/bench/whole_judge.py
@@ -21,7 +21,7 @@
 )
 _LATE_S = 3
 _INF = float('inf')
-_CUT_KINDS = ('cancelled', 'stopping', 'not_ready')
+_CUT_KINDS = ('cancelled', 'stopping')
 
 
 def judge(whole: Whole) -> dict[str, int]:
