--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -9,22 +9,31 @@
 
 from bench.caps_fleet import JudgedStore
 from bench.peers_cluster import ReplicaPlatform
-from bench.whole_ledgers import CAP, Call, Ledgers, Receiver, Starts, now
+from bench.whole_ledgers import Call, Ledgers, Receiver, Starts, now
+from bench.whole_objects import list_first
 from nutmegshore.callers import CallerRequest
 from nutmegshore.clock import VirtualClock
 from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
-from nutmegshore.errors import ErrorKind, ObjectError, RequestError
-from nutmegshore.errors import PlatformError
-from nutmegshore.examples.deployments import DEPLOYMENTS, list_objects
+from nutmegshore.errors import (
+    ErrorKind,
+    ObjectError,
+    PlatformError,
+    RequestError,
+)
+from nutmegshore.examples.deployments import DEPLOYMENTS
 from nutmegshore.operators.declare import Declaration, Declarer
-from nutmegshore.peers import LinkNetwork, Member, MeshOptions, MeshPeers
-from nutmegshore.peers import first_incarnation
+from nutmegshore.peers import (
+    LinkNetwork,
+    Member,
+    MeshOptions,
+    MeshPeers,
+    first_incarnation,
+)
 from nutmegshore.platform import ListedInstance
 from nutmegshore.resources import Entry as EntrySpec
 from nutmegshore.resources import (
     Envelope,
     Upstream,
-    parse_spec,
     write_envelope,
 )
 from nutmegshore.upstreams import AnswerHead
@@ -33,7 +42,6 @@
 __all__ = ('CRASH', 'Entry', 'Whole')
 
 CRASH = '/crash'
-_SHARE = 0.9
 _LIFETIME_S = 3
 _NEAR_S = 0.001
 _STORE_S = 0.005
@@ -41,9 +49,7 @@
 _SERVICE_S = 0.1
 #: Longer than a stop takes besides, so that it must wait for these.
 _BULK_S = 3
-_LEASE_S = 10
 _POLL_S = 0.2
-_NO_SPILL_MS = 10_000
 
 
 class _Upstreams(MemoryUpstreams):
@@ -103,6 +109,7 @@
         """Name the members; nothing runs before `boot`."""
         self.rng = random.Random(seed)
         found = DEPLOYMENTS[deployment]
+        self.deployment = deployment
         self.regions = found.regions
         self.far_s = found.delay_ms / 1000
         names = tuple(found.loads)
@@ -120,7 +127,7 @@
         self._runs = 0
         self._ids = 0
         self._tasks: set[asyncio.Task] = set()
-        self._declare_all(list_objects(deployment))
+        self._declare_all(list_first(deployment))
 
     async def boot(self) -> None:
         """Start all entries and wait until they are ready."""
@@ -224,17 +231,6 @@
         self.ledgers.accepted.append((now(), name, envelope))
         return True
 
-    def shift_spec(self, cap: int) -> dict:
-        """The shift that the sessions declare."""
-        return {
-            'service': self.lookups,
-            'from_region': self.regions[0],
-            'to_region': self.regions[1],
-            'share': _SHARE,
-            'cap': cap,
-            'lease_seconds': _LEASE_S,
-        }
-
     async def call(self, entry: Entry, service, target, key='') -> Call:
         """Send one request through an entry; returns how it ended."""
         self._ids += 1
@@ -297,11 +293,8 @@
         )
         return attrs.evolve(outside, peers=peers)
 
-    def _declare_all(self, manifest: list[dict]) -> None:
-        shift = self.shift_spec(CAP)
-        moved = {'kind': 'shift', 'name': 'moved', 'spec': shift}
-        for index, one in enumerate((*manifest, moved)):
-            envelope = _first_envelope(one, self._spec(one), f'first-{index}')
+    def _declare_all(self, envelopes: list[Envelope]) -> None:
+        for envelope in envelopes:
             body = write_envelope(envelope)
             self.store.apply(envelope.key, body, None, envelope.operation)
             self._take(envelope)
@@ -313,20 +306,6 @@
             delay = _NEAR_S if one == other else self.far_s
             self.network.delay_between(one, other, delay)
 
-    def _spec(self, one: dict) -> dict:
-        """Spec by which look-ups leave the source region by the shift only.
-
-        Load spills over when the local wait is worth the declared delay and
-        near the queue target, so both are declared long there.
-        """
-        spec = one['spec']
-        if (one['kind'], one['name']) == ('service', self.lookups):
-            return {**spec, 'queue_target_ms': _NO_SPILL_MS}
-        if (one['kind'], one['name']) == ('region', self.regions[0]):
-            delays = dict.fromkeys(spec['delay_ms'], _NO_SPILL_MS)
-            return {**spec, 'delay_ms': delays}
-        return spec
-
     def _service_s(self, service: str) -> float:
         return _BULK_S if service == self.bulk else _SERVICE_S
 
@@ -344,16 +323,3 @@
                 crash_mark=CRASH,
                 run_counts=Starts(name, self.ledgers),
             )
-
-
-def _first_envelope(one: dict, raw: dict, operation: str) -> Envelope:
-    return Envelope(
-        kind=one['kind'],
-        name=one['name'],
-        generation=1,
-        uid=operation,
-        author='bench',
-        reason='',
-        operation=operation,
-        spec=parse_spec(one['kind'], raw),
-    )
--- a/bench/whole_faults.py
+++ b/bench/whole_faults.py
@@ -9,6 +9,7 @@
 from bench.whole_callers import Callers
 from bench.whole_cluster import CRASH, Entry, Whole
 from bench.whole_ledgers import CAP, now
+from bench.whole_objects import shift_spec
 from nutmegshore.clock import run_virtual
 
 __all__ = ('Verdict', 'run_schedule')
@@ -209,7 +210,8 @@
         await self._whole.declare(self._one(), subject, None)
 
     async def recap(self) -> None:
-        spec = self._whole.shift_spec(self._rng.choice(_CAPS))
+        cap = self._rng.choice(_CAPS)
+        spec = shift_spec(self._whole.deployment, cap)
         await self._whole.declare(self._one(), _SHIFT, spec)
 
     async def delete_shift(self) -> None:
