--- a/bench/whole_judge.py
+++ b/bench/whole_judge.py
@@ -3,9 +3,10 @@
 import collections
 from collections.abc import Iterator
 
-from bench.whole_cluster import Whole
+from bench.whole_cluster import Entry, Whole
 from bench.whole_ledgers import Call
 from nutmegshore.errors import Outcome
+from nutmegshore.resources import Drain
 
 __all__ = ('MEASURES', 'config_revert', 'judge')
 
@@ -102,12 +103,16 @@
     An entry has 3 s from the acceptance, or from the end of its last pause,
     cut or start, whichever is later.
     """
-    late = 0
-    for name, since, until in _drained(whole):
-        for at, entry, upstream, _ in whole.ledgers.sends:
-            if upstream == name and since + _LATE_S < at < until:
-                late += at > _due_at(whole, entry, since, at)
-    return late
+    return sum(_count_late(whole, *drained) for drained in _drained(whole))
+
+
+def _count_late(whole: Whole, name: str, since: float, until: float) -> int:
+    sends = [
+        (at, entry)
+        for at, entry, upstream, _ in whole.ledgers.sends
+        if upstream == name and since + _LATE_S < at < until
+    ]
+    return sum(at > _due_at(whole, entry, since, at) for at, entry in sends)
 
 
 def _drained(whole: Whole) -> Iterator[tuple[str, float, float]]:
@@ -115,18 +120,14 @@
 
     An attempt that was not accepted may still have taken effect.
     """
-    by_key = collections.defaultdict(list)
     for at, _, envelope in whole.ledgers.accepted:
-        by_key[envelope.key].append((at, envelope))
-    for key, writes in by_key.items():
-        if key.startswith('config/drain/'):
-            asked = [at for at, name in whole.ledgers.asked if name == key]
-            for at, one in writes:
-                end = min(
-                    (later for later in asked if later > at), default=_INF
-                )
-                if one.spec is not None:
-                    yield one.spec.upstream, at, end
+        if isinstance(envelope.spec, Drain):
+            later = [
+                asked_at
+                for asked_at, key in whole.ledgers.asked
+                if key == envelope.key and asked_at > at
+            ]
+            yield envelope.spec.upstream, at, min(later, default=_INF)
 
 
 def _due_at(whole: Whole, entry: str, since: float, at: float) -> float:
@@ -153,20 +154,37 @@
 
 def config_revert(whole: Whole) -> int:
     """Tables that went back, accepted writes that met or are not in force."""
+    return _went_back(whole) + _met(whole) + _not_in_force(whole)
+
+
+def _went_back(whole: Whole) -> int:
     newest: dict[tuple[int, str], int] = {}
     breaches = 0
     for _, run, key, generation in whole.ledgers.merges:
         breaches += generation <= newest.get((run, key), 0)
         newest[run, key] = generation
-    operations = {}
-    last = {}
-    for _, _, one in whole.ledgers.accepted:
-        place = (one.key, one.generation)
-        breaches += operations.setdefault(place, one.operation) != one.operation
-        if one.generation > last.get(one.key, 0):
-            last[one.key] = one.generation
-    for entry in whole.entries():
-        for key, generation in last.items():
-            present = entry.parts.table.get(key)
-            breaches += present is None or present.generation < generation
     return breaches
+
+
+def _met(whole: Whole) -> int:
+    """Accepted writes of one generation beyond the first."""
+    operations = collections.defaultdict(set)
+    for _, _, one in whole.ledgers.accepted:
+        operations[one.key, one.generation].add(one.operation)
+    return sum(len(found) - 1 for found in operations.values())
+
+
+def _not_in_force(whole: Whole) -> int:
+    last: dict[str, int] = {}
+    for _, _, one in whole.ledgers.accepted:
+        last[one.key] = max(one.generation, last.get(one.key, 0))
+    return sum(
+        not _has(entry, key, generation)
+        for entry in whole.entries()
+        for key, generation in last.items()
+    )
+
+
+def _has(entry: Entry, key: str, generation: int) -> bool:
+    present = entry.parts.table.get(key)
+    return present is not None and present.generation >= generation
