--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -198,9 +198,10 @@
         if self.by_name.get(name) is not entry:
             return
         await entry.parts.stop()
-        self.ledgers.stops.append((name, began, now()))
         if self.by_name.get(name) is not entry:
+            # Killed meanwhile: what that cuts is not the stop's doing.
             return
+        self.ledgers.stops.append((name, began, now()))
         # What is still in flight now ends with the process.
         self.by_name.pop(name)
         for task in entry.calls:
