Count probes against caps, judge spill, seed operation ids

Cause: a probe of a failed region crossed without a unit of the cap, so the sessions declared look-ups that cannot spill. Probes take a unit now, and the sessions judge everything that goes from source to target. Operation ids of at-most-once records come from the process's generator, so that a session repeats.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -130,7 +130,7 @@
     member = Member('e1', 'west', 'west-a')
     peers = MemoryNetwork().join(member, clock)
     platform = MemoryPlatform(store, clock)
-    return OnceRecords(platform, peers, clock, Counters())
+    return OnceRecords(platform, peers, clock, Counters(), random.Random(1))
 
 
 async def _claim(records: OnceRecords, number: int) -> None:
--- a/bench/sessions/whole.py
+++ b/bench/sessions/whole.py
@@ -116,16 +116,8 @@
 
 
 async def _fixed_session(seed: int) -> _Fixed:
-    whole = Whole('vestfold', seed)
-    await whole.boot()
-    await asyncio.sleep(_WARM_S)
-    Callers(whole).start(seed)
-    await asyncio.sleep(_WARM_S)
-    await _repeat_crash(whole)
-    lost = sum(one.is_down for one in whole.upstreams.values())
-    for upstream in whole.upstreams.values():
-        if upstream.is_down:
-            upstream.restart()
+    whole = await _warm(seed)
+    lost = await _repeat_crash(whole)
     await asyncio.sleep(_WARM_S)
     drain_s, left_s = await _drain(whole)
     await whole.stop()
@@ -137,12 +129,27 @@
     return _Fixed(lost, len(refused), drain_s, left_s)
 
 
-async def _repeat_crash(whole: Whole) -> None:
+async def _warm(seed: int) -> Whole:
+    """A session under load, after its slow starts."""
+    whole = Whole('vestfold', seed)
+    await whole.boot()
+    await asyncio.sleep(_WARM_S)
+    Callers(whole).start(seed)
+    await asyncio.sleep(_WARM_S)
+    return whole
+
+
+async def _repeat_crash(whole: Whole) -> int:
+    """Number of upstreams that the request crashed; they come back."""
     entries = whole.entries()
     for index in range(_CRASHES):
         entry = entries[index % len(entries)]
         await whole.call(entry, whole.orders, CRASH)
         await asyncio.sleep(_CRASH_GAP_S)
+    lost = [one for one in whole.upstreams.values() if one.is_down]
+    for upstream in lost:
+        upstream.restart()
+    return len(lost)
 
 
 async def _drain(whole: Whole) -> tuple[float, float]:
--- a/bench/sessions/whole_proofs.py
+++ b/bench/sessions/whole_proofs.py
@@ -11,7 +11,7 @@
 __all__ = ('measure',)
 
 _WORKERS = 6
-_SEEDS = 6
+_SEEDS = 16
 
 
 def measure(seed: int) -> Findings:
--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -305,7 +305,7 @@
         ]
         for one, other in itertools.product(self.regions, repeat=2):
             delay = _NEAR_S if one == other else self.far_s
-            self.network.delay_between(one, other, delay)
+            self.network.set_delay(one, other, delay)
 
     def _service_s(self, service: str) -> float:
         return _BULK_S if service == self.bulk else _SERVICE_S
--- a/bench/whole_objects.py
+++ b/bench/whole_objects.py
@@ -10,7 +10,6 @@
 
 _SHARE = 0.9
 _LEASE_S = 10
-_NO_SPILL_MS = 10_000
 
 _Fields = dict[str, Any]
 
@@ -33,12 +32,12 @@
     shift = shift_spec(deployment, CAP)
     moved = {'kind': 'shift', 'name': 'moved', 'spec': shift}
     return [
-        _first(one, index, shift)
+        _first(one, index)
         for index, one in enumerate((*list_objects(deployment), moved))
     ]
 
 
-def _first(one: _Fields, index: int, shift: _Fields) -> Envelope:
+def _first(one: _Fields, index: int) -> Envelope:
     kind = one['kind']
     operation = f'first-{index}'
     return Envelope(
@@ -49,20 +48,5 @@
         author='bench',
         reason='',
         operation=operation,
-        spec=parse_spec(kind, _without_spill(kind, one, shift)),
+        spec=parse_spec(kind, one['spec']),
     )
-
-
-def _without_spill(kind: str, one: _Fields, shift: _Fields) -> _Fields:
-    """Spec by which look-ups leave the source region by the shift only.
-
-    Load spills over when the local wait is worth the declared delay and near
-    the queue target, so both are declared long there.
-    """
-    spec = one['spec']
-    if (kind, one['name']) == ('service', shift['service']):
-        return {**spec, 'queue_target_ms': _NO_SPILL_MS}
-    if (kind, one['name']) == ('region', shift['from_region']):
-        delays = dict.fromkeys(spec['delay_ms'], _NO_SPILL_MS)
-        return {**spec, 'delay_ms': delays}
-    return spec
--- a/nutmegshore/entry/parts.py
+++ b/nutmegshore/entry/parts.py
@@ -155,7 +155,7 @@
             *around,
         )
         agreed = (outside.platform, outside.peers, outside.clock)
-        self._records = OnceRecords(*agreed, outside.counters)
+        self._records = OnceRecords(*agreed, outside.counters, outside.rng)
         self._sweep = RecordSweep(*agreed, outside.counters)
         self._overload = OverloadWatch(
             outside.peers,
--- a/nutmegshore/once/claim.py
+++ b/nutmegshore/once/claim.py
@@ -1,7 +1,7 @@
 """The right to send the request of one idempotency key."""
 
 import asyncio
-import uuid
+import random
 
 import attrs
 
@@ -16,6 +16,7 @@
     write_record,
 )
 from nutmegshore.platform import (
+    make_operation,
     Expected,
     Platform,
     StoredObject,
@@ -36,8 +37,10 @@
         platform: Platform,
         clock: Clock,
         counters: Counters,
+        rng: random.Random,
     ) -> None:
-        """Write through a platform client."""
+        """Write through a platform client; `rng` draws operation ids."""
+        self._rng = rng
         self._platform = platform
         self._clock = clock
         self._counters = counters
@@ -78,7 +81,7 @@
                 stored.key,
                 write_record(record),
                 Expected.of(stored),
-                uuid.uuid4().hex,
+                make_operation(self._rng),
             )
         except VersionConflict:
             # An earlier try took effect, or the record was taken over after
--- a/nutmegshore/once/once.py
+++ b/nutmegshore/once/once.py
@@ -1,6 +1,6 @@
 """At-most-once execution of requests with an idempotency key."""
 
-import uuid
+import random
 
 import attrs
 
@@ -25,6 +25,7 @@
 )
 from nutmegshore.peers import Peers
 from nutmegshore.platform import (
+    make_operation,
     Expected,
     Platform,
     StoredObject,
@@ -71,13 +72,18 @@
         peers: Peers,
         clock: Clock,
         counters: Counters,
+        rng: random.Random,
     ) -> None:
-        """Keep records on the platform and answer peers about own ones."""
+        """Keep records on the platform and answer peers about own ones.
+
+        `rng` must differ for each process, also under the same name.
+        """
+        self._rng = rng
         self._platform = platform
         self._peers = peers
         self._clock = clock
         self._counters = counters
-        self._writer = RecordWriter(platform, clock, counters)
+        self._writer = RecordWriter(platform, clock, counters, rng)
         self._owners = Owners(peers)
         self._abandoned_operations: set[str] = set()
 
@@ -112,7 +118,7 @@
         key: str,
         request: KeyedRequest,
     ) -> Claim | RecordedAnswer | None:
-        operation = uuid.uuid4().hex
+        operation = make_operation(self._rng)
         try:
             stored = await self._create(key, request, operation)
         except VersionConflict as conflict:
@@ -171,7 +177,7 @@
         present: StoredObject,
         request: KeyedRequest,
     ) -> Claim | None:
-        operation = uuid.uuid4().hex
+        operation = make_operation(self._rng)
         try:
             # The condition closes the race of two entries that both found
             # the record free: only one of the two writes can match.
--- a/nutmegshore/steering/router.py
+++ b/nutmegshore/steering/router.py
@@ -104,7 +104,20 @@
                     skipped.upstreams,
                     skipped.origins,
                 )
-                return self._permit(name, choice, request, ())
+                return self._probe(name, choice, request)
+        return None
+
+    def _probe(
+        self,
+        name: str,
+        choice: RegionChoice,
+        request: RouteRequest,
+    ) -> Permit | None:
+        """Send a probe of a failed region, within the cap to that region."""
+        shift = self._shift_to(choice, request.service)
+        wanted = [('shift', shift.name)] if shift else []
+        if self._take_all(wanted, request.body_bytes):
+            return self._permit(name, choice, request, tuple(wanted))
         return None
 
     def _move(self, pending: Pending) -> Permit | None:
--- a/tests/once/test_once.py
+++ b/tests/once/test_once.py
@@ -34,7 +34,13 @@
         peers = self.network.join(member, clock)
         self.clocks[name] = clock
         self.platforms[name] = platform
-        self.records[name] = OnceRecords(platform, peers, clock, Counters())
+        self.records[name] = OnceRecords(
+            platform,
+            peers,
+            clock,
+            Counters(),
+            random.Random(f'{name}-{incarnation}'),
+        )
 
     async def begin(self, name, key='k', digest='d', wait_s=2):
         deadline = self.clocks[name].now() + wait_s
