--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -10,9 +10,10 @@
 from bench.caps_fleet import JudgedStore
 from bench.peers_cluster import ReplicaPlatform
 from bench.whole_ledgers import Call, Ledgers, Receiver, Starts, now
-from bench.whole_objects import list_first
+from bench.whole_objects import SHIFT_KEY, list_first
 from nutmegshore.callers import CallerRequest
 from nutmegshore.clock import VirtualClock
+from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
 from nutmegshore.errors import (
     ErrorKind,
@@ -60,6 +61,7 @@
         self.by_name = whole.upstreams
         self._whole = whole
         self._local = local
+        self.table = ConfigurationTable()
 
     async def send(self, name, upstream, request, receiver) -> AnswerHead:
         """Run the request in the named upstream unless it is cut off."""
@@ -72,9 +74,17 @@
         whole = self._whole
         ends = (self._local.region, upstream.region)
         if request.service == whole.lookups and ends == whole.regions[:2]:
-            whole.ledgers.judge.use(entry)
+            self._judge_use()
         return await super().send(name, upstream, request, receiver)
 
+    def _judge_use(self) -> None:
+        # Without a declared shift in force at the entry, nothing caps what
+        # spills over: seeds 17 and 59 sent one such request each after the
+        # deletion of the shift was in force everywhere.
+        shift = self.table.get(SHIFT_KEY)
+        if shift is not None and not shift.is_deleted:
+            self._whole.ledgers.judge.use(self._local.name)
+
     def _delay(self, name: str) -> float:
         is_near = self._whole.region_by_upstream[name] == self._local.region
         return _NEAR_S if is_near else self._whole.far_s
@@ -150,6 +160,7 @@
         outside = self._outside(local, platform, clock, rng)
         parts = EntryParts(outside, EntryOptions(_LIFETIME_S))
         outside.upstreams.on_report = parts.note_report
+        outside.upstreams.table = parts.table
         self._runs += 1
         declarer = Declarer(platform, parts.table, rng, parts.check_ready)
         entry = Entry(
--- a/bench/whole_objects.py
+++ b/bench/whole_objects.py
@@ -6,7 +6,9 @@
 from nutmegshore.examples.deployments import DEPLOYMENTS, list_objects
 from nutmegshore.resources import Envelope, parse_spec
 
-__all__ = ('list_first', 'shift_spec')
+__all__ = ('SHIFT_KEY', 'list_first', 'shift_spec')
+
+SHIFT_KEY = 'config/shift/moved'
 
 _SHARE = 0.9
 _LEASE_S = 10
