--- a/nutmegshore/callers/server.py
+++ b/nutmegshore/callers/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
@@ -35,9 +36,14 @@
     `finish` cuts no request; `close_all_connections` does.
     """
 
-    def __init__(self, parts: ListenerParts) -> None:
-        """Wait for `open`."""
+    def __init__(
+        self,
+        parts: ListenerParts,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Wait for `open`; with a context, connections use TLS."""
         super().__init__(
+            ssl_options=context,
             max_buffer_size=_MAX_BUFFER_BYTES,
             read_chunk_size=_READ_BYTES,
         )
@@ -125,9 +131,14 @@
         """Wait for `listen`."""
         self._parts = parts
 
-    def listen(self, port: int, address: str) -> CallerServer:
-        """Open the listener."""
-        server = CallerServer(self._parts)
+    def listen(
+        self,
+        port: int,
+        address: str,
+        context: ssl.SSLContext | None = None,
+    ) -> CallerServer:
+        """Open the listener; with a context, it uses TLS."""
+        server = CallerServer(self._parts, context)
         server.open(port, address)
         return server
 
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -32,6 +32,7 @@
 from nutmegshore.settings import (
     EntrySettings,
     make_peer_contexts,
+    make_tls_context,
 )
 from nutmegshore.upstreams.curl import CurlUpstreams
 
@@ -97,6 +98,7 @@
         self._server = application.listen(
             self._settings.get(_CALLERS, 'port'),
             self._settings.get(_CALLERS, 'address'),
+            make_tls_context(self._settings, _CALLERS),
         )
         self.operators.listen()
         self._log.info('started', name=self.parts.local_name)
@@ -108,7 +110,10 @@
         that cannot be read; what was in use stays.
         """
         contexts = make_peer_contexts(settings)
+        callers = make_tls_context(settings, _CALLERS)
         self.operators.reload(settings)
+        if self._server is not None and self._server.ssl_options is not None:
+            self._server.ssl_options = callers
         self._transport.reload_tls(*contexts)
         self._log.info('reloaded')
 
--- a/nutmegshore/settings/example.py
+++ b/nutmegshore/settings/example.py
@@ -37,6 +37,7 @@
 # Listener for callers: IP number and port.
 address = 127.0.0.1
 port = 8080
+# tls = no
 
 [operators]
 # Listener for operators. It needs tokens, client certificates, or on a
--- a/nutmegshore/settings/parse.py
+++ b/nutmegshore/settings/parse.py
@@ -122,7 +122,8 @@
             f'[operators] unauthenticated = yes: expected no, or a loopback'
             f' address; address is {address}',
         )
-    uses_tls = operators.get(_TLS) or by_section['peers'].get(_TLS)
+    listeners = (operators, by_section['peers'], by_section['callers'])
+    uses_tls = any(section.get(_TLS) for section in listeners)
     for name in ('certificate', _KEY):
         if uses_tls and not tls.get(name, name):
             faults.append(f'[tls] {name}: missing, needed by tls = yes')
--- a/nutmegshore/settings/sections.py
+++ b/nutmegshore/settings/sections.py
@@ -60,7 +60,7 @@
             'region': _text('a region name'),
             'availability_zone': _text('an availability zone name'),
         },
-        'callers': {_ADDRESS: _ip(), _PORT: _port()},
+        'callers': {_ADDRESS: _ip(), _PORT: _port(), 'tls': _flag('no')},
         'operators': {
             _ADDRESS: _ip(_LOOPBACK),
             _PORT: _port(),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -14,6 +15,7 @@
 from nutmegshore.platform import MemoryStore, make_standin
 from nutmegshore.settings import parse_settings
 
+_TLS = pathlib.Path(__file__).parent / 'operators' / 'tls'
 _SETTINGS = """
 [instance]
 name = e1
@@ -137,6 +139,33 @@
     assert own == []
 
 
+async def _look_up_over_tls():
+    ports = {
+        'callers': _free_port(),
+        'operators': _free_port(),
+        'platform': _listen(make_standin(MemoryStore())),
+    }
+    text = _SETTINGS.format(**ports)
+    files = f'certificate={_TLS}/server.pem\nkey={_TLS}/server.key'
+    text = text.replace('[callers]', '[callers]\ntls = yes')
+    daemon = EntryDaemon(parse_settings(f'{text}\n[tls]\n{files}'))
+    await daemon.start()
+    await _until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
+    url = 'https://127.0.0.1:{callers}/lookup'.format(**ports)
+    request = HTTPRequest(url, ca_certs=f'{_TLS}/ca.pem')
+    response = await AsyncHTTPClient().fetch(request)
+    plain = url.replace('https', 'http')
+    with pytest.raises(OSError, match='reset|closed'):
+        await AsyncHTTPClient().fetch(plain)
+    await daemon.stop()
+    return response.code
+
+
+def test_callers_can_be_served_over_tls():
+    """Guards against credentials of callers that cross in clear text."""
+    assert asyncio.run(_look_up_over_tls()) == 200
+
+
 @pytest.mark.parametrize('key', ['[callers]\nprot = 1', '[callerz]\nport=1'])
 def test_a_misspelled_setting_names_the_nearest(key):
     """Guards against an unknown key that is silently ignored."""
