--- a/nutmegshore/operators/http_client.py
+++ b/nutmegshore/operators/http_client.py
@@ -43,14 +43,20 @@
 )
 
 
+def _with_scheme(url: str) -> str:
+    """An address as IP:port stands for plain HTTP."""
+    return url if '://' in url else f'http://{url}'
+
+
 @attrs.frozen
 class Server:
     """Where the entry is and how to show who calls.
 
-    `ca`, `certificate` and `key` are paths of PEM files, or ''.
+    `url` may be an address as IP:port. `ca`, `certificate` and `key` are
+    paths of PEM files, or ''.
     """
 
-    url: str
+    url: str = attrs.field(converter=_with_scheme)
     token: str = ''
     ca: str = ''
     certificate: str = ''
--- a/tests/operators/test_http_client.py
+++ b/tests/operators/test_http_client.py
@@ -85,3 +85,15 @@
         return caught.value.kind
 
     assert asyncio.run(session()) == ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ('given', 'used'),
+    [
+        ('10.0.0.1:8081', 'http://10.0.0.1:8081'),
+        ('https://10.0.0.1:8081', 'https://10.0.0.1:8081'),
+    ],
+)
+def test_an_address_without_a_scheme_is_plain_http(given, used):
+    """Guards against operators who are told "unsupported url scheme"."""
+    assert Server(given).url == used
