Finish an entry's drain when the last look-up answer has expired

Cause: the status of a drained entry said done at once, while callers used answers of up to the look-up lifetime. The progress waits for the lifetime after the last member is known to have the drain. Test: 0 after 3 s and 1 after 6 s with a lifetime of 5 s; without the rule it is 1 at once.

--- a/nutmegshore/entry/overview.py
+++ b/nutmegshore/entry/overview.py
@@ -1,6 +1,7 @@
 """What the operator listener shows of the parts of an entry."""
 
 import functools
+import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
@@ -146,14 +147,33 @@
         yield _paced_drain(progress)
     for name, left in _drains_left(parts).items():
         if name not in paced:
+            lookup_s = _lookup_left_s(parts, name)
             yield StatusPart(
                 'drain',
                 name,
-                done={'requests_left': left},
-                progress=0 if left else 1,
+                done={
+                    'requests_left': left,
+                    'lookup_seconds_left': math.ceil(lookup_s),
+                },
+                progress=0 if left or lookup_s else 1,
             )
 
 
+def _lookup_left_s(parts: EntryParts, name: str) -> float:
+    """Seconds for which callers may hold an answer that names the entry.
+
+    Answers that were handed out before the drain was in force at a member
+    are valid for their lifetime from then.
+    """
+    drain = parts.table.by_name(Drain)[name]
+    if not drain.spec.entry:
+        return 0
+    confirmed = parts.follower.confirmations(drain.key, drain.generation)
+    now = parts.outside.clock.now()
+    latest = max(confirmed.values(), default=now)
+    return max(latest + parts.lookup_lifetime_s - now, 0)
+
+
 def _paced_drain(progress: DrainProgress) -> StatusPart:
     share = progress.moved / progress.total if progress.total else 1
     is_held = progress.state is DrainState.HELD
--- a/nutmegshore/entry/parts.py
+++ b/nutmegshore/entry/parts.py
@@ -87,6 +87,11 @@
         """Name of this entry."""
         return self.outside.peers.local.name
 
+    @property
+    def lookup_lifetime_s(self) -> float:
+        """Seconds for which callers may use a look-up answer."""
+        return self._options.lookup_lifetime_s
+
     async def start(self) -> None:
         """Begin to follow the configuration and to act on it."""
         self.follower.start()
@@ -116,7 +121,7 @@
         answer = lookup_entries(
             self.table,
             self.outside.peers.local.region,
-            self._options.lookup_lifetime_s,
+            self.lookup_lifetime_s,
             self._unusable_entries(),
             self.outside.rng,
         )
--- /dev/null
+++ b/tests/entry/test_overview.py
@@ -0,0 +1,56 @@
+"""Tests of what the operator listener shows of the parts."""
+
+import asyncio
+import random
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.entry import EntryOptions, EntryParts, Outside
+from nutmegshore.entry.overview import make_status_board
+from nutmegshore.peers import Member, MemoryNetwork
+from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.upstreams import MemoryUpstreams
+
+_LIFETIME_S = 5
+
+
+def _make_parts(clock):
+    peers = MemoryNetwork().join(Member('e1', 'west', 'west-a'), clock)
+    rng = random.Random(7)
+    outside = Outside(
+        MemoryPlatform(MemoryStore(), clock),
+        peers,
+        MemoryUpstreams(clock, rng, lambda name: 0),
+        clock,
+        rng,
+    )
+    return EntryParts(outside, EntryOptions(_LIFETIME_S))
+
+
+@pytest.mark.parametrize(
+    ('target', 'waited_s', 'progress'),
+    [
+        ({'entry': 'e2'}, 3, 0),
+        ({'entry': 'e2'}, 6, 1),
+        ({'upstream': 'u1'}, 1, 1),
+    ],
+)
+def test_a_drain_of_an_entry_ends_with_the_last_answer(
+    target, waited_s, progress, declare
+):
+    """Guards against a drain that is done while callers still come."""
+
+    async def session():
+        clock = VirtualClock()
+        parts = _make_parts(clock)
+        board = make_status_board(parts, clock.wall)
+        await parts.start()
+        await asyncio.sleep(10)
+        parts.table.merge([declare('drain', 'd', target)])
+        await asyncio.sleep(waited_s)
+        found = {one.name: one.progress for one in board.iter_statuses()}
+        await parts.stop()
+        return found['d']
+
+    assert run_virtual(session) == progress
