Count peers' requests in the progress of a drain

Cause: one entry writes a region's statuses and counted only its own requests, so a drain of an upstream read as done while other entries of the region still had requests there. The region's reported requests count now. Test: progress 0 with two requests of a peer, 1 after they end.

--- a/nutmegshore/entry/overview.py
+++ b/nutmegshore/entry/overview.py
@@ -87,11 +87,13 @@
 
 
 def _drains_left(parts: EntryParts) -> dict[str, int]:
-    """Own requests that still run in drained upstreams, by drain."""
-    own = parts.steering.parts.estimate.own
+    """Requests of the region that run in drained upstreams, by drain."""
+    estimate = parts.steering.parts.estimate
     left = dict.fromkeys(parts.table.by_name(Drain), 0)
     for upstream, origin in parts.steering.plan.drained.items():
-        left[origin.name] = left.get(origin.name, 0) + own[upstream]
+        left[origin.name] = left.get(origin.name, 0) + estimate.in_flight(
+            upstream
+        )
     return left
 
 
--- a/nutmegshore/steering/estimate.py
+++ b/nutmegshore/steering/estimate.py
@@ -51,8 +51,14 @@
 
     def busy(self, name: str) -> float:
         """Estimate for one upstream, in slots."""
-        known = self.own[name] + self._peer_sum[name]
-        return known + self._fading_excess(name)
+        return self.in_flight(name) + self._fading_excess(name)
+
+    def in_flight(self, name: str) -> int:
+        """Requests of this entry and of its region's peers in an upstream.
+
+        What peers reported is as old as their last load message.
+        """
+        return self.own[name] + self._peer_sum[name]
 
     def note_peer(self, sender: str, in_flight: dict[str, int]) -> None:
         """Take a peer's requests in flight in place of its earlier ones."""
@@ -65,7 +71,7 @@
         now = self._clock.now()
         found = self._excess.setdefault(name, _Excess(now))
         found.reported_at = now
-        known = self.own[name] + self._peer_sum[name]
+        known = self.in_flight(name)
         found.recent.append(max(busy_slots - known, 0))
 
     def last_report(self) -> float:
--- a/tests/entry/test_overview.py
+++ b/tests/entry/test_overview.py
@@ -54,3 +54,29 @@
         return found['d']
 
     assert run_virtual(session) == progress
+
+
+def test_a_drain_waits_for_requests_of_peers(declare):
+    """Guards against a drain that is done while a peer's requests run."""
+
+    async def session():
+        clock = VirtualClock()
+        parts = _make_parts(clock)
+        board = make_status_board(parts, clock.wall)
+        place = {'region': 'west', 'availability_zone': 'west-a'}
+        spec = {'service': 's', 'address': '127.0.0.1:1', 'slots': 3}
+        parts.table.merge(
+            [
+                declare('upstream', 'u1', {**place, **spec}),
+                declare('drain', 'd', {'upstream': 'u1'}),
+            ]
+        )
+        progress = []
+        for running in ({'u1': 2}, {}):
+            parts.steering.parts.estimate.note_peer('e2', running)
+            progress.extend(
+                one.progress for one in board.iter_statuses() if one.name == 'd'
+            )
+        return progress
+
+    assert run_virtual(session) == [0, 1]
