--- a/bench/sessions/peers.py
+++ b/bench/sessions/peers.py
@@ -161,7 +161,9 @@
     count = sum(len(verdict.reverts) for verdict in verdicts)
     is_sound = all(verdict.is_sound for verdict in verdicts)
     goal = f'0 in {_SCHEDULES} schedules, all converge'
-    return Measure('peers_config_revert', count, 'reverts', goal, seed, is_sound)
+    return Measure(
+        'peers_config_revert', count, 'reverts', goal, seed, is_sound
+    )
 
 
 #: Name of a figure and its text for one size.
