Refuse operators' writes until the entry is ready

tests/test_entry.py: a write before readiness gets not_ready; without the check it got the platform's own refusal.

--- a/nutmegshore/demo/cluster.py
+++ b/nutmegshore/demo/cluster.py
@@ -1,8 +1,10 @@
 """The platform, upstreams and entries of one demonstration."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Iterator
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -10,7 +12,7 @@
 from tornado.netutil import bind_sockets
 
 from nutmegshore.clock import Clock
-from nutmegshore.demo.exchange import NotAccepted, exchange
+from nutmegshore.demo.exchange import Exchange, NotAccepted, exchange
 from nutmegshore.demo.ledgers import RunLedger
 from nutmegshore.demo.upstreams import StandinUpstream, UpstreamPlace
 from nutmegshore.entry import EntryDaemon
@@ -157,6 +159,7 @@
         starting = [self._start_entry(name, port) for name in names]
         self.places = await asyncio.gather(*starting)
         self.store.instances = [place.listed for place in self.places]
+        await self._until_ready(self.places[0])
         await self._declare_all()
         await asyncio.gather(
             *(self._until_listed(place) for place in self.places),
@@ -247,19 +250,24 @@
                 spec = {**spec, field: addresses[found['name']]}
             await self.declare(found['kind'], found['name'], spec, 'demo')
 
+    async def _until_ready(self, place: EntryPlace) -> None:
+        """Wait until an entry takes writes; the caller limits it."""
+        address = f'{_LOOPBACK}:{place.operators}'
+        while (await self._ask(address, '/ready')).status != HTTPStatus.OK:
+            await self._clock.sleep(_POLL_S)
+
     async def _until_listed(self, place: EntryPlace) -> None:
         """Wait until an entry lists all entries; the caller limits it."""
-        head = 'GET /lookup HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
-        is_ready = False
-        while not is_ready:
+        addresses = [other.address.encode() for other in self.places]
+        body = b''
+        while not all(address in body for address in addresses):
             await self._clock.sleep(_POLL_S)
-            try:
-                came = await exchange(place.address, head, b'', _LOOKUP_LIMIT_S)
-            except NotAccepted:
-                continue
-            is_ready = all(
-                other.address.encode() in came.body for other in self.places
-            )
+            with contextlib.suppress(NotAccepted):
+                body = (await self._ask(place.address, '/lookup')).body
+
+    async def _ask(self, address: str, path: str) -> Exchange:
+        head = f'GET {path} HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n'
+        return await exchange(address, head, b'', _LOOKUP_LIMIT_S)
 
 
 def _choose_place(name: str, spec: dict[str, Any]) -> EntryPlace:
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -210,4 +210,5 @@
             self.parts.table,
             self.counters,
             make_providers(self.parts, board, self._platform),
+            self.parts.check_ready,
         )
--- a/nutmegshore/operators/assembly.py
+++ b/nutmegshore/operators/assembly.py
@@ -2,6 +2,7 @@
 
 import random
 import ssl
+from collections.abc import Callable
 
 import attrs
 from tornado.httpserver import HTTPServer
@@ -67,8 +68,12 @@
     table: ConfigurationTable,
     counters: Counters,
     providers: Providers | None = None,
+    check_ready: Callable[[], None] | None = None,
 ) -> OperatorSide:
-    """Build the operator side."""
+    """Build the operator side.
+
+    `check_ready` raises an error while writes must be refused.
+    """
     # Operation ids and the epoch must differ after a restart.
     rng = random.SystemRandom()
     changes = ChangeLog(
@@ -77,7 +82,7 @@
         settings.get('limits', 'operator_watches'),
     )
     api = OperatorApi(
-        Declarer(platform, table, rng),
+        Declarer(platform, table, rng, check_ready),
         table,
         changes,
         providers or Providers(),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -139,6 +139,27 @@
     assert own == []
 
 
+async def _write_before_ready():
+    store = MemoryStore()
+    store.faults.is_down = True
+    ports = {
+        'callers': _free_port(),
+        'operators': _free_port(),
+        'platform': _listen(make_standin(store)),
+    }
+    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    await daemon.start()
+    url = 'http://127.0.0.1:{operators}/objects/drain/d'.format(**ports)
+    answer = await _call('PUT', url, {'region': 'west'})
+    await daemon.stop()
+    return json.loads(answer)['error']
+
+
+def test_a_write_before_the_entry_is_ready_is_refused():
+    """Guards against a generation that goes on from an old table."""
+    assert asyncio.run(_write_before_ready()) == 'not_ready'
+
+
 async def _look_up_over_tls():
     ports = {
         'callers': _free_port(),
