Rename the package of the object API client to store

Cause: the users' platform is met in nutmegshore/platform, so the product's own object API (base class, memory version, HTTP client, stand-in) needs another name. Change: nutmegshore/platform becomes nutmegshore/store, tests move along.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -19,7 +19,7 @@
 from nutmegshore.once import KeyedRequest, OnceRecords, RecordedAnswer
 from nutmegshore.operators import StatusBoard, StatusWriter
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 __all__ = ('measure_caps', 'measure_once', 'measure_slots', 'measure_status')
 
--- a/bench/caps_faults.py
+++ b/bench/caps_faults.py
@@ -9,7 +9,7 @@
 
 from bench.caps_fleet import Fleet, FleetOptions, Instance
 from nutmegshore.clock import run_virtual
-from nutmegshore.platform.memory import Faults
+from nutmegshore.store.memory import Faults
 
 __all__ = ('Verdict', 'run_isolated', 'run_schedule')
 
--- a/bench/caps_fleet.py
+++ b/bench/caps_fleet.py
@@ -13,7 +13,7 @@
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
 from nutmegshore.peers import Member, MemoryNetwork, Peers
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     MemoryPlatform,
     MemoryStore,
--- a/bench/caps_policies.py
+++ b/bench/caps_policies.py
@@ -16,7 +16,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformError
 from nutmegshore.peers import Peers
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     Platform,
     StoredObject,
--- a/bench/caps_rules.py
+++ b/bench/caps_rules.py
@@ -17,7 +17,7 @@
 from bench.caps_faults import run_isolated, run_schedule
 from nutmegshore.caps import Caps, holding, keeper, ledger, loans, window
 from nutmegshore.caps.drift import outlast
-from nutmegshore.platform import Expected
+from nutmegshore.store import Expected
 
 __all__ = ('RULES', 'first_red', 'without')
 
--- a/bench/peers_cluster.py
+++ b/bench/peers_cluster.py
@@ -22,7 +22,7 @@
     first_incarnation,
 )
 from nutmegshore.peers.memory_link import MemoryLink
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Changes,
     Expected,
     ListedInstance,
--- a/bench/peers_faults.py
+++ b/bench/peers_faults.py
@@ -9,7 +9,7 @@
 
 from bench.peers_cluster import Cluster, Process
 from nutmegshore.clock import run_virtual
-from nutmegshore.platform import Expected
+from nutmegshore.store import Expected
 from nutmegshore.resources import Envelope, write_envelope
 
 __all__ = ('Judge', 'Verdict', 'run_schedule')
--- a/bench/sessions/blocks.py
+++ b/bench/sessions/blocks.py
@@ -17,7 +17,7 @@
 from bench.measure import Chart, Findings, Measure, Point, Table
 from nutmegshore import blocks
 from nutmegshore.clock import SystemClock
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.steering.plan import Origin
 
 __all__ = ('measure',)
--- a/bench/sessions/operators.py
+++ b/bench/sessions/operators.py
@@ -21,7 +21,7 @@
     StatusPart,
     StatusWriter,
 )
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.resources import Drain, Envelope
 
 __all__ = ('measure',)
--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -30,7 +30,7 @@
     MeshPeers,
     first_incarnation,
 )
-from nutmegshore.platform import ListedInstance
+from nutmegshore.store import ListedInstance
 from nutmegshore.resources import Entry as EntrySpec
 from nutmegshore.resources import (
     Envelope,
--- a/examples/caps.py
+++ b/examples/caps.py
@@ -8,7 +8,7 @@
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.resources import Envelope, Shift
 
 
--- a/nutmegshore/blocks/bodies.py
+++ b/nutmegshore/blocks/bodies.py
@@ -11,7 +11,7 @@
 
 from nutmegshore.blocks.block import V4_BITS
 from nutmegshore.errors import ErrorKind, ObjectError
-from nutmegshore.platform.base import MAX_BODY_BYTES
+from nutmegshore.store.base import MAX_BODY_BYTES
 
 __all__ = (
     'ChunkFault',
--- a/nutmegshore/blocks/replica.py
+++ b/nutmegshore/blocks/replica.py
@@ -21,7 +21,7 @@
 from nutmegshore.blocks.store import MANIFEST_KEY, BlockStore, is_delta_key
 from nutmegshore.blocks.table import BlockTable, Rebuild
 from nutmegshore.clock import Clock
-from nutmegshore.platform.base import StoredObject
+from nutmegshore.store.base import StoredObject
 
 __all__ = ('BlockReplica', 'ChunkSource')
 
--- a/nutmegshore/blocks/store.py
+++ b/nutmegshore/blocks/store.py
@@ -19,7 +19,7 @@
 from nutmegshore.blocks.family import Row
 from nutmegshore.blocks.rankings import Rankings
 from nutmegshore.errors import VersionConflict
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     Platform,
     StoredObject,
--- a/nutmegshore/caps/cap.py
+++ b/nutmegshore/caps/cap.py
@@ -17,7 +17,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformError, VersionConflict
 from nutmegshore.peers import Peers
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 from nutmegshore.resources import InvalidObject
 
 __all__ = ('Cap', 'CapStatus', 'HeldBack', 'Surroundings')
--- a/nutmegshore/caps/caps.py
+++ b/nutmegshore/caps/caps.py
@@ -18,7 +18,7 @@
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
 from nutmegshore.peers import Peers
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 from nutmegshore.resources import Envelope, Limit, Shift
 
 __all__ = ('Caps',)
--- a/nutmegshore/caps/keeper.py
+++ b/nutmegshore/caps/keeper.py
@@ -18,7 +18,7 @@
 )
 from nutmegshore.clock import Clock
 from nutmegshore.errors import PlatformAnswerLost
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     Platform,
     StoredObject,
--- a/nutmegshore/commands/daemon.py
+++ b/nutmegshore/commands/daemon.py
@@ -13,7 +13,7 @@
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.errors import SettingsError
 from nutmegshore.logs import configure_logs, get_logger
-from nutmegshore.platform import MemoryStore, make_standin
+from nutmegshore.store import MemoryStore, make_standin
 from nutmegshore.settings import EntrySettings, read_settings
 
 __all__ = ('EntryCommand', 'PlatformCommand')
--- a/nutmegshore/configuration/follower.py
+++ b/nutmegshore/configuration/follower.py
@@ -12,7 +12,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.peers import Peers, process_of
 from nutmegshore.peers.tasks import OwnedTasks
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 
 __all__ = ('ConfigurationFollower',)
 
--- a/nutmegshore/configuration/watcher.py
+++ b/nutmegshore/configuration/watcher.py
@@ -8,7 +8,7 @@
 from nutmegshore.configuration.problems import ProblemKind, Problems
 from nutmegshore.configuration.table import ConfigurationTable
 from nutmegshore.counters import Counters
-from nutmegshore.platform import Changes, Platform, StoredObject
+from nutmegshore.store import Changes, Platform, StoredObject
 from nutmegshore.resources import Envelope, InvalidObject, parse_envelope
 
 __all__ = ('PlatformWatcher',)
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -28,7 +28,7 @@
     TcpTransport,
     first_incarnation,
 )
-from nutmegshore.platform import HttpPlatform, Platform
+from nutmegshore.store import HttpPlatform, Platform
 from nutmegshore.settings import (
     EntrySettings,
     make_peer_contexts,
--- a/nutmegshore/entry/overview.py
+++ b/nutmegshore/entry/overview.py
@@ -18,7 +18,7 @@
     StatusPart,
     read_statuses,
 )
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 from nutmegshore.resources import Drain, Envelope, Limit, Shift
 from nutmegshore.steering import (
     DrainProgress,
--- a/nutmegshore/entry/parts.py
+++ b/nutmegshore/entry/parts.py
@@ -24,7 +24,7 @@
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.once import OnceRecords, RecordSweep
 from nutmegshore.peers import Peers
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 from nutmegshore.quarantine import Quarantine
 from nutmegshore.resources import Entry
 from nutmegshore.steering import Steering, Surroundings
--- a/nutmegshore/entry/seeds.py
+++ b/nutmegshore/entry/seeds.py
@@ -1,6 +1,6 @@
 """Addresses of other entries from the platform's list."""
 
-from nutmegshore.platform import Platform
+from nutmegshore.store import Platform
 
 __all__ = ('read_seeds',)
 
--- a/nutmegshore/once/claim.py
+++ b/nutmegshore/once/claim.py
@@ -15,7 +15,7 @@
     parse_record,
     write_record,
 )
-from nutmegshore.platform import (
+from nutmegshore.store import (
     make_operation,
     Expected,
     Platform,
--- a/nutmegshore/once/once.py
+++ b/nutmegshore/once/once.py
@@ -24,7 +24,7 @@
     write_record,
 )
 from nutmegshore.peers import Peers
-from nutmegshore.platform import (
+from nutmegshore.store import (
     make_operation,
     Expected,
     Platform,
--- a/nutmegshore/once/owners.py
+++ b/nutmegshore/once/owners.py
@@ -8,7 +8,7 @@
 from nutmegshore.once.messages import OnceAnswer, OnceQuery
 from nutmegshore.once.record import Record, RecordState, write_record
 from nutmegshore.peers import Member, Peers, process_of
-from nutmegshore.platform import StoredObject
+from nutmegshore.store import StoredObject
 
 __all__ = ('ASK_AGAIN_S', 'Owners')
 
--- a/nutmegshore/once/sweep.py
+++ b/nutmegshore/once/sweep.py
@@ -7,7 +7,7 @@
 from nutmegshore.errors import PlatformError, RequestError
 from nutmegshore.once.record import RECORD_PREFIX, parse_record
 from nutmegshore.peers import Peers
-from nutmegshore.platform import Expected, Platform, StoredObject
+from nutmegshore.store import Expected, Platform, StoredObject
 
 __all__ = ('RecordSweep',)
 
--- a/nutmegshore/operators/declare.py
+++ b/nutmegshore/operators/declare.py
@@ -9,7 +9,7 @@
 
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.errors import ErrorKind, ObjectError, VersionConflict
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     Platform,
     StoredObject,
--- a/nutmegshore/operators/status_store.py
+++ b/nutmegshore/operators/status_store.py
@@ -21,7 +21,7 @@
     StatusBoard,
     status_key,
 )
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     Platform,
     StoredObject,
--- a/nutmegshore/platform/__init__.py
+++ b/nutmegshore/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's object API and instance list."""
 
-from nutmegshore.platform.base import (
+from nutmegshore.store.base import (
     Change,
     Changes,
     Expected,
@@ -9,10 +9,10 @@
     Platform,
     StoredObject,
 )
-from nutmegshore.platform.http import HttpPlatform
-from nutmegshore.platform.memory import MemoryPlatform, MemoryStore
-from nutmegshore.platform.resolve import make_operation, write_resolved
-from nutmegshore.platform.standin import make_standin
+from nutmegshore.store.http import HttpPlatform
+from nutmegshore.store.memory import MemoryPlatform, MemoryStore
+from nutmegshore.store.resolve import make_operation, write_resolved
+from nutmegshore.store.standin import make_standin
 
 __all__ = (
     'Change',
--- a/nutmegshore/platform/http.py
+++ b/nutmegshore/store/http.py
@@ -16,8 +16,8 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from nutmegshore.platform import wire
-from nutmegshore.platform.base import (
+from nutmegshore.store import wire
+from nutmegshore.store.base import (
     MAX_BODY_BYTES,
     Changes,
     Expected,
--- a/nutmegshore/platform/memory.py
+++ b/nutmegshore/store/memory.py
@@ -12,7 +12,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from nutmegshore.platform.base import (
+from nutmegshore.store.base import (
     Change,
     Changes,
     Expected,
--- a/nutmegshore/platform/resolve.py
+++ b/nutmegshore/store/resolve.py
@@ -7,7 +7,7 @@
     PlatformError,
     VersionConflict,
 )
-from nutmegshore.platform.base import Expected, Platform, StoredObject
+from nutmegshore.store.base import Expected, Platform, StoredObject
 
 __all__ = ('make_operation', 'write_resolved')
 
--- a/nutmegshore/platform/standin.py
+++ b/nutmegshore/store/standin.py
@@ -14,15 +14,15 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from nutmegshore.platform import wire
-from nutmegshore.platform.base import (
+from nutmegshore.store import wire
+from nutmegshore.store.base import (
     MAX_BODY_BYTES,
     Changes,
     Expected,
     Page,
     StoredObject,
 )
-from nutmegshore.platform.memory import Faults, MemoryPlatform, MemoryStore
+from nutmegshore.store.memory import Faults, MemoryPlatform, MemoryStore
 
 __all__ = ('make_standin',)
 
--- a/nutmegshore/platform/wire.py
+++ b/nutmegshore/store/wire.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from nutmegshore.platform.base import (
+from nutmegshore.store.base import (
     Change,
     Changes,
     Expected,
--- a/tests/blocks/test_block_replica.py
+++ b/tests/blocks/test_block_replica.py
@@ -18,7 +18,7 @@
 from nutmegshore.blocks import store as store_module
 from nutmegshore.blocks.table import Rebuild
 from nutmegshore.clock import VirtualClock, run_virtual
-from nutmegshore.platform import Change, MemoryPlatform, MemoryStore
+from nutmegshore.store import Change, MemoryPlatform, MemoryStore
 
 
 class _Peer(ChunkSource):
--- a/tests/blocks/test_block_store.py
+++ b/tests/blocks/test_block_store.py
@@ -9,7 +9,7 @@
 from nutmegshore.blocks import codec
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.errors import PlatformUnavailable, VersionConflict
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 
 def _connect(memory, seed=7):
--- a/tests/commands/conftest.py
+++ b/tests/commands/conftest.py
@@ -21,7 +21,7 @@
 )
 from nutmegshore.operators.access import Credential, Role
 from nutmegshore.operators.client import MemoryOperatorClient
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.steering import Origin
 
 
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -7,7 +7,7 @@
 
 from bench.peers_cluster import Cluster
 from nutmegshore.clock import run_virtual
-from nutmegshore.platform import Expected
+from nutmegshore.store import Expected
 from nutmegshore.resources import write_envelope
 
 _KEY = 'config/drain/d'
--- a/tests/entry/test_caps_gate.py
+++ b/tests/entry/test_caps_gate.py
@@ -10,7 +10,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.entry.caps_gate import CapsGate
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 _UNIT_BYTES = 65_536
 
--- a/tests/entry/test_overview.py
+++ b/tests/entry/test_overview.py
@@ -9,7 +9,7 @@
 from nutmegshore.entry import EntryOptions, EntryParts, Outside
 from nutmegshore.entry.overview import make_status_board
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.upstreams import MemoryUpstreams
 
 _LIFETIME_S = 5
--- a/tests/once/test_once.py
+++ b/tests/once/test_once.py
@@ -10,7 +10,7 @@
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.once import Claim, KeyedRequest, OnceRecords, RecordedAnswer
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 _ANSWER = RecordedAnswer(201, (('Location', '/1'),), b'made')
 
--- a/tests/once/test_sweep.py
+++ b/tests/once/test_sweep.py
@@ -7,7 +7,7 @@
 from nutmegshore.once import Record, RecordState, RecordSweep
 from nutmegshore.once.record import record_key, write_record
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 _DAY_S = 86_400
 
--- a/tests/operators/conftest.py
+++ b/tests/operators/conftest.py
@@ -22,7 +22,7 @@
     make_operator_application,
 )
 from nutmegshore.operators.access import Credential, Grant, Role, make_token
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 
 
 @attrs.define
--- a/tests/operators/test_assembly.py
+++ b/tests/operators/test_assembly.py
@@ -16,7 +16,7 @@
 from nutmegshore.operators import make_token
 from nutmegshore.operators.assembly import make_operator_side
 from nutmegshore.operators.http_client import HttpOperatorClient, Server
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.settings import parse_settings, write_example
 
 _FILES = pathlib.Path(__file__).parent / 'tls'
--- a/tests/operators/test_declare.py
+++ b/tests/operators/test_declare.py
@@ -14,7 +14,7 @@
     VersionConflict,
 )
 from nutmegshore.operators import Declaration
-from nutmegshore.platform import MemoryStore
+from nutmegshore.store import MemoryStore
 from nutmegshore.resources import InvalidObject, parse_envelope, write_envelope
 
 _KEY = 'config/drain/d'
--- a/tests/operators/test_status.py
+++ b/tests/operators/test_status.py
@@ -13,7 +13,7 @@
     StatusWriter,
     read_statuses,
 )
-from nutmegshore.platform import MemoryPlatform, MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.steering import Origin
 
 _KEY = 'status/drain/d/west'
--- a/tests/platform/test_http.py
+++ b/tests/store/test_http.py
@@ -15,7 +15,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     HttpPlatform,
     ListedInstance,
@@ -24,7 +24,7 @@
     make_standin,
     write_resolved,
 )
-from nutmegshore.platform.wire import write_stored
+from nutmegshore.store.wire import write_stored
 
 
 def _serve(application):
--- a/tests/platform/test_memory.py
+++ b/tests/store/test_memory.py
@@ -4,7 +4,7 @@
 
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.errors import PlatformUnavailable, VersionConflict
-from nutmegshore.platform import (
+from nutmegshore.store import (
     Expected,
     MemoryPlatform,
     MemoryStore,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,7 @@
 
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.errors import SettingsError
-from nutmegshore.platform import MemoryStore, make_standin
+from nutmegshore.store import MemoryStore, make_standin
 from nutmegshore.settings import parse_settings
 
 _TLS = pathlib.Path(__file__).parent / 'operators' / 'tls'
