Move the callers' connection handling to a package of its own

Cause: the daemon for the users' platform answers callers over the same connections, but importing nutmegshore.callers loads steering, the objects and the forwarder, 0.12 s of processor time that count after every kill. Change: reader, headers, writer, body, connection and server move to nutmegshore.listener; what answers a request is an Exchange that the listener is given. Ruled out: a second copy of the reader and writer.

--- a/bench/sessions/callers.py
+++ b/bench/sessions/callers.py
@@ -19,7 +19,6 @@
 )
 from bench.measure import Findings, Measure
 from nutmegshore.callers import (
-    CallerServer,
     EntryAnswer,
     Forwarder,
     LookupAnswer,
@@ -28,6 +27,7 @@
 from nutmegshore.clock import SystemClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
+from nutmegshore.listener import CallerServer
 from nutmegshore.resources import Envelope, parse_spec
 from nutmegshore.steering import Steering
 from nutmegshore.upstreams.curl import CurlUpstreams
--- a/nutmegshore/callers/__init__.py
+++ b/nutmegshore/callers/__init__.py
@@ -1,6 +1,6 @@
 """The callers that look up entries and send requests."""
 
-from nutmegshore.callers.parts import ListenerLimits
+from nutmegshore.callers.application import make_caller_application
 from nutmegshore.callers.forward import Forwarder, ForwardHooks
 from nutmegshore.callers.gate import OpenGate, RequestGate
 from nutmegshore.callers.lookup import (
@@ -18,16 +18,13 @@
 )
 from nutmegshore.callers.request import CallerRequest
 from nutmegshore.callers.retry import RetryFreely, RetryPolicy
-from nutmegshore.callers.server import CallerServer, make_caller_application
 from nutmegshore.callers.stop import ListenerStop
 
 __all__ = (
     'CallerRequest',
-    'CallerServer',
     'EntryAnswer',
     'ForwardHooks',
     'Forwarder',
-    'ListenerLimits',
     'ListenerStop',
     'LookupAnswer',
     'LookupLedger',
--- /dev/null
+++ b/nutmegshore/callers/application.py
@@ -0,0 +1,61 @@
+"""The callers' listener with the look-up and the proxied services."""
+
+import ssl
+from collections.abc import Callable
+
+from nutmegshore.callers.exchange import CallerExchange, ExchangeParts
+from nutmegshore.callers.forward import Forwarder
+from nutmegshore.callers.lookup import LookupAnswer
+from nutmegshore.clock import Clock, SystemClock
+from nutmegshore.counters import Counters
+from nutmegshore.listener import (
+    AnswerWriter,
+    CallerServer,
+    ListenerLimits,
+    ListenerParts,
+)
+
+__all__ = ('CallerApplication', 'make_caller_application')
+
+
+class CallerApplication:
+    """What `EntryDaemon` listens with."""
+
+    def __init__(
+        self,
+        parts: ExchangeParts,
+        limits: ListenerLimits | None = None,
+    ) -> None:
+        """Wait for `listen`."""
+        self._parts = parts
+        self._listener = ListenerParts(
+            self._make_exchange,
+            parts.counters,
+            limits or ListenerLimits(),
+        )
+
+    def listen(
+        self,
+        port: int,
+        address: str,
+        context: ssl.SSLContext | None = None,
+    ) -> CallerServer:
+        """Open the listener; with a context, it uses TLS."""
+        server = CallerServer(self._listener, context)
+        server.open(port, address)
+        return server
+
+    def _make_exchange(self, writer: AnswerWriter) -> CallerExchange:
+        return CallerExchange(writer, self._parts, self._listener)
+
+
+def make_caller_application(
+    forwarder: Forwarder,
+    lookup: Callable[[str], LookupAnswer],
+    counters: Counters,
+    clock: Clock | None = None,
+    limits: ListenerLimits | None = None,
+) -> CallerApplication:
+    """Application with the look-up and the proxied services."""
+    parts = ExchangeParts(forwarder, lookup, counters, clock or SystemClock())
+    return CallerApplication(parts, limits)
--- a/nutmegshore/callers/exchange.py
+++ b/nutmegshore/callers/exchange.py
@@ -2,27 +2,30 @@
 
 import asyncio
 import uuid
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
 import attrs
 from tornado.iostream import StreamClosedError
 
-from nutmegshore.callers.answer import AnswerWriter, abort_stream
-from nutmegshore.callers.body import CallerBody
-from nutmegshore.callers.headers import (
+from nutmegshore.callers.forward import Forwarder
+from nutmegshore.callers.lookup import LookupAnswer, write_lookup
+from nutmegshore.callers.request import CallerRequest
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
+from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.exchange import Exchange
+from nutmegshore.listener.headers import (
     IDEMPOTENCY_KEY,
     RequestHead,
     named_service,
     read_deadline_ms,
     upstream_headers,
 )
-from nutmegshore.callers.lookup import write_lookup
-from nutmegshore.callers.parts import ListenerParts
-from nutmegshore.callers.request import CallerRequest
-from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.listener.parts import ListenerParts
 
-__all__ = ('CallerExchange',)
+__all__ = ('CallerExchange', 'ExchangeParts')
 
 _LOOKUP_PATH = '/lookup'
 _LOOKUP_METHODS = ('GET', 'HEAD')
@@ -30,17 +33,36 @@
 _MS_PER_S = 1000
 
 
-@attrs.define
-class CallerExchange:
+@attrs.frozen
+class ExchangeParts:
+    """What the exchanges of the callers' listener share.
+
+    `lookup` answers a look-up for a service, or for all if it is empty.
+    """
+
+    forwarder: Forwarder
+    lookup: Callable[[str], LookupAnswer]
+    counters: Counters
+    clock: Clock
+
+
+class CallerExchange(Exchange):
     """Answers one request from the look-up or through the forwarder.
 
     Errors after the answer has begun are raised, since only an abort of the
     connection can tell the caller that its answer is cut.
     """
 
-    parts: ListenerParts
-    writer: AnswerWriter
-    body: CallerBody | None = None
+    def __init__(
+        self,
+        writer: AnswerWriter,
+        parts: ExchangeParts,
+        listener: ListenerParts,
+    ) -> None:
+        """Answer one request of a connection of the listener."""
+        super().__init__(writer)
+        self.parts = parts
+        self._listener = listener
 
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
@@ -96,7 +118,7 @@
 
     async def _in_time(self, write: Awaitable[None]) -> None:
         try:
-            async with asyncio.timeout(self.parts.limits.write_s):
+            async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
             abort_stream(self.writer.stream)
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -8,7 +8,6 @@
 import attrs
 
 from nutmegshore.callers.attempts import Attempts
-from nutmegshore.callers.body import KEPT_BYTES, KeptBody
 from nutmegshore.callers.gate import OpenGate, RequestGate
 from nutmegshore.callers.record import (
     NoRecords,
@@ -21,6 +20,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.listener.body import KEPT_BYTES, KeptBody
 from nutmegshore.resources import Service
 from nutmegshore.steering import Permit, RouteRequest, Steering
 from nutmegshore.upstreams import (
--- a/nutmegshore/callers/stop.py
+++ b/nutmegshore/callers/stop.py
@@ -4,8 +4,8 @@
 
 from nutmegshore.callers.forward import Forwarder
 from nutmegshore.callers.lookup import LookupLedger
-from nutmegshore.callers.server import CallerServer
 from nutmegshore.clock import Clock
+from nutmegshore.listener.server import CallerServer
 
 __all__ = ('ListenerStop',)
 
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -4,11 +4,7 @@
 import random
 import time
 
-from nutmegshore.callers import (
-    CallerServer,
-    ListenerStop,
-    make_caller_application,
-)
+from nutmegshore.callers import ListenerStop, make_caller_application
 from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.entry.overview import (
@@ -18,6 +14,7 @@
 )
 from nutmegshore.entry.parts import EntryOptions, EntryParts, Outside
 from nutmegshore.entry.seeds import read_seeds
+from nutmegshore.listener import CallerServer
 from nutmegshore.logs import get_logger
 from nutmegshore.operators import StatusWriter
 from nutmegshore.operators.assembly import make_operator_side
@@ -28,12 +25,12 @@
     TcpTransport,
     first_incarnation,
 )
-from nutmegshore.store import HttpPlatform, Platform
 from nutmegshore.settings import (
     EntrySettings,
     make_peer_contexts,
     make_tls_context,
 )
+from nutmegshore.store import HttpPlatform, Platform
 from nutmegshore.upstreams.curl import CurlUpstreams
 
 __all__ = ('EntryDaemon',)
--- a/nutmegshore/callers/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -7,8 +7,8 @@
 import attrs
 from tornado.iostream import IOStream
 
-from nutmegshore.callers.headers import RequestHead, answer_headers
 from nutmegshore.errors import NutmegshoreError, Outcome
+from nutmegshore.listener.headers import RequestHead, answer_headers
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver, Headers
 
 __all__ = ('AnswerWriter', 'abort_stream')
--- a/nutmegshore/callers/body.py
+++ b/nutmegshore/listener/body.py
@@ -5,8 +5,8 @@
 
 from tornado.iostream import StreamClosedError
 
-from nutmegshore.callers.reader import CallerReader
 from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.listener.reader import CallerReader
 from nutmegshore.upstreams import BodySource
 
 __all__ = ('KEPT_BYTES', 'CallerBody', 'KeptBody')
--- a/nutmegshore/callers/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -6,17 +6,17 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from nutmegshore.callers.answer import AnswerWriter, abort_stream
-from nutmegshore.callers.body import CallerBody
-from nutmegshore.callers.exchange import CallerExchange
-from nutmegshore.callers.headers import (
+from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.body import CallerBody
+from nutmegshore.listener.exchange import Exchange
+from nutmegshore.listener.headers import (
     RequestHead,
     parse_head,
     read_body_length,
 )
-from nutmegshore.callers.parts import ListenerParts
-from nutmegshore.callers.reader import CallerReader
-from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.listener.parts import ListenerParts
+from nutmegshore.listener.reader import CallerReader
 from nutmegshore.logs import get_logger
 
 __all__ = ('CallerConnection',)
@@ -73,7 +73,7 @@
 
     async def _serve_one(self) -> None:
         writer = AnswerWriter(self._stream, keeps_alive=not self.is_stopping)
-        exchange = CallerExchange(self._parts, writer)
+        exchange = self._parts.make_exchange(writer)
         try:
             await self._read_request(exchange)
         except RequestError as error:
@@ -85,7 +85,7 @@
         if not (writer.keeps_alive and is_whole) and not self._stream.closed():
             await self._linger()
 
-    async def _read_request(self, exchange: CallerExchange) -> None:
+    async def _read_request(self, exchange: Exchange) -> None:
         head = await self._read_head()
         writer = exchange.writer
         writer.request = head
@@ -106,7 +106,7 @@
             raise RequestError(ErrorKind.SLOW_SENDER, 'head') from failure
         return parse_head(raw)
 
-    async def _while_connected(self, exchange: CallerExchange) -> None:
+    async def _while_connected(self, exchange: Exchange) -> None:
         """Cancel the work on an answer when its caller disconnects."""
         work = asyncio.ensure_future(exchange.run())
         async with contextlib.AsyncExitStack() as stack:
--- /dev/null
+++ b/nutmegshore/listener/exchange.py
@@ -0,0 +1,31 @@
+"""What a listener needs of the answer to one request."""
+
+import abc
+
+from nutmegshore.errors import NutmegshoreError
+from nutmegshore.listener.answer import AnswerWriter
+from nutmegshore.listener.body import CallerBody
+
+__all__ = ('Exchange',)
+
+
+class Exchange(abc.ABC):
+    """Answers one request that a connection has read.
+
+    The connection sets `body` once the head is known, then calls `run`. It
+    calls `refuse` instead where the head itself was not acceptable. An error
+    that `run` raises aborts the connection, because the answer has begun.
+    """
+
+    def __init__(self, writer: AnswerWriter) -> None:
+        """Answer through the writer; there is no body yet."""
+        self.writer = writer
+        self.body: CallerBody | None = None
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Answer the request whose head and body are set."""
+
+    @abc.abstractmethod
+    async def refuse(self, error: NutmegshoreError) -> None:
+        """Answer with an error's kind and outcome."""
--- a/nutmegshore/callers/parts.py
+++ b/nutmegshore/listener/parts.py
@@ -4,10 +4,9 @@
 
 import attrs
 
-from nutmegshore.callers.forward import Forwarder
-from nutmegshore.callers.lookup import LookupAnswer
-from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
+from nutmegshore.listener.answer import AnswerWriter
+from nutmegshore.listener.exchange import Exchange
 
 __all__ = ('ListenerLimits', 'ListenerParts')
 
@@ -30,15 +29,14 @@
     linger_s: float = 2
 
 
-@attrs.frozen
+@attrs.define
 class ListenerParts:
     """What the connections of one listener share.
 
-    `lookup` answers a look-up for a service, or for all if it is empty.
+    `make_exchange` builds the exchange that answers one request. `limits` may
+    be replaced while connections are open; each looks it up when it needs it.
     """
 
-    forwarder: Forwarder
-    lookup: Callable[[str], LookupAnswer]
+    make_exchange: Callable[[AnswerWriter], Exchange]
     counters: Counters
-    clock: Clock
     limits: ListenerLimits = ListenerLimits()
--- a/nutmegshore/callers/server.py
+++ b/nutmegshore/listener/server.py
@@ -4,20 +4,15 @@
 import contextlib
 import socket
 import ssl
-from collections.abc import Callable
 
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from nutmegshore.callers.connection import CallerConnection
-from nutmegshore.callers.forward import Forwarder
-from nutmegshore.callers.lookup import LookupAnswer
-from nutmegshore.callers.parts import ListenerLimits, ListenerParts
-from nutmegshore.clock import Clock, SystemClock
-from nutmegshore.counters import Counters
+from nutmegshore.listener.connection import CallerConnection
+from nutmegshore.listener.parts import ListenerParts
 
-__all__ = ('CallerApplication', 'CallerServer', 'make_caller_application')
+__all__ = ('CallerServer',)
 
 #: Bytes that tornado may hold of what a caller sent, per connection.
 _MAX_BUFFER_BYTES = 262_144
@@ -122,40 +117,3 @@
         with contextlib.suppress(OSError):
             for accepted, address in iter(listener.accept, None):
                 self._handle_connection(accepted, address)
-
-
-class CallerApplication:
-    """What `EntryDaemon` listens with; keeps the parts for the server."""
-
-    def __init__(self, parts: ListenerParts) -> None:
-        """Wait for `listen`."""
-        self._parts = parts
-
-    def listen(
-        self,
-        port: int,
-        address: str,
-        context: ssl.SSLContext | None = None,
-    ) -> CallerServer:
-        """Open the listener; with a context, it uses TLS."""
-        server = CallerServer(self._parts, context)
-        server.open(port, address)
-        return server
-
-
-def make_caller_application(
-    forwarder: Forwarder,
-    lookup: Callable[[str], LookupAnswer],
-    counters: Counters,
-    clock: Clock | None = None,
-    limits: ListenerLimits | None = None,
-) -> CallerApplication:
-    """Application with the look-up and the proxied services."""
-    parts = ListenerParts(
-        forwarder,
-        lookup,
-        counters,
-        clock or SystemClock(),
-        limits or ListenerLimits(),
-    )
-    return CallerApplication(parts)
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -9,16 +9,15 @@
 
 from nutmegshore.callers import (
     CallerRequest,
-    CallerServer,
     EntryAnswer,
     Forwarder,
-    ListenerLimits,
     LookupAnswer,
+    make_caller_application,
 )
-from nutmegshore.callers.parts import ListenerParts
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.listener import CallerServer, ListenerLimits
 from nutmegshore.steering import Steering, Surroundings
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 
@@ -162,18 +161,16 @@
         counters = Counters()
         forwarder = Forwarder(make_steering(clock), upstreams, clock, counters)
         entries = (EntryAnswer('e1', '127.0.0.1:1', 'west'),)
-        server = CallerServer(
-            ListenerParts(
-                forwarder,
-                lambda service: LookupAnswer(entries, 5.5),
-                counters,
-                clock,
-                attrs.evolve(_LIMITS, **changes),
-            ),
+        application = make_caller_application(
+            forwarder,
+            lambda service: LookupAnswer(entries, 5.5),
+            counters,
+            clock,
+            attrs.evolve(_LIMITS, **changes),
         )
-        port = server.open(0, '127.0.0.1')
+        server = application.listen(0, '127.0.0.1')
         try:
-            yield Listener(port, server, forwarder, counters)
+            yield Listener(server.ports[0], server, forwarder, counters)
         finally:
             server.stop()
             await server.close_all_connections()
--- a/tests/callers/test_headers.py
+++ b/tests/listener/test_headers.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from nutmegshore.callers.headers import (
+from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.listener.headers import (
     answer_headers,
     named_service,
     parse_head,
@@ -12,7 +13,6 @@
     read_deadline_ms,
     upstream_headers,
 )
-from nutmegshore.errors import ErrorKind, RequestError
 
 _NAMES = st.sampled_from(
     (
