Let a dialect name the headers between the system and upstreams

Cause: the client of upstreams had the product's own header names built in; the users' upstreams speak others, and answers may end with the connection.

--- a/nutmegshore/operators/assembly.py
+++ b/nutmegshore/operators/assembly.py
@@ -15,8 +15,8 @@
 from nutmegshore.operators.declare import Declarer
 from nutmegshore.operators.providers import Providers
 from nutmegshore.operators.server import make_operator_application
-from nutmegshore.store import Platform, make_operation
 from nutmegshore.settings import EntrySettings, make_tls_context
+from nutmegshore.store import Platform, make_operation
 
 __all__ = ('OperatorSide', 'make_operator_side')
 
--- a/nutmegshore/operators/declare.py
+++ b/nutmegshore/operators/declare.py
@@ -9,13 +9,6 @@
 
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.errors import ErrorKind, ObjectError, VersionConflict
-from nutmegshore.store import (
-    Expected,
-    Platform,
-    StoredObject,
-    make_operation,
-    write_resolved,
-)
 from nutmegshore.resources import (
     Envelope,
     InvalidObject,
@@ -27,6 +20,13 @@
 )
 from nutmegshore.resources.check import check_name, check_spec
 from nutmegshore.resources.envelope import MAX_GENERATION
+from nutmegshore.store import (
+    Expected,
+    Platform,
+    StoredObject,
+    make_operation,
+    write_resolved,
+)
 
 __all__ = ('Declaration', 'Declarer', 'check_declaration', 'make_proposed')
 
--- a/nutmegshore/operators/server.py
+++ b/nutmegshore/operators/server.py
@@ -6,10 +6,10 @@
 from tornado.web import Application, RequestHandler
 
 from nutmegshore.errors import ErrorKind, ObjectError
+from nutmegshore.exposition import CONTENT_TYPE, write_exposition
 from nutmegshore.operators.access import Access
 from nutmegshore.operators.api import OperatorApi
 from nutmegshore.operators.declare import Declaration
-from nutmegshore.operators.exposition import CONTENT_TYPE, write_exposition
 from nutmegshore.operators.handler import OperatorHandler, make_invalid
 from nutmegshore.resources import Envelope
 
--- a/nutmegshore/upstreams/__init__.py
+++ b/nutmegshore/upstreams/__init__.py
@@ -4,11 +4,12 @@
     AnswerHead,
     AnswerReceiver,
     BodySource,
+    Destination,
+    Dialect,
     Headers,
     ReportReceiver,
     UpstreamClient,
     UpstreamRequest,
-    read_report,
 )
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
 
@@ -16,11 +17,12 @@
     'AnswerHead',
     'AnswerReceiver',
     'BodySource',
+    'Destination',
+    'Dialect',
     'Headers',
     'MemoryUpstream',
     'MemoryUpstreams',
     'ReportReceiver',
     'UpstreamClient',
     'UpstreamRequest',
-    'read_report',
 )
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -3,20 +3,20 @@
 import abc
 from collections.abc import AsyncIterator, Callable
 from types import MappingProxyType
+from typing import Protocol
 
 import attrs
 
-from nutmegshore.resources import Upstream
-
 __all__ = (
     'AnswerHead',
     'AnswerReceiver',
     'BodySource',
+    'Destination',
+    'Dialect',
     'Headers',
     'ReportReceiver',
     'UpstreamClient',
     'UpstreamRequest',
-    'read_report',
 )
 
 Headers = tuple[tuple[str, str], ...]
@@ -25,11 +25,13 @@
 #: are None where the answer did not report them.
 ReportReceiver = Callable[[str, bool, int | None], None]
 
-_LEAVING = 'nutmegshore-leaving'
-_LOAD = 'nutmegshore-load'
-_NOT_RUN = 'nutmegshore-not-run'
-_REFUSED_STATUS = 503
-_YES = '1'
+_CONNECT_TIMEOUT_S = 1
+
+
+class Destination(Protocol):
+    """Anything with the address of an upstream, as IP:port."""
+
+    address: str
 
 
 class BodySource(abc.ABC):
@@ -56,7 +58,8 @@
 
     `deadline` is a reading of the process's clock. `may_run_twice` permits
     the use of a kept-alive connection, on which the HTTP library may repeat
-    the request by itself.
+    the request by itself. A connection that is not open after
+    `connect_timeout_s` counts as unreachable.
     """
 
     request_id: str
@@ -67,6 +70,7 @@
     deadline: float
     may_run_twice: bool
     body: BodySource | None = None
+    connect_timeout_s: float = _CONNECT_TIMEOUT_S
 
 
 @attrs.frozen
@@ -82,24 +86,31 @@
         named = {name.lower(): text for name, text in self.headers}
         return MappingProxyType(named)
 
-    @property
-    def is_refusal(self) -> bool:
-        """Whether the upstream says that it did not run the request.
 
-        A 503 alone does not say so: an upstream may answer it after it has
-        done a part of the work.
-        """
-        says_not_run = self.fields.get(_NOT_RUN) == _YES
-        return self.status == _REFUSED_STATUS and says_not_run
+class Dialect(abc.ABC):
+    """The headers by which upstreams and this system talk to each other.
+
+    `accepts_unframed` says whether an answer may end with its connection
+    instead of a length or a last chunk.
+    """
+
+    accepts_unframed: bool = False
 
+    @abc.abstractmethod
+    def request_headers(
+        self,
+        request: UpstreamRequest,
+        left_ms: int,
+    ) -> Headers:
+        """Headers that the system sets itself, with the time that is left."""
 
-def read_report(head: AnswerHead) -> tuple[bool, int | None] | None:
-    """Leaving flag and busy slots that an answer reports, if any."""
-    is_leaving = head.fields.get(_LEAVING) == _YES
-    load = head.fields.get(_LOAD, '')
-    if load.isascii() and load.isdecimal():
-        return is_leaving, int(load)
-    return (is_leaving, None) if is_leaving else None
+    @abc.abstractmethod
+    def is_refusal(self, head: AnswerHead) -> bool:
+        """Whether the upstream says that it did not run the request."""
+
+    @abc.abstractmethod
+    def read_report(self, head: AnswerHead) -> tuple[bool, int | None] | None:
+        """Leaving flag and busy slots that an answer reports, if any."""
 
 
 class AnswerReceiver(abc.ABC):
@@ -130,10 +141,11 @@
     """
 
     on_report: ReportReceiver | None = None
+    dialect: Dialect
 
     def report(self, name: str, head: AnswerHead) -> None:
         """Pass on what the head of an answer reports of the upstream."""
-        found = read_report(head)
+        found = self.dialect.read_report(head)
         if found is not None and self.on_report is not None:
             self.on_report(name, *found)
 
@@ -141,7 +153,7 @@
     async def send(
         self,
         name: str,
-        upstream: Upstream,
+        upstream: Destination,
         request: UpstreamRequest,
         receiver: AnswerReceiver,
     ) -> AnswerHead:
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -8,23 +8,23 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.resources import Upstream
 from nutmegshore.upstreams.base import (
     AnswerHead,
     AnswerReceiver,
     BodySource,
+    Destination,
+    Dialect,
+    Headers,
     UpstreamClient,
     UpstreamRequest,
 )
+from nutmegshore.upstreams.dialect import OwnDialect
 from nutmegshore.upstreams.multi import CurlLoop
 from nutmegshore.upstreams.transfer import READ_BYTES, Transfer
 
 __all__ = ('CurlUpstreams',)
 
-_CONNECT_TIMEOUT_MS = 1000
 _MS_PER_S = 1000
-_DEADLINE = 'Nutmegshore-Deadline-Ms'
-_REQUEST_ID = 'Nutmegshore-Request-Id'
 #: libcurl adds these by itself unless they are given or emptied.
 _DEFAULT_HEADERS = ('Accept', 'User-Agent', 'Expect', 'Content-Type')
 #: Methods whose lack of a body is said with an explicit length.
@@ -41,9 +41,10 @@
     at the end to drop all connections.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, dialect: Dialect | None = None) -> None:
         """Read deadlines on the process's clock."""
         self._clock = clock
+        self.dialect = dialect or OwnDialect()
         self._loop = CurlLoop()
 
     def close(self) -> None:
@@ -53,7 +54,7 @@
     async def send(
         self,
         name: str,
-        upstream: Upstream,
+        upstream: Destination,
         request: UpstreamRequest,
         receiver: AnswerReceiver,
     ) -> AnswerHead:
@@ -61,9 +62,9 @@
         left_s = request.deadline - self._clock.now()
         if left_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
-        curl = _make_curl(upstream.address, request, left_s)
+        curl = self._make_curl(upstream.address, request, left_s)
         with contextlib.closing(Transfer(self._loop, curl)) as transfer:
-            exchange = _Exchange(transfer, request, name)
+            exchange = _Exchange(transfer, request, name, self.dialect)
             transfer.start()
             try:
                 async with asyncio.timeout(left_s):
@@ -71,6 +72,18 @@
             except TimeoutError as failure:
                 raise exchange.late_error() from failure
 
+    def _make_curl(
+        self,
+        address: str,
+        request: UpstreamRequest,
+        left_s: float,
+    ) -> pycurl.Curl:
+        curl = _make_curl(address, request)
+        left_ms = max(int(left_s * _MS_PER_S), 1)
+        own = self.dialect.request_headers(request, left_ms)
+        curl.setopt(pycurl.HTTPHEADER, _header_lines(request, own))
+        return curl
+
     async def _run(
         self,
         exchange: '_Exchange',
@@ -102,10 +115,12 @@
         transfer: Transfer,
         request: UpstreamRequest,
         name: str,
+        dialect: Dialect,
     ) -> None:
         self._transfer = transfer
         self._request = request
         self._name = name
+        self._dialect = dialect
 
     @property
     def has_no_body(self) -> bool:
@@ -148,7 +163,7 @@
         return RequestError(kind, self._name)
 
     def _check_head(self, head: AnswerHead) -> None:
-        if head.is_refusal:
+        if self._dialect.is_refusal(head):
             raise RequestError(ErrorKind.UPSTREAM_REFUSED, self._name)
         if self._has_unframed_body(head):
             raise RequestError(ErrorKind.UPSTREAM_LOST, self._name)
@@ -157,7 +172,8 @@
         # A body that only the end of the connection ends looks the same
         # whole as cut off by a crash of the upstream.
         is_bodiless = head.status in _BODILESS_STATUSES
-        if is_bodiless or self._request.method == 'HEAD':
+        is_bodiless = is_bodiless or self._request.method == 'HEAD'
+        if is_bodiless or self._dialect.accepts_unframed:
             return False
         return _FRAMING_HEADERS.isdisjoint(head.fields)
 
@@ -181,11 +197,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _make_curl(
-    address: str,
-    request: UpstreamRequest,
-    left_s: float,
-) -> pycurl.Curl:
+def _make_curl(address: str, request: UpstreamRequest) -> pycurl.Curl:
     curl = pycurl.Curl()
     curl.setopt(pycurl.URL, f'http://{address}/')
     # The target goes out byte for byte, without libcurl's clean-up of dots.
@@ -194,8 +206,8 @@
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
-    curl.setopt(pycurl.HTTPHEADER, _header_lines(request, left_s))
+    connect_ms = int(request.connect_timeout_s * _MS_PER_S)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
     _set_method(curl, request)
     if not request.may_run_twice:
         _send_once(curl)
@@ -222,13 +234,8 @@
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
-def _header_lines(request: UpstreamRequest, left_s: float) -> list[bytes]:
-    left_ms = max(int(left_s * _MS_PER_S), 1)
-    pairs = [
-        *request.headers,
-        (_DEADLINE, str(left_ms)),
-        (_REQUEST_ID, request.request_id),
-    ]
+def _header_lines(request: UpstreamRequest, own: Headers) -> list[bytes]:
+    pairs = [*request.headers, *own]
     if request.body is None and request.method in _BODY_METHODS:
         pairs.append(('Content-Length', '0'))
     given = {name.lower() for name, _ in pairs}
--- /dev/null
+++ b/nutmegshore/upstreams/dialect.py
@@ -0,0 +1,51 @@
+"""The headers that the product's own upstreams speak."""
+
+from http import HTTPStatus
+
+from nutmegshore.upstreams.base import (
+    AnswerHead,
+    Dialect,
+    Headers,
+    UpstreamRequest,
+)
+
+__all__ = ('OwnDialect',)
+
+_DEADLINE = 'Nutmegshore-Deadline-Ms'
+_REQUEST_ID = 'Nutmegshore-Request-Id'
+_LEAVING = 'nutmegshore-leaving'
+_LOAD = 'nutmegshore-load'
+_NOT_RUN = 'nutmegshore-not-run'
+_YES = '1'
+
+
+class OwnDialect(Dialect):
+    """Headers with the prefix `Nutmegshore-`."""
+
+    def request_headers(
+        self,
+        request: UpstreamRequest,
+        left_ms: int,
+    ) -> Headers:
+        """Deadline and request id."""
+        return (
+            (_DEADLINE, str(left_ms)),
+            (_REQUEST_ID, request.request_id),
+        )
+
+    def is_refusal(self, head: AnswerHead) -> bool:
+        """Whether the upstream says that it did not run the request.
+
+        A 503 alone does not say so: an upstream may answer it after it has
+        done a part of the work.
+        """
+        says_not_run = head.fields.get(_NOT_RUN) == _YES
+        return head.status == HTTPStatus.SERVICE_UNAVAILABLE and says_not_run
+
+    def read_report(self, head: AnswerHead) -> tuple[bool, int | None] | None:
+        """Leaving flag and busy slots that an answer reports, if any."""
+        is_leaving = head.fields.get(_LEAVING) == _YES
+        load = head.fields.get(_LOAD, '')
+        if load.isascii() and load.isdecimal():
+            return is_leaving, int(load)
+        return (is_leaving, None) if is_leaving else None
--- a/nutmegshore/upstreams/memory.py
+++ b/nutmegshore/upstreams/memory.py
@@ -18,6 +18,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
+from nutmegshore.upstreams.dialect import OwnDialect
 
 __all__ = ('MemoryUpstream', 'MemoryUpstreams')
 
@@ -124,6 +125,7 @@
         delay_s: Callable[[str], float],
     ) -> None:
         """Start without upstreams."""
+        self.dialect = OwnDialect()
         self.by_name: dict[str, MemoryUpstream] = {}
         self._clock = clock
         self._rng = rng
--- a/tests/operators/test_exposition.py
+++ b/tests/test_exposition.py
@@ -3,7 +3,7 @@
 import pytest
 
 from nutmegshore.counters import Counters
-from nutmegshore.operators.exposition import write_exposition
+from nutmegshore.exposition import write_exposition
 
 _ODD = 'a"b{0}c\nd'.format(chr(92))
 
