--- a/nutmegshore/balancing/__init__.py
+++ b/nutmegshore/balancing/__init__.py
@@ -3,9 +3,10 @@
 Nothing here uses the network; each module holds one decision.
 """
 
-from nutmegshore.balancing.balancer import Balancer, Surroundings
+from nutmegshore.balancing.balancer import Balancer
 from nutmegshore.balancing.choice import Choice, Wanted
 from nutmegshore.balancing.outcome import Ended, Outcome
+from nutmegshore.balancing.weigher import Surroundings
 
 __all__ = (
     'Balancer',
--- a/nutmegshore/balancing/pace.py
+++ b/nutmegshore/balancing/pace.py
@@ -70,9 +70,11 @@
 
     def _overdue(self, now: float) -> float:
         """Age of the oldest request against its expected time."""
-        for started_at, expected_s in self.pending.values():
-            return min((now - started_at) / expected_s, _MAX_SLOWNESS)
-        return 0
+        oldest = next(iter(self.pending.values()), None)
+        if oldest is None:
+            return 0
+        started_at, expected_s = oldest
+        return min((now - started_at) / expected_s, _MAX_SLOWNESS)
 
 
 class PaceTable:
@@ -93,13 +95,6 @@
             self._by_route[route, service] = times
         return times
 
-    def _guess(self, service: str, target_s: float) -> RouteTimes:
-        """Times of another route at the service, or else from the target."""
-        for (_, known_service), times in self._by_route.items():
-            if known_service == service and times.is_known:
-                return RouteTimes(times.warm_s, times.cold_s)
-        return RouteTimes(_WARM_GUESS * target_s, target_s)
-
     def upstream(self, instance: str) -> UpstreamPace:
         """Pace of an upstream, created on first use."""
         pace = self.by_id.get(instance)
@@ -134,6 +129,13 @@
         """Drop an upstream that is gone."""
         self.by_id.pop(instance, None)
 
+    def _guess(self, service: str, target_s: float) -> RouteTimes:
+        """Times of another route at the service, or else from the target."""
+        for (_, known_service), times in self._by_route.items():
+            if known_service == service and times.is_known:
+                return RouteTimes(times.warm_s, times.cold_s)
+        return RouteTimes(_WARM_GUESS * target_s, target_s)
+
 
 def _smooth(before_s: float, sample_s: float) -> float:
     if not before_s:
--- a/nutmegshore/balancing/split.py
+++ b/nutmegshore/balancing/split.py
@@ -4,6 +4,9 @@
 
 __all__ = ('SplitTable',)
 
+_Shares = tuple[Share, ...]
+_Owed = tuple[_Shares, dict[str, float]]
+
 
 class SplitTable:
     """Gives each service of a route its part of the requests.
@@ -16,7 +19,7 @@
 
     def __init__(self) -> None:
         """Owe nothing to any service."""
-        self._owed: dict[str, tuple[tuple[Share, ...], dict[str, float]]] = {}
+        self._owed: dict[str, _Owed] = {}
 
     def pick(self, route: Route) -> str:
         """The service that the next request of a route goes to."""
--- /dev/null
+++ b/nutmegshore/balancing/weigher.py
@@ -0,0 +1,150 @@
+"""What a request would meet at each upstream that could take it."""
+
+import random
+from collections.abc import Callable, Collection
+
+import attrs
+
+from nutmegshore.balancing.affinity import Affinity
+from nutmegshore.balancing.choice import Candidate, Wanted
+from nutmegshore.balancing.cold import ColdBound
+from nutmegshore.balancing.health import HealthTable
+from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.pace import PaceTable, RouteTimes
+from nutmegshore.clock import Clock
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream import Upstream
+
+__all__ = ('Surroundings', 'Weigher')
+
+#: Upstreams of one region that are compared for a request: its owners in
+#: their order, or random ones for a request without an object.
+_COMPARED = 8
+#: Seconds there and back to another region until it was measured.
+_FAR_GUESS_S = 0.06
+_DELAY_WEIGHT = 0.2
+
+
+@attrs.frozen
+class Surroundings:
+    """What the balancer takes from outside.
+
+    `gateways` gives the names of the gateways of a region, or of all for an
+    empty one.
+    """
+
+    clock: Clock
+    rng: random.Random
+    local: str
+    region: str
+    gateways: Callable[[str], Collection[str]]
+    max_shift: float
+
+
+class Weigher:
+    """Builds the candidates for a request from what was learnt so far."""
+
+    def __init__(self, state: FleetState, around: Surroundings) -> None:
+        """Weigh the upstreams of the state."""
+        clock = around.clock
+        self.affinity = Affinity()
+        self.cold = ColdBound(clock, around.local)
+        self.health = HealthTable(clock)
+        self.load = LoadTable(clock)
+        self.pace = PaceTable(clock)
+        self._around = around
+        self._delays: dict[str, float] = {around.region: 0}
+        self._state = state
+
+    def by_region(self, wanted: Wanted) -> dict[str, list[Candidate]]:
+        """Candidates by region, at most `_COMPARED` in each."""
+        homes = wanted.route.homes
+        found: dict[str, list[Candidate]] = {}
+        for upstream in self._ranked(wanted):
+            if homes and upstream.region not in homes:
+                continue
+            region = found.setdefault(upstream.region, [])
+            if len(region) < _COMPARED and self._may_take(wanted, upstream):
+                is_owner = not region
+                region.append(self._weigh(wanted, upstream, is_owner))
+        return found
+
+    def times(self, wanted: Wanted) -> RouteTimes:
+        """Times of the request's route at its service."""
+        route = wanted.route
+        return self.pace.route(
+            route.name,
+            wanted.service,
+            route.target_latency_s,
+        )
+
+    def cold_rate(self, service: str) -> float:
+        """Requests a second that a cold upstream of a service takes."""
+        return self._state.configuration.rules(service).cold_per_s
+
+    def learn_delay(self, region: str, connect_s: float) -> None:
+        """Take the time that a connection to a region took to open."""
+        if not connect_s or region == self._around.region:
+            return
+        before = self._delays.get(region, connect_s)
+        self._delays[region] = before + _DELAY_WEIGHT * (connect_s - before)
+
+    def forget(self, instance: str) -> None:
+        """Drop everything about an upstream that is gone."""
+        self.affinity.forget(instance)
+        self.cold.forget(instance)
+        self.health.forget(instance)
+        self.load.forget(instance)
+        self.pace.forget(instance)
+
+    def _ranked(self, wanted: Wanted) -> tuple[Upstream, ...]:
+        usable = self._state.usable(wanted.service)
+        if wanted.key:
+            return self.affinity.ranking(wanted.service, wanted.key, usable)
+        shuffled = list(usable)
+        self._around.rng.shuffle(shuffled)
+        return tuple(shuffled)
+
+    def _may_take(self, wanted: Wanted, upstream: Upstream) -> bool:
+        name = upstream.instance
+        if name in wanted.tried or self.health.is_avoided(name):
+            return False
+        rate = self.cold_rate(wanted.service)
+        if not (rate and self._state.is_cold(name)):
+            return True
+        gateways = self._around.gateways(upstream.region)
+        gateways = gateways or self._around.gateways('')
+        is_sender = self.cold.is_sender(name, gateways)
+        return is_sender and self.cold.has_room(name, rate)
+
+    def _weigh(
+        self,
+        wanted: Wanted,
+        upstream: Upstream,
+        is_owner: bool,
+    ) -> Candidate:
+        name = upstream.instance
+        times = self.times(wanted)
+        pace = self.pace.upstream(name)
+        factor = pace.factor(self._around.clock.now())
+        is_warm = self._is_warm(wanted, name, is_owner)
+        busy = self.load.estimate(name)
+        queue_s = (pace.mean_s or times.cold_s) * factor / upstream.slots
+        risk = self.health.refusal_share(name)
+        return Candidate(
+            upstream=upstream,
+            delay_s=self._delays.get(upstream.region, _FAR_GUESS_S),
+            wait_s=max(busy + 1 - upstream.slots, 0) * queue_s,
+            work_s=times.expect(is_warm=is_warm) * factor,
+            risk_s=risk * wanted.route.target_latency_s,
+            is_warm=is_warm,
+            busy=busy,
+            is_known=times.is_known,
+        )
+
+    def _is_warm(self, wanted: Wanted, name: str, is_owner: bool) -> bool:
+        if not wanted.key or not wanted.route.is_sticky:
+            return False
+        if self.affinity.has_handled(name, wanted.key):
+            return True
+        return is_owner and not self._state.is_cold(name)
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -142,9 +142,7 @@
         ErrorKind.PLATFORM_ANSWER_LOST: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
         ErrorKind.PLATFORM_FORMAT: _not_run(HTTPStatus.BAD_GATEWAY),
         ErrorKind.HISTORY_LOST: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.BODY_TOO_LARGE: _not_run(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        ),
+        ErrorKind.BODY_TOO_LARGE: _not_run(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
         ErrorKind.NO_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
         ErrorKind.UPSTREAM_SPOILED: _unknown(HTTPStatus.BAD_GATEWAY),
         ErrorKind.UPSTREAM_MOVED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
--- a/nutmegshore/gateway/__main__.py
+++ b/nutmegshore/gateway/__main__.py
@@ -6,7 +6,7 @@
 import sys
 
 from nutmegshore.errors import SettingsError
-from nutmegshore.gateway.daemon import GatewayDaemon
+from nutmegshore.gateway.daemon import GatewayDaemon, make_outside
 from nutmegshore.gateway.settings import read_settings
 from nutmegshore.logs import configure_logs
 
@@ -17,7 +17,7 @@
 async def _run(path: str) -> None:
     with open(path, encoding='utf-8') as settings_file:
         settings = read_settings(settings_file.read())
-    daemon = GatewayDaemon(settings)
+    daemon = GatewayDaemon(settings, make_outside(settings))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- /dev/null
+++ b/nutmegshore/gateway/assembly.py
@@ -0,0 +1,182 @@
+"""The parts of a gateway, built from its settings."""
+
+import random
+
+import attrs
+
+from nutmegshore.balancing import Balancer, Surroundings
+from nutmegshore.balancing.budget import RetryBudget
+from nutmegshore.balancing.split import SplitTable
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
+from nutmegshore.gateway.follower import FollowerParts, KindFollower
+from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.parts import GatewayParts
+from nutmegshore.gateway.registry import Registry, RegistryParts
+from nutmegshore.gateway.replicas import (
+    ConfigurationReplica,
+    EvacuationReplica,
+    UpstreamReplica,
+)
+from nutmegshore.gateway.settings import GatewaySettings
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.peers import (
+    Member,
+    MeshOptions,
+    MeshPeers,
+    TcpTransport,
+    first_incarnation,
+)
+from nutmegshore.platform.configuration import CONFIGURATION_PREFIX
+from nutmegshore.platform.dialect import PlatformDialect
+from nutmegshore.platform.registration import (
+    EVACUATION_PREFIX,
+    UPSTREAM_PREFIX,
+)
+from nutmegshore.store import Platform
+from nutmegshore.upstreams.curl import CurlUpstreams
+
+__all__ = ('Assembly', 'Outside')
+
+
+@attrs.frozen
+class Outside:
+    """What the parts of a gateway share and do not decide."""
+
+    store: Platform
+    clock: Clock
+    rng: random.Random
+    counters: Counters
+    log: EventLog
+
+
+class Assembly:
+    """Builds the parts of one gateway in the order of their needs.
+
+    Nothing runs yet; the daemon starts and stops the parts.
+    """
+
+    def __init__(self, settings: GatewaySettings, outside: Outside) -> None:
+        """Build all parts."""
+        self.settings = settings
+        self.outside = outside
+        self.state = FleetState(outside.clock)
+        self.registry = self._make_registry()
+        self.peers = self._make_peers()
+        self.balancer = self._make_balancer()
+        self.upstreams = UpstreamReplica(
+            self.state,
+            outside.log,
+            settings.regions_by_zone,
+            self.balancer.known.forget,
+        )
+        self.configurations = ConfigurationReplica(self.state, outside.log)
+        self.followers = self._make_followers()
+        self.parts = self._make_parts()
+
+    def gateway_names(self, region: str) -> list[str]:
+        """Gateways of a region that take requests; of all for an empty one."""
+        return [
+            name
+            for name, member in self.peers.serving().items()
+            if region in {'', member.region}
+        ]
+
+    def _make_registry(self) -> Registry:
+        settings = self.settings
+        outside = self.outside
+        parts = RegistryParts(
+            outside.store,
+            outside.clock,
+            outside.rng,
+            outside.counters,
+        )
+        seeds = tuple(
+            _with_port(address, settings.peer_port)
+            for address in settings.seeds
+        )
+        own = _with_port(settings.callers, settings.peer_port)
+        return Registry(parts, settings.name, own, seeds)
+
+    def _make_peers(self) -> MeshPeers:
+        settings = self.settings
+        outside = self.outside
+        local = Member(
+            settings.name,
+            settings.region,
+            settings.availability_zone,
+            first_incarnation(outside.rng),
+        )
+        return MeshPeers(
+            local,
+            TcpTransport(settings.ip, settings.peer_port),
+            MeshOptions(settings.cluster, settings.key.encode()),
+            self.registry.read_seeds,
+            (outside.clock, outside.rng, outside.counters),
+        )
+
+    def _make_balancer(self) -> Balancer:
+        around = Surroundings(
+            self.outside.clock,
+            self.outside.rng,
+            self.settings.name,
+            self.settings.region,
+            self.gateway_names,
+            self.settings.bounds.max_shift,
+        )
+        return Balancer(self.state, around)
+
+    def _make_followers(self) -> tuple[KindFollower, ...]:
+        outside = self.outside
+        evacuations = EvacuationReplica(self.state, outside.log)
+        replicas = (
+            (CONFIGURATION_PREFIX, self.configurations),
+            (UPSTREAM_PREFIX, self.upstreams),
+            (EVACUATION_PREFIX, evacuations),
+        )
+        parts = FollowerParts(
+            outside.store,
+            outside.clock,
+            outside.rng,
+            outside.counters,
+            outside.log,
+        )
+        return tuple(
+            KindFollower(prefix, replica, parts) for prefix, replica in replicas
+        )
+
+    def _make_parts(self) -> GatewayParts:
+        bounds = self.settings.bounds
+        outside = self.outside
+        dialect = PlatformDialect()
+        upstreams = CurlUpstreams(outside.clock, dialect)
+        upstreams.on_report = self._take_report
+        return GatewayParts(
+            state=self.state,
+            balancer=self.balancer,
+            budget=RetryBudget(
+                outside.clock,
+                bounds.retry_ratio,
+                bounds.retry_window_s,
+                bounds.extra_retries,
+            ),
+            splits=SplitTable(),
+            upstreams=upstreams,
+            dialect=dialect,
+            clock=outside.clock,
+            counters=outside.counters,
+            log=outside.log,
+            count_gateways=self._count_gateways,
+        )
+
+    def _count_gateways(self) -> int:
+        return len(self.peers.live())
+
+    def _take_report(self, name: str, is_leaving: bool, busy: int) -> None:
+        self.balancer.known.load.take_report(name, busy)
+
+
+def _with_port(address: str, port: int) -> str:
+    """The same IP number with another port."""
+    host = address.rpartition(':')[0]
+    return f'{host}:{port}'
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -1,8 +1,10 @@
 """One attempt to have a request answered by an upstream."""
 
 import asyncio
+from types import MappingProxyType
 
 from nutmegshore.balancing import Choice, Ended, Outcome, Wanted
+from nutmegshore.balancing.balancer import Sent
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.gateway.answer import HeldAnswer
 from nutmegshore.gateway.events import UpstreamJudged
@@ -27,15 +29,17 @@
 _PATIENCE = 2.5
 _LEAST_PATIENCE_S = 0.3
 
-_OUTCOMES = {
-    ErrorKind.UPSTREAM_UNREACHABLE: Outcome.UNREACHABLE,
-    ErrorKind.UPSTREAM_REFUSED: Outcome.REFUSED,
-    ErrorKind.UPSTREAM_MOVED: Outcome.REFUSED,
-    ErrorKind.UPSTREAM_LOST: Outcome.LOST,
-    ErrorKind.UPSTREAM_SPOILED: Outcome.LOST,
-    ErrorKind.UPSTREAM_SILENT: Outcome.SILENT,
-    ErrorKind.DEADLINE_AFTER_SEND: Outcome.SILENT,
-}
+_OUTCOMES = MappingProxyType(
+    {
+        ErrorKind.UPSTREAM_UNREACHABLE: Outcome.UNREACHABLE,
+        ErrorKind.UPSTREAM_REFUSED: Outcome.REFUSED,
+        ErrorKind.UPSTREAM_MOVED: Outcome.REFUSED,
+        ErrorKind.UPSTREAM_LOST: Outcome.LOST,
+        ErrorKind.UPSTREAM_SPOILED: Outcome.LOST,
+        ErrorKind.UPSTREAM_SILENT: Outcome.SILENT,
+        ErrorKind.DEADLINE_AFTER_SEND: Outcome.SILENT,
+    }
+)
 
 
 class Attempt:
@@ -56,29 +60,31 @@
         self._routed = routed
         self._choice = choice
         self._wanted = wanted
+        self._started_at = float(0)
 
     async def run(self, answer: HeldAnswer, *, is_last: bool) -> AnswerHead:
         """Send it; raises `RequestError` if there is no whole answer."""
-        started_at = self._parts.clock.now()
+        self._started_at = self._parts.clock.now()
         sent = self._parts.balancer.begin(self._wanted, self._choice)
-        outcome = Outcome.ABANDONED
-        result = 'abandoned'
         try:
             head = await self._send(answer, is_last=is_last)
         except RequestError as failure:
             outcome = _OUTCOMES.get(failure.kind, Outcome.ABANDONED)
-            result = failure.kind.value
+            self._end(sent, outcome, failure.kind.value)
+            raise
+        except BaseException:
+            # The caller has gone, its time is up, or our own side failed.
+            self._end(sent, Outcome.ABANDONED, 'abandoned')
             raise
-        else:
-            outcome = Outcome.ANSWERED
-            result = str(head.status)
-            return head
-        finally:
-            took_s = self._parts.clock.now() - started_at
-            avoided_s = self._parts.balancer.end(sent, Ended(outcome, took_s))
-            self._record(took_s, result)
-            if avoided_s:
-                self._report(avoided_s)
+        self._end(sent, Outcome.ANSWERED, str(head.status))
+        return head
+
+    def _end(self, sent: Sent, outcome: Outcome, result: str) -> None:
+        took_s = self._parts.clock.now() - self._started_at
+        avoided_s = self._parts.balancer.end(sent, Ended(outcome, took_s))
+        self._record(took_s, result)
+        if avoided_s:
+            self._report(avoided_s)
 
     async def _send(self, answer: HeldAnswer, *, is_last: bool) -> AnswerHead:
         patience_s = self._patience_s(is_last=is_last)
@@ -101,12 +107,7 @@
         """Seconds until a silent upstream is given up, or None."""
         if is_last or not self._routed.route.is_safe:
             return None
-        route = self._routed.route
-        times = self._parts.balancer.pace.route(
-            route.name,
-            self._wanted.service,
-            route.target_latency_s,
-        )
+        times = self._parts.balancer.known.times(self._wanted)
         candidate = self._choice.candidate
         worst_s = times.cold_s + candidate.wait_s + candidate.delay_s
         return max(_PATIENCE * worst_s, _LEAST_PATIENCE_S)
@@ -144,14 +145,14 @@
 
     def _report(self, avoided_s: float) -> None:
         upstream = self._choice.upstream
-        health = self._parts.balancer.health.by_id[upstream.instance]
+        health = self._parts.balancer.known.health
+        failures = health.by_id[upstream.instance].failures
         self._parts.log.write(
             UpstreamJudged(
                 upstream.instance,
                 upstream.service,
                 'avoided',
-                health.failures,
+                failures,
                 round(avoided_s, 3),
             ),
         )
-
--- a/nutmegshore/gateway/exchange.py
+++ b/nutmegshore/gateway/exchange.py
@@ -3,7 +3,6 @@
 import asyncio
 from http import HTTPStatus
 
-import attrs
 from tornado.iostream import StreamClosedError
 
 from nutmegshore.errors import (
@@ -11,7 +10,6 @@
     NutmegshoreError,
     Outcome,
     RefusedError,
-    RequestError,
 )
 from nutmegshore.gateway.events import (
     RequestFailed,
@@ -88,9 +86,11 @@
         status = status_of(error)
         headers = [('Content-Type', 'text/plain')]
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append((RETRY_AFTER, f'{_retry_after_s(error):.3f}'))
+            wait_s = round(_retry_after_s(error), 3)
+            headers.append((RETRY_AFTER, str(wait_s)))
         self._log_failure(error, status)
-        text = f'{error.kind.value}: {error}\n'.encode()
+        kind = error.kind.value
+        text = f'{kind}: {error}\n'.encode()
         write = self.writer.write_own(status, tuple(headers), text)
         try:
             async with asyncio.timeout(self._listener.limits.write_s):
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 import random
 from collections.abc import Iterable
 
@@ -12,7 +13,7 @@
 from nutmegshore.errors import HistoryLost, PlatformError
 from nutmegshore.gateway.events import StoreLost, StoreRegained
 from nutmegshore.gateway.log import EventLog
-from nutmegshore.store import Change, Listing, Platform, StoredObject
+from nutmegshore.store import Change, Changes, Listing, Platform, StoredObject
 
 __all__ = ('FollowerParts', 'KindFollower', 'Replica')
 
@@ -23,6 +24,8 @@
 #: burst of changes costs few calls; the bounds on drains and configuration
 #: are 2 s and more.
 _LEAST_WATCH_S = 0.25
+#: Seconds after the store's return in which entries may still be missing.
+_RETURN_S = 2.2
 
 
 class Replica(abc.ABC):
@@ -77,7 +80,7 @@
         self.position = 0
         self.is_listed = False
         self.is_in_touch = False
-        self.objects: dict[str, StoredObject] = {}
+        self.by_key: dict[str, StoredObject] = {}
         self._replica = replica
         self._parts = parts
         self._refresh = asyncio.Event()
@@ -133,14 +136,13 @@
             self._parts.store.watch(self.prefix, self.position),
         )
         refresh = asyncio.ensure_future(self._refresh.wait())
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(refresh.cancel)
+            stack.callback(watch.cancel)
             await asyncio.wait(
                 (watch, refresh),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        finally:
-            refresh.cancel()
-            watch.cancel()
         if not watch.done() or watch.cancelled():
             self._refresh.clear()
             self._needs_list = True
@@ -149,7 +151,7 @@
         left_s = started_at + _LEAST_WATCH_S - self._parts.clock.now()
         await self._parts.clock.sleep(max(left_s, 0))
 
-    def _take_changes(self, changes) -> None:
+    def _take_changes(self, changes: Changes) -> None:
         self._parts.counters.add('store_watches', kind=self.prefix)
         self._note_answer()
         for change in changes.changes:
@@ -158,18 +160,18 @@
 
     def _take_change(self, change: Change) -> None:
         if change.stored is None:
-            gone = self.objects.pop(change.key, None)
+            gone = self.by_key.pop(change.key, None)
             self.mark = max(self.mark, gone.version if gone else 0)
         else:
-            known = self.objects.get(change.key)
+            known = self.by_key.get(change.key)
             if known is not None and known.version > change.stored.version:
                 return
-            self.objects[change.key] = change.stored
+            self.by_key[change.key] = change.stored
             self.mark = max(self.mark, change.stored.version)
         self._replica.change(change, is_after_outage=self.is_after_outage)
 
     def _take_listing(self, listing: Listing) -> None:
-        self.objects = {stored.key: stored for stored in listing.listed}
+        self.by_key = {stored.key: stored for stored in listing.listed}
         versions = (stored.version for stored in listing.listed)
         self.mark = max(self.mark, *versions, 0)
         self.position = max(self.position, listing.position)
@@ -201,7 +203,3 @@
         doubled = _FIRST_PAUSE_S * 2 ** min(self._failures - 1, 8)
         jitter = 0.5 + self._parts.rng.random()
         await self._parts.clock.sleep(min(doubled, _MAX_PAUSE_S) * jitter)
-
-
-#: Seconds after the store's return in which entries may still be missing.
-_RETURN_S = 2.2
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -15,6 +15,7 @@
 from nutmegshore.gateway.events import RequestRetried
 from nutmegshore.gateway.parts import GatewayParts
 from nutmegshore.gateway.request import Incoming, RoutedRequest
+from nutmegshore.gateway.retries import Retries
 from nutmegshore.listener import AnswerWriter, CallerBody, KeptBody
 
 __all__ = ('Forwarder',)
@@ -25,24 +26,20 @@
 #: Bytes of a body that are read before it is sent anywhere. Meanwhile it holds
 #: no slot, and a refused request can go elsewhere.
 _KEPT_BYTES = 1_048_576
-#: Attempts that an upstream refused do not count as attempts of the route,
-#: but there are at most this many more of them.
-_EXTRA_ATTEMPTS = 2
-#: Least part of the route's target that must be left for another attempt.
-_LEAST_LEFT_PART = 0.15
 
 
 class Forwarder:
     """Routes requests, sends them to upstreams, and retries what may be.
 
-        routed = forwarder.route(incoming)
-        await forwarder.run(routed, body, writer)
+    routed = forwarder.route(incoming)
+    await forwarder.run(routed, body, writer)
     """
 
     def __init__(self, parts: GatewayParts) -> None:
         """Join the parts that a request passes."""
         self.in_flight = 0
         self._parts = parts
+        self._retries = Retries(parts)
 
     def route(self, incoming: Incoming) -> RoutedRequest:
         """Find the route of a request, or raise why there is none."""
@@ -113,7 +110,7 @@
     ) -> None:
         while True:
             attempt = self._next_attempt(routed)
-            is_last = not self._could_retry(routed)
+            is_last = not self._retries.could_follow(routed)
             try:
                 await attempt.run(answer, is_last=is_last)
             except RequestError as failure:
@@ -137,16 +134,6 @@
         routed.runs += 1
         return Attempt(self._parts, routed, choice, wanted)
 
-    def _could_retry(self, routed: RoutedRequest) -> bool:
-        """Whether a lost attempt could be followed by another."""
-        return routed.runs < routed.route.max_attempts and self._has_budget(
-            routed
-        )
-
-    def _has_budget(self, routed: RoutedRequest) -> bool:
-        members = self._parts.count_gateways()
-        return self._parts.budget.may_retry(routed.service, members)
-
     def _note_failure(
         self,
         routed: RoutedRequest,
@@ -160,8 +147,13 @@
             routed.may_have_run = True
         else:
             routed.runs -= 1
-        self._note_moved(routed, failure, answer)
-        obstacle = self._obstacle(routed, failure, answer)
+        self._note_moved(routed, failure)
+        obstacle = self._retries.obstacle(
+            routed,
+            failure,
+            has_begun=answer.has_begun,
+            left_s=self._left_s(routed),
+        )
         reason = failure.kind.value
         if obstacle:
             self._parts.counters.add(
@@ -171,56 +163,21 @@
             )
             raise self._final(routed, failure)
         self._parts.counters.add('retries', reason=reason)
-        if failure.kind is not ErrorKind.UPSTREAM_UNREACHABLE:
-            self._parts.budget.note_retry(routed.service)
+        self._retries.spend(routed, failure)
         self._parts.log.write(
             RequestRetried(
                 routed.request_id,
                 routed.route.name,
                 routed.attempts[-1].upstream,
                 reason,
-                self._budget_left(routed),
+                self._retries.left(routed),
             ),
         )
 
-    def _obstacle(
-        self,
-        routed: RoutedRequest,
-        failure: RequestError,
-        answer: HeldAnswer,
-    ) -> str:
-        """Why there is no further attempt; empty if there is one."""
-        route = routed.route
-        body = routed.body
-        may_repeat = route.is_safe or not routed.may_have_run
-        is_used_up = body and body.is_started and not body.can_replay
-        least_s = _LEAST_LEFT_PART * route.target_latency_s
-        most = route.max_attempts + _EXTRA_ATTEMPTS
-        obstacles = (
-            ('answer_begun', answer.has_begun),
-            ('may_have_run', not may_repeat),
-            ('body_used', is_used_up),
-            ('attempts', routed.runs >= route.max_attempts),
-            ('sends', len(routed.tried) >= most),
-            ('deadline', self._left_s(routed) < least_s),
-            ('budget', not self._is_affordable(routed, failure)),
-        )
-        return next((name for name, is_met in obstacles if is_met), '')
-
-    def _is_affordable(
-        self,
-        routed: RoutedRequest,
-        failure: RequestError,
-    ) -> bool:
-        # A request that never arrived is no retry where it goes next.
-        is_free = failure.kind is ErrorKind.UPSTREAM_UNREACHABLE
-        return is_free or self._has_budget(routed)
-
     def _note_moved(
         self,
         routed: RoutedRequest,
         failure: RequestError,
-        answer: HeldAnswer,
     ) -> None:
         if failure.kind is not ErrorKind.UPSTREAM_MOVED:
             return
@@ -248,10 +205,5 @@
     def _left_s(self, routed: RoutedRequest) -> float:
         return max(routed.deadline - self._parts.clock.now(), 0)
 
-    def _budget_left(self, routed: RoutedRequest) -> float:
-        members = self._parts.count_gateways()
-        left = self._parts.budget.left(routed.service, members)
-        return round(left, 1)
-
     def _leave(self) -> None:
         self.in_flight -= 1
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -1,6 +1,7 @@
 """Small pages of a gateway: readiness, look-up and metrics."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Mapping
 from urllib.parse import urlsplit
 
@@ -20,6 +21,8 @@
 __all__ = ('Page', 'PageExchange', 'open_pages')
 
 _TEXT = 'text/plain; charset=utf-8'
+#: Seconds for an asker to take a page.
+_WRITE_S = 5
 
 
 @attrs.frozen
@@ -42,12 +45,10 @@
         self,
         writer: AnswerWriter,
         pages: Mapping[str, MakePage],
-        write_s: float,
     ) -> None:
-        """Answer one request within `write_s`."""
+        """Answer one request."""
         super().__init__(writer)
         self._pages = pages
-        self._write_s = write_s
 
     async def run(self) -> None:
         """Answer the request whose head is set."""
@@ -63,7 +64,7 @@
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with an error's status and its kind as text."""
-        text = f'{error.kind.value}\n'.encode()
+        text = error.kind.value.encode()
         headers = (('Content-Type', _TEXT),)
         await self._write(error.answer.status, headers, text)
 
@@ -74,7 +75,7 @@
         body: bytes,
     ) -> None:
         try:
-            async with asyncio.timeout(self._write_s):
+            async with asyncio.timeout(_WRITE_S):
                 await self.writer.write_own(status, headers, body)
         except TimeoutError as failure:
             abort_stream(self.writer.stream)
@@ -87,17 +88,8 @@
     counters: Counters,
 ) -> CallerServer:
     """Listen at IP:port with pages by path."""
-    parts = ListenerParts(_never, counters)
-
-    def make_exchange(writer: AnswerWriter) -> PageExchange:
-        return PageExchange(writer, pages, parts.limits.write_s)
-
-    parts.make_exchange = make_exchange
-    server = CallerServer(parts)
+    make_exchange = functools.partial(PageExchange, pages=pages)
+    server = CallerServer(ListenerParts(make_exchange, counters))
     host, _, port = address.rpartition(':')
     server.open(int(port), host)
     return server
-
-
-def _never(writer: AnswerWriter) -> Exchange:
-    raise NotImplementedError
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -76,6 +76,7 @@
         """Take reports from now on; `run` sends them."""
         self.is_ready = False
         self._parts = parts
+        self._load = parts.balancer.known.load
         self._followers = MappingProxyType(
             {follower.prefix: follower for follower in followers},
         )
@@ -92,7 +93,7 @@
         while True:
             self.report()
             self._note_silent()
-            self._parts.balancer.load.forget_peers()
+            self._load.forget_peers()
             self._ask()
             await self._parts.clock.sleep(REPORT_S)
 
@@ -102,7 +103,7 @@
             prefix: follower.mark
             for prefix, follower in self._followers.items()
         }
-        counts = self._parts.balancer.load.own_counts()
+        counts = self._load.own_counts()
         body = LoadReport(self.is_ready, counts, marks)
         if len(self._parts.peers.live()) <= _ALL_MEMBERS:
             self._parts.peers.broadcast(body)
@@ -123,7 +124,7 @@
         before = self._seen.get(sender)
         now = self._parts.clock.now()
         self._seen[sender] = _Seen(now, report.is_ready)
-        self._parts.balancer.load.take_peer(sender, report.in_flight)
+        self._load.take_peer(sender, report.in_flight)
         if before is None or before.is_silent:
             away_s = now - before.at if before else 0
             self._tell(sender, 'up', away_s)
@@ -172,7 +173,7 @@
             return
         listed = [
             [stored.key, stored.body, stored.uid, stored.version]
-            for stored in follower.objects.values()
+            for stored in follower.by_key.values()
         ]
         reply = StateReply(
             question.prefix,
--- a/nutmegshore/gateway/registry.py
+++ b/nutmegshore/gateway/registry.py
@@ -1,7 +1,9 @@
 """The system's own instances in the platform's store."""
 
+import asyncio
 import json
 import random
+from collections.abc import Collection
 
 import attrs
 
@@ -72,16 +74,17 @@
         """Announce until it is done, then remove dead entries."""
         pause_s: float = _FIRST_PAUSE_S
         while not self._is_announced:
-            await self._parts.clock.sleep(pause_s * (1 + self._parts.rng.random()))
+            await self._pause(pause_s)
             pause_s = min(2 * pause_s, _MAX_PAUSE_S)
             try:
                 await self._announce()
             except PlatformError:
                 self._parts.counters.add('registry_failures')
         while True:
-            await self._parts.clock.sleep(_SWEEP_S * (1 + self._parts.rng.random()))
-            if min(peers.live()) == self._name and len(peers.live()) > 1:
-                await self._sweep(peers)
+            await self._pause(_SWEEP_S)
+            live = peers.live()
+            if len(live) > 1 and min(live) == self._name:
+                await self._sweep(live)
 
     async def _announce(self) -> None:
         body = json.dumps({'address': self._address}).encode()
@@ -100,15 +103,21 @@
                 )
         self._is_announced = True
 
-    async def _sweep(self, peers: Peers) -> None:
+    async def _pause(self, seconds: float) -> None:
+        """Sleep once to twice as long, so that instances take turns."""
+        jitter = 1 + self._parts.rng.random()
+        await self._parts.clock.sleep(seconds * jitter)
+
+    async def _sweep(self, live: Collection[str]) -> None:
+        """Remove the entries of instances that are dead."""
+        store = self._parts.store
         try:
-            listed = await self._parts.store.iter_objects(_PREFIX)
-            for stored in listed:
-                if _name(stored) not in peers.live():
-                    await self._parts.store.remove(
-                        stored.key,
-                        Expected.of(stored),
-                    )
+            listed = await store.iter_objects(_PREFIX)
+            dead = [stored for stored in listed if _name(stored) not in live]
+            removals = (
+                store.remove(stored.key, Expected.of(stored)) for stored in dead
+            )
+            await asyncio.gather(*removals)
         except PlatformError:
             self._parts.counters.add('registry_failures')
 
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -25,18 +25,16 @@
 
 
 class ConfigurationReplica(Replica):
-    """Adopts the operator's configuration, and never an older one."""
+    """Adopts the operator's configuration, and never an older one.
 
-    def __init__(
-        self,
-        state: FleetState,
-        log: EventLog,
-        on_adopted: Callable[[], None],
-    ) -> None:
-        """Call the function after each change."""
+    `on_adopted` is called after each change.
+    """
+
+    def __init__(self, state: FleetState, log: EventLog) -> None:
+        """Know of no configuration."""
+        self.on_adopted: Callable[[], None] | None = None
         self._state = state
         self._log = log
-        self._on_adopted = on_adopted
 
     def replace(
         self,
@@ -73,7 +71,8 @@
             stored.version,
         )
         self._log.write(event)
-        self._on_adopted()
+        if self.on_adopted is not None:
+            self.on_adopted()
 
     def _reject(self, stored: StoredObject, reason: str) -> None:
         self._log.write(ConfigurationRejected(stored.version, reason))
@@ -109,7 +108,7 @@
         self._apply(change.stored.version if change.stored else 0)
 
     def _apply(self, revision: int) -> None:
-        if self._state.set_evacuated(self._zones):
+        if self._state.replace_evacuated(self._zones):
             zones = sorted(self._zones)
             self._log.write(EvacuationChanged(zones, revision))
 
@@ -145,7 +144,7 @@
         for key, upstream in parsed.items():
             if upstream:
                 self._note(upstream, stored[key].version)
-        self._state.set_upstreams(found, is_after_outage=is_after_outage)
+        self._state.replace_upstreams(found, is_after_outage=is_after_outage)
         for instance, upstream in before.items():
             if instance not in self._state.by_id:
                 self._tell_gone(upstream)
--- a/nutmegshore/gateway/route.py
+++ b/nutmegshore/gateway/route.py
@@ -114,7 +114,7 @@
 class Configuration:
     """One version of the operator's desired state, used as a whole.
 
-        configuration.match('orders.example', '/orders/7')
+    configuration.match('orders.example', '/orders/7')
     """
 
     version: int
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -20,7 +20,7 @@
     missing after an outage of the store is kept for `MISSING_KEPT_S`, since
     entries lapse while their owners cannot reach the store.
 
-        state.set_upstreams(found, is_after_outage=True)
+        state.replace_upstreams(found, is_after_outage=True)
         state.usable('orders')
     """
 
@@ -53,7 +53,7 @@
         self.configured_at = self._clock.now()
         return True
 
-    def set_evacuated(self, zones: Iterable[str]) -> bool:
+    def replace_evacuated(self, zones: Iterable[str]) -> bool:
         """Replace the zones that get nothing; True if they changed."""
         found = frozenset(zones)
         is_new = found != self.evacuated
@@ -62,7 +62,7 @@
         self._usable.clear()
         return is_new
 
-    def set_upstreams(
+    def replace_upstreams(
         self,
         found: Iterable[Upstream],
         *,
--- /dev/null
+++ b/nutmegshore/gateway/surface.py
@@ -0,0 +1,86 @@
+"""The pages that a gateway shows: readiness, look-ups and metrics."""
+
+from collections.abc import Iterator
+
+from nutmegshore.exposition import CONTENT_TYPE, write_exposition
+from nutmegshore.gateway.assembly import Assembly
+from nutmegshore.gateway.lookup import LIFETIME_S, Directory, Gateway
+from nutmegshore.gateway.pages import Page, open_pages
+from nutmegshore.gateway.peering import Peering
+from nutmegshore.listener import CallerServer
+from nutmegshore.platform.lookup import (
+    LOOKUP_PATH,
+    READY_PATH,
+    parse_lookup,
+    write_lookup,
+)
+
+__all__ = ('Surface',)
+
+_OK = 200
+_UNAVAILABLE = 503
+_METRICS_PATH = '/metrics'
+
+
+class Surface:
+    """Answers questions about the gateway and its fleet.
+
+    surface = Surface(assembly, peering)
+    servers = surface.open()
+    """
+
+    def __init__(self, assembly: Assembly, peering: Peering) -> None:
+        """Show what the parts know."""
+        self._assembly = assembly
+        self._peering = peering
+        self._counters = assembly.outside.counters
+        self._directory = Directory(
+            self._named_gateways,
+            assembly.outside.rng,
+            assembly.settings.regions_by_zone,
+        )
+
+    def open(self) -> list[CallerServer]:
+        """Listen at the addresses of the settings."""
+        settings = self._assembly.settings
+        metrics = f'{settings.ip}:{settings.metrics_port}'
+        pages_by_address = (
+            (settings.ready, {READY_PATH: self._show_ready}),
+            (settings.lookup, {LOOKUP_PATH: self._look_up}),
+            (metrics, {_METRICS_PATH: self._show_metrics}),
+        )
+        return [
+            open_pages(address, pages, self._counters)
+            for address, pages in pages_by_address
+        ]
+
+    def _show_ready(self, target: str) -> Page:
+        if self._peering.is_ready:
+            return Page(_OK, b'ready\n')
+        return Page(_UNAVAILABLE, b'not ready\n')
+
+    def _look_up(self, target: str) -> Page:
+        addresses = self._directory.find(
+            parse_lookup(target),
+            self._assembly.state.configuration,
+        )
+        if not addresses:
+            self._counters.add('lookups_empty')
+            return Page(_UNAVAILABLE, b'no gateway is ready\n')
+        self._counters.add('lookups')
+        longest_s = self._assembly.settings.bounds.max_lookup_s
+        body = write_lookup(addresses, min(LIFETIME_S, longest_s))
+        return Page(_OK, body, 'application/json')
+
+    def _show_metrics(self, target: str) -> Page:
+        text = write_exposition(self._counters)
+        return Page(_OK, text.encode(), CONTENT_TYPE)
+
+    def _named_gateways(self) -> Iterator[Gateway]:
+        peers = self._assembly.peers
+        port = self._assembly.settings.callers.rpartition(':')[2]
+        for name, member in peers.serving().items():
+            if self._peering.is_named(name):
+                record = peers.membership.by_name[name]
+                host = record.address.rpartition(':')[0]
+                yield Gateway(member, f'{host}:{port}')
--- a/nutmegshore/platform/fields.py
+++ b/nutmegshore/platform/fields.py
@@ -15,6 +15,8 @@
 )
 
 _Table = dict[str, Any]
+#: Characters of a wrong value that an error shows.
+_SHOWN = 60
 
 
 def read_table(fields: _Table, name: str) -> _Table:
@@ -78,4 +80,5 @@
 
 
 def _wrong(name: str, found: object) -> PlatformFormatError:
-    return PlatformFormatError(f'{name}: {found!r:.60}')
+    shown = repr(found)[:_SHOWN]
+    return PlatformFormatError(f'{name}: {shown}')
--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -202,9 +202,7 @@
             return response
         if response.code == HTTPStatus.CONFLICT:
             raise VersionConflict(key, _parse_present(key, response))
-        if response.code in _REFUSED:
-            raise PlatformUnavailable(f'{key}: status {response.code}')
-        raise PlatformAnswerLost(f'{key}: status {response.code}')
+        raise _failure(key, response.code)
 
     async def _fetch(self, path: str, **options: Any) -> HTTPResponse:
         request = self._request(path, **options)
@@ -317,6 +315,13 @@
     return '', json.dumps({_SPEC: spec, _STATUS: status}).encode()
 
 
+def _failure(key: str, status: int) -> PlatformError:
+    message = f'{key}: status {status}'
+    if status in _REFUSED:
+        return PlatformUnavailable(message)
+    return PlatformAnswerLost(message)
+
+
 def _unanswered(key: str, failure: HTTPClientError) -> PlatformError:
     if getattr(failure, 'errno', None) in _NOT_SENT:
         return PlatformUnavailable(f'{key}: {failure}')
