Test the balancing decisions and the adapter without a network of its own

Change: a test file per decision with its load pattern, a stand-in of the platform's store with its faults, and tests of every format.

--- /dev/null
+++ b/tests/balancing/conftest.py
@@ -0,0 +1,138 @@
+"""Fixtures for tests of the decisions over many gateways."""
+
+import random
+from types import MappingProxyType
+
+import attrs
+import pytest
+
+from nutmegshore.balancing import Balancer, Surroundings
+from nutmegshore.balancing.choice import Wanted
+from nutmegshore.gateway.route import (
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceRules,
+    Share,
+)
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream import Upstream
+
+
+class ManualClock:
+    """A clock that moves only when a test says so."""
+
+    def __init__(self):
+        self.seconds = 100.0
+
+    def now(self):
+        return self.seconds
+
+    def wall(self):
+        return self.seconds
+
+    def advance(self, seconds):
+        self.seconds += seconds
+
+
+@pytest.fixture
+def clock():
+    """Clock that a test moves."""
+    return ManualClock()
+
+
+@pytest.fixture
+def route():
+    """Function that builds a route to `orders`, with changes."""
+
+    def build(**changes):
+        made = Route(
+            name='r1',
+            host='a.example',
+            prefix='/orders/',
+            kind=RouteKind.SAFE,
+            timeout_s=2,
+            target_latency_s=0.4,
+            shares=(Share('orders'),),
+            max_attempts=2,
+            is_sticky=True,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
+
+
+@pytest.fixture
+def upstream():
+    """Function that builds an upstream of `orders`, with changes."""
+
+    def build(name, region='west', **changes):
+        made = Upstream(
+            instance=name,
+            service='orders',
+            address='10.0.0.1:80',
+            availability_zone=f'{region}-a',
+            region=region,
+            slots=3,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
+
+
+@pytest.fixture
+def configure(route):
+    """Function that builds a configuration of routes."""
+
+    def build(*routes, version=1, cold_per_s=8):
+        rules = ServiceRules(cold_s=3, cold_per_s=cold_per_s)
+        return Configuration(
+            version,
+            routes or (route(),),
+            MappingProxyType({'orders': rules}),
+        )
+
+    return build
+
+
+@pytest.fixture
+def make_state(clock, configure):
+    """Function that builds a state with upstreams and a configuration."""
+
+    def build(*upstreams, configuration=None):
+        state = FleetState(clock)
+        state.adopt(configuration or configure())
+        state.replace_upstreams(upstreams, is_after_outage=False)
+        state.replace_evacuated(())
+        return state
+
+    return build
+
+
+@pytest.fixture
+def make_balancer(clock):
+    """Function that builds a balancer of one gateway."""
+
+    def build(state, local='g1', gateways=('g1', 'g2', 'g3'), **changes):
+        around = Surroundings(
+            clock=clock,
+            rng=random.Random(7),
+            local=local,
+            region=changes.get('region', 'west'),
+            gateways=lambda region: list(gateways),
+            max_shift=0.15,
+        )
+        return Balancer(state, around)
+
+    return build
+
+
+@pytest.fixture
+def wanted(route):
+    """Function that builds a request for an object."""
+
+    def build(key='7', **changes):
+        made = Wanted(route(), 'orders', key, 2.0)
+        return attrs.evolve(made, **changes)
+
+    return build
--- /dev/null
+++ b/tests/balancing/test_budget.py
@@ -0,0 +1,38 @@
+"""Tests of the shared budget of retries.
+
+Load pattern: every upstream refuses everything, and each gateway retries
+whenever it may.
+"""
+
+import pytest
+
+from nutmegshore.balancing.budget import RetryBudget
+
+
+def _make(clock):
+    return RetryBudget(clock, ratio=0.2, window_s=10, extra=60)
+
+
+@pytest.mark.parametrize('members', [1, 9, 60])
+def test_all_gateways_stay_within_the_budget(clock, members):
+    """Guards against per-process budgets that add up over the fleet."""
+    budgets = [_make(clock) for _ in range(members)]
+    retries = 0
+    for _ in range(100):
+        for budget in budgets:
+            budget.note_request('orders')
+            if budget.may_retry('orders', members):
+                budget.note_retry('orders')
+                retries += 1
+        clock.advance(0.1)
+    assert retries <= 0.2 * 100 * members + 60
+
+
+def test_a_retry_counts_for_the_window(clock):
+    """Guards against a budget that is never given back."""
+    budget = RetryBudget(clock, ratio=0, window_s=10, extra=2.5)
+    budget.note_retry('orders')
+    budget.note_retry('orders')
+    assert not budget.may_retry('orders', 1)
+    clock.advance(10.1)
+    assert budget.may_retry('orders', 1)
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,79 @@
+"""Tests of the headers between callers, the system and upstreams."""
+
+import pytest
+
+from nutmegshore.errors import ErrorKind
+from nutmegshore.listener.headers import parse_head
+from nutmegshore.platform.dialect import (
+    PlatformDialect,
+    read_caller_fields,
+    read_load,
+    write_caller_headers,
+)
+from nutmegshore.upstreams import AnswerHead
+
+_STAMP = ('Server-Stamp', '3e1b')
+_ID = ('Request-Id', 'r1')
+
+
+def _answer(status, *headers):
+    return AnswerHead(status, headers)
+
+
+@pytest.mark.parametrize(
+    ('head', 'is_answer'),
+    [
+        (_answer(200, _ID, _STAMP), True),
+        (_answer(500, _ID), True),
+        (_answer(200, _ID), False),
+        (_answer(200, _STAMP), False),
+        (_answer(200, ('Request-Id', 'r0'), _STAMP), False),
+        (_answer(200, _ID, _STAMP, ('Content-Encoding', 'gzip')), False),
+    ],
+)
+def test_only_the_answer_to_the_request_is_accepted(head, is_answer):
+    """Guards against a late second answer passed to the next caller, and
+    against a body that was altered on the way."""
+    assert PlatformDialect().is_answer_to(head, 'r1') is is_answer
+
+
+@pytest.mark.parametrize(
+    ('head', 'kind'),
+    [
+        (_answer(503, ('Not-Run', '1')), ErrorKind.UPSTREAM_REFUSED),
+        (_answer(429, ('Not-Run', '1')), ErrorKind.UPSTREAM_REFUSED),
+        (_answer(421), ErrorKind.UPSTREAM_MOVED),
+        (_answer(503), None),
+        (_answer(500), None),
+    ],
+)
+def test_only_the_upstream_says_that_it_did_not_run(head, kind):
+    """Guards against a bare 503 taken for a promise."""
+    assert PlatformDialect().read_refusal(head) is kind
+
+
+def test_callers_do_not_set_the_systems_headers():
+    """Guards against a caller that names the instance or the deadline."""
+    headers = (('Expect-Instance', 'i-1'), ('Deadline-Ms', '9'), ('A', 'b'))
+    assert write_caller_headers(headers) == (('A', 'b'),)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'left_ms'),
+    [('2500', 2500), ('', None), ('-1', None), ('x', None), ('9' * 12, None)],
+)
+def test_a_deadline_is_a_whole_number(raw, left_ms):
+    """Guards against an unreadable deadline that refuses a request."""
+    head = parse_head(
+        f'GET / HTTP/1.1\r\nHost: a\r\nDeadline-Ms: {raw}'.encode()
+    )
+    assert read_caller_fields(head).left_ms == left_ms
+
+
+@pytest.mark.parametrize(
+    ('raw', 'busy'),
+    [('3,2,8', 5), ('3,0', None), ('a,b,c', None), ('', None)],
+)
+def test_a_load_report_counts_running_and_waiting(raw, busy):
+    """Guards against slots counted as load."""
+    assert read_load(_answer(200, ('Server-Load', raw))) == busy
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,146 @@
+"""Tests of the formats of the platform's objects."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from nutmegshore.errors import PlatformFormatError
+from nutmegshore.gateway.route import RouteKind
+from nutmegshore.platform.configuration import parse_configuration
+from nutmegshore.platform.lookup import parse_lookup, write_lookup
+from nutmegshore.platform.registration import parse_upstream
+
+_ZONES = {'west-a': 'west'}
+_ROUTE = {
+    'Host': 'A.example',
+    'PathPrefix': '/x/',
+    'Kind': 'unsafe',
+    'TimeoutS': 2,
+    'TargetLatencyS': 0.4,
+    'Priority': 1,
+    'Service': 'orders',
+    'MaxAttempts': 2,
+    'Sticky': True,
+    'HomeRegions': [],
+}
+_ENTRY = {
+    'Addr': '10.0.0.9:80',
+    'born': 1700000000000,
+    'Info': {
+        'Service': 'orders',
+        'Version': 'v1',
+        'Zone': 'west-a',
+        'Slots': 5,
+    },
+    'Status': {'State': 'ready', 'Sequence': 4, 'ColdLeftS': 1.5},
+}
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ['Addr', 'Info', 'Status', 'Zone', 'Slots', 'State']
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def _configuration(**changes):
+    spec = {
+        'Version': '0000000c',
+        'Routes': {'r1': {**_ROUTE, **changes}},
+        'Services': {'orders': {'MaxConns': 360, 'ColdS': 3, 'ColdPerS': 7.4}},
+        'Limits': {'MaxHeaderBytes': 100, 'IdleTimeoutS': 15},
+    }
+    return json.dumps({'Spec': spec, 'Status': None}).encode()
+
+
+def _entry(**changes):
+    return json.dumps({'Spec': {**_ENTRY, **changes}}).encode()
+
+
+def test_a_configuration_is_read_whole():
+    """Guards against a field that is left at its default."""
+    found = parse_configuration(_configuration())
+    route = found.match('a.example:80', '/x/y?z=1')
+    assert found.version == 12
+    assert route.kind is RouteKind.UNSAFE
+    assert (route.timeout_s, route.target_latency_s) == (2, 0.4)
+    assert (route.max_attempts, route.rank, route.is_sticky) == (2, 1, True)
+    assert found.rules('orders').cold_per_s == 7.4
+    assert found.limits.header_bytes == 100
+    assert found.limits.idle_s == 15
+
+
+def test_a_split_is_read_with_its_weights():
+    """Guards against a split whose parts are taken for equal."""
+    parts = [
+        {'Service': 'a', 'Weight': 90},
+        {'Service': 'b', 'Weight': 10},
+    ]
+    found = parse_configuration(_configuration(TrafficSplit=parts))
+    weights = {one.service: one.weight for one in found.routes[0].shares}
+    assert weights == {'a': 90, 'b': 10}
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [{'Kind': 'other'}, {'TimeoutS': 'x'}, {'Host': 7}, {'Sticky': 'yes'}],
+)
+def test_a_wrong_field_rejects_the_configuration(changes):
+    """Guards against a configuration that is adopted in part."""
+    with pytest.raises(PlatformFormatError):
+        parse_configuration(_configuration(**changes))
+
+
+def test_a_registration_is_read():
+    """Guards against a field that is taken from the wrong place."""
+    found = parse_upstream('servers/i-1', _entry(), _ZONES)
+    assert found.instance == 'i-1'
+    assert (found.service, found.region, found.slots) == ('orders', 'west', 5)
+    assert found.cold_left_s == 1.5
+    assert found.born_ms == 1700000000000
+    assert not found.is_draining
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'Addr': None},
+        {'Addr': 'host:80'},
+        {'Addr': '10.0.0.9:x'},
+        {'Info': {'Service': 'orders', 'Zone': 'moon', 'Slots': 1}},
+        {'Info': 'orders'},
+        {'Status': {'State': 'great'}},
+        {'Status': {'State': 7}},
+    ],
+)
+def test_a_forged_registration_is_rejected(changes):
+    """Guards against sending work to an entry of another writer."""
+    with pytest.raises(PlatformFormatError):
+        parse_upstream('servers/i-1', _entry(**changes), _ZONES)
+
+
+@given(spec=_JSON)
+def test_any_registration_is_read_or_rejected(spec):
+    """Guards against an entry that ends the process that reads it."""
+    body = json.dumps({'Spec': spec}).encode()
+    try:
+        parse_upstream('servers/i-1', body, _ZONES)
+    except PlatformFormatError as error:
+        assert str(error)
+
+
+def test_a_lookup_is_read_and_answered():
+    """Guards against an answer that callers count as a failure."""
+    question = parse_lookup('/resolve?Name=a.example&Region=west&Zone=west-a')
+    assert (question.host, question.region) == ('a.example', 'west')
+    answer = json.loads(write_lookup(['10.0.0.1:80'], 2))
+    assert answer == {'Addrs': ['10.0.0.1:80'], 'TtlS': 2}
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,129 @@
+"""Tests of the store's client against the stand-in."""
+
+import asyncio
+
+import pytest
+
+from nutmegshore.errors import (
+    HistoryLost,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from nutmegshore.store import Expected
+
+
+def test_a_listing_spans_pages(serve_store):
+    """Guards against objects lost between two pages of a listing."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            for number in range(1203):
+                store.put('servers', f'i-{number:04}', {'n': number})
+            listing = await client.read_listing('servers/')
+            assert len({one.key for one in listing.listed}) == 1203
+            assert listing.position == store.revision
+            assert store.calls == 3
+
+    asyncio.run(session())
+
+
+def test_a_watch_delivers_changes_and_removals(serve_store):
+    """Guards against a removal that is read as a change."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            store.put('servers', 'i-1', {})
+            before = store.revision
+            store.put('servers', 'i-2', {})
+            store.put('config', 'main', {})
+            store.delete('servers', 'i-1')
+            found = await client.watch('servers/', before)
+            changed = [(one.key, one.stored is None) for one in found.changes]
+            assert changed == [('servers/i-2', False), ('servers/i-1', True)]
+            assert found.position == store.revision
+
+    asyncio.run(session())
+
+
+def test_a_watch_without_changes_returns(serve_store):
+    """Guards against a watch that hangs until a change comes."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            found = await client.watch('servers/', store.revision)
+            assert found.changes == ()
+
+    asyncio.run(session())
+
+
+def test_lost_history_is_told_apart(serve_store):
+    """Guards against watching on from a position that the store forgot."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            before = store.revision
+            store.put('servers', 'i-1', {})
+            store.compact()
+            with pytest.raises(HistoryLost):
+                await client.watch('servers/', before)
+
+    asyncio.run(session())
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+def test_a_refused_read_raises(serve_store, status):
+    """Guards against an error page taken for an empty listing."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            store.faults.status = status
+            with pytest.raises(PlatformUnavailable):
+                await client.read_listing('servers/')
+
+    asyncio.run(session())
+
+
+def test_a_lost_answer_is_settled_by_the_operation(serve_store):
+    """Guards against a write that is taken for another's after its answer
+    was lost."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            store.faults.lost_answers = 1
+            with pytest.raises(PlatformAnswerLost):
+                await client.write('gateways/g1', b'{"a":1}', None, 'op-1')
+            again = await client.write('gateways/g1', b'{"a":1}', None, 'op-1')
+            assert again.operation == 'op-1'
+            with pytest.raises(VersionConflict) as conflict:
+                await client.write('gateways/g1', b'{"a":2}', None, 'op-2')
+            assert conflict.value.present.body == b'{"a": 1}'
+
+    asyncio.run(session())
+
+
+def test_a_write_at_an_old_revision_conflicts(serve_store):
+    """Guards against overwriting a change of another instance."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            first = await client.write('gateways/g1', b'1', None, 'op-1')
+            await client.write('gateways/g1', b'2', Expected.of(first), 'op-2')
+            with pytest.raises(VersionConflict):
+                await client.remove('gateways/g1', Expected.of(first))
+            assert (await client.read('gateways/g1')).body == b'2'
+
+    asyncio.run(session())
+
+
+def test_a_dead_store_is_unavailable():
+    """Guards against a write taken for lost that was never sent."""
+    from nutmegshore.platform.store import PlatformStore
+
+    async def session():
+        client = PlatformStore('127.0.0.1:1')
+        with pytest.raises(PlatformUnavailable):
+            await client.write('gateways/g1', b'1', None, 'op-1')
+        client.close()
+
+    asyncio.run(session())
