Tell the story of a request from logs, reload settings, run as a command

Cause: on-call has only logs and metrics, and settings may change without a signal. Change: nutmegshore trace and log-summary (tracing), nutmegshore gateway, reload of bounds and seeds on SIGHUP or a changed file, tests of the gateway. Measured: pytest of gateway, tracing, commands, balancing, platform green; lint of the new tests is still open.

--- a/nutmegshore/balancing/budget.py
+++ b/nutmegshore/balancing/budget.py
@@ -31,11 +31,15 @@
     ) -> None:
         """Budget of a deployment: ratio, window in seconds, extra retries."""
         self._clock = clock
+        self.resize(ratio, window_s, extra)
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
+
+    def resize(self, ratio: float, window_s: float, extra: float) -> None:
+        """Replace the figures of the budget."""
         self._ratio = ratio
         self._window_s = window_s
         self._extra = extra
-        self._requests: dict[str, collections.deque[float]] = {}
-        self._retries: dict[str, collections.deque[float]] = {}
 
     def note_request(self, service: str) -> None:
         """Count a caller's request to a service."""
--- a/nutmegshore/balancing/spill.py
+++ b/nutmegshore/balancing/spill.py
@@ -45,8 +45,12 @@
     def __init__(self, clock: Clock, max_shift: float) -> None:
         """Bound the change of the part between two windows."""
         self._clock = clock
-        self._slope = max_shift * _USED_PART / _WINDOW_S
         self._by_service: dict[str, _Spill] = {}
+        self.limit(max_shift)
+
+    def limit(self, max_shift: float) -> None:
+        """Replace the bound on the change of the part between windows."""
+        self._slope = max_shift * _USED_PART / _WINDOW_S
 
     def part(self, service: str) -> float:
         """Part of the requests that goes elsewhere, from 0 to 1."""
--- a/nutmegshore/commands/application.py
+++ b/nutmegshore/commands/application.py
@@ -6,9 +6,14 @@
 from cleo.exceptions import CleoError
 from cleo.io.io import IO
 
+from nutmegshore import __version__
 from nutmegshore.commands.apply import ApplyCommand
 from nutmegshore.commands.base import Context, ExitCode
-from nutmegshore.commands.daemon import EntryCommand, PlatformCommand
+from nutmegshore.commands.daemon import (
+    EntryCommand,
+    GatewayCommand,
+    PlatformCommand,
+)
 from nutmegshore.commands.demo import DemoCommand
 from nutmegshore.commands.intents import DrainCommand, ShiftCommand
 from nutmegshore.commands.local import (
@@ -17,6 +22,7 @@
     ObjectsCommand,
     TokenCommand,
 )
+from nutmegshore.commands.logs import SummaryCommand, TraceCommand
 from nutmegshore.commands.objects import (
     DeleteCommand,
     GetCommand,
@@ -26,8 +32,6 @@
 
 __all__ = ('COMMANDS', 'make_application')
 
-_VERSION = '0.1.0'
-
 COMMANDS = (
     ApplyCommand,
     CheckCommand,
@@ -37,12 +41,15 @@
     EntryCommand,
     ExampleCommand,
     ExplainCommand,
+    GatewayCommand,
     GetCommand,
     ObjectsCommand,
     PlatformCommand,
     ShiftCommand,
     StatusCommand,
+    SummaryCommand,
     TokenCommand,
+    TraceCommand,
     WatchCommand,
 )
 
@@ -51,7 +58,7 @@
     """Answers a wrong command line with the exit code for invalid input."""
 
     def __init__(self) -> None:
-        super().__init__('nutmegshore', _VERSION)
+        super().__init__('nutmegshore', __version__)
         self.auto_exits(auto_exits=False)
         self._is_misused = False
 
--- a/nutmegshore/commands/daemon.py
+++ b/nutmegshore/commands/daemon.py
@@ -12,12 +12,13 @@
 from nutmegshore.commands.base import BaseCommand, UsageError, text_option
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.errors import SettingsError
+from nutmegshore.gateway.run import run_gateway
 from nutmegshore.logs import configure_logs, get_logger
+from nutmegshore.settings import EntrySettings, read_settings
 from nutmegshore.store import MemoryStore
 from nutmegshore.store.standin import make_standin
-from nutmegshore.settings import EntrySettings, read_settings
 
-__all__ = ('EntryCommand', 'PlatformCommand')
+__all__ = ('EntryCommand', 'GatewayCommand', 'PlatformCommand')
 
 _LOOPBACK = '127.0.0.1'
 _MAX_PORT = 65_535
@@ -46,6 +47,26 @@
         return 0
 
 
+class GatewayCommand(BaseCommand):
+    """Runs a gateway on the users' platform until SIGTERM or SIGINT."""
+
+    name = 'gateway'
+    description = "Run a gateway, the daemon on the users' platform."
+    help = (
+        'SIGTERM and SIGINT stop it within the grace time of the settings.'
+        ' SIGHUP, or a change of the file, takes its bounds and seeds.'
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument('settings', 'Path of the INI file.'),
+    ]
+
+    def run_command(self) -> int:
+        """Check the settings, run the gateway, and stop it on a signal."""
+        configure_logs()
+        run_gateway(self.argument('settings'))
+        return 0
+
+
 class PlatformCommand(BaseCommand):
     """Runs the stand-in of the platform for trials; it keeps nothing."""
 
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -82,6 +82,18 @@
             if region in {'', member.region}
         ]
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Use the bounds and seeds of reloaded settings."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.parts.budget.resize(
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.extra_retries,
+        )
+        self.balancer.spills.limit(bounds.max_shift)
+        self.registry.seeds = _peer_addresses(settings)
+
     def _make_registry(self) -> Registry:
         settings = self.settings
         outside = self.outside
@@ -91,11 +103,8 @@
             outside.rng,
             outside.counters,
         )
-        seeds = tuple(
-            _with_port(address, settings.peer_port)
-            for address in settings.seeds
-        )
         own = _with_port(settings.callers, settings.peer_port)
+        seeds = _peer_addresses(settings)
         return Registry(parts, settings.name, own, seeds)
 
     def _make_peers(self) -> MeshPeers:
@@ -176,6 +185,13 @@
         self.balancer.known.load.take_report(name, busy)
 
 
+def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
+    """Addresses at which the seeds of the settings talk to peers."""
+    return tuple(
+        _with_port(address, settings.peer_port) for address in settings.seeds
+    )
+
+
 def _with_port(address: str, port: int) -> str:
     """The same IP number with another port."""
     host = address.rpartition(':')[0]
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -3,11 +3,18 @@
 import asyncio
 import random
 
+import attrs
+
 from nutmegshore import __version__
 from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.assembly import Assembly, Outside
-from nutmegshore.gateway.events import Started, Stopped, Stopping
+from nutmegshore.gateway.events import (
+    SettingsReloaded,
+    Started,
+    Stopped,
+    Stopping,
+)
 from nutmegshore.gateway.exchange import GatewayExchange
 from nutmegshore.gateway.forward import Forwarder
 from nutmegshore.gateway.log import EventLog, LineWriter
@@ -113,6 +120,26 @@
         self._outside.log.write(Stopped(self._forwarder.in_flight))
         await self._close()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take bounds and seeds from new settings.
+
+        Names, places and addresses need a restart; a change of these is
+        reported and the old ones stay in use.
+        """
+        kept = attrs.evolve(
+            self._settings,
+            bounds=settings.bounds,
+            seeds=settings.seeds,
+        )
+        is_whole = kept == settings
+        self._settings = kept
+        self._assembly.take_settings(kept)
+        self.report_reload('' if is_whole else 'other changes need a restart')
+
+    def report_reload(self, fault: str) -> None:
+        """Log the end of a reload; without a fault the settings are used."""
+        self._outside.log.write(SettingsReloaded(fault))
+
     def _spawn_all(self) -> None:
         assembly = self._assembly
         for follower in assembly.followers:
--- a/nutmegshore/gateway/registry.py
+++ b/nutmegshore/gateway/registry.py
@@ -54,7 +54,7 @@
         self._parts = parts
         self._name = name
         self._address = address
-        self._seeds = seeds
+        self.seeds = seeds
         self._is_announced = False
 
     async def read_seeds(self) -> dict[str, str]:
@@ -124,7 +124,7 @@
     def _unnamed_seeds(self) -> dict[str, str]:
         return {
             f'seed {address}': address
-            for address in self._seeds
+            for address in self.seeds
             if address != self._address
         }
 
--- /dev/null
+++ b/nutmegshore/gateway/run.py
@@ -0,0 +1,96 @@
+"""Running of a gateway as a process: signals and changes of its settings."""
+
+import asyncio
+import pathlib
+import signal
+
+from nutmegshore.errors import SettingsError
+from nutmegshore.gateway.assembly import Outside
+from nutmegshore.gateway.daemon import GatewayDaemon, make_outside
+from nutmegshore.gateway.settings import GatewaySettings, read_settings
+
+__all__ = ('SETTINGS_VARIABLE', 'run_gateway')
+
+#: Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = 'NUTMEGSHORE_NODE_FILE'
+#: Seconds between two looks at the settings file, which may change without a
+#: signal.
+_LOOK_S = 1
+
+
+def run_gateway(path: str) -> None:
+    """Run a gateway until SIGTERM or SIGINT; raises `SettingsError`.
+
+    SIGHUP, and a settings file with other contents, reload the settings.
+    """
+    asyncio.run(_Process(pathlib.Path(path)).run())
+
+
+class _Process:
+    """A daemon with the file that it is set up by."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._text = ''
+        self._stop = asyncio.Event()
+        self._reload = asyncio.Event()
+
+    async def run(self) -> None:
+        """Start, wait for a signal, and stop."""
+        daemon = GatewayDaemon(*self._prepare())
+        self._handle_signals()
+        start = asyncio.ensure_future(daemon.start())
+        watch = asyncio.ensure_future(self._follow_settings(daemon))
+        stopped = asyncio.ensure_future(self._stop.wait())
+        await asyncio.wait(
+            (start, stopped),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if start.done():
+            start.result()
+        await stopped
+        start.cancel()
+        watch.cancel()
+        await daemon.stop()
+
+    def _prepare(self) -> tuple[GatewaySettings, Outside]:
+        self._text = self._path.read_text(encoding='utf-8')
+        settings = read_settings(self._text)
+        return settings, make_outside(settings)
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+
+    async def _follow_settings(self, daemon: GatewayDaemon) -> None:
+        while True:
+            is_asked = await _happens(self._reload, _LOOK_S)
+            self._reload.clear()
+            self._look(daemon, is_asked=is_asked)
+
+    def _look(self, daemon: GatewayDaemon, *, is_asked: bool) -> None:
+        """Reload settings that changed, or that a signal speaks of."""
+        try:
+            text = self._path.read_text(encoding='utf-8')
+        except OSError as failure:
+            daemon.report_reload(f'{self._path.name}: {failure.strerror}')
+            return
+        if text == self._text and not is_asked:
+            return
+        self._text = text
+        try:
+            settings = read_settings(text)
+        except SettingsError as error:
+            daemon.report_reload(str(error))
+            return
+        daemon.reload(settings)
+
+
+async def _happens(event: asyncio.Event, within_s: float) -> bool:
+    try:
+        async with asyncio.timeout(within_s):
+            return await event.wait()
+    except TimeoutError:
+        return False
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,196 @@
+"""Fixtures for tests of the gateway."""
+
+import asyncio
+import json
+import random
+from types import MappingProxyType
+
+import attrs
+import pytest
+
+from nutmegshore.balancing import Balancer, Surroundings
+from nutmegshore.balancing.budget import RetryBudget
+from nutmegshore.balancing.split import SplitTable
+from nutmegshore.clock import SystemClock
+from nutmegshore.counters import Counters
+from nutmegshore.errors import RequestError
+from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.parts import GatewayParts
+from nutmegshore.gateway.route import (
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceRules,
+    Share,
+)
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream import Upstream
+from nutmegshore.platform.dialect import PlatformDialect
+from nutmegshore.upstreams import AnswerHead, UpstreamClient
+
+
+class ListWriter:
+    """Keeps the lines of a log."""
+
+    def __init__(self):
+        self.waiting_bytes = 0
+        self.lines = []
+
+    def info(self, line):
+        self.lines.append(json.loads(line))
+
+    def named(self, event):
+        return [line for line in self.lines if line['event'] == event]
+
+
+@attrs.define
+class Step:
+    """How one attempt goes: an error kind, or an answer's head and body.
+
+    `after_s` passes before that; None waits for ever.
+    """
+
+    failure: object = None
+    status: int = 200
+    headers: tuple = (('Server-Stamp', 's'),)
+    body: bytes = b'ok'
+    after_s: float | None = 0
+
+
+class ScriptedUpstreams(UpstreamClient):
+    """Plays one step per attempt, the last one again and again."""
+
+    def __init__(self, *steps):
+        self.dialect = PlatformDialect()
+        self.steps = list(steps) or [Step()]
+        self.sent = []
+        self.bodies = []
+        self.cancelled = 0
+
+    async def send(self, name, upstream, request, receiver):
+        self.sent.append((name, request))
+        number = min(len(self.sent), len(self.steps))
+        step = self.steps[number - 1]
+        if request.body is not None:
+            pieces = [piece async for piece in request.body.chunks()]
+            self.bodies.append(b''.join(pieces))
+        try:
+            await _wait(step.after_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if step.failure is not None:
+            raise RequestError(step.failure, name)
+        headers = (('Request-Id', request.request_id), *step.headers)
+        head = AnswerHead(step.status, headers)
+        refusal = self.dialect.read_refusal(head)
+        if refusal is not None:
+            raise RequestError(refusal, name)
+        await receiver.begin(head)
+        await receiver.receive(step.body)
+        return head
+
+
+async def _wait(seconds):
+    if seconds is None:
+        await asyncio.Event().wait()
+    elif seconds:
+        await asyncio.sleep(seconds)
+
+
+@pytest.fixture
+def step():
+    """Class of steps of scripted upstreams."""
+    return Step
+
+
+@pytest.fixture
+def scripted():
+    """Class of scripted upstreams."""
+    return ScriptedUpstreams
+
+
+@pytest.fixture
+def lines():
+    """Writer that keeps log lines."""
+    return ListWriter()
+
+
+@pytest.fixture
+def make_log(lines):
+    """Function that builds a log into `lines`."""
+
+    def build(clock, counters=None, bytes_per_s=1_000_000):
+        counters = counters or Counters()
+        return EventLog(lines, 'g1', clock, counters, bytes_per_s)
+
+    return build
+
+
+@pytest.fixture
+def route():
+    """Function that builds a route to `orders`, with changes."""
+
+    def build(**changes):
+        made = Route(
+            name='r1',
+            host='a.example',
+            prefix='/orders/',
+            kind=RouteKind.SAFE,
+            timeout_s=2,
+            target_latency_s=0.4,
+            shares=(Share('orders'),),
+            max_attempts=2,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
+
+
+@pytest.fixture
+def upstream():
+    """Function that builds an upstream of `orders`, with changes."""
+
+    def build(name, **changes):
+        made = Upstream(
+            instance=name,
+            service='orders',
+            address='10.0.0.1:80',
+            availability_zone='west-a',
+            region='west',
+            slots=3,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
+
+
+@pytest.fixture
+def make_parts(make_log, upstream, route):
+    """Function that builds the parts of a gateway with three upstreams."""
+
+    def build(upstreams, clock=None, routes=(), extra_retries=60):
+        clock = clock or SystemClock()
+        counters = Counters()
+        state = FleetState(clock)
+        rules = MappingProxyType({'orders': ServiceRules()})
+        state.adopt(Configuration(1, tuple(routes) or (route(),), rules))
+        found = [upstream(name) for name in ('u1', 'u2', 'u3')]
+        state.replace_upstreams(found, is_after_outage=False)
+        state.replace_evacuated(())
+        rng = random.Random(7)
+        around = Surroundings(clock, rng, 'g1', 'west', lambda region: [], 0.15)
+        return GatewayParts(
+            state=state,
+            balancer=Balancer(state, around),
+            budget=RetryBudget(clock, 0.2, 10, extra_retries),
+            splits=SplitTable(),
+            upstreams=upstreams,
+            dialect=upstreams.dialect,
+            clock=clock,
+            counters=counters,
+            log=make_log(clock, counters),
+            count_gateways=lambda: 1,
+        )
+
+    return build
--- /dev/null
+++ b/tests/gateway/test_exchange.py
@@ -0,0 +1,270 @@
+"""Tests of requests through the gateway's listener over real sockets."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from nutmegshore.errors import ErrorKind
+from nutmegshore.gateway.exchange import GatewayExchange
+from nutmegshore.gateway.forward import Forwarder
+from nutmegshore.gateway.route import RouteKind
+from nutmegshore.listener import CallerServer, ListenerParts
+
+_GET = (
+    b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r7\r\n'
+    b'Affinity-Key: 7\r\nDeadline-Ms: 1500\r\nConnection: close\r\n\r\n'
+)
+_POST = (
+    b'POST /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r8\r\n'
+    b'Deadline-Ms: 1500\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody'
+)
+
+
+@contextlib.asynccontextmanager
+async def _listening(parts):
+    forwarder = Forwarder(parts)
+    listener = ListenerParts(
+        lambda writer: GatewayExchange(writer, parts, forwarder, listener),
+        parts.counters,
+    )
+    server = CallerServer(listener)
+    port = server.open(0, '127.0.0.1')
+    try:
+        yield port
+    finally:
+        await server.close_all_connections()
+
+
+async def _talk(parts, sent):
+    async with _listening(parts) as port:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(sent)
+        received = await reader.read()
+        writer.close()
+    return received
+
+
+def _play(parts, sent):
+    return asyncio.run(_talk(parts, sent))
+
+
+def test_an_answer_is_passed_on_unchanged(make_parts, scripted, step, lines):
+    """Guards against a status, body or stamp that differs from the
+    upstream's."""
+    upstreams = scripted(step(status=201, body=b'whole'))
+    received = _play(make_parts(upstreams), _GET)
+    assert received.startswith(b'HTTP/1.1 201 ')
+    assert b'Server-Stamp: s\r\n' in received
+    assert received.endswith(b'\r\n\r\nwhole')
+    served = lines.named('request_served')
+    assert [line['request'] for line in served] == ['r7']
+
+
+def test_a_failure_of_the_upstream_is_passed_on(make_parts, scripted, step):
+    """Guards against an own status under an upstream's stamp."""
+    received = _play(make_parts(scripted(step(status=500))), _GET)
+    assert received.startswith(b'HTTP/1.1 500 ')
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [ErrorKind.UPSTREAM_LOST, ErrorKind.UPSTREAM_SPOILED],
+)
+def test_an_order_whose_answer_is_lost_runs_once(
+    make_parts,
+    scripted,
+    step,
+    route,
+    kind,
+):
+    """Guards against an order that is sent again after it may have run, and
+    against a status that promises that it has not."""
+    upstreams = scripted(step(failure=kind), step())
+    parts = make_parts(upstreams, routes=[route(kind=RouteKind.UNSAFE)])
+    received = _play(parts, _POST)
+    assert received.startswith(b'HTTP/1.1 502 ')
+    assert len(upstreams.sent) == 1
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_a_bare_refusal_of_an_order_promises_nothing(
+    make_parts,
+    scripted,
+    step,
+    route,
+    status,
+):
+    """Guards against passing on a status that means "not run" although the
+    upstream did not say so."""
+    upstreams = scripted(step(status=status))
+    parts = make_parts(upstreams, routes=[route(kind=RouteKind.UNSAFE)])
+    assert _play(parts, _POST).startswith(b'HTTP/1.1 502 ')
+
+
+def test_an_order_that_was_refused_goes_elsewhere(
+    make_parts,
+    scripted,
+    step,
+    route,
+):
+    """Guards against giving up an order that no upstream has run, and
+    against a repeat without its body."""
+    refused = step(status=503, headers=(('Not-Run', '1'),))
+    upstreams = scripted(refused, step())
+    parts = make_parts(upstreams, routes=[route(kind=RouteKind.UNSAFE)])
+    assert _play(parts, _POST).startswith(b'HTTP/1.1 200 ')
+    assert upstreams.bodies == [b'body', b'body']
+    names = [name for name, _ in upstreams.sent]
+    assert len(set(names)) == 2
+
+
+def test_a_read_whose_answer_is_lost_is_sent_again(make_parts, scripted, step):
+    """Guards against a failure that another upstream could have mended."""
+    upstreams = scripted(step(failure=ErrorKind.UPSTREAM_LOST), step())
+    assert _play(make_parts(upstreams), _GET).startswith(b'HTTP/1.1 200 ')
+    assert len(upstreams.sent) == 2
+
+
+def test_a_late_answer_to_another_request_is_not_passed_on(
+    make_parts,
+    scripted,
+    step,
+):
+    """Guards against a second answer given to the next caller."""
+    other = step(headers=(('Request-Id', 'r0'), ('Server-Stamp', 's')))
+    upstreams = scripted(other, step(body=b'own'))
+    received = _play(make_parts(upstreams), _GET)
+    assert received.endswith(b'own')
+
+
+def test_a_read_stays_within_its_attempts(make_parts, scripted, step):
+    """Guards against more upstreams than the route allows."""
+    upstreams = scripted(step(failure=ErrorKind.UPSTREAM_LOST))
+    assert _play(make_parts(upstreams), _GET).startswith(b'HTTP/1.1 502 ')
+    assert len(upstreams.sent) == 2
+
+
+def test_refusals_of_upstreams_stay_within_the_budget(
+    make_parts,
+    scripted,
+    step,
+):
+    """Guards against retries that multiply when every upstream refuses."""
+    refused = step(status=503, headers=(('Not-Run', '1'),))
+    upstreams = scripted(refused)
+    received = _play(make_parts(upstreams, extra_retries=0), _GET)
+    assert received.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: ' in received
+    assert len(upstreams.sent) == 1
+
+
+def test_a_moved_address_is_not_tried_again(make_parts, scripted, step):
+    """Guards against sending on to an address that another service has."""
+    upstreams = scripted(step(status=421), step())
+    parts = make_parts(upstreams)
+    assert _play(parts, _GET).startswith(b'HTTP/1.1 200 ')
+    moved = upstreams.sent[0][0]
+    usable = {one.instance for one in parts.state.usable('orders')}
+    assert moved not in usable
+    assert len(usable) == 2
+
+
+def test_an_answer_comes_at_the_routes_timeout(
+    make_parts,
+    scripted,
+    step,
+    route,
+):
+    """Guards against a request that is held past its route's time-out."""
+    upstreams = scripted(step(after_s=None))
+    parts = make_parts(upstreams, routes=[route(timeout_s=0.1)])
+    received = _play(parts, _POST)
+    assert received.startswith(b'HTTP/1.1 504 ')
+    assert upstreams.cancelled == 1
+
+
+def test_the_deadline_that_is_left_goes_to_the_upstream(make_parts, scripted):
+    """Guards against an upstream that works on after the caller's time."""
+    upstreams = scripted()
+    parts = make_parts(upstreams)
+    _play(parts, _GET)
+    left_s = upstreams.sent[0][1].deadline - parts.clock.now()
+    assert 0 < left_s <= 1.5
+
+
+def test_the_instance_and_the_callers_headers_go_to_the_upstream(
+    make_parts,
+    scripted,
+):
+    """Guards against work for an upstream whose address another has."""
+    upstreams = scripted()
+    _play(make_parts(upstreams), _GET)
+    name, request = upstreams.sent[0]
+    headers = dict(request.headers)
+    assert headers['Expect-Instance'] == name
+    assert headers['Request-Id'] == 'r7'
+    assert headers['Host'] == 'a.example'
+    assert 'Deadline-Ms' not in headers
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (_GET.replace(b'/orders/', b'/nothing/'), b'404'),
+        (_GET.replace(b'a.example', b'b.example'), b'404'),
+    ],
+)
+def test_a_request_without_a_route_is_not_found(
+    make_parts,
+    scripted,
+    sent,
+    status,
+):
+    """Guards against a request that goes to a service of another route."""
+    upstreams = scripted()
+    received = _play(make_parts(upstreams), sent)
+    assert received.startswith(b'HTTP/1.1 %b ' % status)
+    assert not upstreams.sent
+
+
+def test_nothing_is_answered_from_an_unknown_configuration(
+    make_parts,
+    scripted,
+):
+    """Guards against a 404 by a gateway that knows no configuration yet."""
+    parts = make_parts(scripted())
+    parts.state.configuration = None
+    assert _play(parts, _GET).startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_caller_that_leaves_ends_the_work(make_parts, scripted, step):
+    """Guards against upstreams at work for callers that have gone."""
+    upstreams = scripted(step(after_s=None))
+    parts = make_parts(upstreams)
+
+    async def session():
+        async with _listening(parts) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(_GET.replace(b'Connection: close\r\n', b''))
+            while not upstreams.sent:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while not upstreams.cancelled:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(asyncio.wait_for(session(), 5))
+    assert not parts.balancer.known.load.own_counts()
+
+
+def test_a_refusal_explains_itself(make_parts, scripted, lines):
+    """Guards against a failed request that no line explains."""
+    parts = make_parts(scripted())
+    parts.state.replace_upstreams((), is_after_outage=False)
+    received = _play(parts, _GET)
+    assert received.startswith(b'HTTP/1.1 503 ')
+    (line,) = lines.named('request_refused')
+    assert line['request'] == 'r7'
+    assert line['reason'] == 'no_upstream'
+    assert line['configuration'] == 1
+    assert line['retry_after_s'] > 0
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,207 @@
+"""Tests of following the store, with its faults, on virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
+from nutmegshore.errors import HistoryLost, PlatformUnavailable
+from nutmegshore.gateway.follower import FollowerParts, KindFollower, Replica
+from nutmegshore.store import Change, Changes, Listing, Platform, StoredObject
+
+
+class KeptReplica(Replica):
+    """Keeps keys as a follower delivers them."""
+
+    def __init__(self):
+        self.keys = set()
+        self.outages = []
+
+    def replace(self, listed, *, is_after_outage):
+        self.keys = {one.key for one in listed}
+        self.outages.append(is_after_outage)
+
+    def change(self, change, *, is_after_outage):
+        self.outages.append(is_after_outage)
+        if change.stored is None:
+            self.keys.discard(change.key)
+        else:
+            self.keys.add(change.key)
+
+
+class FaultyStore(Platform):
+    """A store in memory whose watches a test answers.
+
+    `failure` is raised by every call while it is set.
+    """
+
+    def __init__(self):
+        self.listing = Listing(10, ())
+        self.failure = None
+        self.lists = 0
+        self.watches = asyncio.Queue()
+
+    async def read_listing(self, prefix):
+        self.lists += 1
+        self._check()
+        return self.listing
+
+    async def watch(self, prefix, after):
+        self._check()
+        answer = await self.watches.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def _check(self):
+        if self.failure is not None:
+            raise self.failure
+
+    async def read(self, key):
+        raise NotImplementedError
+
+    async def iter_objects(self, prefix):
+        raise NotImplementedError
+
+    async def write(self, key, body, expected, operation):
+        raise NotImplementedError
+
+    async def remove(self, key, expected):
+        raise NotImplementedError
+
+    async def read_position(self):
+        raise NotImplementedError
+
+    async def read_instances(self):
+        raise NotImplementedError
+
+
+def _stored(name, version):
+    return StoredObject(f'servers/{name}', b'{}', 'uid', version, '')
+
+
+@pytest.fixture
+def follow(make_log):
+    """Context manager that runs a follower of a faulty store."""
+
+    @contextlib.asynccontextmanager
+    async def running():
+        clock = VirtualClock()
+        store = FaultyStore()
+        replica = KeptReplica()
+        parts = FollowerParts(
+            store,
+            clock,
+            random.Random(7),
+            Counters(),
+            make_log(clock),
+        )
+        follower = KindFollower('servers/', replica, parts)
+        task = asyncio.ensure_future(follower.run())
+        try:
+            yield store, follower, replica, clock
+        finally:
+            task.cancel()
+
+    return running
+
+
+def test_changes_follow_the_listing(follow):
+    """Guards against a change that is lost between listing and watch."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            store.listing = Listing(10, (_stored('a', 9),))
+            await clock.sleep(0.1)
+            assert replica.keys == {'servers/a'}
+            change = Change('servers/b', _stored('b', 11))
+            store.watches.put_nowait(Changes(11, (change,)))
+            await clock.sleep(0.1)
+            assert replica.keys == {'servers/a', 'servers/b'}
+            assert (follower.position, follower.mark) == (11, 11)
+
+    run_virtual(session)
+
+
+def test_lost_history_is_listed_again(follow):
+    """Guards against watching on past changes that the store dropped."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            await clock.sleep(0.1)
+            store.listing = Listing(20, (_stored('c', 15),))
+            store.watches.put_nowait(HistoryLost('servers'))
+            await clock.sleep(0.1)
+            assert replica.keys == {'servers/c'}
+            assert store.lists == 2
+
+    run_virtual(session)
+
+
+def test_an_outage_is_told_to_the_replica(follow, lines):
+    """Guards against entries taken for gone that lapsed in an outage, and
+    against an outage that no line reports."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            await clock.sleep(0.1)
+            store.failure = PlatformUnavailable('down')
+            store.watches.put_nowait(PlatformUnavailable('cut'))
+            await clock.sleep(4)
+            assert not follower.is_in_touch
+            store.failure = None
+            gone = Change('servers/a', None)
+            store.watches.put_nowait(Changes(12, (gone,)))
+            await clock.sleep(1)
+            assert replica.outages[-1]
+            await clock.sleep(3)
+            store.watches.put_nowait(Changes(13, (gone,)))
+            await clock.sleep(0.5)
+            assert not replica.outages[-1]
+
+    run_virtual(session)
+    assert len(lines.named('store_lost')) == 1
+    assert len(lines.named('store_regained')) == 1
+
+
+def test_a_store_that_is_down_is_not_flooded(follow):
+    """Guards against a gateway that asks a store in trouble without pause."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            store.failure = PlatformUnavailable('down')
+            await clock.sleep(10)
+            assert store.lists <= 25
+
+    run_virtual(session)
+
+
+def test_an_older_listing_of_a_peer_is_not_adopted(follow):
+    """Guards against state that goes back through a lagging peer."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            store.failure = PlatformUnavailable('refused')
+            await clock.sleep(0.1)
+            assert follower.adopt(Listing(30, (_stored('p', 25),)), 25)
+            assert not follower.adopt(Listing(29, ()), 24)
+            assert replica.keys == {'servers/p'}
+
+    run_virtual(session)
+
+
+def test_a_refresh_lists_again_at_once(follow):
+    """Guards against a watch that has gone silent without an error."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            await clock.sleep(0.1)
+            store.listing = Listing(40, (_stored('n', 40),))
+            follower.refresh()
+            await clock.sleep(0.1)
+            assert replica.keys == {'servers/n'}
+
+    run_virtual(session)
--- /dev/null
+++ b/tests/tracing/test_tracing.py
@@ -0,0 +1,99 @@
+"""Tests of reading gateways' logs."""
+
+import json
+
+import pytest
+
+from nutmegshore.tracing import (
+    estimate_offsets,
+    find_story,
+    read_records,
+    summarise,
+)
+
+
+def _line(instance, time_s, event, **fields):
+    found = {'instance': instance, 'time': time_s, **fields, 'event': event}
+    return json.dumps(found)
+
+
+@pytest.fixture
+def records():
+    """Records of two instances whose clocks are 2 s apart."""
+    lines = [
+        'collector: nonsense',
+        _line('g1', 10.0, 'configuration_adopted', revision=5, version=3),
+        _line('g1', 10.5, 'upstream_changed', revision=6, upstream='u1'),
+        _line('g1', 10.6, 'upstream_judged', upstream='u2'),
+        _line('g1', 10.7, 'store_lost', kind='servers/'),
+        '  0.3 g1 '
+        + _line(
+            'g1',
+            10.9,
+            'request_retried',
+            request='r1',
+            upstream='u1',
+            reason='upstream_lost',
+        ),
+        _line(
+            'g1',
+            11.0,
+            'request_failed',
+            request='r1',
+            route='x',
+            reason='upstream_lost',
+            attempts=[['u1', 'home', 'upstream_lost']],
+        ),
+        _line('g1', 11.1, 'configuration_adopted', revision=9, version=4),
+        _line('g2', 12.0, 'configuration_adopted', revision=5, version=3),
+        _line('g2', 12.5, 'upstream_changed', revision=6, upstream='u1'),
+    ]
+    return list(read_records(lines))
+
+
+def test_a_story_has_its_lines_and_the_beliefs_before_them(records):
+    """Guards against a story that explains a request by what came later, or
+    by upstreams that it did not touch."""
+    (story,) = find_story(records, 'r1')
+    assert story.instance == 'g1'
+    assert [line.event for line in story.lines] == [
+        'request_retried',
+        'request_failed',
+    ]
+    assert [line.event for line in story.beliefs] == [
+        'configuration_adopted',
+        'upstream_changed',
+        'store_lost',
+    ]
+    assert story.beliefs[0].get('version') == 3
+
+
+def test_clocks_are_compared_by_shared_changes(records):
+    """Guards against an order across instances that believes their clocks."""
+    offsets = estimate_offsets(records)
+    assert offsets['g2'] - offsets['g1'] == pytest.approx(2)
+
+
+def test_a_regained_store_ends_the_loss(records):
+    """Guards against an outage shown as in force after its end."""
+    more = [
+        _line('g1', 10.7, 'store_lost', kind='servers/'),
+        _line('g1', 10.8, 'store_regained', kind='servers/'),
+        _line('g1', 10.9, 'request_served', request='r2', attempts=[]),
+    ]
+    (story,) = find_story(list(read_records(more)), 'r2')
+    assert [line.event for line in story.beliefs] == ['store_regained']
+
+
+def test_an_unknown_request_has_no_story(records):
+    """Guards against a story made of other requests' lines."""
+    assert not find_story(records, 'r9')
+
+
+def test_a_summary_counts_reasons_and_attempts(records):
+    """Guards against reasons that no count shows."""
+    summary = summarise(records)
+    assert summary.events['configuration_adopted'] == 3
+    key = ('request_failed', 'upstream_lost', 'x')
+    assert summary.reasons[key] == 1
+    assert summary.attempts['upstream_lost'] == 1
