List the store together, and compare what gateways know by digests

In platform_compact the store makes changes while its watches hear nothing. A watch that waits on then hangs until the next change, past its own WaitMs; its position is before the dropped history and no 410 comes. Ruled out, each by a run with debug lines: watches cut early (none was), curl's time-out alone (fires late, and 12 s are too long), and marks of the newest revision with one timer per kind, which a report of a peer that agrees resets. Change: any gateway of the fleet lists each kind every 1.2 s, by turns; reports carry position and digest of the objects, and a gateway that lacks something lists too. A listing without news leaves the watch alone; a silent watch is given up.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -144,6 +144,7 @@
         assembly = self._assembly
         for follower in assembly.followers:
             self._tasks.spawn(follower.run())
+            self._tasks.spawn(follower.run_checks())
         self._tasks.spawn(assembly.registry.run(assembly.peers))
         self._tasks.spawn(self._peering.run())
         self._tasks.spawn(self._tick())
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import random
+import zlib
 from collections.abc import Iterable
 
 import attrs
@@ -14,6 +15,7 @@
 from nutmegshore.gateway.events import StoreLost, StoreRegained
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.store import Change, Changes, Listing, Platform, StoredObject
+from nutmegshore.store.base import WATCH_WAIT_S
 
 __all__ = ('FollowerParts', 'KindFollower', 'Replica')
 
@@ -24,6 +26,8 @@
 #: burst of changes costs few calls; the bounds on drains and configuration
 #: are 2 s and more.
 _LEAST_WATCH_S = 0.25
+#: Seconds beyond its time after which a watch is taken for silent.
+_SILENT_S = 1
 #: Seconds after the store's return in which entries may still be missing.
 _RETURN_S = 2.2
 
@@ -59,13 +63,13 @@
 class KindFollower:
     """Lists one kind, then watches it, for as long as the process lives.
 
-    `mark` is the revision of the newest change known; it is the same at all
-    gateways that know the same. `position` is where the watch goes on.
-    After a failure the watch goes on from its position if the store still
-    has the history, else everything is listed again.
+    `digest` is the same at all gateways that know the same objects, and
+    `position` is where the watch goes on; of two gateways with different
+    digests, the one with the lower position lacks something.
+    After a failure everything is listed again.
 
         follower = KindFollower('servers/', replica, parts)
-        await follower.run()
+        await asyncio.gather(follower.run(), follower.run_checks())
     """
 
     def __init__(
@@ -76,14 +80,16 @@
     ) -> None:
         """Know nothing yet."""
         self.prefix = prefix
-        self.mark = 0
+        self.digest = 0
         self.position = 0
         self.is_listed = False
         self.is_in_touch = False
         self.by_key: dict[str, StoredObject] = {}
         self._replica = replica
         self._parts = parts
-        self._refresh = asyncio.Event()
+        self._wanted = asyncio.Event()
+        self._restart = asyncio.Event()
+        self._listed_at = float('-inf')
         self._failures = 0
         self._lost_at: float | None = None
         self._regained_at = float('-inf')
@@ -98,18 +104,42 @@
                 self._needs_list = True
                 self._parts.counters.add('store_history_lost', kind=self.prefix)
             except PlatformError as failure:
+                self._needs_list = True
                 await self._pause(failure)
 
-    def refresh(self) -> None:
-        """List again at once, because a peer knows of a newer change."""
-        self._refresh.set()
+    async def run_checks(self) -> None:
+        """List whenever a check is wanted, beside the watch, until cancelled.
+
+        A store that drops its history may have made changes that no watch
+        delivers; only a listing shows them.
+        """
+        while True:
+            await self._wanted.wait()
+            try:
+                await self._list()
+            except PlatformError:
+                self._parts.counters.add(
+                    'store_checks_failed', kind=self.prefix
+                )
+                await self._parts.clock.sleep(_FIRST_PAUSE_S)
+            self._wanted.clear()
+
+    def check(self) -> None:
+        """Want a listing beside the watch."""
+        if self.is_in_touch and not self._wanted.is_set():
+            self._wanted.set()
+            self._parts.counters.add('store_checks', kind=self.prefix)
 
-    def adopt(self, listing: Listing, mark: int) -> bool:
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last listing."""
+        return self._parts.clock.now() - self._listed_at
+
+    def adopt(self, listing: Listing) -> bool:
         """Take a listing that a peer read from the store; False if older."""
         if listing.position <= self.position or self.is_in_touch:
             return False
         self._take_listing(listing)
-        self.mark = max(self.mark, mark)
         return True
 
     @property
@@ -122,34 +152,42 @@
 
     async def _step(self) -> None:
         if self._needs_list:
-            listing = await self._parts.store.read_listing(self.prefix)
-            self._parts.counters.add('store_listings', kind=self.prefix)
-            self._note_answer()
-            if listing.position >= self.position:
-                self._take_listing(listing)
+            await self._list()
             self._needs_list = False
         await self._watch()
 
+    async def _list(self) -> None:
+        listing = await self._parts.store.read_listing(self.prefix)
+        self._parts.counters.add('store_listings', kind=self.prefix)
+        self._note_answer()
+        self._listed_at = self._parts.clock.now()
+        if listing.position < self.position:
+            return
+        before = self.digest
+        self._take_listing(listing)
+        if self.digest != before:
+            self._restart.set()
+
     async def _watch(self) -> None:
+        self._restart.clear()
         started_at = self._parts.clock.now()
         watch = asyncio.ensure_future(
             self._parts.store.watch(self.prefix, self.position),
         )
-        refresh = asyncio.ensure_future(self._refresh.wait())
+        restart = asyncio.ensure_future(self._restart.wait())
         with contextlib.ExitStack() as stack:
-            stack.callback(refresh.cancel)
+            stack.callback(restart.cancel)
             stack.callback(watch.cancel)
             await asyncio.wait(
-                (watch, refresh),
+                (watch, restart),
+                timeout=WATCH_WAIT_S + _SILENT_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        if not watch.done() or watch.cancelled():
-            self._refresh.clear()
-            self._needs_list = True
+        if not watch.done():
             return
         self._take_changes(watch.result())
-        left_s = started_at + _LEAST_WATCH_S - self._parts.clock.now()
-        await self._parts.clock.sleep(max(left_s, 0))
+        waited_s = self._parts.clock.now() - started_at
+        await self._parts.clock.sleep(max(_LEAST_WATCH_S - waited_s, 0))
 
     def _take_changes(self, changes: Changes) -> None:
         self._parts.counters.add('store_watches', kind=self.prefix)
@@ -159,21 +197,21 @@
         self.position = max(self.position, changes.position)
 
     def _take_change(self, change: Change) -> None:
+        known = self.by_key.get(change.key)
         if change.stored is None:
-            gone = self.by_key.pop(change.key, None)
-            self.mark = max(self.mark, gone.version if gone else 0)
+            self.by_key.pop(change.key, None)
+        elif known is not None and known.version > change.stored.version:
+            return
         else:
-            known = self.by_key.get(change.key)
-            if known is not None and known.version > change.stored.version:
-                return
             self.by_key[change.key] = change.stored
-            self.mark = max(self.mark, change.stored.version)
+        self.digest ^= _digest(known) ^ _digest(change.stored)
         self._replica.change(change, is_after_outage=self.is_after_outage)
 
     def _take_listing(self, listing: Listing) -> None:
         self.by_key = {stored.key: stored for stored in listing.listed}
-        versions = (stored.version for stored in listing.listed)
-        self.mark = max(self.mark, *versions, 0)
+        self.digest = 0
+        for stored in listing.listed:
+            self.digest ^= _digest(stored)
         self.position = max(self.position, listing.position)
         self._replica.replace(
             listing.listed,
@@ -203,3 +241,10 @@
         doubled = _FIRST_PAUSE_S * 2 ** min(self._failures - 1, 8)
         jitter = 0.5 + self._parts.rng.random()
         await self._parts.clock.sleep(min(doubled, _MAX_PAUSE_S) * jitter)
+
+
+def _digest(stored: StoredObject | None) -> int:
+    """Digest of one object; those of several are combined by exclusive or."""
+    if stored is None:
+        return 0
+    return zlib.crc32(f'{stored.key} {stored.version}'.encode())
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -16,22 +16,23 @@
 class LoadReport:
     """What a gateway has in flight, and how far its state goes.
 
-    `in_flight` counts requests by upstream, none of them 0. `marks` holds the
-    revision of the newest change known, by prefix of keys.
+    `in_flight` counts requests by upstream, none of them 0. `known` holds, by
+    prefix of keys, the position in the store, the digest of the objects,
+    and the seconds since the last listing.
     """
 
     is_ready: bool
     in_flight: dict
-    marks: dict
+    known: dict
 
 
 @message(_QUESTION_NUMBER)
 @attrs.frozen
 class StateQuestion:
-    """Asks for the objects below a prefix, if there is a newer mark."""
+    """Asks for the objects below a prefix, as of a later position."""
 
     prefix: str
-    mark: int
+    position: int
 
 
 @message(_REPLY_NUMBER)
@@ -40,6 +41,5 @@
     """All objects below a prefix as `[key, body, uid, version]`."""
 
     prefix: str
-    mark: int
     position: int
     listed: list
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -1,5 +1,6 @@
 """What gateways tell each other: load, readiness and newer state."""
 
+import bisect
 import random
 from collections.abc import Iterable
 from types import MappingProxyType
@@ -24,9 +25,16 @@
 SILENT_S = 1.5
 #: Members up to which reports go to all; beyond, to those of the region.
 _ALL_MEMBERS = 16
-#: Seconds for which a peer may know of a newer change before the store is
-#: asked again; a watch delivers within milliseconds.
-_BEHIND_S = 0.4
+#: Seconds for which a peer may know other objects before the store is asked
+#: again; a watch and a report bring a change within half a second.
+_BEHIND_S = 0.6
+#: Seconds between two listings of a kind by any gateway of the fleet. Changes
+#: that no watch delivers are found so, and the other gateways hear of them.
+_CHECK_S = 1.2
+#: Seconds after which the next gateway checks in place of one that did not;
+#: it hears of a check by the report after it.
+_TURN_S = 2 * REPORT_S
+_MAX_TURNS = 4
 #: Seconds between questions to peers while the store does not answer.
 _QUESTION_S = 0.4
 
@@ -40,14 +48,6 @@
     is_silent: bool = False
 
 
-@attrs.define
-class _Behind:
-    """Since when a peer knows of a newer change, and which was checked."""
-
-    since: float | None = None
-    checked: int = 0
-
-
 @attrs.frozen
 class PeeringParts:
     """What the peering of one gateway takes from outside."""
@@ -64,8 +64,9 @@
     """Exchanges reports with the other gateways.
 
     A report carries the requests in flight, readiness, and how far the state
-    goes. A gateway that sees a peer ahead asks the store again; one that the
-    store does not answer asks a peer for the objects themselves.
+    goes. A gateway that sees a peer ahead lists the store again; one that the
+    store does not answer asks a peer for the objects themselves. Together the
+    gateways list each kind every `_CHECK_S`, since a watch may miss changes.
     """
 
     def __init__(
@@ -81,7 +82,8 @@
             {follower.prefix: follower for follower in followers},
         )
         self._seen: dict[str, _Seen] = {}
-        self._behind = {prefix: _Behind() for prefix in self._followers}
+        self._differs_since: dict[tuple[str, str], float] = {}
+        self._checked_at: dict[str, float] = {}
         self._asked_at = float('-inf')
         peers = parts.peers
         peers.subscribe(LoadReport, self._take_report)
@@ -94,17 +96,18 @@
             self.report()
             self._note_silent()
             self._load.forget_peers()
+            self._check_store()
             self._ask()
             await self._parts.clock.sleep(REPORT_S)
 
     def report(self) -> None:
         """Send one report now."""
-        marks = {
-            prefix: follower.mark
+        known = {
+            prefix: [follower.position, follower.digest, follower.age_s]
             for prefix, follower in self._followers.items()
         }
         counts = self._load.own_counts()
-        body = LoadReport(self.is_ready, counts, marks)
+        body = LoadReport(self.is_ready, counts, known)
         if len(self._parts.peers.live()) <= _ALL_MEMBERS:
             self._parts.peers.broadcast(body)
         else:
@@ -130,26 +133,41 @@
             self._tell(sender, 'up', away_s)
         elif before.is_ready != report.is_ready:
             self._tell(sender, 'ready' if report.is_ready else 'unready', 0)
-        for prefix, mark in report.marks.items():
-            self._compare(prefix, mark)
+        for prefix, known in report.known.items():
+            self._compare(sender, prefix, known)
 
-    def _compare(self, prefix: str, mark: int) -> None:
-        """Ask the store again where a peer has been ahead for a while."""
+    def _compare(self, sender: str, prefix: str, known: list) -> None:
+        """Check the store where a peer has known other objects for long."""
         follower = self._followers.get(prefix)
-        behind = self._behind.get(prefix)
         if follower is None:
             return
-        if mark <= max(follower.mark, behind.checked):
+        position, digest, age_s = known
+        now = self._parts.clock.now()
+        checked_at = self._checked_at.get(prefix, now - age_s)
+        self._checked_at[prefix] = max(checked_at, now - age_s)
+        difference = (sender, prefix)
+        if digest == follower.digest or position <= follower.position:
+            self._differs_since.pop(difference, None)
             return
+        since = self._differs_since.setdefault(difference, now)
+        if now - since > _BEHIND_S:
+            follower.check()
+
+    def _check_store(self) -> None:
+        """List the kinds that no gateway has listed for a while.
+
+        The gateways take turns by their names, so that usually the first one
+        that the store answers checks for all.
+        """
         now = self._parts.clock.now()
-        if behind.since is None:
-            behind.since = now
-        elif now - behind.since > _BEHIND_S:
-            behind.since = None
-            behind.checked = mark
-            if follower.is_in_touch:
-                self._parts.counters.add('store_refreshes', kind=prefix)
-                follower.refresh()
+        heard = sorted(name for name in self._seen if self._is_heard(name))
+        turn = bisect.bisect(heard, self._parts.peers.local.name)
+        wait_s = _CHECK_S + min(turn, _MAX_TURNS) * _TURN_S
+        for prefix, follower in self._followers.items():
+            checked_at = now - follower.age_s
+            checked_at = max(checked_at, self._checked_at.get(prefix, 0))
+            if now - checked_at > wait_s:
+                follower.check()
 
     def _ask(self) -> None:
         """Ask one peer for what the store does not tell."""
@@ -169,18 +187,13 @@
         follower = self._followers.get(question.prefix)
         if follower is None or not follower.is_listed:
             return
-        if follower.position <= question.mark:
+        if follower.position <= question.position:
             return
         listed = [
             [stored.key, stored.body, stored.uid, stored.version]
             for stored in follower.by_key.values()
         ]
-        reply = StateReply(
-            question.prefix,
-            follower.mark,
-            follower.position,
-            listed,
-        )
+        reply = StateReply(question.prefix, follower.position, listed)
         self._parts.peers.send(sender, reply)
 
     def _take_reply(self, sender: str, reply: StateReply) -> None:
@@ -191,7 +204,7 @@
             StoredObject(key, body, uid, version, '')
             for key, body, uid, version in reply.listed
         )
-        if follower.adopt(Listing(reply.position, listed), reply.mark):
+        if follower.adopt(Listing(reply.position, listed)):
             self._parts.counters.add('state_adopted', kind=reply.prefix)
 
     def _is_heard(self, name: str) -> bool:
--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -19,6 +19,7 @@
     VersionConflict,
 )
 from nutmegshore.store.base import (
+    WATCH_WAIT_S,
     Change,
     Changes,
     Expected,
@@ -58,13 +59,11 @@
 class StoreTimes:
     """Seconds of patience with the store.
 
-    A watch returns after `watch_s` even without changes; a connection on
-    which nothing is acknowledged for `silent_s` is given up.
+    A connection on which nothing is acknowledged for `silent_s` is given up.
     """
 
     connect_s: float = 1
     call_s: float = 2
-    watch_s: float = 12
     silent_s: float = 2
 
 
@@ -123,14 +122,19 @@
             listed.extend(page.listed)
         return Listing(position, tuple(listed))
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> Changes:
         """Wait for changes of a kind after a position."""
         kind = _kind(prefix)
-        wait_ms = int(self._times.watch_s * _MS_PER_S)
+        wait_ms = int(wait_s * _MS_PER_S)
         query = urlencode({'Watch': after, 'WaitMs': wait_ms})
         response = await self._fetch(
             f'/{kind}?{query}',
-            request_timeout=self._times.watch_s + self._times.call_s,
+            request_timeout=wait_s + self._times.call_s,
         )
         found = _parse_read(response, kind)
         try:
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'MAX_BODY_BYTES',
+    'WATCH_WAIT_S',
     'Change',
     'Changes',
     'Expected',
@@ -17,6 +18,8 @@
 )
 
 MAX_BODY_BYTES = 1_000_000
+#: Seconds that a watch waits for changes unless told otherwise.
+WATCH_WAIT_S = 30
 
 
 @attrs.frozen
@@ -129,12 +132,17 @@
         """Read the position of the store's last change."""
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> Changes:
         """Wait for changes below the prefix after a position.
 
-        It may return without changes; the caller watches on from the
-        returned position. Raises `HistoryLost` where the store has dropped
-        the changes since then; only a new listing helps.
+        Without changes it returns after `wait_s`, or sooner; the caller
+        watches on from the returned position. Raises `HistoryLost` where the
+        store has dropped the changes since then; only a new listing helps.
         """
 
     async def read_listing(self, prefix: str) -> Listing:
--- a/nutmegshore/store/http.py
+++ b/nutmegshore/store/http.py
@@ -19,6 +19,7 @@
 from nutmegshore.store import wire
 from nutmegshore.store.base import (
     MAX_BODY_BYTES,
+    WATCH_WAIT_S,
     Changes,
     Expected,
     ListedInstance,
@@ -30,7 +31,6 @@
 __all__ = ('HttpPlatform',)
 
 _CALL_TIMEOUT_S = 2
-_WATCH_WAIT_S = 30
 _MAX_CLIENTS = 64
 #: Curl errors before any byte of the request was sent.
 _NOT_SENT = frozenset(
@@ -53,7 +53,7 @@
         self,
         base_url: str,
         call_timeout_s: float = _CALL_TIMEOUT_S,
-        watch_wait_s: float = _WATCH_WAIT_S,
+        watch_wait_s: float = WATCH_WAIT_S,
     ) -> None:
         """Remember the address; connections open on first use."""
         self._base_url = base_url.rstrip('/')
@@ -128,14 +128,20 @@
         """Read the position of the store's last change."""
         return _parse_read(await self._get('/position'), int)
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> Changes:
         """Wait for changes below the prefix after a position."""
+        wait_s = min(wait_s, self._watch_wait_s)
         query = urlencode(
-            {'prefix': prefix, 'after': after, 'wait_s': self._watch_wait_s},
+            {'prefix': prefix, 'after': after, 'wait_s': wait_s},
         )
         response = await self._get(
             f'/watch?{query}',
-            self._watch_wait_s + self._call_timeout_s,
+            wait_s + self._call_timeout_s,
         )
         return _parse_read(response, wire.parse_changes)
 
--- a/nutmegshore/store/memory.py
+++ b/nutmegshore/store/memory.py
@@ -13,6 +13,7 @@
     VersionConflict,
 )
 from nutmegshore.store.base import (
+    WATCH_WAIT_S,
     Change,
     Changes,
     Expected,
@@ -215,8 +216,13 @@
         await self._finish()
         return position
 
-    async def watch(self, prefix: str, after: int) -> Changes:
-        """Wait for changes below the prefix after a position."""
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> Changes:
+        """Wait for changes below the prefix after a position, for ever."""
         await self._begin('watch')
         changes = self._store.page_after(prefix, after, _MAX_CHANGES)
         while changes.position == after or not changes.changes:
--- /dev/null
+++ b/tests/gateway/test_peering.py
@@ -0,0 +1,183 @@
+"""Tests of what gateways tell each other, on virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import attrs
+import pytest
+
+from nutmegshore.balancing import Balancer, Surroundings
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
+from nutmegshore.gateway.peering import Peering, PeeringParts
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.peers import Member, MemoryNetwork
+from nutmegshore.store import StoredObject
+
+_PREFIX = 'servers/'
+
+
+@attrs.define(eq=False)
+class PlainFollower:
+    """What the peering sees of a follower."""
+
+    clock: object
+    prefix: str = _PREFIX
+    position: int = 10
+    digest: int = 1
+    is_in_touch: bool = True
+    is_listed: bool = True
+    listed_at: float = 0
+    checks: int = 0
+    by_key: dict = attrs.field(factory=dict)
+    adopted: list = attrs.field(factory=list)
+
+    @property
+    def age_s(self):
+        return self.clock.now() - self.listed_at
+
+    def check(self):
+        self.checks += 1
+        if self.is_in_touch:
+            self.listed_at = self.clock.now()
+
+    def adopt(self, listing):
+        self.adopted.append(listing)
+        return True
+
+
+@attrs.define(eq=False)
+class Gateway:
+    """One gateway's peering with its surroundings."""
+
+    clock: VirtualClock
+    follower: PlainFollower
+    peering: Peering
+    balancer: Balancer
+    task: asyncio.Task
+
+
+@pytest.fixture
+def run_fleet(make_log):
+    """Context manager that runs the peering of several gateways."""
+
+    def build(network, name):
+        clock = VirtualClock()
+        peers = network.join(Member(name, 'west', 'west-a'), clock)
+        state = FleetState(clock)
+        rng = random.Random(7)
+        around = Surroundings(clock, rng, name, 'west', lambda region: [], 0.15)
+        balancer = Balancer(state, around)
+        parts = PeeringParts(
+            peers,
+            balancer,
+            clock,
+            rng,
+            Counters(),
+            make_log(clock),
+        )
+        follower = PlainFollower(clock)
+        peering = Peering(parts, [follower])
+        task = asyncio.ensure_future(peering.run())
+        return Gateway(clock, follower, peering, balancer, task)
+
+    @contextlib.asynccontextmanager
+    async def running(*names):
+        network = MemoryNetwork()
+        fleet = {name: build(network, name) for name in names}
+        try:
+            yield fleet
+        finally:
+            for gateway in fleet.values():
+                gateway.task.cancel()
+
+    return running
+
+
+def test_the_fleet_lists_each_kind_together(run_fleet):
+    """Guards against every gateway listing by itself, and against changes that
+    no watch delivers staying unseen."""
+
+    async def session():
+        async with run_fleet('g1', 'g2', 'g3') as fleet:
+            await asyncio.sleep(30)
+            checks = [one.follower.checks for one in fleet.values()]
+            assert 15 <= sum(checks) <= 35
+
+    run_virtual(session)
+
+
+def test_others_check_where_the_first_has_no_store(run_fleet):
+    """Guards against a fleet that relies on a gateway without the store."""
+
+    async def session():
+        async with run_fleet('g1', 'g2', 'g3') as fleet:
+            fleet['g1'].follower.is_in_touch = False
+            await asyncio.sleep(10)
+            assert fleet['g2'].follower.checks >= 3
+
+    run_virtual(session)
+
+
+def test_a_gateway_that_lacks_a_change_checks(run_fleet):
+    """Guards against a timer that starts anew with each report of a peer that
+    agrees: a configuration on leafscale-gj scale-2 was missed so."""
+
+    async def session():
+        async with run_fleet('g1', 'g2', 'g3') as fleet:
+            await asyncio.sleep(2)
+            ahead = fleet['g1'].follower
+            ahead.position = 11
+            ahead.digest = 2
+            before = fleet['g3'].follower.checks
+            await asyncio.sleep(1.2)
+            assert fleet['g3'].follower.checks > before
+
+    run_virtual(session)
+
+
+def test_a_gateway_without_the_store_takes_state_from_a_peer(run_fleet):
+    """Guards against a refused gateway that misses a drain."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            stored = StoredObject('servers/a', b'{}', 'uid', 11, '')
+            fleet['g1'].follower.by_key = {stored.key: stored}
+            fleet['g1'].follower.position = 12
+            fleet['g2'].follower.is_in_touch = False
+            await asyncio.sleep(2)
+            adopted = fleet['g2'].follower.adopted
+            assert adopted[0].position == 12
+            assert adopted[0].listed == (stored,)
+
+    run_virtual(session)
+
+
+def test_counts_of_requests_reach_the_others(run_fleet):
+    """Guards against gateways that fill an upstream without each other."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            fleet['g1'].balancer.known.load.get('u1').in_flight = 2
+            await asyncio.sleep(1)
+            assert fleet['g2'].balancer.known.load.estimate('u1') == 2
+
+    run_virtual(session)
+
+
+def test_a_silent_or_unready_gateway_is_not_named(run_fleet, lines):
+    """Guards against look-up answers that name a dead gateway."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            fleet['g2'].peering.is_ready = True
+            await asyncio.sleep(1)
+            assert fleet['g1'].peering.is_named('g2')
+            fleet['g2'].task.cancel()
+            await asyncio.sleep(2)
+            assert not fleet['g1'].peering.is_named('g2')
+
+    run_virtual(session)
+    changes = [line['change'] for line in lines.named('peer_changed')]
+    assert changes[-1] == 'silent'
