--- a/nutmegshore/balancing/weigher.py
+++ b/nutmegshore/balancing/weigher.py
@@ -1,7 +1,8 @@
 """What a request would meet at each upstream that could take it."""
 
+import itertools
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -62,17 +63,17 @@
 
     def candidates(self, wanted: Wanted) -> Candidates:
         """Candidates at home and in other regions, in the order of owners."""
+        ranked = self._ranked(wanted)
         homes = wanted.route.homes
-        found = Candidates([], [])
-        for upstream in self._ranked(wanted):
-            if homes and upstream.region not in homes:
-                continue
-            is_home = upstream.region == self._around.region
-            near = found.home if is_home else found.away
-            most = _COMPARED if is_home else _COMPARED_AWAY
-            if len(near) < most and self._may_take(wanted, upstream):
-                near.append(self._weigh(wanted, upstream, not near))
-        return found
+        if homes:
+            ranked = tuple(one for one in ranked if one.region in homes)
+        region = self._around.region
+        near = (one for one in ranked if one.region == region)
+        far = (one for one in ranked if one.region != region)
+        return Candidates(
+            self._weigh_first(wanted, near, _COMPARED),
+            self._weigh_first(wanted, far, _COMPARED_AWAY),
+        )
 
     def times(self, wanted: Wanted) -> RouteTimes:
         """Times of the request's route at its service."""
@@ -102,6 +103,19 @@
         self.load.forget(instance)
         self.pace.forget(instance)
 
+    def _weigh_first(
+        self,
+        wanted: Wanted,
+        ranked: Iterable[Upstream],
+        count: int,
+    ) -> list[Candidate]:
+        """Weigh the first upstreams of a ranking that may take a request."""
+        free = (one for one in ranked if self._may_take(wanted, one))
+        return [
+            self._weigh(wanted, upstream, not place)
+            for place, upstream in enumerate(itertools.islice(free, count))
+        ]
+
     def _ranked(self, wanted: Wanted) -> tuple[Upstream, ...]:
         usable = self._state.usable(wanted.service)
         if wanted.key:
--- a/nutmegshore/commands/logs.py
+++ b/nutmegshore/commands/logs.py
@@ -1,10 +1,11 @@
 """Commands that read gateways' logs."""
 
-import contextlib
+import collections
 import json
+import pathlib
 import sys
 from collections.abc import Iterator
-from typing import ClassVar
+from typing import Any, ClassVar
 
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
@@ -60,15 +61,19 @@
 
     def _show_story(self, story: Story, offset_s: float) -> None:
         offset_ms = round(offset_s * _MS_PER_S)
-        self.show(f'request {story.request} at {story.instance}')
-        self.show(f'  clock {offset_ms:+} ms against the other instances')
+        self.show(' '.join(('request', story.request, 'at', story.instance)))
+        clock = format(offset_ms, '+')
+        self.show(f'  clock {clock} ms against the other instances')
         self.show('  believed at that moment:')
         for record in story.beliefs:
             age_s = story.ended_s - record.time_s
-            self.show(f'    {age_s:8.3f} s old  {_describe(record)}')
+            described = _describe(record)
+            age = format(age_s, '8.3f')
+            self.show(f'    {age} s old  {described}')
         self.show('  what happened:')
         for record in story.lines:
-            self.show(f'    {_describe(record)}')
+            described = _describe(record)
+            self.show(f'    {described}')
 
 
 class SummaryCommand(BaseCommand):
@@ -81,14 +86,18 @@
     def run_command(self) -> int:
         """Print the counts, the most frequent first."""
         summary = summarise(_read_all(self.argument('files')))
-        for event, count in summary.events.most_common():
-            self.show(f'{count:8} {event}')
-        for key, count in summary.reasons.most_common():
-            self.show(f'{count:8} {" ".join(key)}')
-        for result, count in summary.attempts.most_common():
-            self.show(f'{count:8} attempts ended with {result}')
+        reasons = (
+            (' '.join(key), count) for key, count in _top(summary.reasons)
+        )
+        ended = (
+            (f'attempts ended with {result}', count)
+            for result, count in _top(summary.attempts)
+        )
+        for text, count in (*_top(summary.events), *reasons, *ended):
+            shown = format(count, '8')
+            self.show(f'{shown} {text}')
         if summary.dropped:
-            self.show(f'{summary.dropped:8} lines were not written')
+            self.show(f'{summary.dropped} lines were not written')
         return ExitCode.SUCCESS
 
 
@@ -96,20 +105,22 @@
     return list(read_records(_iter_lines(paths)))
 
 
+def _top(counts: collections.Counter) -> list[tuple[Any, int]]:
+    return counts.most_common()
+
+
 def _iter_lines(paths: list[str]) -> Iterator[str]:
     if not paths:
         yield from sys.stdin
     for path in paths:
         try:
-            opened = open(path, encoding='utf-8')
+            text = pathlib.Path(path).read_text(encoding='utf-8')
         except OSError as failure:
             raise UsageError(f'{path}: {failure.strerror}') from failure
-        with contextlib.closing(opened):
-            yield from opened
+        yield from text.splitlines()
 
 
 def _describe(record: LogRecord) -> str:
-    fields = ' '.join(
-        f'{name}={json.dumps(found)}' for name, found in record.fields.items()
-    )
+    pairs = ((name, json.dumps(one)) for name, one in record.fields.items())
+    fields = ' '.join(f'{name}={text}' for name, text in pairs)
     return f'{record.event} {fields}'
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -52,9 +52,11 @@
 class RequestServed:
     """A caller got the whole answer of an upstream.
 
-    `attempts` lists, per attempt, the upstream, why it was chosen, the
+    `attempts` lists, per attempt, the upstream, why it was chosen, how many
+    requests it had, whether the object was taken to be warm there, the
     expected and the real seconds, and the result. `key` names the object that
-    the request concerns. `configuration_age_s` is the time since the configuration was adopted here.
+    the request concerns. `configuration_age_s` is the time since the
+    configuration was adopted here.
     """
 
     severity = Severity.ROUTINE
--- a/nutmegshore/gateway/run.py
+++ b/nutmegshore/gateway/run.py
@@ -75,7 +75,8 @@
         try:
             text = self._path.read_text(encoding='utf-8')
         except OSError as failure:
-            daemon.report_reload(f'{self._path.name}: {failure.strerror}')
+            reason = failure.strerror
+            daemon.report_reload(f'settings file: {reason}')
             return
         if text == self._text and not is_asked:
             return
--- a/nutmegshore/tracing/offsets.py
+++ b/nutmegshore/tracing/offsets.py
@@ -32,10 +32,7 @@
         middle = statistics.median(by_instance.values())
         for instance, time_s in by_instance.items():
             differences.setdefault(instance, []).append(time_s - middle)
-    return {
-        instance: statistics.median(found)
-        for instance, found in differences.items()
-    }
+    return {name: statistics.median(one) for name, one in differences.items()}
 
 
 def _times_by_change(
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -58,10 +58,6 @@
             raise answer
         return answer
 
-    def _check(self):
-        if self.failure is not None:
-            raise self.failure
-
     async def read(self, key):
         raise NotImplementedError
 
@@ -80,6 +76,10 @@
     async def read_instances(self):
         raise NotImplementedError
 
+    def _check(self):
+        if self.failure is not None:
+            raise self.failure
+
 
 def _stored(name, version):
     return StoredObject(f'servers/{name}', b'{}', 'uid', version, '')
