Spend fewer calls on following the store

Most are watches that return for one registration each while all upstreams start. Change: up to 0.5 s between two watches of a kind, and a listing by any gateway each 1.5 s instead of 1.2 s. The users' bounds are 2 s and more.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -25,7 +25,7 @@
 #: A watch that returns sooner than this is followed by a pause, so that a
 #: burst of changes costs few calls; the bounds on drains and configuration
 #: are 2 s and more.
-_LEAST_WATCH_S = 0.25
+_LEAST_WATCH_S = 0.5
 #: Seconds beyond its time after which a watch is taken for silent.
 _SILENT_S = 1
 #: Seconds after the store's return in which entries may still be missing.
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -26,11 +26,11 @@
 #: Members up to which reports go to all; beyond, to those of the region.
 _ALL_MEMBERS = 16
 #: Seconds for which a peer may know other objects before the store is asked
-#: again; a watch and a report bring a change within half a second.
-_BEHIND_S = 0.6
+#: again; a watch and a report bring a change within 0.8 s.
+_BEHIND_S = 0.9
 #: Seconds between two listings of a kind by any gateway of the fleet. Changes
 #: that no watch delivers are found so, and the other gateways hear of them.
-_CHECK_S = 1.2
+_CHECK_S = 1.5
 #: Seconds after which the next gateway checks in place of one that did not;
 #: it hears of a check by the report after it.
 _TURN_S = 2 * REPORT_S
