Keep nothing of routes, upstreams and peers that are gone

Cause: read for the landing: times and splits by route, loads of upstreams that leave while they work, and silent peers were kept for the life of a process. Change: tables are pruned at each new configuration, at the end of the last request of an upstream that left, and after 60 s of silence of a peer. Measured: tests/balancing/test_balancer.py; pytest tests/balancing tests/gateway green.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -82,6 +82,10 @@
         name = sent.choice.upstream.instance
         self.known.load.get(name).in_flight -= 1
         self.known.pace.end(name, sent.token)
+        if name not in self._state.by_id:
+            # It has left while the request ran; nothing more is learnt.
+            self.known.forget(name)
+            return 0
         if ended.outcome is Outcome.ANSWERED:
             self._learn(sent, ended)
         return self.known.health.note(name, ended.outcome)
--- a/nutmegshore/balancing/pace.py
+++ b/nutmegshore/balancing/pace.py
@@ -1,5 +1,7 @@
 """How long work takes: per route, and per upstream against that."""
 
+from collections.abc import Collection
+
 import attrs
 
 from nutmegshore.clock import Clock
@@ -103,6 +105,14 @@
             self.by_id[instance] = pace
         return pace
 
+    def retain(self, routes: Collection[str]) -> None:
+        """Drop the times of routes that are no longer configured."""
+        self._by_route = {
+            key: times
+            for key, times in self._by_route.items()
+            if key[0] in routes
+        }
+
     def begin(self, instance: str, expected_s: float) -> int:
         """Note a request that is sent; returns a token for its end."""
         self._next_token += 1
--- a/nutmegshore/balancing/split.py
+++ b/nutmegshore/balancing/split.py
@@ -1,5 +1,7 @@
 """Choice of a route's service by weight."""
 
+from collections.abc import Collection
+
 from nutmegshore.gateway.route import Route, Share
 
 __all__ = ('SplitTable',)
@@ -34,6 +36,12 @@
         owed[chosen] -= total
         return chosen
 
+    def retain(self, routes: Collection[str]) -> None:
+        """Drop what is owed on routes that are no longer configured."""
+        self._owed = {
+            name: owed for name, owed in self._owed.items() if name in routes
+        }
+
     def _owed_by(self, route: Route) -> dict[str, float]:
         known = self._owed.get(route.name)
         if known is None or known[0] != route.shares:
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -79,7 +79,7 @@
         self._outside = outside
         self._begun_at = outside.clock.now()
         self._assembly = Assembly(settings, outside)
-        self._assembly.configurations.on_adopted = self._take_limits
+        self._assembly.configurations.on_adopted = self._take_configuration
         self._peering = self._make_peering()
         self._forwarder = Forwarder(self._assembly.parts)
         self._listener = ListenerParts(self._make_exchange, outside.counters)
@@ -208,9 +208,14 @@
             self._listener,
         )
 
-    def _take_limits(self) -> None:
-        limits = self._assembly.state.configuration.limits
-        self._listener.limits = limits.listener_limits()
+    def _take_configuration(self) -> None:
+        """Use the limits of a new configuration, and forget old routes."""
+        assembly = self._assembly
+        configuration = assembly.state.configuration
+        self._listener.limits = configuration.limits.listener_limits()
+        routes = {route.name for route in configuration.routes}
+        assembly.balancer.known.pace.retain(routes)
+        assembly.parts.splits.retain(routes)
 
     def _make_peering(self) -> Peering:
         outside = self._outside
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -23,6 +23,8 @@
 REPORT_S = 0.25
 #: Seconds without a report after which a gateway is not named to callers.
 SILENT_S = 1.5
+#: Seconds of silence after which nothing is kept of a peer.
+_FORGOTTEN_S = 60
 #: Members up to which reports go to all; beyond, to those of the region.
 _ALL_MEMBERS = 16
 #: Seconds for which a peer may know other objects before the store is asked
@@ -211,12 +213,25 @@
         return self._parts.clock.now() - self._seen[name].at < SILENT_S
 
     def _note_silent(self) -> None:
+        self._forget_dead()
         for name, seen in self._seen.items():
             if not seen.is_silent and not self._is_heard(name):
                 seen.is_silent = True
                 silent_s = self._parts.clock.now() - seen.at
                 self._tell(name, 'silent', silent_s)
 
+    def _forget_dead(self) -> None:
+        """Drop peers that have been silent for long; they may be replaced."""
+        limit = self._parts.clock.now() - _FORGOTTEN_S
+        dead = [name for name, seen in self._seen.items() if seen.at < limit]
+        for name in dead:
+            self._seen.pop(name)
+        self._differs_since = {
+            difference: since
+            for difference, since in self._differs_since.items()
+            if difference[0] in self._seen
+        }
+
     def _tell(self, name: str, change: str, silent_s: float) -> None:
         event = PeerChanged(name, change, round(silent_s, 3))
         self._parts.log.write(event)
--- /dev/null
+++ b/tests/balancing/test_balancer.py
@@ -0,0 +1,174 @@
+"""Tests of the choice of an upstream over its parts."""
+
+import attrs
+import pytest
+
+from nutmegshore.balancing import Ended, Outcome
+from nutmegshore.errors import ErrorKind, RefusedError
+
+_SERVED = Ended(Outcome.ANSWERED, 0.1)
+
+
+def _fleet(upstream):
+    return [upstream(f'w{number}') for number in range(4)]
+
+
+def test_requests_for_an_object_go_to_its_owner(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against objects that are cold wherever they go."""
+    state = make_state(*_fleet(upstream))
+    names = set()
+    for local in ('g1', 'g2', 'g3'):
+        balancer = make_balancer(state, local)
+        for _ in range(5):
+            choice = balancer.choose(wanted('7'))
+            names.add(choice.upstream.instance)
+            balancer.end(balancer.begin(wanted('7'), choice), _SERVED)
+    assert len(names) == 1
+
+
+def test_a_full_owner_shares_its_object(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against a queue at the owner of an object in demand while other
+    upstreams are idle."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    names = set()
+    for _ in range(10):
+        choice = balancer.choose(wanted('7'))
+        names.add(choice.upstream.instance)
+        balancer.begin(wanted('7'), choice)
+    assert 1 < len(names) < 4
+
+
+def test_what_cannot_be_served_in_time_is_refused_at_once(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against queues that make every answer late."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    refusal = None
+    for number in range(100):
+        request = wanted(str(number))
+        try:
+            balancer.begin(request, balancer.choose(request))
+        except RefusedError as error:
+            refusal = error
+    assert refusal.kind is ErrorKind.OVERLOADED
+    assert refusal.retry_after_s > 0
+    busy = [balancer.known.load.estimate(f'w{number}') for number in range(4)]
+    assert max(busy) <= 6
+
+
+def test_an_evacuated_zone_is_left_out(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against work for upstreams in a zone that is emptied."""
+    state = make_state(*_fleet(upstream), upstream('e1', region='east'))
+    state.replace_evacuated({'west-a'})
+    choice = make_balancer(state).choose(wanted())
+    assert choice.upstream.instance == 'e1'
+    assert choice.reason == 'away'
+
+
+def test_homes_bind(make_state, make_balancer, upstream, wanted, route):
+    """Guards against a request that leaves the regions that may hold it."""
+    state = make_state(*_fleet(upstream), upstream('e1', region='east'))
+    balancer = make_balancer(state)
+    east = wanted(route=route(homes=frozenset(('east',))))
+    assert balancer.choose(east).upstream.instance == 'e1'
+    south = wanted(route=route(homes=frozenset(('south',))))
+    with pytest.raises(RefusedError):
+        balancer.choose(south)
+
+
+def test_a_failing_upstream_gets_nothing_for_a_while(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+    clock,
+):
+    """Guards against sending on to an upstream that cannot be reached."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    request = wanted('7')
+    owner = balancer.choose(request)
+    gone = Ended(Outcome.UNREACHABLE, 0.1)
+    assert balancer.end(balancer.begin(request, owner), gone)
+    assert balancer.choose(request).upstream != owner.upstream
+    clock.advance(1)
+    assert balancer.choose(request).upstream == owner.upstream
+
+
+def test_a_cold_upstream_gets_no_more_than_its_rate(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against a burst at an upstream that has just started."""
+    state = make_state(upstream('w1', slots=50, cold_left_s=3))
+    balancer = make_balancer(state)
+    sent = 0
+    for number in range(20):
+        request = wanted(str(number))
+        try:
+            balancer.begin(request, balancer.choose(request))
+        except RefusedError:
+            continue
+        sent += 1
+    assert sent == 1
+
+
+def test_nothing_is_kept_of_an_upstream_that_left(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against tables that grow with every upstream ever seen."""
+    state = make_state(upstream('w1'))
+    balancer = make_balancer(state)
+    sent = balancer.begin(wanted(), balancer.choose(wanted()))
+    state.drop('w1', is_after_outage=False)
+    balancer.known.forget('w1')
+    balancer.end(sent, _SERVED)
+    assert not balancer.known.load.by_id
+    assert not balancer.known.pace.by_id
+
+
+def test_an_urgent_route_may_queue_longer(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+    route,
+    configure,
+):
+    """Guards against less urgent requests that crowd out urgent ones at the
+    service that both use."""
+    urgent = route(name='urgent', rank=0)
+    plain = route(name='plain', rank=2)
+    state = make_state(
+        upstream('w1'),
+        configuration=configure(urgent, plain),
+    )
+    balancer = make_balancer(state)
+    first = attrs.evolve(wanted('7'), route=urgent)
+    for _ in range(4):
+        balancer.begin(first, balancer.choose(first))
+    with pytest.raises(RefusedError):
+        balancer.choose(attrs.evolve(first, route=plain))
+    assert balancer.choose(first).upstream.instance == 'w1'
