Smoke-test whole gateways over real sockets

Change: a gateway with the stand-in store and an upstream on loopback; start, serve, stop under a request, start while the store refuses.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -87,6 +87,11 @@
         self._pages: list[CallerServer] = []
         self._callers: CallerServer | None = None
 
+    @property
+    def caller_port(self) -> int:
+        """Port that callers connect to; the listeners have to be open."""
+        return self._callers.ports[0]
+
     async def start(self) -> None:
         """Open the listeners and follow the store; returns when ready."""
         self._pages = Surface(self._assembly, self._peering).open()
--- /dev/null
+++ b/tests/gateway/test_daemon.py
@@ -0,0 +1,167 @@
+"""Smoke tests of whole gateways over real sockets on loopback."""
+
+import asyncio
+import contextlib
+import random
+from types import MappingProxyType
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from nutmegshore.clock import SystemClock
+from nutmegshore.counters import Counters
+from nutmegshore.gateway.assembly import Outside
+from nutmegshore.gateway.daemon import GatewayDaemon
+from nutmegshore.gateway.settings import GatewaySettings
+from nutmegshore.platform.bounds import Bounds
+from nutmegshore.platform.standin import StandinStore, make_store_application
+from nutmegshore.platform.store import PlatformStore
+
+_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n'
+    b'Content-Length: 2\r\n\r\nok'
+)
+_REQUEST = (
+    b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
+    b'Connection: close\r\n\r\n'
+)
+_ROUTE = MappingProxyType(
+    {
+        'Host': 'a.example',
+        'PathPrefix': '/orders/',
+        'Kind': 'safe',
+        'TimeoutS': 2,
+        'TargetLatencyS': 0.4,
+        'Service': 'orders',
+    },
+)
+
+
+async def _answer(reader, writer):
+    """A stand-in of an upstream: one answer per connection, after 0.3 s."""
+    await reader.readuntil(b'\r\n\r\n')
+    await asyncio.sleep(0.3)
+    writer.write(_ANSWER)
+    await writer.drain()
+    writer.close()
+
+
+def _fill(store, port):
+    store.put(
+        'config',
+        'main',
+        {
+            'Version': '00000001',
+            'Routes': {'r1': dict(_ROUTE)},
+            'Services': {'orders': {}},
+        },
+    )
+    store.put(
+        'servers',
+        'i-1',
+        {
+            'Addr': f'127.0.0.1:{port}',
+            'Info': {'Service': 'orders', 'Zone': 'west-a', 'Slots': 3},
+            'Status': {'State': 'ready', 'Sequence': 1, 'ColdLeftS': 0},
+        },
+    )
+
+
+def _settings(store_port):
+    anywhere = '127.0.0.1:0'
+    return GatewaySettings(
+        name='g1',
+        ip='127.0.0.1',
+        region='west',
+        availability_zone='west-a',
+        callers=anywhere,
+        ready=anywhere,
+        lookup=anywhere,
+        peer_port=0,
+        metrics_port=0,
+        store=f'127.0.0.1:{store_port}',
+        cluster='test',
+        key='a key of a test cluster',
+        regions_by_zone=MappingProxyType({'west-a': 'west'}),
+        bounds=Bounds(grace_s=2),
+    )
+
+
+async def _talk(port, sent):
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(sent)
+    received = await reader.read()
+    writer.close()
+    return received
+
+
+@pytest.fixture
+def run_gateway(make_log):
+    """Context manager that runs a gateway with its outside in one process."""
+
+    @contextlib.asynccontextmanager
+    async def running():
+        store = StandinStore()
+        listening, store_port = bind_unused_port()
+        store_server = HTTPServer(make_store_application(store))
+        store_server.add_socket(listening)
+        upstream = await asyncio.start_server(_answer, '127.0.0.1', 0)
+        _fill(store, upstream.sockets[0].getsockname()[1])
+        settings = _settings(store_port)
+        clock = SystemClock()
+        counters = Counters()
+        outside = Outside(
+            PlatformStore(settings.store),
+            clock,
+            random.Random(7),
+            counters,
+            make_log(clock, counters),
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(store_server.close_all_connections)
+            stack.callback(store_server.stop)
+            stack.callback(upstream.close)
+            yield GatewayDaemon(settings, outside), store
+
+    return running
+
+
+def test_a_gateway_starts_serves_and_stops_without_a_cut(run_gateway, lines):
+    """Guards against a start that never gets ready, and a stop that cuts the
+    request in flight."""
+
+    async def session():
+        async with run_gateway() as (daemon, _):
+            await daemon.start()
+            port = daemon.caller_port
+            asked = asyncio.ensure_future(_talk(port, _REQUEST))
+            await asyncio.sleep(0.1)
+            await daemon.stop()
+            assert (await asked).endswith(b'\r\n\r\nok')
+
+    asyncio.run(asyncio.wait_for(session(), 20))
+    events = [line['event'] for line in lines.lines]
+    assert events.index('started') < events.index('stopping')
+    assert lines.named('stopped')[0]['cut'] == 0
+
+
+def test_a_gateway_without_a_store_is_not_ready(run_gateway):
+    """Guards against a gateway that takes requests before it knows any
+    configuration, and against one that never recovers."""
+
+    async def session():
+        async with run_gateway() as (daemon, store):
+            store.faults.status = 503
+            start = asyncio.ensure_future(daemon.start())
+            await asyncio.sleep(0.5)
+            assert not start.done()
+            received = await _talk(daemon.caller_port, _REQUEST)
+            assert received.startswith(b'HTTP/1.1 503 ')
+            store.faults.status = 0
+            await start
+            received = await _talk(daemon.caller_port, _REQUEST)
+            assert received.startswith(b'HTTP/1.1 200 ')
+            await daemon.stop()
+
+    asyncio.run(asyncio.wait_for(session(), 20))
