Count silence at a deadline against the upstream, and log the start

Cause: traces of refused and failed requests. An upstream that let a request run into its deadline was not judged, since the request's own time-out ended the attempt first ("abandoned"), and it got the next request at once. The story of a request showed beliefs of a process that had been killed, and an age of 73475 s for a configuration that was not known yet. Change: the attempt ends by itself at the deadline, 0.05 s before the request; silence teaches slowness and counts as a failure; a process logs `starting`, which ends the beliefs before it.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -88,6 +88,9 @@
             return 0
         if ended.outcome is Outcome.ANSWERED:
             self._learn(sent, ended)
+        elif ended.outcome is Outcome.SILENT:
+            expected_s = sent.choice.candidate.expected_s
+            self.known.pace.learn(name, ended.took_s, expected_s)
         return self.known.health.note(name, ended.outcome)
 
     def _home_or_away(
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -12,6 +12,7 @@
 from nutmegshore.gateway.events import (
     SettingsReloaded,
     Started,
+    Starting,
     Stopped,
     Stopping,
 )
@@ -94,6 +95,12 @@
 
     async def start(self) -> None:
         """Open the listeners and follow the store; returns when ready."""
+        event = Starting(
+            __version__,
+            self._settings.callers,
+            self._settings.availability_zone,
+        )
+        self._outside.log.write(event)
         self._pages = Surface(self._assembly, self._peering).open()
         self._assembly.peers.start()
         self._spawn_all()
@@ -197,9 +204,6 @@
 
     def _log_start(self) -> None:
         event = Started(
-            __version__,
-            self._settings.callers,
-            self._settings.availability_zone,
             self._assembly.state.configuration.version,
             round(self._outside.clock.now() - self._begun_at, 3),
         )
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -26,6 +26,7 @@
     'SettingsReloaded',
     'Severity',
     'Started',
+    'Starting',
     'Stopped',
     'Stopping',
     'StoreLost',
@@ -233,14 +234,22 @@
 
 
 @attrs.frozen
-class Started:
-    """The gateway answers callers; `took_s` is the time since its start."""
+class Starting:
+    """A process has begun; nothing that was believed before holds."""
 
     severity = Severity.CHANGE
 
     version: str
     address: str
     zone: str
+
+
+@attrs.frozen
+class Started:
+    """The gateway answers callers; `took_s` is the time since its start."""
+
+    severity = Severity.CHANGE
+
     configuration: int
     took_s: float
 
@@ -299,6 +308,7 @@
         PeerChanged: 'peer_changed',
         StoreLost: 'store_lost',
         StoreRegained: 'store_regained',
+        Starting: 'starting',
         Started: 'started',
         Stopping: 'stopping',
         Stopped: 'stopped',
--- a/nutmegshore/gateway/exchange.py
+++ b/nutmegshore/gateway/exchange.py
@@ -158,13 +158,14 @@
         state = self._parts.state
         head = self.writer.request
         known = state.configuration
+        age_s = now - state.configured_at if known else 0
         return {
             'request': read_caller_fields(head).request_id if head else '',
             'route': routed.route.name if routed else '',
             'service': routed.service if routed else '',
             'key': routed.incoming.fields.affinity_key if routed else '',
             'configuration': known.version if known else 0,
-            'configuration_age_s': round(now - state.configured_at, 3),
+            'configuration_age_s': round(age_s, 3),
             'took_s': round(now - self._arrived_at, 4),
         }
 
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -21,6 +21,9 @@
 __all__ = ('Forwarder',)
 
 _MS_PER_S = 1000
+#: Seconds beyond the deadline in which an attempt ends by itself, so that the
+#: silence counts against its upstream.
+_ATTEMPT_ENDS_S = 0.05
 #: Seconds after which a caller is asked back while nothing is known yet.
 _NOT_READY_RETRY_S = 0.5
 #: Bytes of a body that are read before it is sent anywhere. Meanwhile it holds
@@ -80,11 +83,12 @@
             routed.request_id,
             is_safe=routed.route.is_safe,
         )
+        left_s = self._left_s(routed)
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
             stack.callback(self._leave)
             try:
-                async with asyncio.timeout(self._left_s(routed)):
+                async with asyncio.timeout(left_s + _ATTEMPT_ENDS_S):
                     await self._read_body(routed, body)
                     await self._attempt_all(routed, answer)
             except TimeoutError as failure:
--- a/nutmegshore/tracing/story.py
+++ b/nutmegshore/tracing/story.py
@@ -8,6 +8,8 @@
 
 __all__ = ('Story', 'find_story')
 
+#: Event at which a process begins to believe anything.
+_NEW_PROCESS = 'starting'
 #: Events that change what an instance believes, with the field that tells
 #: which belief it is; the newest line of each is in force.
 _BELIEFS = (
@@ -16,6 +18,7 @@
     ('evacuation_changed', ''),
     ('store_lost', 'kind'),
     ('store_regained', 'kind'),
+    (_NEW_PROCESS, ''),
     ('stopping', ''),
     ('started', ''),
 )
@@ -73,6 +76,8 @@
     for record in records:
         is_before = record.number < lines[-1].number
         if record.instance == instance and is_before:
+            if record.event == _NEW_PROCESS:
+                in_force.clear()
             belief = _belief_of(record, upstreams)
             if belief is not None:
                 in_force[belief] = record
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -112,6 +112,22 @@
     assert balancer.choose(request).upstream == owner.upstream
 
 
+def test_a_silent_upstream_loses_its_objects(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against an upstream that gets each next request after it let the
+    one before run into its deadline."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    request = wanted('7')
+    owner = balancer.choose(request)
+    silent = Ended(Outcome.SILENT, 2)
+    balancer.end(balancer.begin(request, owner), silent)
+    assert balancer.choose(request).upstream != owner.upstream
+
+
 def test_a_cold_upstream_gets_no_more_than_its_rate(
     make_state,
     make_balancer,
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -182,6 +182,8 @@
     received = _play(parts, _POST)
     assert received.startswith(b'HTTP/1.1 504 ')
     assert upstreams.cancelled == 1
+    name = upstreams.sent[0][0]
+    assert not parts.balancer.known.load.get(name).in_flight
 
 
 def test_the_deadline_that_is_left_goes_to_the_upstream(make_parts, scripted):
--- a/tests/tracing/test_tracing.py
+++ b/tests/tracing/test_tracing.py
@@ -85,6 +85,17 @@
     assert [line.event for line in story.beliefs] == ['store_regained']
 
 
+def test_a_new_process_believes_nothing_of_before():
+    """Guards against beliefs of a killed process shown for its successor."""
+    lines = [
+        _line('g1', 1.0, 'configuration_adopted', revision=5, version=3),
+        _line('g1', 2.0, 'starting', version='0.1.0'),
+        _line('g1', 2.1, 'request_refused', request='r3', reason='not_ready'),
+    ]
+    story = find_story(list(read_records(lines)), 'r3')[0]
+    assert [line.event for line in story.beliefs] == ['starting']
+
+
 def test_an_unknown_request_has_no_story(records):
     """Guards against a story made of other requests' lines."""
     assert not find_story(records, 'r9')
