Keep one copy of the meaning of an unanswered call and of shared fixtures

Change: nutmegshore/store/failures.py; fixtures move to tests/conftest.py. Measured: pytest of store, platform, balancing, gateway, upstreams green; lint clean.

--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -28,6 +28,7 @@
     Platform,
     StoredObject,
 )
+from nutmegshore.store.failures import unanswered
 
 __all__ = ('PlatformStore', 'StoreTimes')
 
@@ -39,10 +40,6 @@
 _BODY = 'body'
 _SPEC = 'Spec'
 _STATUS = 'Status'
-#: Curl errors before any byte of the request was sent.
-_NOT_SENT = frozenset(
-    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST),
-)
 #: Answers that promise that nothing was done.
 _REFUSED = frozenset(
     (
@@ -201,7 +198,7 @@
         try:
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as failure:
-            raise _unanswered(key, failure) from failure
+            raise unanswered(key, failure) from failure
         if response.code < HTTPStatus.MULTIPLE_CHOICES:
             return response
         if response.code == HTTPStatus.CONFLICT:
@@ -324,9 +321,3 @@
     if status in _REFUSED:
         return PlatformUnavailable(message)
     return PlatformAnswerLost(message)
-
-
-def _unanswered(key: str, failure: HTTPClientError) -> PlatformError:
-    if getattr(failure, 'errno', None) in _NOT_SENT:
-        return PlatformUnavailable(f'{key}: {failure}')
-    return PlatformAnswerLost(f'{key}: {failure}')
--- a/nutmegshore/store/http.py
+++ b/nutmegshore/store/http.py
@@ -6,7 +6,6 @@
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
-import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
@@ -27,15 +26,12 @@
     Platform,
     StoredObject,
 )
+from nutmegshore.store.failures import unanswered
 
 __all__ = ('HttpPlatform',)
 
 _CALL_TIMEOUT_S = 2
 _MAX_CLIENTS = 64
-#: Curl errors before any byte of the request was sent.
-_NOT_SENT = frozenset(
-    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST),
-)
 
 _Parsed = TypeVar('_Parsed')
 
@@ -182,7 +178,7 @@
         try:
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as failure:
-            raise _unanswered(key, failure) from failure
+            raise unanswered(key, failure) from failure
         if response.code == HTTPStatus.OK:
             return response
         if response.code == HTTPStatus.PRECONDITION_FAILED:
@@ -219,12 +215,6 @@
     return PlatformAnswerLost(message)
 
 
-def _unanswered(key: str, failure: HTTPClientError) -> PlatformError:
-    if getattr(failure, 'errno', None) in _NOT_SENT:
-        return PlatformUnavailable(f'{key}: {failure}')
-    return PlatformAnswerLost(f'{key}: {failure}')
-
-
 _FIRST_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 
 
--- a/tests/balancing/conftest.py
+++ b/tests/balancing/conftest.py
@@ -10,13 +10,9 @@
 from nutmegshore.balancing.choice import Wanted
 from nutmegshore.gateway.route import (
     Configuration,
-    Route,
-    RouteKind,
     ServiceRules,
-    Share,
 )
 from nutmegshore.gateway.state import FleetState
-from nutmegshore.gateway.upstream import Upstream
 
 
 class ManualClock:
@@ -41,45 +37,6 @@
     return ManualClock()
 
 
-@pytest.fixture
-def route():
-    """Function that builds a route to `orders`, with changes."""
-
-    def build(**changes):
-        made = Route(
-            name='r1',
-            host='a.example',
-            prefix='/orders/',
-            kind=RouteKind.SAFE,
-            timeout_s=2,
-            target_latency_s=0.4,
-            shares=(Share('orders'),),
-            max_attempts=2,
-            is_sticky=True,
-        )
-        return attrs.evolve(made, **changes)
-
-    return build
-
-
-@pytest.fixture
-def upstream():
-    """Function that builds an upstream of `orders`, with changes."""
-
-    def build(name, region='west', **changes):
-        made = Upstream(
-            instance=name,
-            service='orders',
-            address='10.0.0.1:80',
-            availability_zone=f'{region}-a',
-            region=region,
-            slots=3,
-        )
-        return attrs.evolve(made, **changes)
-
-    return build
-
-
 @pytest.fixture
 def configure(route):
     """Function that builds a configuration of routes."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
 """Fixtures that many test files share."""
 
+import attrs
 import hypothesis
 import pytest
 
 from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.gateway.route import Route, RouteKind, Share
+from nutmegshore.gateway.upstream import Upstream
 from nutmegshore.resources import Envelope, parse_spec
 
 # The same examples on every run and no time limit, so that the verdict does
@@ -41,3 +44,42 @@
 def table():
     """Empty configuration table."""
     return ConfigurationTable()
+
+
+@pytest.fixture
+def route():
+    """Function that builds a route to `orders`, with changes."""
+
+    def build(**changes):
+        made = Route(
+            name='r1',
+            host='a.example',
+            prefix='/orders/',
+            kind=RouteKind.SAFE,
+            timeout_s=2,
+            target_latency_s=0.4,
+            shares=(Share('orders'),),
+            max_attempts=2,
+            is_sticky=True,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
+
+
+@pytest.fixture
+def upstream():
+    """Function that builds an upstream of `orders`, with changes."""
+
+    def build(name, region='west', **changes):
+        made = Upstream(
+            instance=name,
+            service='orders',
+            address='10.0.0.1:80',
+            availability_zone=f'{region}-a',
+            region=region,
+            slots=3,
+        )
+        return attrs.evolve(made, **changes)
+
+    return build
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -18,13 +18,9 @@
 from nutmegshore.gateway.parts import GatewayParts
 from nutmegshore.gateway.route import (
     Configuration,
-    Route,
-    RouteKind,
     ServiceRules,
-    Share,
 )
 from nutmegshore.gateway.state import FleetState
-from nutmegshore.gateway.upstream import Upstream
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 
@@ -127,44 +123,6 @@
     return build
 
 
-@pytest.fixture
-def route():
-    """Function that builds a route to `orders`, with changes."""
-
-    def build(**changes):
-        made = Route(
-            name='r1',
-            host='a.example',
-            prefix='/orders/',
-            kind=RouteKind.SAFE,
-            timeout_s=2,
-            target_latency_s=0.4,
-            shares=(Share('orders'),),
-            max_attempts=2,
-        )
-        return attrs.evolve(made, **changes)
-
-    return build
-
-
-@pytest.fixture
-def upstream():
-    """Function that builds an upstream of `orders`, with changes."""
-
-    def build(name, **changes):
-        made = Upstream(
-            instance=name,
-            service='orders',
-            address='10.0.0.1:80',
-            availability_zone='west-a',
-            region='west',
-            slots=3,
-        )
-        return attrs.evolve(made, **changes)
-
-    return build
-
-
 @pytest.fixture
 def make_parts(make_log, upstream, route):
     """Function that builds the parts of a gateway with three upstreams."""
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -41,20 +41,16 @@
         'Status': {'State': 'ready', 'Sequence': 4, 'ColdLeftS': 1.5},
     }
 )
-_JSON = st.recursive(
-    st.one_of(st.none(), st.booleans(), st.floats(), st.text(max_size=8)),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(
-            st.sampled_from(
-                ['Addr', 'Info', 'Status', 'Zone', 'Slots', 'State']
-            ),
-            inner,
-            max_size=4,
-        )
-    ),
-    max_leaves=12,
-)
+_PLAIN = st.one_of(st.none(), st.booleans(), st.floats(), st.text(max_size=8))
+_KEYS = st.sampled_from(['Addr', 'Info', 'Status', 'Zone', 'Slots', 'State'])
+
+
+def _nest(inner):
+    tables = st.dictionaries(_KEYS, inner, max_size=4)
+    return st.lists(inner, max_size=3) | tables
+
+
+_JSON = st.recursive(_PLAIN, _nest, max_leaves=12)
 
 
 def _configuration(**changes):
