--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -41,7 +41,8 @@
         'Status': {'State': 'ready', 'Sequence': 4, 'ColdLeftS': 1.5},
     }
 )
-_PLAIN = st.one_of(st.none(), st.booleans(), st.floats(), st.text(max_size=8))
+_TEXTS = st.text(max_size=8)
+_PLAIN = st.one_of(st.none(), st.booleans(), st.floats(), _TEXTS)
 _KEYS = st.sampled_from(['Addr', 'Info', 'Status', 'Zone', 'Slots', 'State'])
 
 
