--- a/nutmegshore/gateway/log.py
+++ b/nutmegshore/gateway/log.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import json
+import logging
 import os
 from collections.abc import Callable
 from typing import Any
@@ -27,6 +28,8 @@
 #: for the more severe ones.
 _PART_BY_SEVERITY = (0.5, 0.7, 0.95, 1)
 _RETRY_S = 0.05
+#: `json.dumps` builds an encoder for each call with options.
+_ENCODER = json.JSONEncoder(separators=(',', ':'), default=str)
 
 
 class LineWriter:
@@ -108,11 +111,13 @@
         self._volume = _Volume(bytes_per_s, clock.now)
         self._dropped: collections.Counter[Severity] = collections.Counter()
         self._is_on = bytes_per_s > 0
-        self._log = structlog.wrap_logger(
+        wrapped = structlog.wrap_logger(
             writer,
             processors=[_render],
-            instance=instance,
+            wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         )
+        # A logger that is bound once is not set up anew for each line.
+        self._log = wrapped.bind(instance=instance)
 
     def write(self, event: Any) -> None:
         """Write an event, or count it as dropped."""
@@ -181,4 +186,4 @@
 
 
 def _render(logger: object, name: str, fields: dict[str, Any]) -> str:
-    return json.dumps(fields, separators=(',', ':'), default=str)
+    return _ENCODER.encode(fields)
