Take nothing from a watch that a listing has overtaken

Cause: read of the diff: a check lists beside the watch. Change: changes up to a position before the follower's own are left out. Measured: tests/gateway/test_follower.py, the new test fails without it.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -192,9 +192,12 @@
     def _take_changes(self, changes: Changes) -> None:
         self._parts.counters.add('store_watches', kind=self.prefix)
         self._note_answer()
+        if changes.position < self.position:
+            # A listing beside the watch has shown all of these and more.
+            return
         for change in changes.changes:
             self._take_change(change)
-        self.position = max(self.position, changes.position)
+        self.position = changes.position
 
     def _take_change(self, change: Change) -> None:
         known = self.by_key.get(change.key)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -203,6 +203,24 @@
     run_virtual(session)
 
 
+def test_a_watch_behind_a_listing_changes_nothing(follow):
+    """Guards against a removal that a watch delivers after a listing has shown
+    the object created anew."""
+
+    async def session():
+        async with follow() as (store, follower, replica, clock):
+            store.listing = Listing(10, (_stored('a', 9),))
+            await clock.sleep(0.1)
+            store.listing = Listing(20, (_stored('a', 15),))
+            gone = Change('servers/a', None)
+            follower.check()
+            store.watches.put_nowait(Changes(12, (gone,)))
+            await clock.sleep(0.1)
+            assert replica.keys == {'servers/a'}
+
+    run_virtual(session)
+
+
 def test_a_silent_watch_is_given_up(follow):
     """Guards against a watch on a connection that never answers."""
 
