Give the stand-ins more of the real store's manners

Change: the platform's stand-in marks objects with finalizers, answers stale reads, does writes late without an answer, and turns away one machine while it serves others; the memory version drops its history.

--- a/nutmegshore/platform/standin.py
+++ b/nutmegshore/platform/standin.py
@@ -26,12 +26,14 @@
 
     `status` answers every call with an error, `delay_s` slows each answer,
     `lost_answers` is the number of next writes that are done and not
-    answered, `reads_left` the reads after which 429 is answered.
+    answered, `late_s` does writes so much later and answers none of them, and
+    `reads_left` are the reads after which 429 is answered.
     """
 
     status: int = 0
     delay_s: float = 0
     lost_answers: int = 0
+    late_s: float = 0
     reads_left: int | None = None
 
     def take_lost_answer(self) -> bool:
@@ -62,7 +64,9 @@
         self.revision = _FIRST_REVISION
         self.faults = StoreFaults()
         self.calls = 0
+        self.late_writes: list[asyncio.TimerHandle] = []
         self._by_kind: dict[str, dict[str, _Object]] = {}
+        self._stale: dict[str, dict[str, _Object]] = {}
         self._log: list[tuple[int, str, bool, _Object]] = []
         self._history_from = 0
         self._changed = asyncio.Event()
@@ -84,6 +88,16 @@
         self._record(kind, made, is_deleted=False)
         return made
 
+    def mark_deleting(self, kind: str, name: str) -> None:
+        """Remove an object, or mark it while it has finalizers."""
+        found = self._by_kind[kind][name]
+        if not found[_METADATA]['Finalizers']:
+            self.delete(kind, name)
+            return
+        self.revision += 1
+        found[_METADATA].update(Deleting=True, Revision=self.revision)
+        self._record(kind, found, is_deleted=False)
+
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
         gone = self._by_kind[kind].pop(name)
@@ -100,9 +114,20 @@
         self._log.clear()
         self._wake()
 
-    def page(self, kind: str, after: str) -> tuple[list[_Object], bool]:
+    def keep_stale(self) -> None:
+        """Answer stale reads with the objects as they are now."""
+        self._stale = {kind: dict(own) for kind, own in self._by_kind.items()}
+
+    def page(
+        self,
+        kind: str,
+        after: str,
+        *,
+        is_stale: bool,
+    ) -> tuple[list[_Object], bool]:
         """Objects of a kind after a name, and whether there are more."""
-        known = self._by_kind.get(kind, {})
+        source = self._stale if is_stale else self._by_kind
+        known = source.get(kind, {})
         names = sorted(name for name in known if name > after)
         listed = [known[name] for name in names[:_PAGE]]
         return listed, len(names) > _PAGE
@@ -133,13 +158,14 @@
 class _ObjectsHandler(RequestHandler):
     """Calls on a kind or on one object."""
 
-    def initialize(self, store: StandinStore) -> None:
-        """Serve the objects of a store."""
+    def initialize(self, store: StandinStore, faults: StoreFaults) -> None:
+        """Serve the objects of a store, with the faults of one way to it."""
         self._store = store
+        self._faults = faults
 
     async def prepare(self) -> None:
         """Count the call, and answer it with the fault in force."""
-        faults = self._store.faults
+        faults = self._faults
         self._store.calls += 1
         await asyncio.sleep(faults.delay_s)
         is_read = self.request.method == 'GET'
@@ -170,12 +196,13 @@
     async def put(self, kind: str, name: str) -> None:
         """Replace an object if it is at the revision of the body."""
         found = json.loads(self.request.body)
+        if self._faults.late_s:
+            self._put_late(kind, name, found)
+            return
         present = self._store.get(kind, name)
         if present is None:
             self._answer(None)
-            return
-        revision = present[_METADATA]['Revision']
-        if found[_METADATA].get('Revision') in {None, revision}:
+        elif _fits(found, present):
             self._finish_write(self._store.put(kind, name, found['Spec']))
         else:
             self._conflict(present)
@@ -189,13 +216,28 @@
         elif wanted and int(wanted) != present[_METADATA]['Revision']:
             self._conflict(present)
         else:
-            self._store.delete(kind, name)
+            self._store.mark_deleting(kind, name)
             self._finish_write(present)
 
+    def _put_late(self, kind: str, name: str, found: _Object) -> None:
+        """Answer nothing, and write later if the condition still holds."""
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(
+            self._faults.late_s,
+            _put_if_fits,
+            self._store,
+            kind,
+            name,
+            found,
+        )
+        self._store.late_writes.append(late)
+        self.request.connection.stream.close()
+
     def _list(self, kind: str) -> None:
         listed, has_more = self._store.page(
             kind,
             self.get_query_argument('after', ''),
+            is_stale=self.get_query_argument('AllowStale', '') == '1',
         )
         self.write(
             {
@@ -226,7 +268,7 @@
             await self._store.wait_change()
 
     def _finish_write(self, written: _Object) -> None:
-        if self._store.faults.take_lost_answer():
+        if self._faults.take_lost_answer():
             self.request.connection.stream.close()
             return
         self._answer(written)
@@ -242,7 +284,32 @@
             self.write(found)
 
 
-def make_store_application(store: StandinStore) -> Application:
-    """Tornado application that serves a store's objects."""
+def _fits(found: _Object, present: _Object) -> bool:
+    """Whether a write's condition holds for an object."""
+    revision = present[_METADATA]['Revision']
+    return found[_METADATA].get('Revision') in {None, revision}
+
+
+def _put_if_fits(
+    store: StandinStore,
+    kind: str,
+    name: str,
+    found: _Object,
+) -> None:
+    present = store.get(kind, name)
+    if present is not None and _fits(found, present):
+        store.put(kind, name, found['Spec'])
+
+
+def make_store_application(
+    store: StandinStore,
+    faults: StoreFaults | None = None,
+) -> Application:
+    """Tornado application that serves a store's objects.
+
+    Without faults of its own it has those of the store. Several applications
+    with their own are as many machines, some of which the store turns away.
+    """
     path = r'/objects/([^/]+)(?:/([^/]+))?'
-    return Application([(path, _ObjectsHandler, {'store': store})])
+    options = {'store': store, 'faults': faults or store.faults}
+    return Application([(path, _ObjectsHandler, options)])
--- a/nutmegshore/store/memory.py
+++ b/nutmegshore/store/memory.py
@@ -8,6 +8,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.errors import (
+    HistoryLost,
     PlatformAnswerLost,
     PlatformUnavailable,
     VersionConflict,
@@ -44,6 +45,7 @@
         self.call_counts: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
         self._log: list[Change] = []
+        self._history_from = 0
         self._next_uid = 0
         self._changed = asyncio.Event()
 
@@ -93,6 +95,16 @@
         self.by_key.pop(key)
         self._record(Change(key, None))
 
+    def compact(self) -> None:
+        """Drop the history; watches from before raise `HistoryLost`."""
+        self._history_from = self.position
+        self._wake()
+
+    def check_history(self, after: int) -> None:
+        """Raise `HistoryLost` where the changes since then are dropped."""
+        if after < self._history_from:
+            raise HistoryLost(f'position {after}')
+
     def page_after(self, prefix: str, after: int, limit: int) -> Changes:
         """Up to `limit` changes, and the position of the last one looked at.
 
@@ -112,8 +124,9 @@
         return Changes(position, tuple(change for _, change in page))
 
     async def wait_for_change(self, position: int) -> None:
-        """Return once the log is longer than the position."""
-        while self.position <= position:
+        """Return once the log is longer, or its history was dropped."""
+        kept_from = self._history_from
+        while self.position <= position and self._history_from == kept_from:
             await self._changed.wait()
 
     def _check(self, key: str, expected: Expected | None) -> None:
@@ -131,6 +144,9 @@
 
     def _record(self, change: Change) -> None:
         self._log.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -224,9 +240,11 @@
     ) -> Changes:
         """Wait for changes below the prefix after a position, for ever."""
         await self._begin('watch')
+        self._store.check_history(after)
         changes = self._store.page_after(prefix, after, _MAX_CHANGES)
         while changes.position == after or not changes.changes:
             await self._store.wait_for_change(self._store.position)
+            self._store.check_history(after)
             changes = self._store.page_after(prefix, after, _MAX_CHANGES)
         await self._finish()
         return changes
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,11 @@
 """Tests of the store's client against the stand-in."""
 
 import asyncio
+import contextlib
 
 import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
 
 from nutmegshore.errors import (
     HistoryLost,
@@ -10,6 +13,12 @@
     PlatformUnavailable,
     VersionConflict,
 )
+from nutmegshore.platform.standin import (
+    StandinStore,
+    StoreFaults,
+    make_store_application,
+)
+from nutmegshore.platform.store import PlatformStore
 from nutmegshore.store import Expected
 
 
@@ -116,9 +125,80 @@
     asyncio.run(session())
 
 
+def test_a_write_can_take_effect_seconds_late(serve_store):
+    """Guards against taking a write without an answer for undone."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            first = await client.write('gateways/g1', b'1', None, 'op-1')
+            store.faults.late_s = 0.2
+            with pytest.raises(PlatformAnswerLost):
+                await client.write(
+                    'gateways/g1',
+                    b'2',
+                    Expected.of(first),
+                    'op-2',
+                )
+            assert (await client.read('gateways/g1')).body == b'1'
+            await asyncio.sleep(0.3)
+            assert (await client.read('gateways/g1')).operation == 'op-2'
+
+    asyncio.run(session())
+
+
+def test_a_refused_machine_does_not_see_what_others_are_served():
+    """Guards against a stand-in whose faults hold for all machines alike."""
+
+    async def session():
+        store = StandinStore()
+        refused = StoreFaults(status=503)
+        async with contextlib.AsyncExitStack() as stack:
+            clients = []
+            for faults in (None, refused):
+                listening, port = bind_unused_port()
+                server = HTTPServer(make_store_application(store, faults))
+                server.add_socket(listening)
+                stack.push_async_callback(server.close_all_connections)
+                stack.callback(server.stop)
+                clients.append(PlatformStore(f'127.0.0.1:{port}'))
+            served, turned_away = clients
+            assert (await served.read_listing('servers/')).listed == ()
+            with pytest.raises(PlatformUnavailable):
+                await turned_away.read_listing('servers/')
+
+    asyncio.run(session())
+
+
+def test_an_object_with_finalizers_is_only_marked():
+    """Guards against a stand-in that removes what has to be waited for."""
+
+    async def session():
+        store = StandinStore()
+        made = store.put('servers', 'i-1', {})
+        made['Metadata']['Finalizers'] = ['drain']
+        store.mark_deleting('servers', 'i-1')
+        assert store.get('servers', 'i-1')['Metadata']['Deleting']
+
+    asyncio.run(session())
+
+
+def test_stale_reads_are_as_of_before():
+    """Guards against a stand-in whose stale reads are fresh."""
+
+    async def session():
+        store = StandinStore()
+        store.put('servers', 'i-1', {})
+        store.keep_stale()
+        store.put('servers', 'i-2', {})
+        stale, _ = store.page('servers', '', is_stale=True)
+        fresh, _ = store.page('servers', '', is_stale=False)
+        assert (len(stale), len(fresh)) == (1, 2)
+
+    asyncio.run(session())
+
+
 def test_a_dead_store_is_unavailable():
     """Guards against a write taken for lost that was never sent."""
-    from nutmegshore.platform.store import PlatformStore
 
     async def session():
         client = PlatformStore('127.0.0.1:1')
--- a/tests/store/test_memory.py
+++ b/tests/store/test_memory.py
@@ -1,9 +1,15 @@
 """Tests of the platform in memory and of the resolved write."""
 
+import asyncio
+
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
-from nutmegshore.errors import PlatformUnavailable, VersionConflict
+from nutmegshore.errors import (
+    HistoryLost,
+    PlatformUnavailable,
+    VersionConflict,
+)
 from nutmegshore.store import (
     Expected,
     MemoryPlatform,
@@ -66,3 +72,24 @@
         return store.by_key
 
     assert not run_virtual(session)
+
+
+def test_a_dropped_history_ends_the_watches_from_before():
+    """Guards against a watch that waits for changes that are forgotten."""
+
+    async def session():
+        store, platform = _client()
+        await platform.write('k', b'1', None, 'a')
+        waiting = asyncio.ensure_future(platform.watch('k', 1))
+        await asyncio.sleep(1)
+        await platform.write('other', b'1', None, 'b')
+        store.compact()
+        with pytest.raises(HistoryLost):
+            await waiting
+        with pytest.raises(HistoryLost):
+            await platform.watch('k', 0)
+        listing = await platform.read_listing('k')
+        assert listing.position == store.position
+        return [one.key for one in listing.listed]
+
+    assert run_virtual(session) == ['k']
