Move objects between regions fast, back slowly, and only to free regions

Change: the part that goes elsewhere rises by 0.4 a second, falls by 0.02, and falls fast where the other regions have queues. A request that is late anyway may wait for 0.6 of its target instead of 0.3. Refused callers get turns at the pace of the upstreams.

--- /dev/null
+++ b/bench/balancing_load.py
@@ -0,0 +1,481 @@
+"""A model of regions under load, to measure the balancing decisions.
+
+Gateways, upstreams and callers live on one clock of their own, without a
+network. Upstreams have slots, a queue, and work faster on objects that they
+had lately; callers that are refused come back once.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterator
+from types import MappingProxyType
+
+import attrs
+
+from nutmegshore.balancing import (
+    Balancer,
+    Choice,
+    Ended,
+    Outcome,
+    Surroundings,
+    Wanted,
+)
+from nutmegshore.balancing.balancer import Sent
+from nutmegshore.clock import Clock
+from nutmegshore.errors import RefusedError
+from nutmegshore.gateway.route import (
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceRules,
+    Share,
+)
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream import Upstream
+
+__all__ = ('Pattern', 'Region', 'Served', 'patelwadi', 'play', 'vestfold')
+
+_SERVICE = 'orders'
+_REPORT_S = 0.25
+#: Phases of the regions' waves, as parts of the period.
+_PATELWADI_PHASES = (0.4, 0.73, 1.1)
+_VESTFOLD_PHASES = (0.3, 0.63, 0.97)
+_COUNTS = ('things', 'slots', 'queue', 'kept_objects')
+_VESTFOLD_COUNTS = (55, 5, 15, 49)
+_TIMES = ('work_s', 'target_s', 'deadline_s', 'away_s')
+_VESTFOLD_TIMES = (0.36, 0.4, 2, 0.11)
+_FULL_TURN = 2 * math.pi
+#: Part of the time that is left within which callers heed Retry-After.
+_HEEDED_PART = 1 / 3
+
+
+@attrs.frozen
+class Region:
+    """A region's gateways, upstreams, and requests a second on average.
+
+    `phase` shifts its wave of requests, as a part of the period.
+    """
+
+    name: str
+    upstreams: int
+    per_s: float
+    phase: float = 0
+    gateways: int = 3
+
+
+@attrs.frozen
+class Pattern:
+    """A load; times are in seconds.
+
+    Each region's requests are for `things` objects of its own. `work_s` is
+    the mean time for an object that an upstream did not have
+    lately, `warm_part` what is left of it for one that it had. The requests
+    of a region rise and fall by `swing` of their mean in each period. Regions
+    are `away_s` apart, there and back, and `max_shift` bounds how fast work
+    moves between them.
+    """
+
+    regions: tuple[Region, ...]
+    seconds: float = 40
+    things: int = 24
+    slots: int = 3
+    queue: int = 9
+    kept_objects: int = 25
+    work_s: float = 0.48
+    warm_part: float = 0.3
+    spread: float = 0.15
+    target_s: float = 0.3
+    deadline_s: float = 2.5
+    away_s: float = 0.024
+    swing: float = 0.55
+    period_s: float = 36
+    max_shift: float = 0.15
+
+
+@attrs.define
+class Served:
+    """How the requests of one region ended; `away` counts runs elsewhere."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    refusals: int = 0
+    away: int = 0
+    cold_runs: int = 0
+
+    @property
+    def in_time_part(self) -> float:
+        """Part of the requests that were answered within their target."""
+        return self.in_time / max(self.asked, 1)
+
+    @property
+    def refused_part(self) -> float:
+        """Part of the requests that ended refused."""
+        return self.refused / max(self.asked, 1)
+
+
+def patelwadi(per_s: float) -> Pattern:
+    """Tallies at Patelwadi, with so many callers a second in each region."""
+    west, north, south = _PATELWADI_PHASES
+    return Pattern(
+        (
+            Region('west', upstreams=2, per_s=per_s, phase=west),
+            Region('north', upstreams=4, per_s=per_s, phase=north),
+            Region('south', upstreams=6, per_s=per_s, phase=south),
+        ),
+    )
+
+
+def vestfold(per_s: float) -> Pattern:
+    """The catalogue at Vestfold, with so many callers a second in each."""
+    east, west, north = _VESTFOLD_PHASES
+    return Pattern(
+        (
+            Region('ostlandet', upstreams=6, per_s=per_s, phase=east),
+            Region('vestlandet', upstreams=2, per_s=per_s, phase=west),
+            Region('nordnorge', 6, per_s, phase=north, gateways=4),
+        ),
+        **dict(zip(_COUNTS, _VESTFOLD_COUNTS, strict=True)),
+        **dict(zip(_TIMES, _VESTFOLD_TIMES, strict=True)),
+    )
+
+
+def play(pattern: Pattern, seed: int) -> dict[str, Served]:
+    """Play a load; returns how the requests ended, by region."""
+    return _Session(pattern, random.Random(seed)).run()
+
+
+_PlayEvent = Callable[[], None]
+#: When an event is played, its number, and what it does.
+_Event = tuple[float, int, _PlayEvent]
+
+
+class _EventClock(Clock):
+    """A clock that stands at the time of the event that is played."""
+
+    def __init__(self) -> None:
+        self._seconds = float(0)
+        self._events: list[_Event] = []
+        self._numbers = itertools.count()
+
+    def now(self) -> float:
+        """Time of the present event."""
+        return self._seconds
+
+    def wall(self) -> float:
+        """The same; nothing here compares clocks."""
+        return self._seconds
+
+    async def sleep(self, seconds: float) -> None:
+        """Not used: everything here is an event."""
+        raise NotImplementedError
+
+    def after(self, seconds: float, play_event: _PlayEvent) -> None:
+        """Play an event some seconds from now."""
+        at = self._seconds + seconds
+        heapq.heappush(self._events, (at, next(self._numbers), play_event))
+
+    def run(self) -> None:
+        """Play events until none is left."""
+        while self._events:
+            event = heapq.heappop(self._events)
+            self._seconds = event[0]
+            event[2]()
+
+
+@attrs.define(eq=False)
+class _Request:
+    """One caller's request; `asked_at` is that of its first attempt."""
+
+    region: Region
+    key: str
+    asked_at: float
+    is_return: bool = False
+
+
+@attrs.define(eq=False)
+class _Gateway:
+    """One gateway's name and decisions."""
+
+    name: str
+    balancer: Balancer
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """A request on its way to an upstream and back, `way_s` each."""
+
+    request: _Request
+    balancer: Balancer
+    sent: Sent
+    sent_at: float
+    way_s: float
+
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream."""
+        return self.sent.choice.upstream.instance
+
+
+@attrs.define(eq=False)
+class _Job:
+    """A request at an upstream; `done` is called when its work ends."""
+
+    key: str
+    done: _PlayEvent
+
+
+class _ModelUpstream:
+    """Slots, a queue in order of arrival, and the objects it had lately."""
+
+    def __init__(
+        self, pattern: Pattern, clock: _EventClock, rng: random.Random
+    ) -> None:
+        self._pattern = pattern
+        self._clock = clock
+        self._rng = rng
+        self.running = 0
+        self.cold_runs = 0
+        self._waiting: collections.deque[_Job] = collections.deque()
+        self._kept: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def take(self, job: _Job) -> bool:
+        """Run or queue a request; False if the queue is full."""
+        if self.running < self._pattern.slots:
+            self._begin(job)
+            return True
+        if len(self._waiting) >= self._pattern.queue:
+            return False
+        self._waiting.append(job)
+        return True
+
+    @property
+    def busy(self) -> int:
+        """Requests that run or wait."""
+        return self.running + len(self._waiting)
+
+    def _begin(self, job: _Job) -> None:
+        self.running += 1
+        self._clock.after(self._work_s(job.key), lambda: self._end(job))
+
+    def _work_s(self, key: str) -> float:
+        pattern = self._pattern
+        mean_s = pattern.work_s
+        if key in self._kept:
+            mean_s *= pattern.warm_part
+        else:
+            self.cold_runs += 1
+        self._kept[key] = None
+        self._kept.move_to_end(key)
+        if len(self._kept) > pattern.kept_objects:
+            self._kept.popitem(last=False)
+        return mean_s * self._rng.lognormvariate(0, pattern.spread)
+
+    def _end(self, job: _Job) -> None:
+        self.running -= 1
+        if self._waiting:
+            self._begin(self._waiting.popleft())
+        job.done()
+
+
+class _Session:
+    """One load that is played."""
+
+    def __init__(self, pattern: Pattern, rng: random.Random) -> None:
+        self._pattern = pattern
+        self._rng = rng
+        self._clock = _EventClock()
+        self._by_region = {one.name: Served() for one in pattern.regions}
+        self._upstreams: dict[str, _ModelUpstream] = {}
+        state = _make_state(pattern, self._clock)
+        for instance in state.by_id:
+            self._upstreams[instance] = _ModelUpstream(
+                pattern,
+                self._clock,
+                rng,
+            )
+        self._route = _make_route(pattern)
+        self._gateways = {
+            region.name: [
+                self._make_gateway(region, number, state)
+                for number in range(region.gateways)
+            ]
+            for region in pattern.regions
+        }
+
+    def run(self) -> dict[str, Served]:
+        """Play to the end; returns how the requests ended, by region."""
+        for region in self._pattern.regions:
+            self._await_next(region)
+        self._clock.after(_REPORT_S, self._report)
+        self._clock.run()
+        return self._by_region
+
+    def _make_gateway(
+        self,
+        region: Region,
+        number: int,
+        state: FleetState,
+    ) -> _Gateway:
+        name = f'{region.name}-g{number}'
+        around = Surroundings(
+            self._clock,
+            random.Random(self._rng.random()),
+            name,
+            region.name,
+            self._names,
+            self._pattern.max_shift,
+        )
+        return _Gateway(name, Balancer(state, around))
+
+    def _names(self, region: str) -> list[str]:
+        return [
+            f'{one.name}-g{number}'
+            for one in self._pattern.regions
+            if region in {'', one.name}
+            for number in range(one.gateways)
+        ]
+
+    def _report(self) -> None:
+        """Tell each gateway what the others have in flight."""
+        everyone = list(itertools.chain(*self._gateways.values()))
+        for one in everyone:
+            counts = one.balancer.known.load.own_counts()
+            for other in everyone:
+                if other is not one:
+                    other.balancer.known.load.take_peer(one.name, counts)
+        if self._clock.now() < self._pattern.seconds:
+            self._clock.after(_REPORT_S, self._report)
+
+    def _await_next(self, region: Region) -> None:
+        """Have the next request of a region arrive."""
+        turn = self._clock.now() / self._pattern.period_s + region.phase
+        wave = 1 + self._pattern.swing * math.sin(_FULL_TURN * turn)
+        pause_s = self._rng.expovariate(region.per_s * wave)
+        if self._clock.now() + pause_s < self._pattern.seconds:
+            self._clock.after(pause_s, lambda: self._arrive(region))
+
+    def _arrive(self, region: Region) -> None:
+        self._await_next(region)
+        number = self._rng.randrange(self._pattern.things)
+        key = f'{region.name}-{number}'
+        self._by_region[region.name].asked += 1
+        self._ask(_Request(region, key, self._clock.now()))
+
+    def _ask(self, request: _Request) -> None:
+        gateway = self._rng.choice(self._gateways[request.region.name])
+        wanted = Wanted(
+            self._route, _SERVICE, request.key, self._left_s(request)
+        )
+        try:
+            choice = gateway.balancer.choose(wanted)
+        except RefusedError as refusal:
+            self._refuse(request, refusal.retry_after_s)
+            return
+        self._send(request, gateway.balancer, wanted, choice)
+
+    def _send(
+        self,
+        request: _Request,
+        balancer: Balancer,
+        wanted: Wanted,
+        choice: Choice,
+    ) -> None:
+        is_away = choice.upstream.region != request.region.name
+        self._by_region[request.region.name].away += is_away
+        attempt = _Attempt(
+            request,
+            balancer,
+            balancer.begin(wanted, choice),
+            self._clock.now(),
+            self._pattern.away_s / 2 if is_away else 0,
+        )
+        self._clock.after(attempt.way_s, lambda: self._reach(attempt))
+
+    def _reach(self, attempt: _Attempt) -> None:
+        """Have a request arrive at its upstream."""
+        upstream = self._upstreams[attempt.upstream]
+        before = upstream.cold_runs
+        job = _Job(attempt.request.key, lambda: self._return(attempt))
+        if not upstream.take(job):
+            attempt.balancer.end(attempt.sent, Ended(Outcome.REFUSED, 0))
+            self._refuse(attempt.request, 0)
+        served = self._by_region[attempt.request.region.name]
+        served.cold_runs += upstream.cold_runs - before
+
+    def _return(self, attempt: _Attempt) -> None:
+        """Send an answer back to its gateway."""
+        self._clock.after(attempt.way_s, lambda: self._answer(attempt))
+
+    def _answer(self, attempt: _Attempt) -> None:
+        name = attempt.upstream
+        took_s = self._clock.now() - attempt.sent_at
+        load = attempt.balancer.known.load
+        load.take_report(name, self._upstreams[name].busy)
+        attempt.balancer.end(attempt.sent, Ended(Outcome.ANSWERED, took_s))
+        self._finish(attempt.request)
+
+    def _finish(self, request: _Request) -> None:
+        took_s = self._clock.now() - request.asked_at
+        served = self._by_region[request.region.name]
+        if took_s <= self._pattern.target_s:
+            served.in_time += 1
+        elif took_s <= self._pattern.deadline_s:
+            served.late += 1
+
+    def _refuse(self, request: _Request, retry_after_s: float) -> None:
+        served = self._by_region[request.region.name]
+        served.refusals += 1
+        if request.is_return:
+            served.refused += 1
+            return
+        pause_s = min(retry_after_s, _HEEDED_PART * self._left_s(request))
+        again = attrs.evolve(request, is_return=True)
+        self._clock.after(pause_s, lambda: self._ask(again))
+
+    def _left_s(self, request: _Request) -> float:
+        gone_s = self._clock.now() - request.asked_at
+        return self._pattern.deadline_s - gone_s
+
+
+def _make_state(pattern: Pattern, clock: Clock) -> FleetState:
+    """What all gateways know of the upstreams from the start."""
+    state = FleetState(clock)
+    rules = MappingProxyType({_SERVICE: ServiceRules()})
+    state.adopt(Configuration(1, (_make_route(pattern),), rules))
+    found = _iter_upstreams(pattern)
+    state.replace_upstreams(found, is_after_outage=False)
+    state.replace_evacuated(())
+    return state
+
+
+def _make_route(pattern: Pattern) -> Route:
+    return Route(
+        name='r1',
+        host='a.example',
+        prefix='/',
+        kind=RouteKind.SAFE,
+        timeout_s=pattern.deadline_s,
+        target_latency_s=pattern.target_s,
+        shares=(Share(_SERVICE),),
+        is_sticky=True,
+    )
+
+
+def _iter_upstreams(pattern: Pattern) -> Iterator[Upstream]:
+    for region in pattern.regions:
+        for number in range(region.upstreams):
+            yield Upstream(
+                instance=f'{region.name}-u{number}',
+                service=_SERVICE,
+                address='10.0.0.1:80',
+                availability_zone=f'{region.name}-a',
+                region=region.name,
+                slots=pattern.slots,
+            )
--- a/nutmegshore/balancing/admission.py
+++ b/nutmegshore/balancing/admission.py
@@ -2,7 +2,9 @@
 
 import random
 
-from nutmegshore.balancing.choice import Candidate
+from nutmegshore.balancing.choice import Candidate, Wanted
+from nutmegshore.balancing.returns import ReturnTable
+from nutmegshore.clock import Clock
 from nutmegshore.gateway.route import Route
 
 __all__ = ('Admission',)
@@ -12,13 +14,12 @@
 _TARGET_FACTOR = 1.1
 #: One that cannot (its object is cold everywhere, or it comes from afar) may
 #: wait for this part of its target: longer queues would make others late too.
-_LATE_WAIT_PART = 0.3
+_LATE_WAIT_PART = 0.6
 #: Each step of rank below the most urgent route of a service shortens the
 #: wait by this factor, so that less urgent requests are refused first.
 _RANK_FACTOR = 0.8
-#: Bounds of the time after which a refused caller is asked back, in seconds.
+#: Least time after which a refused caller is asked back, in seconds.
 _LEAST_RETRY_S = 0.05
-_MOST_RETRY_S = 2
 _NO_UPSTREAM_RETRY_S = 0.4
 
 
@@ -28,13 +29,14 @@
     In overload a queue that makes every answer late serves nobody. A request
     is accepted if it is expected within its target, or if its wait is short;
     otherwise it is refused at once, and the caller is told to come back when
-    the excess of the queue has been worked off, at a random moment of the
-    same length, so that refused callers do not return together.
+    the excess of the queue and the callers that were refused before have been
+    worked off.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
         """Spread returns with this generator."""
         self._rng = rng
+        self._returns = ReturnTable(clock)
 
     def allows(
         self,
@@ -58,12 +60,19 @@
 
     def retry_after_s(
         self,
-        route: Route,
-        candidate: Candidate | None,
+        wanted: Wanted,
+        candidate: Candidate,
+        gap_s: float,
     ) -> float:
-        """Seconds after which a refused request is worth another try."""
-        if candidate is None:
-            return _NO_UPSTREAM_RETRY_S * (1 + self._rng.random())
-        excess_s = candidate.wait_s - _LATE_WAIT_PART * route.target_latency_s
-        least_s = max(excess_s, _LEAST_RETRY_S)
-        return min(least_s * (1 + self._rng.random()), _MOST_RETRY_S)
+        """Seconds after which a refused request is worth another try.
+
+        `gap_s` is the time between two requests that this gateway may send.
+        """
+        late_s = _LATE_WAIT_PART * wanted.route.target_latency_s
+        earliest_s = max(candidate.wait_s - late_s, _LEAST_RETRY_S)
+        spread_s = gap_s * (0.5 + self._rng.random())
+        return self._returns.book(wanted.service, earliest_s, spread_s)
+
+    def no_upstream_retry_s(self) -> float:
+        """Seconds after which there may be an upstream again."""
+        return _NO_UPSTREAM_RETRY_S * (1 + self._rng.random())
--- a/nutmegshore/balancing/affinity.py
+++ b/nutmegshore/balancing/affinity.py
@@ -67,7 +67,7 @@
         return ranked
 
     def has_handled(self, instance: str, key: str) -> bool:
-        """Whether an upstream answered a request for the object from here."""
+        """Whether an upstream got a request for the object from here."""
         return key in self._handled.get(instance, ())
 
     def note(self, instance: str, key: str) -> None:
@@ -78,6 +78,10 @@
         if len(handled) > _KEPT_OBJECTS:
             handled.popitem(last=False)
 
+    def discard(self, instance: str, key: str) -> None:
+        """Forget that an upstream has handled an object; it has not."""
+        self._handled.get(instance, {}).pop(key, None)
+
     def forget(self, instance: str) -> None:
         """Drop what an upstream has handled; a new start knows nothing."""
         self._handled.pop(instance, None)
--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -16,11 +16,16 @@
 
 __all__ = ('Balancer', 'Sent')
 
+#: Outcomes of requests that an upstream has not begun to work on.
+_NOT_BEGUN = frozenset((Outcome.REFUSED, Outcome.UNREACHABLE))
 _HOME = 'home'
 _SPILL = 'spill'
 _AWAY = 'away'
 #: Least part of its target that a request is taken to spare for waiting.
 _LEAST_SPARE_PART = 0.25
+#: Queue in another region, as a part of the time that a request may wait,
+#: up to which that region has room.
+_ROOM_PART = 0.25
 
 
 @attrs.define
@@ -46,8 +51,9 @@
         self.known = Weigher(state, around)
         self.spills = SpillTable(around.clock)
         self.shift_bound = ShiftBound(around.clock, around.max_shift)
-        self._admission = Admission(around.rng)
+        self._admission = Admission(around.clock, around.rng)
         self._region = around.region
+        self._gateways = around.gateways
         self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
         self._state = state
 
@@ -75,6 +81,9 @@
         self.shift_bound.note(is_away=is_away)
         token = known.pace.begin(name, choice.candidate.expected_s)
         was_handled = known.affinity.has_handled(name, wanted.key)
+        if wanted.key:
+            # An upstream warms up with the start of the work, not its end.
+            known.affinity.note(name, wanted.key)
         return Sent(choice, wanted, token, was_handled)
 
     def end(self, sent: Sent, ended: Ended) -> float:
@@ -88,6 +97,8 @@
             return 0
         if ended.outcome is Outcome.ANSWERED:
             self._learn(sent, ended)
+        elif ended.outcome in _NOT_BEGUN and not sent.was_handled:
+            self.known.affinity.discard(name, sent.wanted.key)
         elif ended.outcome is Outcome.SILENT:
             expected_s = sent.choice.candidate.expected_s
             self.known.pace.learn(name, ended.took_s, expected_s)
@@ -139,8 +150,10 @@
         """Tell the spill how long the queue at home is."""
         target_s = wanted.route.target_latency_s
         spare_s = target_s - home.work_s - home.delay_s
-        pressure = home.wait_s / max(spare_s, _LEAST_SPARE_PART * target_s)
-        has_room = away.wait_s <= home.wait_s
+        spare_s = max(spare_s, _LEAST_SPARE_PART * target_s)
+        pressure = home.wait_s / spare_s
+        # Where all regions are full, moved objects only add cold work.
+        has_room = away.wait_s <= _ROOM_PART * spare_s
         self.spills.note(wanted.service, pressure, has_room=has_room)
 
     def _is_admitted(self, wanted: Wanted, chosen: Candidate) -> bool:
@@ -166,24 +179,23 @@
         times = self.known.times(wanted)
         expected_s = times.expect(is_warm=candidate.is_warm) + candidate.wait_s
         self.known.pace.learn(upstream.instance, work_s, expected_s)
-        if self._is_plain(sent):
-            times.learn(work_s, is_warm=candidate.is_warm)
-        if wanted.key:
-            self.known.affinity.note(upstream.instance, wanted.key)
-
-    def _is_plain(self, sent: Sent) -> bool:
+        if self._is_plain(candidate):
+            is_presumed = candidate.is_warm and not sent.was_handled
+            is_warm = candidate.is_warm
+            if is_presumed:
+                is_warm = times.seems_warm(work_s)
+            times.learn(work_s, is_warm=is_warm)
+
+    def _is_plain(self, candidate: Candidate) -> bool:
         """Whether the time of a request is that of its work alone.
 
-        It did not wait, the upstream had long started, and whether the object
-        was warm there is known rather than presumed.
+        It did not wait, and the upstream had long started.
         """
-        candidate = sent.choice.candidate
-        if candidate.wait_s or self._state.is_cold(candidate.upstream.instance):
-            return False
-        return sent.was_handled or not candidate.is_warm
+        is_cold = self._state.is_cold(candidate.upstream.instance)
+        return not (candidate.wait_s or is_cold)
 
     def _no_upstream(self, wanted: Wanted) -> RefusedError:
-        retry_s = self._admission.retry_after_s(wanted.route, None)
+        retry_s = self._admission.no_upstream_retry_s()
         return RefusedError(ErrorKind.NO_UPSTREAM, wanted.service, retry_s)
 
     def _overloaded(
@@ -192,12 +204,27 @@
         chosen: Candidate,
         candidates: int,
     ) -> RefusedError:
-        retry_s = self._admission.retry_after_s(wanted.route, chosen)
+        retry_s = self._admission.retry_after_s(
+            wanted,
+            chosen,
+            self._gap_s(wanted, chosen),
+        )
         refusal = RefusedError(ErrorKind.OVERLOADED, wanted.service, retry_s)
         refusal.expected_s = chosen.expected_s
         refusal.candidates = candidates
         return refusal
 
+    def _gap_s(self, wanted: Wanted, chosen: Candidate) -> float:
+        """Seconds between two requests that this gateway may send.
+
+        The gateways of the region share its upstreams.
+        """
+        usable = self._state.usable(wanted.service)
+        region = chosen.upstream.region
+        slots = sum(one.slots for one in usable if one.region == region)
+        members = max(len(self._gateways(region)), 1)
+        return chosen.work_s * members / max(slots, 1)
+
 
 def _iter_ranks(configuration: Configuration) -> Iterator[tuple[str, int]]:
     """Services with the rank of their most urgent route."""
--- a/nutmegshore/balancing/pace.py
+++ b/nutmegshore/balancing/pace.py
@@ -8,7 +8,8 @@
 
 __all__ = ('PaceTable', 'RouteTimes', 'UpstreamPace')
 
-#: Weight of a new sample in the times of a route.
+#: Least weight of a new sample in the times of a route; the first samples
+#: count equally, so that a wrong guess is gone after one answer.
 _ROUTE_WEIGHT = 0.08
 #: Weight of a new sample in an upstream's slowness.
 _SLOWNESS_WEIGHT = 0.25
@@ -28,13 +29,19 @@
 class RouteTimes:
     """Seconds that a route's work takes at a service, warm and cold.
 
-    `is_known` says whether any answer was measured; until then the times are
-    guesses.
+    `warm_samples` and `cold_samples` count the answers that were measured;
+    until the first one a time is a guess, which that answer replaces.
     """
 
     warm_s: float
     cold_s: float
-    is_known: bool = False
+    warm_samples: int = 0
+    cold_samples: int = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any answer was measured."""
+        return bool(self.warm_samples or self.cold_samples)
 
     def expect(self, *, is_warm: bool) -> float:
         """Seconds of work that a request will need."""
@@ -42,11 +49,18 @@
 
     def learn(self, seconds: float, *, is_warm: bool) -> None:
         """Take a sample of a request that did not wait."""
-        self.is_known = True
         if is_warm:
-            self.warm_s += _ROUTE_WEIGHT * (seconds - self.warm_s)
+            self.warm_samples += 1
+            weight = max(1 / self.warm_samples, _ROUTE_WEIGHT)
+            self.warm_s += weight * (seconds - self.warm_s)
         else:
-            self.cold_s += _ROUTE_WEIGHT * (seconds - self.cold_s)
+            self.cold_samples += 1
+            weight = max(1 / self.cold_samples, _ROUTE_WEIGHT)
+            self.cold_s += weight * (seconds - self.cold_s)
+
+    def seems_warm(self, seconds: float) -> bool:
+        """Whether a time is nearer to that of warm work, by its ratio."""
+        return seconds * seconds < self.warm_s * self.cold_s
 
 
 @attrs.define
@@ -140,13 +154,22 @@
         self.by_id.pop(instance, None)
 
     def _guess(self, service: str, target_s: float) -> RouteTimes:
-        """Times of another route at the service, or else from the target."""
-        for (_, known_service), times in self._by_route.items():
-            if known_service == service and times.is_known:
-                return RouteTimes(times.warm_s, times.cold_s)
+        """Times of the best known route at the service, or of the target."""
+        known = [
+            times
+            for (_, known_service), times in self._by_route.items()
+            if known_service == service and times.is_known
+        ]
+        if known:
+            best = max(known, key=_count_samples)
+            return RouteTimes(best.warm_s, best.cold_s)
         return RouteTimes(_WARM_GUESS * target_s, target_s)
 
 
+def _count_samples(times: RouteTimes) -> int:
+    return times.warm_samples + times.cold_samples
+
+
 def _smooth(before_s: float, sample_s: float) -> float:
     if not before_s:
         return sample_s
--- a/nutmegshore/balancing/spill.py
+++ b/nutmegshore/balancing/spill.py
@@ -9,9 +9,12 @@
 
 __all__ = ('SpillTable',)
 
-#: Change of the part in a second. `ShiftBound` keeps what really moves within
-#: the users' bound; this only has to be slower than queues build up.
-_SLOPE = 0.08
+#: Rise of the part in a second. `ShiftBound` keeps what really moves within
+#: the users' bound, so that this may be as fast as queues build up.
+_RISE = 0.4
+#: Fall of the part in a second while home has room again. An object that
+#: comes back is cold once, so that a short lull is no reason to fetch it.
+_FALL = 0.02
 #: Pressure above which the part rises and below which it falls: the expected
 #: wait at home against the time that the target leaves for waiting.
 _HIGH_PRESSURE = 0.6
@@ -36,11 +39,12 @@
 class SpillTable:
     """Wants a part of a service's requests to go to other regions.
 
-    The part rises while the home region's queues are long, and falls while
-    they are short. Objects go elsewhere as a whole, in an order that every
-    gateway of the region has, so that only one of the two sides has to know
-    an object. Requests without an object are picked at even distances rather
-    than at random.
+    The part rises while the home region's queues are long, and falls slowly
+    while they are short, or fast where the other regions have no room.
+    Objects go elsewhere as a whole, in an order that every gateway of the
+    region has, so that only one of the two sides has to know an object.
+    Requests without an object are picked at even distances rather than at
+    random.
 
         spills.note('orders', pressure=0.8, has_room=True)
         if spills.takes('orders', key):
@@ -67,11 +71,12 @@
         elapsed = min(now - spill.at, _MAX_STEP_S)
         spill.at = now
         spill.pressure += _PRESSURE_WEIGHT * (pressure - spill.pressure)
-        step = _SLOPE * elapsed
-        if not has_room or spill.pressure < _LOW_PRESSURE:
-            spill.part = max(spill.part - step, 0)
+        if not has_room:
+            spill.part = max(spill.part - _RISE * elapsed, 0)
+        elif spill.pressure < _LOW_PRESSURE:
+            spill.part = max(spill.part - _FALL * elapsed, 0)
         elif spill.pressure > _HIGH_PRESSURE:
-            spill.part = min(spill.part + step, 1)
+            spill.part = min(spill.part + _RISE * elapsed, 1)
 
     def takes(self, service: str, key: str) -> bool:
         """Whether a request is one of those that go elsewhere."""
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -188,3 +188,36 @@
     with pytest.raises(RefusedError):
         balancer.choose(attrs.evolve(first, route=plain))
     assert balancer.choose(first).upstream.instance == 'w1'
+
+
+def test_an_object_is_warm_from_the_start_of_its_work(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+):
+    """Guards against a second upstream for an object whose first request is
+    still in work; on leafscale-gj concurrent requests ran warm."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    first = balancer.choose(wanted('7'))
+    balancer.begin(wanted('7'), first)
+    name = first.upstream.instance
+    assert balancer.known.affinity.has_handled(name, '7')
+
+
+@pytest.mark.parametrize('outcome', [Outcome.REFUSED, Outcome.UNREACHABLE])
+def test_an_object_that_did_not_run_is_not_warm(
+    make_state,
+    make_balancer,
+    upstream,
+    wanted,
+    outcome,
+):
+    """Guards against an upstream that is taken to know an object that it
+    never worked on."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    choice = balancer.choose(wanted('7'))
+    sent = balancer.begin(wanted('7'), choice)
+    balancer.end(sent, Ended(outcome, 0))
+    name = choice.upstream.instance
+    assert not balancer.known.affinity.has_handled(name, '7')
--- /dev/null
+++ b/tests/balancing/test_region_load.py
@@ -0,0 +1,71 @@
+"""Tests of all balancing decisions together, under whole loads.
+
+They play the model of `bench/balancing_load.py`: gateways, upstreams with
+slots and warm objects, and callers, on a clock of their own.
+"""
+
+import attrs
+
+from bench.balancing_load import Region, patelwadi, play
+
+_SEEDS = (0, 1, 2)
+#: Load pattern: each region has a third of the callers, one of them a sixth
+#: of the upstreams, and its wave of requests goes beyond what these take.
+_SHORT = patelwadi(40)
+#: Load pattern: all regions get half as much again as they take when each
+#: object is warm.
+_FULL = attrs.evolve(
+    _SHORT,
+    regions=tuple(
+        Region(name, 4, 125, 0) for name in ('west', 'north', 'south')
+    ),
+    swing=0,
+    seconds=20,
+)
+
+
+def _in_time(pattern, region=''):
+    """Part answered in time over some seeds, of one region or of all."""
+    found = [
+        served
+        for seed in _SEEDS
+        for name, served in play(pattern, seed).items()
+        if region in {'', name}
+    ]
+    asked = sum(one.asked for one in found)
+    return sum(one.in_time for one in found) / asked
+
+
+def _at_home(pattern):
+    """The same load with gateways that move nothing."""
+    return attrs.evolve(pattern, max_shift=0)
+
+
+def test_a_region_short_of_upstreams_is_helped():
+    """Guards against refusals in one region while others are idle."""
+    home = _at_home(_SHORT)
+    assert _in_time(_SHORT, 'west') > _in_time(home, 'west')
+    assert _in_time(_SHORT) > _in_time(home)
+
+
+def test_full_regions_do_not_pass_on_their_excess():
+    """Guards against cold work for objects that move between regions without
+    room, as on leafscale-gj scale-1, where all regions were full."""
+    least = 0.95 * _in_time(_at_home(_FULL))
+    assert _in_time(_FULL) > least
+
+
+def test_most_requests_are_served_beyond_the_capacity():
+    """Guards against a collapse under overload: with 1.5 times of what fits,
+    two thirds can be answered."""
+    found = play(_FULL, 0).values()
+    ended = sum(one.in_time + one.late for one in found)
+    asked = sum(one.asked for one in found)
+    assert 2 * ended > asked
+
+
+def test_every_request_ends_once():
+    """Guards against requests that the model loses."""
+    for served in play(_SHORT, 0).values():
+        ended = served.in_time + served.late + served.refused
+        assert ended == served.asked
