List each kind again within its own bound

Cause: the gateways listed all three kinds together each 1.5 s, also evacuations, which have 5 s, and configurations where they have 2.5 s.

Change: a kind is listed again after three quarters of its bound in the settings; what is left is for one gateway that misses its turn.

On virtual time the oldest listing stays below bounds of 2, 2.5 and 5 s.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -111,6 +111,9 @@
         )
         self.balancer.shift_bound.limit(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
+        bounds_by_prefix = _bounds_by_prefix(settings)
+        for follower in self.followers:
+            follower.bound_s = bounds_by_prefix[follower.prefix]
 
     def _make_registry(self) -> Registry:
         settings = self.settings
@@ -161,6 +164,7 @@
             (UPSTREAM_PREFIX, self.upstreams),
             (EVACUATION_PREFIX, evacuations),
         )
+        bounds = _bounds_by_prefix(self.settings)
         parts = FollowerParts(
             outside.store,
             outside.clock,
@@ -169,7 +173,8 @@
             outside.log,
         )
         return tuple(
-            KindFollower(prefix, replica, parts) for prefix, replica in replicas
+            KindFollower(prefix, replica, parts, bounds[prefix])
+            for prefix, replica in replicas
         )
 
     def _make_parts(self) -> GatewayParts:
@@ -204,6 +209,15 @@
         self.balancer.known.load.take_report(name, busy)
 
 
+def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
+    """Seconds within which a change of each kind has to be in force."""
+    return {
+        CONFIGURATION_PREFIX: settings.bounds.configuration_s,
+        UPSTREAM_PREFIX: settings.bounds.drain_s,
+        EVACUATION_PREFIX: settings.bounds.evacuation_s,
+    }
+
+
 def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
     """Addresses at which the seeds of the settings talk to peers."""
     return tuple(
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -66,9 +66,10 @@
     `digest` is the same at all gateways that know the same objects, and
     `position` is where the watch goes on; of two gateways with different
     digests, the one with the lower position lacks something.
-    After a failure everything is listed again.
+    `bound_s` is the time within which a change has to be in force. After a
+    failure everything is listed again.
 
-        follower = KindFollower('servers/', replica, parts)
+        follower = KindFollower('servers/', replica, parts, bound_s=2)
         await asyncio.gather(follower.run(), follower.run_checks())
     """
 
@@ -77,9 +78,11 @@
         prefix: str,
         replica: Replica,
         parts: FollowerParts,
+        bound_s: float,
     ) -> None:
         """Know nothing yet."""
         self.prefix = prefix
+        self.bound_s = bound_s
         self.digest = 0
         self.position = 0
         self.is_listed = False
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -31,9 +31,10 @@
 #: Seconds for which a peer may know other objects before the store is asked
 #: again; a watch and a report bring a change within 0.8 s.
 _BEHIND_S = 0.9
-#: Seconds between two listings of a kind by any gateway of the fleet. Changes
-#: that no watch delivers are found so, and the other gateways hear of them.
-_CHECK_S = 1.5
+#: Part of a kind's bound after which it is listed again by any gateway of the
+#: fleet. Changes that no watch delivers are found so, and the other gateways
+#: hear of them; what is left of the bound is for a gateway that does not.
+_CHECK_PART = 0.75
 #: Seconds after which the next gateway checks in place of one that did not;
 #: it hears of a check by the report after it.
 _TURN_S = 2 * REPORT_S
@@ -70,7 +71,7 @@
     A report carries the requests in flight, readiness, and how far the state
     goes. A gateway that sees a peer ahead lists the store again; one that the
     store does not answer asks a peer for the objects themselves. Together the
-    gateways list each kind every `_CHECK_S`, since a watch may miss changes.
+    gateways list each kind within its bound, since a watch may miss changes.
     """
 
     def __init__(
@@ -175,8 +176,9 @@
         now = self._parts.clock.now()
         heard = sorted(name for name in self._seen if self._is_heard(name))
         turn = bisect.bisect(heard, self._parts.peers.local.name)
-        wait_s = _CHECK_S + min(turn, _MAX_TURNS) * _TURN_S
+        turn_s = min(turn, _MAX_TURNS) * _TURN_S
         for prefix, follower in self._followers.items():
+            wait_s = _CHECK_PART * follower.bound_s + turn_s
             checked_at = now - follower.age_s
             checked_at = max(checked_at, self._checked_at.get(prefix, 0))
             if now - checked_at > wait_s:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -101,7 +101,7 @@
             Counters(),
             make_log(clock),
         )
-        follower = KindFollower('servers/', replica, parts)
+        follower = KindFollower('servers/', replica, parts, bound_s=2)
         work = asyncio.gather(follower.run(), follower.run_checks())
         try:
             yield store, follower, replica, clock
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -29,6 +29,7 @@
 
     clock: object
     prefix: str = _PREFIX
+    bound_s: float = _APPLY_S
     position: int = 10
     digest: int = 1
     is_in_touch: bool = True
@@ -136,6 +137,28 @@
     run_virtual(session)
 
 
+@pytest.mark.parametrize('bound_s', [2, 2.5, 5])
+def test_a_kind_is_listed_within_its_bound(run_fleet, bound_s):
+    """Guards against a change without a watch that is found too late, and
+    against listings that no bound asks for."""
+
+    async def session():
+        async with run_fleet('g1', 'g2', 'g3') as fleet:
+            followers = [one.follower for one in fleet.values()]
+            for follower in followers:
+                follower.bound_s = bound_s
+            ages = []
+            for _ in range(300):
+                await asyncio.sleep(0.1)
+                ages.append(min(one.age_s for one in followers))
+            checks = sum(one.checks for one in followers)
+            return max(ages), checks
+
+    oldest, checks = run_virtual(session)
+    assert oldest < bound_s
+    assert checks <= 2 * 30 / bound_s
+
+
 def test_others_check_where_the_first_has_no_store(run_fleet):
     """Guards against a fleet that relies on a gateway without the store."""
 
