Cut off callers that do not take a held answer

Cause: HeldAnswer.finish had no time limit, so that a caller that did not read kept its connection, and a stop waited for it until the grace time ended. Refusals had such a limit.

Change: the exchange writes what is held within the listener's write_s, as it does with refusals; the forwarder only has the request answered.

Ruled out: a limit inside the forwarder, which knows no listener.

--- a/nutmegshore/gateway/exchange.py
+++ b/nutmegshore/gateway/exchange.py
@@ -1,6 +1,7 @@
 """The answer to one request of a caller of the gateway."""
 
 import asyncio
+from collections.abc import Awaitable
 from http import HTTPStatus
 
 import attrs
@@ -12,6 +13,7 @@
     Outcome,
     RefusedError,
 )
+from nutmegshore.gateway.answer import HeldAnswer
 from nutmegshore.gateway.events import (
     RequestFailed,
     RequestRefused,
@@ -95,11 +97,17 @@
         self._log_failure(error, status)
         kind = error.kind.value
         text = f'{kind}: {error}\n'.encode()
-        write = self.writer.write_own(status, tuple(headers), text)
+        await self._write_in_time(
+            self.writer.write_own(status, tuple(headers), text),
+        )
+
+    async def _write_in_time(self, write: Awaitable[None]) -> None:
+        """Cut the connection of a caller that does not take its answer."""
         try:
             async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
+            self._parts.counters.add('answers_not_taken')
             abort_stream(self.writer.stream)
             raise StreamClosedError from failure
 
@@ -107,11 +115,15 @@
         head = self.writer.request
         incoming = Incoming(head, read_caller_fields(head), self._arrived_at)
         self._routed = self._forwarder.route(incoming)
-        return await self._forwarder.run(
-            self._routed,
-            self.body,
+        answer = HeldAnswer(
             self.writer,
+            self._parts.dialect,
+            self._routed.request_id,
+            is_safe=self._routed.route.is_safe,
         )
+        await self._forwarder.run(self._routed, self.body, answer)
+        await self._write_in_time(answer.finish())
+        return answer.head.status
 
     def _log_served(self, status: int) -> None:
         routed = self._routed
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -16,7 +16,7 @@
 from nutmegshore.gateway.parts import GatewayParts
 from nutmegshore.gateway.request import Incoming, RoutedRequest
 from nutmegshore.gateway.retries import Retries
-from nutmegshore.listener import AnswerWriter, CallerBody, KeptBody
+from nutmegshore.listener import CallerBody, KeptBody
 
 __all__ = ('Forwarder',)
 
@@ -35,7 +35,7 @@
     """Routes requests, sends them to upstreams, and retries what may be.
 
     routed = forwarder.route(incoming)
-    await forwarder.run(routed, body, writer)
+    await forwarder.run(routed, body, answer)
     """
 
     def __init__(self, parts: GatewayParts) -> None:
@@ -76,16 +76,13 @@
         self,
         routed: RoutedRequest,
         body: CallerBody,
-        writer: AnswerWriter,
-    ) -> int:
-        """Answer the request; returns the status, or raises `RequestError`."""
+        answer: HeldAnswer,
+    ) -> None:
+        """Have the request answered; raises `RequestError` if it is not.
+
+        What the answer holds by then is left to the caller of this method.
+        """
         self._parts.budget.note_request(routed.service)
-        answer = HeldAnswer(
-            writer,
-            self._parts.dialect,
-            routed.request_id,
-            is_safe=routed.route.is_safe,
-        )
         left_s = self._left_s(routed)
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
@@ -96,8 +93,6 @@
                     await self._attempt_all(routed, answer)
             except TimeoutError as failure:
                 raise self._late(routed) from failure
-        await answer.finish()
-        return answer.head.status
 
     async def _read_body(
         self,
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -7,6 +7,7 @@
 
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.errors import ErrorKind, Outcome, RefusedError, RequestError
+from nutmegshore.gateway.answer import HeldAnswer
 from nutmegshore.gateway.exchange import status_of
 from nutmegshore.gateway.forward import Forwarder
 from nutmegshore.gateway.request import Incoming
@@ -53,15 +54,6 @@
         raise RequestError(_LOST, name)
 
 
-class _Writer:
-    """Takes an answer and throws it away."""
-
-    has_begun = False
-
-    async def write_own(self, status, headers, body):
-        """Take a whole answer."""
-
-
 class _NoBody:
     is_whole = True
 
@@ -75,21 +67,25 @@
     number: int = 0
 
     async def ask(self, gateway, target='/orders/bad'):
-        """Status of one caller's request, or the error of a refusal."""
+        """Status of one caller's request, or the error that it ended with."""
         self.number += 1
         parts = self.parts[gateway]
         head = RequestHead('GET', target, 'HTTP/1.1', (('Host', 'a.example'),))
         fields = CallerFields(f'r{self.number}', '', 2000)
         incoming = Incoming(head, fields, parts.clock.now())
         forwarder = Forwarder(parts)
+        answer = HeldAnswer(
+            None,
+            parts.dialect,
+            fields.request_id,
+            is_safe=True,
+        )
+        routed = forwarder.route(incoming)
         try:
-            return await forwarder.run(
-                forwarder.route(incoming),
-                _NoBody(),
-                _Writer(),
-            )
+            await forwarder.run(routed, _NoBody(), answer)
         except RequestError as error:
             return error
+        return answer.head.status
 
     async def revive(self):
         """Let some time pass, and bring crashed upstreams back."""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from nutmegshore.errors import ErrorKind
 from nutmegshore.gateway.exchange import GatewayExchange
 from nutmegshore.gateway.forward import Forwarder
 from nutmegshore.gateway.route import RouteKind
-from nutmegshore.listener import CallerServer, ListenerParts
+from nutmegshore.listener import AnswerWriter, CallerServer, ListenerParts
 
 _GET = (
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r7\r\n'
@@ -22,12 +23,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _listening(parts):
+async def _listening(parts, **limits):
     forwarder = Forwarder(parts)
     listener = ListenerParts(
         lambda writer: GatewayExchange(writer, parts, forwarder, listener),
         parts.counters,
     )
+    listener.limits = attrs.evolve(listener.limits, **limits)
     server = CallerServer(listener)
     port = server.open(0, '127.0.0.1')
     try:
@@ -336,3 +338,30 @@
     _play(make_parts(scripted()), _GET.replace(b'a.example', b'b.example'))
     refused = lines.named('request_refused')[0]
     assert refused['detail'] == 'b.example/orders/7'
+
+
+async def _write_for_ever(writer, status, headers, body):
+    await asyncio.Event().wait()
+
+
+def test_a_caller_that_does_not_read_is_cut_off(
+    make_parts,
+    scripted,
+    monkeypatch,
+):
+    """Guards against a connection that stays open for a caller that does not
+    take its answer, and keeps a stop waiting."""
+    parts = make_parts(scripted())
+    monkeypatch.setattr(AnswerWriter, 'write_own', _write_for_ever)
+
+    async def session():
+        async with _listening(parts, write_s=0.05) as port:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(_GET)
+            async with asyncio.timeout(2):
+                with contextlib.suppress(ConnectionResetError):
+                    assert not await reader.read()
+            writer.close()
+
+    asyncio.run(session())
+    assert parts.counters.total('answers_not_taken') == 1
