Test the log of a whole session, and count only dropped lines as dropped

Cause: no test showed the log of a whole session or ran the commands that read it. The first golden file showed "3 lines were not written" though none was dropped: log-summary added the failures of upstream_judged to the counts of lines_dropped. The story of a quarantined request did not say why it was quarantined.

Change: a golden file of a session with every end of a request, of three stories and of the summary; the summary counts lines_dropped only; a story shows the verdicts on its request.

Ruled out: nothing else counted failures.

--- a/nutmegshore/tracing/story.py
+++ b/nutmegshore/tracing/story.py
@@ -25,6 +25,8 @@
 #: Beliefs that end an earlier one under another name.
 _SAME_BELIEF = (('store_regained', 'store_lost'),)
 _UPSTREAM_EVENTS = frozenset(('upstream_changed', 'upstream_judged'))
+#: What a request was taken for; its refusal names the same digest.
+_VERDICT = 'request_judged'
 
 
 @attrs.frozen
@@ -71,14 +73,14 @@
     instance: str,
     lines: Sequence[LogRecord],
 ) -> tuple[LogRecord, ...]:
-    upstreams = {name for line in lines for name in _upstreams_of(line)}
+    concerned = {name for line in lines for name in _names_of(line)}
     in_force: dict[tuple[str, str], LogRecord] = {}
     for record in records:
         is_before = record.number < lines[-1].number
         if record.instance == instance and is_before:
             if record.event == _NEW_PROCESS:
                 in_force.clear()
-            belief = _belief_of(record, upstreams)
+            belief = _belief_of(record, concerned)
             if belief is not None:
                 in_force[belief] = record
     return tuple(sorted(in_force.values(), key=_number_of))
@@ -86,12 +88,17 @@
 
 def _belief_of(
     record: LogRecord,
-    upstreams: set[str],
+    concerned: set[str],
 ) -> tuple[str, str] | None:
-    """What a line is about, if it matters for the request."""
+    """What a line is about, if it matters for the request.
+
+    `concerned` are the upstreams and digests that the request's lines name.
+    """
     upstream = record.get('upstream')
-    if record.event in _UPSTREAM_EVENTS and upstream in upstreams:
+    if record.event in _UPSTREAM_EVENTS and upstream in concerned:
         return record.event, upstream
+    if record.event == _VERDICT and record.get('digest') in concerned:
+        return record.event, str(upstream)
     renamed = dict(_SAME_BELIEF)
     for event, field in _BELIEFS:
         if record.event == event:
@@ -100,11 +107,11 @@
     return None
 
 
-def _upstreams_of(line: LogRecord) -> list[str]:
+def _names_of(line: LogRecord) -> list[str]:
+    """Upstreams and digests that a line names."""
     named = [attempt[0] for attempt in line.get('attempts') or ()]
-    if line.get('upstream'):
-        named.append(line.get('upstream'))
-    return named
+    named.extend((line.get('upstream'), line.get('detail')))
+    return [name for name in named if name]
 
 
 def _number_of(record: LogRecord) -> int:
--- a/nutmegshore/tracing/summary.py
+++ b/nutmegshore/tracing/summary.py
@@ -9,6 +9,8 @@
 
 __all__ = ('Summary', 'summarise')
 
+#: Event that counts lines, and its counts.
+_DROPS = 'lines_dropped'
 _DROPPED = ('routine', 'notices', 'failures')
 
 
@@ -38,5 +40,6 @@
             summary.reasons[key] += 1
         for attempt in record.get('attempts') or ():
             summary.attempts[attempt[-1]] += 1
-        dropped += sum(record.get(name) or 0 for name in _DROPPED)
+        if record.event == _DROPS:
+            dropped += sum(record.get(name) or 0 for name in _DROPPED)
     return attrs.evolve(summary, dropped=dropped)
--- /dev/null
+++ b/tests/gateway/test_session_log.py
@@ -0,0 +1,110 @@
+"""Golden file of the log of a whole session, and of a story from it."""
+
+import asyncio
+import json
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.commands import make_application
+from nutmegshore.errors import ErrorKind
+from nutmegshore.gateway.events import Started, Starting, Stopped, Stopping
+from nutmegshore.gateway.exchange import GatewayExchange
+from nutmegshore.gateway.forward import Forwarder
+from nutmegshore.listener import ListenerParts, RequestHead
+
+_LOST = ErrorKind.UPSTREAM_LOST
+
+
+class _Writer:
+    """A caller that takes every answer."""
+
+    def __init__(self, request):
+        self.request = request
+        self.has_begun = False
+        self.keeps_alive = True
+
+    async def write_own(self, status, headers, body):
+        """Take a whole answer."""
+
+
+class _NoBody:
+    is_whole = True
+
+
+async def _ask(parts, request, target='/orders/7'):
+    """One caller's request through the gateway's exchange."""
+    headers = (
+        ('Host', 'a.example'),
+        ('Request-Id', request),
+        ('Affinity-Key', '7'),
+        ('Deadline-Ms', '2000'),
+    )
+    forwarder = Forwarder(parts)
+    listener = ListenerParts(lambda writer: None, parts.counters)
+    writer = _Writer(RequestHead('GET', target, 'HTTP/1.1', headers))
+    exchange = GatewayExchange(writer, parts, forwarder, listener)
+    exchange.body = _NoBody()
+    await exchange.run()
+    await asyncio.sleep(1)
+
+
+@pytest.fixture
+def played(make_parts, scripted, step, lines, listening):
+    """Log lines of a gateway that starts, has every kind of end, and stops."""
+
+    async def session():
+        upstreams = scripted(
+            step(after_s=0.1),
+            step(failure=_LOST, after_s=0.2),
+            step(after_s=0.1),
+            step(failure=ErrorKind.UPSTREAM_SILENT),
+            step(failure=ErrorKind.UPSTREAM_SILENT),
+            step(failure=_LOST),
+        )
+        parts = make_parts(upstreams, VirtualClock())
+        parts.log.write(Starting('0.1.0', '10.0.0.5:80', 'west-a'))
+        parts.log.write(Started(1, 0.4))
+        await _ask(parts, 'served')
+        await _ask(parts, 'retried')
+        await _ask(parts, 'failed')
+        await _ask(parts, 'no-route', '/nowhere')
+        listening.dead.add('10.0.0.1:80')
+        await _ask(parts, 'crashing', '/orders/bad')
+        await _ask(parts, 'quarantined', '/orders/bad')
+        parts.log.write(Stopping(0, 6))
+        parts.log.write(Stopped(0))
+
+    run_virtual(session)
+    return lines.lines
+
+
+def test_the_log_of_a_session(played, snapshot):
+    """Guards against events, fields or an order that change unnoticed."""
+    assert [json.dumps(line) for line in played] == snapshot
+
+
+@pytest.fixture
+def run(played, tmp_path):
+    """Function that runs a command line on the session's log."""
+    path = tmp_path / 'gateway.log'
+    path.write_text('\n'.join(json.dumps(line) for line in played))
+    tester = ApplicationTester(make_application())
+
+    def run_line(line):
+        tester.execute(f'{line} {path}')
+        return tester.io.fetch_output()
+
+    return run_line
+
+
+@pytest.mark.parametrize('request_id', ['retried', 'failed', 'quarantined'])
+def test_the_stories_of_a_session(run, snapshot, request_id):
+    """Guards against a story that leaves out what decided a request."""
+    assert run(f'trace {request_id}') == snapshot
+
+
+def test_the_summary_of_a_session(run, snapshot):
+    """Guards against counts that do not add up to the lines."""
+    assert run('log-summary') == snapshot
--- a/tests/tracing/test_tracing.py
+++ b/tests/tracing/test_tracing.py
@@ -108,3 +108,13 @@
     key = ('request_failed', 'upstream_lost', 'x')
     assert summary.reasons[key] == 1
     assert summary.attempts['upstream_lost'] == 1
+
+
+def test_only_dropped_lines_count_as_dropped():
+    """Guards against failures of an upstream that are counted as lines that
+    were not written."""
+    lines = [
+        _line('g1', 1.0, 'upstream_judged', upstream='u1', failures=3),
+        _line('g1', 2.0, 'lines_dropped', routine=4, notices=1, failures=0),
+    ]
+    assert summarise(read_records(lines)).dropped == 5
