--- a/nutmegshore/tracing/summary.py
+++ b/nutmegshore/tracing/summary.py
@@ -40,6 +40,11 @@
             summary.reasons[key] += 1
         for attempt in record.get('attempts') or ():
             summary.attempts[attempt[-1]] += 1
-        if record.event == _DROPS:
-            dropped += sum(record.get(name) or 0 for name in _DROPPED)
+        dropped += _count_dropped(record)
     return attrs.evolve(summary, dropped=dropped)
+
+
+def _count_dropped(record: LogRecord) -> int:
+    if record.event != _DROPS:
+        return 0
+    return sum(record.get(name) or 0 for name in _DROPPED)
