--- a/nutmegshore/gateway/crashes.py
+++ b/nutmegshore/gateway/crashes.py
@@ -53,7 +53,7 @@
         usable,
         usable.is_explained,
     )
-    _CrashJournal(quarantine, parts.log)
+    _VerdictLog(quarantine, parts.log)
     return quarantine
 
 
@@ -91,7 +91,7 @@
         return upstream is None or upstream.is_draining
 
 
-class _CrashJournal:
+class _VerdictLog:
     """Logs what requests are taken for."""
 
     def __init__(self, quarantine: Quarantine, log: EventLog) -> None:
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -73,7 +73,7 @@
 
     def _set_store(self) -> None:
         for follower in self._parts.followers:
-            kind = follower.prefix.rstrip('/')
+            kind = follower.prefix
             is_in_touch = int(follower.is_in_touch)
             self._counters.set_gauge('store_in_touch', is_in_touch, kind=kind)
             if follower.is_listed:
--- a/nutmegshore/quarantine/suspects.py
+++ b/nutmegshore/quarantine/suspects.py
@@ -106,7 +106,12 @@
         left = {one: self.refused_s(one, now) for one in self._by_fingerprint}
         return {one: left_s for one, left_s in left.items() if left_s}
 
-    def adopt(self, fingerprint: Fingerprint, left_s: float, now: float):
+    def adopt(
+        self,
+        fingerprint: Fingerprint,
+        left_s: float,
+        now: float,
+    ) -> None:
         """Refuse a request for some seconds, because another entry does."""
         suspicion = self._by_fingerprint.setdefault(fingerprint, _Suspicion())
         refused_until = now + min(left_s, QUARANTINE_S)
