Write counters and gauges with one loop

Cause: the exposition had the same loop for counters and for gauges.

Change: one generator takes the kind, the suffix and the numbers.

--- a/nutmegshore/exposition.py
+++ b/nutmegshore/exposition.py
@@ -1,7 +1,7 @@
 """Counters in the text exposition format."""
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -26,31 +26,26 @@
     digits that a histogram keeps.
     """
     lines = itertools.chain(
-        _iter_totals(counters),
-        _iter_gauges(counters),
+        _iter_numbers('counter', _TOTAL, counters.totals),
+        _iter_numbers('gauge', '', counters.gauges),
         _iter_summaries(counters),
     )
     return ''.join(f'{line}\n' for line in lines)
 
 
-def _iter_totals(counters: Counters) -> Iterator[str]:
-    previous = ''
-    for (name, labels), count in sorted(counters.totals.items()):
-        metric = f'{_PREFIX}{name}{_TOTAL}'
-        if metric != previous:
-            yield f'# TYPE {metric} counter'
-        previous = metric
-        yield _write_series(metric, labels, count)
-
-
-def _iter_gauges(counters: Counters) -> Iterator[str]:
+def _iter_numbers(
+    kind: str,
+    suffix: str,
+    numbers: Mapping[tuple[str, Labels], float],
+) -> Iterator[str]:
+    """Lines of all series of a kind, with a type before each metric."""
     previous = ''
-    for (name, labels), gauge in sorted(counters.gauges.items()):
-        metric = f'{_PREFIX}{name}'
+    for (name, labels), number in sorted(numbers.items()):
+        metric = f'{_PREFIX}{name}{suffix}'
         if metric != previous:
-            yield f'# TYPE {metric} gauge'
+            yield f'# TYPE {metric} {kind}'
         previous = metric
-        yield _write_series(metric, labels, gauge)
+        yield _write_series(metric, labels, number)
 
 
 def _iter_summaries(counters: Counters) -> Iterator[str]:
