Log why a refused request stayed in its region

The refusals named the best upstream of all, so that three hypotheses could not be told apart: the spillover does not rise, the bound on moves holds requests back, or the other regions do not admit cold objects.

A refusal now carries the reason, the best offer elsewhere, the fraction that should move and the fraction that did. The choice between home and elsewhere moved out of the balancer into a module of its own; no decision changed.

The test fails without the fields.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -16,9 +16,8 @@
     best_of,
 )
 from nutmegshore.balancing.outcome import AttemptOutcome, AttemptResult
-from nutmegshore.balancing.shift_bound import ShiftBound
-from nutmegshore.balancing.spillover import SpilloverTable
-from nutmegshore.errors import ErrorKind, RefusedError
+from nutmegshore.balancing.region_choice import RegionChoice, RegionChooser
+from nutmegshore.errors import ErrorKind, Offer, RefusedError, RemoteOffer
 from nutmegshore.gateway.route import Configuration
 from nutmegshore.gateway.state import FleetState
 
@@ -26,14 +25,10 @@
 
 #: Outcomes of requests that an upstream has not started to process.
 _NOT_STARTED = frozenset((AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE))
-_HOME = 'home'
-_SPILL = 'spill'
-_AWAY = 'away'
-#: Minimum fraction of its target that a request is assumed to have for waiting.
-_MIN_SPARE_FRACTION = 0.25
-#: Another region has spare capacity while its queue takes at most this fraction
-#: of the time that the request may wait.
-_SPARE_CAPACITY_FRACTION = 0.25
+#: Logged as the fraction of moved requests while it is unknown.
+_UNKNOWN = -1
+#: Decimal places of fractions in logs.
+_DIGITS = 3
 
 
 @attrs.define
@@ -63,12 +58,7 @@
     ) -> None:
         """Choose among the upstreams in `state`."""
         self.candidate_builder = CandidateBuilder(state, dependencies)
-        self.spillover = SpilloverTable(dependencies.clock)
-        self.shift_bound = ShiftBound(
-            dependencies.clock,
-            dependencies.max_shift,
-            dependencies.rng,
-        )
+        self.region_chooser = RegionChooser(dependencies, self._is_admitted)
         self._admission = Admission(dependencies.clock, dependencies.rng)
         self._region = dependencies.region
         self._gateways = dependencies.gateways
@@ -81,12 +71,14 @@
         count = len(found.home) + len(found.away)
         home = best_of(found.home)
         away = best_of(found.away)
-        chosen, reason = self._home_or_away(request, home, away)
-        if chosen is None:
+        chosen = self.region_chooser.choose(request, home=home, away=away)
+        if chosen.candidate is None:
             raise self._no_upstream(request)
-        if not self._is_admitted(request, chosen):
-            raise self._overloaded(request, chosen, count)
-        return Choice(chosen, reason, count)
+        if not self._is_admitted(request, chosen.candidate):
+            refusal = self._overloaded(request, chosen.candidate, count)
+            refusal.remote = self._describe_remote(request, chosen, away)
+            raise refusal
+        return Choice(chosen.candidate, chosen.reason, count)
 
     def begin(self, request: RoutingRequest, choice: Choice) -> InFlightRequest:
         """Count a request that is about to be sent."""
@@ -98,8 +90,9 @@
             )
         candidate_builder.load.get(name).in_flight += 1
         is_away = choice.upstream.region != self._region
-        is_moving = self.spillover.fraction(request.service) > 0
-        self.shift_bound.record(is_away=is_away, is_moving=is_moving)
+        chooser = self.region_chooser
+        is_moving = chooser.spillover.fraction(request.service) > 0
+        chooser.shift_bound.record(is_away=is_away, is_moving=is_moving)
         token = candidate_builder.latency.begin(
             name, choice.candidate.expected_s
         )
@@ -132,61 +125,6 @@
             )
         return self.candidate_builder.health.record(name, result.outcome)
 
-    def _home_or_away(
-        self,
-        request: RoutingRequest,
-        home: Candidate | None,
-        away: Candidate | None,
-    ) -> tuple[Candidate | None, str]:
-        if home is None:
-            return away, _AWAY
-        if away is None:
-            return home, _HOME
-        self._record_wait_ratio(request, home, away)
-        if not self._is_admitted(request, away):
-            return home, _HOME
-        if self._should_move_away(request, home, away):
-            return away, _SPILL
-        return home, _HOME
-
-    def _should_move_away(
-        self,
-        request: RoutingRequest,
-        home: Candidate,
-        away: Candidate,
-    ) -> bool:
-        """Return whether a request that could run at home runs elsewhere.
-
-        A request that home has no capacity for moves only if its object is warm
-        elsewhere: work on cold objects would use up the other regions' capacity
-        as well.
-        """
-        if not self.shift_bound.allows_home():
-            return True
-        if not self.shift_bound.allows_away():
-            return False
-        key = request.key if request.route.is_sticky else ''
-        if self.spillover.should_move(request.service, key):
-            return True
-        return away.has_handled and not self._is_admitted(request, home)
-
-    def _record_wait_ratio(
-        self,
-        request: RoutingRequest,
-        home: Candidate,
-        away: Candidate,
-    ) -> None:
-        """Record the length of the queue at home for the spillover."""
-        target_s = request.route.target_latency_s
-        spare_s = target_s - home.work_s - home.delay_s
-        spare_s = max(spare_s, _MIN_SPARE_FRACTION * target_s)
-        wait_ratio = home.wait_s / spare_s
-        # When all regions are full, moving objects only adds cold work.
-        has_capacity = away.wait_s <= _SPARE_CAPACITY_FRACTION * spare_s
-        self.spillover.record(
-            request.service, wait_ratio, has_capacity=has_capacity
-        )
-
     def _is_admitted(self, request: RoutingRequest, chosen: Candidate) -> bool:
         return self._admission.allows(
             request.route,
@@ -251,6 +189,27 @@
         refusal.best = self.candidate_builder.describe(chosen)
         return refusal
 
+    def _describe_remote(
+        self,
+        request: RoutingRequest,
+        chosen: RegionChoice,
+        away: Candidate | None,
+    ) -> RemoteOffer:
+        """Return what is logged of the other regions when home refuses."""
+        chooser = self.region_chooser
+        away_fraction = chooser.shift_bound.region_away_fraction
+        best = self.candidate_builder.describe(away) if away else Offer()
+        return RemoteOffer(
+            chosen.stay_reason.value,
+            best.upstream,
+            best.wait_s,
+            best.expected_s,
+            round(chooser.spillover.fraction(request.service), _DIGITS),
+            _UNKNOWN
+            if away_fraction is None
+            else round(away_fraction, _DIGITS),
+        )
+
     def _gap_s(self, request: RoutingRequest, chosen: Candidate) -> float:
         """Return the seconds between requests that this gateway may send.
 
--- /dev/null
+++ b/nutmegshore/balancing/region_choice.py
@@ -0,0 +1,125 @@
+"""Choice between the upstreams at home and those of other regions."""
+
+from collections.abc import Callable
+
+import attrs
+
+from nutmegshore.balancing.candidate_builder import BalancerDependencies
+from nutmegshore.balancing.choice import Candidate, RoutingRequest
+from nutmegshore.balancing.shift_bound import ShiftBound
+from nutmegshore.balancing.spillover import SpilloverTable
+from nutmegshore.errors import StayReason
+
+__all__ = ('RegionChoice', 'RegionChooser')
+
+_HOME = 'home'
+_SPILL = 'spill'
+_AWAY = 'away'
+#: Minimum fraction of its target that a request is assumed to have for waiting.
+_MIN_SPARE_FRACTION = 0.25
+#: Another region has spare capacity while its queue takes at most this fraction
+#: of the time that the request may wait.
+_SPARE_CAPACITY_FRACTION = 0.25
+
+IsAdmitted = Callable[[RoutingRequest, Candidate], bool]
+
+
+@attrs.frozen
+class RegionChoice:
+    """The better one of two candidates, or None without candidates.
+
+    `reason` is that of `Choice`. `stay_reason` tells why a request that has a
+    candidate at home was not sent to another region.
+    """
+
+    candidate: Candidate | None
+    reason: str
+    stay_reason: StayReason = StayReason.MOVED
+
+
+class RegionChooser:
+    """Decides which requests run at home and which in other regions.
+
+    chosen = chooser.choose(request, home=home, away=away)
+    """
+
+    def __init__(
+        self, dependencies: BalancerDependencies, is_admitted: IsAdmitted
+    ) -> None:
+        """Ask `is_admitted` whether a candidate accepts a request."""
+        self.spillover = SpilloverTable(dependencies.clock)
+        self.shift_bound = ShiftBound(
+            dependencies.clock,
+            dependencies.max_shift,
+            dependencies.rng,
+        )
+        self._is_admitted = is_admitted
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        *,
+        home: Candidate | None,
+        away: Candidate | None,
+    ) -> RegionChoice:
+        """Choose between the best candidates at home and elsewhere."""
+        if home is None:
+            return RegionChoice(away, _AWAY)
+        if away is None:
+            return RegionChoice(home, _HOME, StayReason.NO_UPSTREAM)
+        self._record_wait_ratio(request, home, away)
+        stay_reason = self._stay_reason(request, home, away)
+        if stay_reason is StayReason.MOVED:
+            return RegionChoice(away, _SPILL)
+        return RegionChoice(home, _HOME, stay_reason)
+
+    def _stay_reason(
+        self,
+        request: RoutingRequest,
+        home: Candidate,
+        away: Candidate,
+    ) -> StayReason:
+        """Return why a request that could run at home does not move."""
+        if not self._is_admitted(request, away):
+            return StayReason.OVERLOADED
+        if not self.shift_bound.allows_home():
+            return StayReason.MOVED
+        if not self.shift_bound.allows_away():
+            return StayReason.BOUND
+        if self._is_selected(request, home, away):
+            return StayReason.MOVED
+        return StayReason.NOT_SELECTED
+
+    def _is_selected(
+        self,
+        request: RoutingRequest,
+        home: Candidate,
+        away: Candidate,
+    ) -> bool:
+        """Return whether a request that may move does.
+
+        A request that home has no capacity for moves only if its object is warm
+        elsewhere: work on cold objects would use up the other regions' capacity
+        as well.
+        """
+        key = request.key if request.route.is_sticky else ''
+        if self.spillover.should_move(request.service, key):
+            return True
+        return away.has_handled and not self._is_admitted(request, home)
+
+    def _record_wait_ratio(
+        self,
+        request: RoutingRequest,
+        home: Candidate,
+        away: Candidate,
+    ) -> None:
+        """Record the length of the queue at home for the spillover."""
+        target_s = request.route.target_latency_s
+        spare_s = target_s - home.work_s - home.delay_s
+        spare_s = max(spare_s, _MIN_SPARE_FRACTION * target_s)
+        wait_ratio = home.wait_s / spare_s
+        # When all regions are full, moving objects only adds cold work.
+        has_capacity = away.wait_s <= _SPARE_CAPACITY_FRACTION * spare_s
+        self.spillover.record(
+            request.service, wait_ratio, has_capacity=has_capacity
+        )
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -14,6 +14,8 @@
     'NutmegshoreError',
     'ObjectError',
     'Offer',
+    'RemoteOffer',
+    'StayReason',
     'Outcome',
     'PlatformAnswerLost',
     'PlatformError',
@@ -200,11 +202,44 @@
     expected_s: float = 0
 
 
+class StayReason(enum.Enum):
+    """Why a request that home cannot serve was not sent to another region.
+
+    `MOVED` means that home had no say: the request was sent elsewhere, or no
+    upstream at home was usable.
+    """
+
+    MOVED = ''
+    NO_UPSTREAM = 'no_upstream'
+    OVERLOADED = 'overloaded'
+    BOUND = 'bound'
+    NOT_SELECTED = 'not_selected'
+
+
+@attrs.frozen
+class RemoteOffer:
+    """What other regions offered for a request that was refused.
+
+    `stay_reason` is a `StayReason`. The best upstream elsewhere was
+    `remote_upstream`, with the expected seconds of `Offer`. `spill_fraction` is
+    the fraction of the service's requests that should run elsewhere,
+    `away_fraction` that of the region's requests that did (-1: unknown).
+    """
+
+    stay_reason: str = ''
+    remote_upstream: str = ''
+    remote_wait_s: float = 0
+    remote_expected_s: float = 0
+    spill_fraction: float = 0
+    away_fraction: float = -1
+
+
 class RefusedError(RequestError):
     """A request was refused and will never run.
 
     The caller may retry after `retry_after_s` seconds. `candidates` is the
-    number of usable upstreams, and `best` the offer of the best of them.
+    number of usable upstreams, `best` the offer of the best of them, and
+    `remote` that of the other regions.
     """
 
     def __init__(
@@ -218,6 +253,7 @@
         self.retry_after_s = retry_after_s
         self.candidates = 0
         self.best = Offer()
+        self.remote = RemoteOffer()
 
 
 class ObjectError(NutmegshoreError):
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -111,7 +111,7 @@
             bounds.retry_window_s,
             bounds.extra_retries,
         )
-        self.balancer.shift_bound.set_max_shift(bounds.max_shift)
+        self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
         bounds_by_prefix = _bounds_by_prefix(settings)
         for follower in self.followers:
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -83,9 +83,11 @@
     `candidates` is the number of usable upstreams. The best of them was
     `upstream`: it had `busy` requests according to a report that was
     `report_age_s` old (-1: none), so the request would have waited for
-    `wait_s` and been answered after `expected_s`. `retry_after_s` is the
-    Retry-After sent to the caller, `no_retry` the reason why the last attempt,
-    if there was one, was not retried.
+    `wait_s` and been answered after `expected_s`. `stay_reason` is the reason
+    why it was not sent to the best upstream of the other regions, described by
+    the fields after it. `retry_after_s` is the Retry-After sent to the caller,
+    `no_retry` the reason why the last attempt, if there was one, was not
+    retried.
     """
 
     severity = Severity.FAILURE
@@ -106,6 +108,12 @@
     report_age_s: float
     wait_s: float
     expected_s: float
+    stay_reason: str
+    remote_upstream: str
+    remote_wait_s: float
+    remote_expected_s: float
+    spill_fraction: float
+    away_fraction: float
     retry_after_s: float
     took_s: float
     attempts: list
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -44,7 +44,7 @@
         self._load = dependencies.balancer.candidate_builder.load
         self.roster = Roster(dependencies.clock, dependencies.log)
         self._state_sync = StateSync(dependencies, followers, self.roster)
-        self._shift_bound = dependencies.balancer.shift_bound
+        self._shift_bound = dependencies.balancer.region_chooser.shift_bound
         self._shift_counts: dict[str, list[int]] = {}
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -164,6 +164,7 @@
             RequestRefused(
                 **fields,
                 **attrs.asdict(refusal.best),
+                **attrs.asdict(refusal.remote),
                 candidates=refusal.candidates,
                 retry_after_s=round(_retry_after_s(error), 3),
             ),
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -4,7 +4,7 @@
 import pytest
 
 from nutmegshore.balancing import AttemptOutcome, AttemptResult
-from nutmegshore.errors import ErrorKind, RefusedError
+from nutmegshore.errors import ErrorKind, RefusedError, StayReason
 
 _SERVED = AttemptResult(AttemptOutcome.ANSWERED, 0.1)
 
@@ -233,3 +233,26 @@
     balancer.end(sent, AttemptResult(outcome, 0))
     name = choice.upstream.instance
     assert not balancer.candidate_builder.affinity.has_handled(name, '7')
+
+
+def test_a_refusal_says_why_other_regions_did_not_help(
+    make_state,
+    make_balancer,
+    upstream,
+    make_request,
+):
+    """Guards against the lines of vks-boots-grown quiet-1, which could not tell
+    a full fleet from a bound on moves that held requests back.
+    """
+    fleet = [upstream('w1'), upstream('n1', region='north')]
+    balancer = make_balancer(make_state(*fleet))
+    balancer.region_chooser.shift_bound.set_max_shift(0)
+    balancer.region_chooser.shift_bound.handle_region(100, 0)
+    balancer.candidate_builder.load.get('w1').in_flight = 20
+    with pytest.raises(RefusedError) as refused:
+        balancer.choose(make_request('7'))
+    remote = refused.value.remote
+    assert remote.stay_reason == StayReason.BOUND.value
+    assert remote.remote_upstream == 'n1'
+    assert not remote.remote_wait_s
+    assert not remote.away_fraction
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -125,7 +125,7 @@
         peering = Peering(dependencies, [follower])
         task = asyncio.ensure_future(peering.run())
         load = balancer.candidate_builder.load
-        bound = balancer.shift_bound
+        bound = balancer.region_chooser.shift_bound
         return Gateway(
             clock, follower, peering, load, task, quarantine, peers, bound
         )
