Let gateways save credit for moves beside services that stay

Cause: a gateway of a large fleet saves credit for moves from request to request. Each request to a service that moves nothing cut this credit to the gateway's initial one, a random number below 1, while a move needs 1. Where one service of four has to move, most gateways never got there.

Change: credit above the initial one is kept, and saved up only while requests were held back in the last 2 s. Whether the spillover selects a request is asked before the bound, so that the bound counts what really waits. The model of loads has a second service that stays, fleets above 16 gateways send sums in it, and it can show the change between windows.

--- a/bench/balancing_load.py
+++ b/bench/balancing_load.py
@@ -24,6 +24,8 @@
     RoutingRequest,
 )
 from nutmegshore.balancing.balancer import InFlightRequest
+from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.shift_bound import ShiftBound
 from nutmegshore.clock import Clock
 from nutmegshore.errors import RefusedError
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
@@ -36,10 +38,23 @@
 )
 from nutmegshore.gateway.state import FleetState
 
-__all__ = ('Pattern', 'Region', 'Served', 'patelwadi', 'play', 'vestfold')
+__all__ = (
+    'Pattern',
+    'Region',
+    'Served',
+    'grown',
+    'patelwadi',
+    'play',
+    'vestfold',
+)
 
 _SERVICE = 'orders'
+_STEADY_SERVICE = 'payments'
 _REPORT_S = 0.25
+#: Gateways above which reports are summed, as by the aggregators of a region.
+_FULL_MESH_GATEWAYS = 16
+#: Width in seconds of the slices in which runs elsewhere are counted.
+_SLICE_S = 0.5
 #: Phases of the regions' waves, as parts of the period.
 _PATELWADI_PHASES = (0.4, 0.73, 1.1)
 _VESTFOLD_PHASES = (0.3, 0.63, 0.97)
@@ -47,6 +62,12 @@
 _VESTFOLD_COUNTS = (55, 5, 15, 49)
 _TIMES = ('work_s', 'target_s', 'deadline_s', 'away_s')
 _VESTFOLD_TIMES = (0.36, 0.4, 2, 0.11)
+_GROWN_COUNTS = (60, 4, 12, 23)
+_GROWN_TIMES = (0.912, 0.6, 4, 0.11)
+#: Upstreams of each region for each caller a second.
+_GROWN_UPSTREAMS_PER_CALLER = (0.62, 0.13, 0.52)
+#: Callers of the other service for each of this one.
+_GROWN_STEADY_PART = 0.4
 _FULL_TURN = 2 * math.pi
 #: Part of the time that is left within which callers heed Retry-After.
 _HEEDED_PART = 1 / 3
@@ -75,7 +96,8 @@
     lately, `warm_part` what is left of it for one that it had. The requests
     of a region rise and fall by `swing` of their mean in each period. Regions
     are `away_s` apart, there and back, and `max_shift` bounds how fast work
-    moves between them.
+    moves between them. `steady_per_s` requests a second in each region go to
+    another service, which has room for all of them everywhere.
     """
 
     regions: tuple[Region, ...]
@@ -93,19 +115,45 @@
     swing: float = 0.55
     period_s: float = 36
     max_shift: float = 0.15
+    steady_per_s: float = 0
 
 
 @attrs.define
 class Served:
-    """How the requests of one region ended; `away` counts runs elsewhere."""
+    """How the requests of one region ended; `away` counts runs elsewhere.
+
+    `sent` and `away` count what was sent, by slices of half a second.
+    """
 
     asked: int = 0
     in_time: int = 0
     late: int = 0
     refused: int = 0
     refusals: int = 0
-    away: int = 0
     cold_runs: int = 0
+    sent: collections.Counter[int] = attrs.field(factory=collections.Counter)
+    away: collections.Counter[int] = attrs.field(factory=collections.Counter)
+
+    def away_part(self, start_s: float, end_s: float) -> float:
+        """Part of the requests sent in a span that ran elsewhere."""
+        span = range(int(start_s / _SLICE_S), int(end_s / _SLICE_S))
+        sent = sum(self.sent[number] for number in span)
+        away = sum(self.away[number] for number in span)
+        return away / max(sent, 1)
+
+    def max_shift(self, window_s: float) -> float:
+        """Largest change of that part from one window to the next."""
+        starts = [
+            number * _SLICE_S
+            for number in range(int(max(self.sent) - 2 * window_s / _SLICE_S))
+        ]
+        return max(
+            abs(
+                self.away_part(start, start + window_s)
+                - self.away_part(start + window_s, start + 2 * window_s)
+            )
+            for start in starts
+        )
 
     @property
     def in_time_part(self) -> float:
@@ -144,6 +192,27 @@
     )
 
 
+def grown(per_s: float, gateways: int) -> Pattern:
+    """A grown fleet, with so many callers a second and gateways in each region.
+
+    Two fifths as many callers use the other service.
+    """
+    east, west, north = _VESTFOLD_PHASES
+    upstreams = (int(per_s * part) for part in _GROWN_UPSTREAMS_PER_CALLER)
+    names = ('ostlandet', 'vestlandet', 'nordnorge')
+    return Pattern(
+        tuple(
+            Region(name, count, per_s, phase, gateways)
+            for name, count, phase in zip(
+                names, upstreams, (east, west, north), strict=True
+            )
+        ),
+        steady_per_s=_GROWN_STEADY_PART * per_s,
+        **dict(zip(_COUNTS, _GROWN_COUNTS, strict=True)),
+        **dict(zip(_TIMES, _GROWN_TIMES, strict=True)),
+    )
+
+
 def play(pattern: Pattern, seed: int) -> dict[str, Served]:
     """Play a load; returns how the requests ended, by region."""
     return _Session(pattern, random.Random(seed)).run()
@@ -192,6 +261,7 @@
     """One caller's request; `asked_at` is that of its first attempt."""
 
     region: Region
+    service: str
     key: str
     asked_at: float
     is_return: bool = False
@@ -204,6 +274,25 @@
     name: str
     balancer: Balancer
 
+    @property
+    def load(self) -> LoadTable:
+        """What it takes to be in flight at each upstream."""
+        return self.balancer.candidate_builder.load
+
+    @property
+    def shift_bound(self) -> ShiftBound:
+        """Its limit on moves."""
+        return self.balancer.region_chooser.shift_bound
+
+
+def _broadcast(gateways: list[_Gateway]) -> None:
+    """Have each gateway tell all others what it has in flight."""
+    for one in gateways:
+        counts = one.load.own_counts()
+        for other in gateways:
+            if other is not one:
+                other.load.handle_peer_counts(one.name, counts)
+
 
 @attrs.define(eq=False)
 class _Attempt:
@@ -300,7 +389,7 @@
                 self._clock,
                 rng,
             )
-        self._route = _make_route(pattern)
+        self._routes = {route.name: route for route in _make_routes(pattern)}
         self._gateways = {
             region.name: [
                 self._make_gateway(region, number, state)
@@ -312,7 +401,9 @@
     def run(self) -> dict[str, Served]:
         """Play to the end; returns how the requests ended, by region."""
         for region in self._pattern.regions:
-            self._await_next(region)
+            self._await_next(region, _SERVICE)
+            if self._pattern.steady_per_s:
+                self._await_next(region, _STEADY_SERVICE)
         self._clock.after(_REPORT_S, self._report)
         self._clock.run()
         return self._by_region
@@ -345,35 +436,52 @@
     def _report(self) -> None:
         """Tell each gateway what the others have in flight."""
         everyone = list(itertools.chain(*self._gateways.values()))
-        for one in everyone:
-            counts = one.balancer.candidate_builder.load.own_counts()
-            for other in everyone:
-                if other is not one:
-                    other.balancer.candidate_builder.load.handle_peer_counts(
-                        one.name, counts
-                    )
+        if len(everyone) > _FULL_MESH_GATEWAYS:
+            self._send_sums(everyone)
+        else:
+            _broadcast(everyone)
         if self._clock.now() < self._pattern.seconds:
             self._clock.after(_REPORT_S, self._report)
 
-    def _await_next(self, region: Region) -> None:
-        """Have the next request of a region arrive."""
+    def _send_sums(self, everyone: list[_Gateway]) -> None:
+        """Send sums, as the aggregators of each region do."""
+        total: collections.Counter[str] = collections.Counter()
+        for gateway in everyone:
+            total.update(gateway.load.own_counts())
+        for gateway in everyone:
+            gateway.load.handle_all(total, gateway.load.own_counts())
+        for members in self._gateways.values():
+            counts = [one.shift_bound.window_counts() for one in members]
+            home = sum(count for count, _ in counts)
+            away = sum(count for _, count in counts)
+            for member in members:
+                member.shift_bound.handle_region(home, away)
+
+    def _await_next(self, region: Region, service: str) -> None:
+        """Have the next request of a region to a service arrive."""
         turn = self._clock.now() / self._pattern.period_s + region.phase
         wave = 1 + self._pattern.swing * math.sin(_FULL_TURN * turn)
-        pause_s = self._rng.expovariate(region.per_s * wave)
+        per_s = region.per_s
+        if service == _STEADY_SERVICE:
+            per_s = self._pattern.steady_per_s
+        pause_s = self._rng.expovariate(per_s * wave)
         if self._clock.now() + pause_s < self._pattern.seconds:
-            self._clock.after(pause_s, lambda: self._arrive(region))
+            self._clock.after(pause_s, lambda: self._arrive(region, service))
 
-    def _arrive(self, region: Region) -> None:
-        self._await_next(region)
+    def _arrive(self, region: Region, service: str) -> None:
+        self._await_next(region, service)
         number = self._rng.randrange(self._pattern.things)
         key = f'{region.name}-{number}'
         self._by_region[region.name].asked += 1
-        self._ask(_Request(region, key, self._clock.now()))
+        self._ask(_Request(region, service, key, self._clock.now()))
 
     def _ask(self, request: _Request) -> None:
         gateway = self._rng.choice(self._gateways[request.region.name])
         wanted = RoutingRequest(
-            self._route, _SERVICE, request.key, self._remaining_s(request)
+            self._routes[request.service],
+            request.service,
+            request.key,
+            self._remaining_s(request),
         )
         try:
             choice = gateway.balancer.choose(wanted)
@@ -390,7 +498,9 @@
         choice: Choice,
     ) -> None:
         is_away = choice.upstream.region != request.region.name
-        self._by_region[request.region.name].away += is_away
+        number = int(self._clock.now() / _SLICE_S)
+        self._by_region[request.region.name].sent[number] += 1
+        self._by_region[request.region.name].away[number] += is_away
         attempt = _Attempt(
             request,
             balancer,
@@ -453,35 +563,42 @@
 def _make_state(pattern: Pattern, clock: Clock) -> FleetState:
     """What all gateways know of the upstreams from the start."""
     state = FleetState(clock)
-    rules = MappingProxyType({_SERVICE: ServiceRules()})
-    state.adopt(Configuration(1, (_make_route(pattern),), rules))
+    routes = tuple(_make_routes(pattern))
+    rules = MappingProxyType({route.name: ServiceRules() for route in routes})
+    state.adopt(Configuration(1, routes, rules))
     found = _iter_upstreams(pattern)
     state.replace_upstreams(found, is_after_outage=False)
     state.replace_evacuated(())
     return state
 
 
-def _make_route(pattern: Pattern) -> Route:
-    return Route(
-        name='r1',
-        host='a.example',
-        prefix='/',
-        kind=RouteKind.SAFE,
-        timeout_s=pattern.deadline_s,
-        target_latency_s=pattern.target_s,
-        shares=(ServiceShare(_SERVICE),),
-        is_sticky=True,
-    )
+def _make_routes(pattern: Pattern) -> Iterator[Route]:
+    """Yield a route for each service, with its name."""
+    for service in (_SERVICE, _STEADY_SERVICE):
+        yield Route(
+            name=service,
+            host='a.example',
+            prefix=f'/{service}',
+            kind=RouteKind.SAFE,
+            timeout_s=pattern.deadline_s,
+            target_latency_s=pattern.target_s,
+            shares=(ServiceShare(service),),
+            is_sticky=True,
+        )
 
 
 def _iter_upstreams(pattern: Pattern) -> Iterator[RegisteredUpstream]:
+    slots_per_s = 2 * pattern.work_s * (1 + pattern.swing)
+    steady = math.ceil(pattern.steady_per_s * slots_per_s / pattern.slots)
     for region in pattern.regions:
-        for number in range(region.upstreams):
-            yield RegisteredUpstream(
-                instance=f'{region.name}-u{number}',
-                service=_SERVICE,
-                address='10.0.0.1:80',
-                availability_zone=f'{region.name}-a',
-                region=region.name,
-                slots=pattern.slots,
-            )
+        counts = ((_SERVICE, region.upstreams), (_STEADY_SERVICE, steady))
+        for service, count in counts:
+            for number in range(count):
+                yield RegisteredUpstream(
+                    instance=f'{region.name}-{service}-{number}',
+                    service=service,
+                    address='10.0.0.1:80',
+                    availability_zone=f'{region.name}-a',
+                    region=region.name,
+                    slots=pattern.slots,
+                )
--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -90,9 +90,7 @@
             )
         candidate_builder.load.get(name).in_flight += 1
         is_away = choice.upstream.region != self._region
-        chooser = self.region_chooser
-        is_moving = chooser.spillover.fraction(request.service) > 0
-        chooser.shift_bound.record(is_away=is_away, is_moving=is_moving)
+        self.region_chooser.shift_bound.record(is_away=is_away)
         token = candidate_builder.latency.begin(
             name, choice.candidate.expected_s
         )
--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -84,11 +84,11 @@
             return StayReason.OVERLOADED
         if not self.shift_bound.allows_home():
             return StayReason.MOVED
-        if not self.shift_bound.allows_away():
+        if not self._is_selected(request, home, away):
+            return StayReason.NOT_SELECTED
+        if not self.shift_bound.try_away():
             return StayReason.BOUND
-        if self._is_selected(request, home, away):
-            return StayReason.MOVED
-        return StayReason.NOT_SELECTED
+        return StayReason.MOVED
 
     def _is_selected(
         self,
@@ -96,7 +96,7 @@
         home: Candidate,
         away: Candidate,
     ) -> bool:
-        """Return whether a request that may move does.
+        """Return whether a request should move, if the bound allows it.
 
         A request that home has no capacity for moves only if its object is warm
         elsewhere: work on cold objects would use up the other regions' capacity
--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -20,8 +20,7 @@
 _MIN_WINDOW_REQUESTS = 6
 #: The same for the requests of a whole region.
 _MIN_REGION_REQUESTS = 16
-#: Credit, in requests, that a gateway may save up while a service moves
-#: requests to other regions.
+#: Credit, in requests, that a gateway may save up while it holds requests back.
 _MAX_CREDIT = 2
 #: Seconds for which the region's sums are valid.
 _REGION_MAX_AGE_S = 1.5
@@ -59,7 +58,7 @@
     requests: the region's fraction changes by the bound in 2 s, however many
     requests each gateway sends.
 
-        if bound.allows_away():
+        if bound.try_away():
             bound.record(is_away=True)
     """
 
@@ -76,9 +75,24 @@
         self._initial_credit = rng.random()
         self._away_credit = self._initial_credit
         self._away_debt = self._initial_credit
+        self._denied_at = float('-inf')
         self._slices: collections.deque[_Slice] = collections.deque()
         self.set_max_shift(max_shift)
 
+    @property
+    def region_away_fraction(self) -> float | None:
+        """Fraction of the region's requests that ran elsewhere, or None.
+
+        None means that the region's sums are missing, too small or too old.
+        """
+        region = self._region
+        if (
+            region is None
+            or self._clock.now() - region.received_at > _REGION_MAX_AGE_S
+        ):
+            return None
+        return region.away_fraction
+
     def set_max_shift(self, max_shift: float) -> None:
         """Replace the bound on the change of the fraction between windows."""
         self._max_step = max_shift * _USED_FRACTION
@@ -98,25 +112,8 @@
             return
         self._region = _RegionSums(self._clock.now(), away / (home + away))
 
-    @property
-    def region_away_fraction(self) -> float | None:
-        """Fraction of the region's requests that ran elsewhere, or None.
-
-        None means that the region's sums are missing, too small or too old.
-        """
-        region = self._region
-        if (
-            region is None
-            or self._clock.now() - region.received_at > _REGION_MAX_AGE_S
-        ):
-            return None
-        return region.away_fraction
-
-    def record(self, *, is_away: bool, is_moving: bool = True) -> None:
-        """Count a request that is sent.
-
-        `is_moving` says whether its service moves any requests elsewhere.
-        """
+    def record(self, *, is_away: bool) -> None:
+        """Count a request that is sent."""
         current = self._current_slice()
         if is_away:
             current.away += 1
@@ -125,25 +122,23 @@
         away_fraction = self.region_away_fraction
         if away_fraction is None:
             return
-        credit = self._away_credit + away_fraction + self._max_region_step
-        # Credit saved up while no request moves would be spent all at once.
-        max_credit = _MAX_CREDIT if is_moving else self._initial_credit
-        self._away_credit = min(credit, max_credit) - is_away
+        credit = away_fraction + self._max_region_step
+        if is_away:
+            self._away_credit += credit - 1
+        else:
+            self._add_credit(credit)
         debt = self._away_debt + max(away_fraction - self._max_region_step, 0)
         self._away_debt = max(debt - is_away, 0)
 
-    def allows_away(self) -> bool:
-        """Return whether one more request may run elsewhere."""
-        away_fraction = self.region_away_fraction
-        if away_fraction is not None:
-            return (
-                self._away_credit + away_fraction + self._max_region_step >= 1
-            )
-        previous = self._previous_away_fraction()
-        if previous is None:
-            return True
-        home, away = self.window_counts()
-        return (away + 1) / (home + away + 1) <= previous + self._max_step
+    def try_away(self) -> bool:
+        """Return whether one more request may run elsewhere.
+
+        If not, the gateway saves up credit for it.
+        """
+        is_allowed = self._allows_away()
+        if not is_allowed:
+            self._denied_at = self._clock.now()
+        return is_allowed
 
     def allows_home(self) -> bool:
         """Return whether one more request may run at home."""
@@ -155,6 +150,30 @@
         home, away = self.window_counts()
         return away / (home + away + 1) >= previous - self._max_step
 
+    def _add_credit(self, added: float) -> None:
+        """Add the credit of one request.
+
+        Unless requests were held back lately, credit above the initial one is
+        not saved up: all gateways would spend it at once when the first one
+        comes.
+        """
+        is_needed = self._clock.now() - self._denied_at <= _WINDOW_S
+        max_credit = _MAX_CREDIT if is_needed else self._initial_credit
+        saved = min(self._away_credit + added, max_credit)
+        self._away_credit = max(self._away_credit, saved)
+
+    def _allows_away(self) -> bool:
+        away_fraction = self.region_away_fraction
+        if away_fraction is not None:
+            return (
+                self._away_credit + away_fraction + self._max_region_step >= 1
+            )
+        previous = self._previous_away_fraction()
+        if previous is None:
+            return True
+        home, away = self.window_counts()
+        return (away + 1) / (home + away + 1) <= previous + self._max_step
+
     def _previous_away_fraction(self) -> float | None:
         """Return the fraction moved in the window before the last."""
         oldest = self._current_slice().number - _SLICES + 1
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -235,11 +235,23 @@
     assert not balancer.candidate_builder.affinity.has_handled(name, '7')
 
 
+def _refuse_for(seconds, balancer, request, clock):
+    """Send requests that home refuses; returns the last refusal."""
+    refused = None
+    for _ in range(int(seconds / 0.1)):
+        clock.advance(0.1)
+        balancer.region_chooser.shift_bound.handle_region(100, 0)
+        with pytest.raises(RefusedError) as refused:
+            balancer.choose(request)
+    return refused.value
+
+
 def test_a_refusal_says_why_other_regions_did_not_help(
     make_state,
     make_balancer,
     upstream,
     make_request,
+    clock,
 ):
     """Guards against the lines of vks-boots-grown quiet-1, which could not tell
     a full fleet from a bound on moves that held requests back.
@@ -247,12 +259,11 @@
     fleet = [upstream('w1'), upstream('n1', region='north')]
     balancer = make_balancer(make_state(*fleet))
     balancer.region_chooser.shift_bound.set_max_shift(0)
-    balancer.region_chooser.shift_bound.handle_region(100, 0)
     balancer.candidate_builder.load.get('w1').in_flight = 20
-    with pytest.raises(RefusedError) as refused:
-        balancer.choose(make_request('7'))
-    remote = refused.value.remote
-    assert remote.stay_reason == StayReason.BOUND.value
-    assert remote.remote_upstream == 'n1'
-    assert not remote.remote_wait_s
-    assert not remote.away_fraction
+    first = _refuse_for(0.1, balancer, make_request('7'), clock).remote
+    assert first.stay_reason == StayReason.NOT_SELECTED.value
+    last = _refuse_for(8, balancer, make_request('7'), clock).remote
+    assert last.stay_reason == StayReason.BOUND.value
+    assert last.remote_upstream == 'n1'
+    assert not last.remote_wait_s
+    assert not last.away_fraction
--- a/tests/balancing/test_shift_bound.py
+++ b/tests/balancing/test_shift_bound.py
@@ -23,7 +23,7 @@
     """Send requests at an even rate; returns times and which ran elsewhere."""
     ran = []
     for _ in range(int(seconds * per_s)):
-        is_away = wants_away and bound.allows_away()
+        is_away = wants_away and bound.try_away()
         is_away = is_away or not bound.allows_home()
         bound.record(is_away=is_away)
         ran.append((clock.now(), is_away))
@@ -57,6 +57,23 @@
     assert _away_fraction(ran, ran[-1][0] - _WINDOW_S) < 1 / 10
 
 
+def test_requests_that_stay_do_not_hold_back_others(clock):
+    """Guards against a region whose callers are refused while others are idle:
+    on vks-boots-grown quiet-1, each request to a service that stays at home
+    cost the gateway the credit of the requests that had to move.
+    """
+    moving_fraction = 0.6
+    ran = _play_region(clock, 6, 1, moving_fraction)
+    halfway = _away_fraction(ran, ran[0][0] + 12)
+    assert halfway > moving_fraction / 2
+    starts = [ran[0][0] + step / 4 for step in range(72)]
+    steps = [
+        abs(_away_fraction(ran, start + _WINDOW_S) - _away_fraction(ran, start))
+        for start in starts
+    ]
+    assert max(steps) <= _MAX_SHIFT
+
+
 def test_the_start_of_traffic_is_not_limited(clock):
     """Guards against a limit when there is no earlier window."""
     bound = ShiftBound(clock, _MAX_SHIFT, random.Random(7))
@@ -64,11 +81,11 @@
     assert all(is_away for _, is_away in ran)
 
 
-def _play_region(clock, per_s, home_fraction):
+def _play_region(clock, per_s, home_fraction, moving_fraction=1):
     """Send requests in a region whose gateways receive its sums.
 
-    From the second second on, all requests may move; home refuses all but
-    a fraction.
+    From the second second on, a fraction of the requests may move; home
+    refuses all but a fraction.
     """
     rng = random.Random(7)
     bounds = [ShiftBound(clock, _MAX_SHIFT, rng) for _ in range(_GATEWAYS)]
@@ -81,9 +98,10 @@
             _send_sums(bounds)
         bound = rng.choice(bounds)
         is_moving = clock.now() - started_at > 1
-        is_away = is_moving and bound.allows_away()
+        is_moving = is_moving and rng.random() < moving_fraction
+        is_away = is_moving and bound.try_away()
         if is_away or rng.random() < home_fraction:
-            bound.record(is_away=is_away, is_moving=is_moving)
+            bound.record(is_away=is_away)
             ran.append((clock.now(), is_away))
         clock.advance(1 / _GATEWAYS / per_s)
     return ran
