Show what should move to other regions, and what does

Change: gauges spillover_fraction by service, and region_away_fraction while the sums of the region arrive.

The two tests of the gauges fail without them.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -234,6 +234,7 @@
         sources = GaugeSources(
             assembly.state,
             assembly.balancer.candidate_builder.load,
+            assembly.balancer.region_chooser,
             self._peering,
             assembly.followers,
             lambda: self._forwarder.in_flight,
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -5,6 +5,7 @@
 import attrs
 
 from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.region_choice import RegionChooser
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import KindFollower
@@ -17,7 +18,9 @@
 #: Gauges whose series change with upstreams, peers and evacuations.
 _DYNAMIC_GAUGES = (
     'peer_report_age_seconds',
+    'region_away_fraction',
     'region_room',
+    'spillover_fraction',
     'upstream_report_age_seconds',
     'upstream_room',
 )
@@ -29,6 +32,7 @@
 
     state: FleetState
     load: LoadTable
+    chooser: RegionChooser
     peering: Peering
     followers: tuple[KindFollower, ...]
     in_flight: Callable[[], int]
@@ -61,6 +65,7 @@
         self._set_store()
         self._set_peers()
         self._set_upstreams()
+        self._set_moves()
 
     def _set_configuration(self) -> None:
         state = self._sources.state
@@ -93,6 +98,17 @@
                 peer=peer,
             )
 
+    def _set_moves(self) -> None:
+        """Set what should run in other regions, and what did."""
+        chooser = self._sources.chooser
+        for service, fraction in chooser.spillover.fractions().items():
+            self._counters.set_gauge(
+                'spillover_fraction', fraction, service=service
+            )
+        away_fraction = chooser.shift_bound.region_away_fraction
+        if away_fraction is not None:
+            self._counters.set_gauge('region_away_fraction', away_fraction)
+
     def _set_upstreams(self) -> None:
         free_slots: dict[tuple[str, str], int] = {}
         for upstream in self._sources.state.by_id.values():
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -1,11 +1,14 @@
 """Tests of the gauges of a gateway."""
 
+import random
 import types
 
 import attrs
 import pytest
 
+from nutmegshore.balancing import BalancerDependencies
 from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.region_choice import RegionChooser
 from nutmegshore.counters import Counters
 from nutmegshore.exposition import write_exposition
 from nutmegshore.gateway.gauges import Gauges, GaugeSources
@@ -43,9 +46,13 @@
         age_s=1.5,
     )
     peering = types.SimpleNamespace(report_ages=lambda: {'g2': 0.2})
+    dependencies = BalancerDependencies(
+        clock, random.Random(7), 'g1', 'west', lambda _: [], 0.15
+    )
     return GaugeSources(
         state,
         LoadTable(clock),
+        RegionChooser(dependencies, lambda request, candidate: True),
         peering,
         (follower,),
         lambda: 3,
@@ -94,3 +101,22 @@
     assert any('u2' in line for line in _shown(sources))
     sources.state.drop('u2', is_after_outage=False)
     assert not any('u2' in line for line in _shown(sources))
+
+
+def test_what_moves_to_other_regions_is_shown(sources):
+    """Guards against an operator who sees refusals beside idle regions and
+    cannot tell whether anything moves.
+    """
+    sources.chooser.handle_region(80, 20, {})
+    sources.chooser.spillover.record('orders', 0, has_capacity=True)
+    shown = _shown(sources)
+    assert 'nutmegshore_region_away_fraction 0.2' in shown
+    sources.clock.seconds += 2
+    assert not any('away_fraction' in line for line in _shown(sources))
+
+
+def test_the_spillover_of_a_service_is_shown(sources):
+    """Guards against the same, for what should move."""
+    sources.chooser.spillover.record('orders', 0, has_capacity=True)
+    metric = 'nutmegshore_spillover_fraction{service="orders"} 0'
+    assert any(line.startswith(metric) for line in _shown(sources))
