--- a/tests/balancing/test_shift_bound.py
+++ b/tests/balancing/test_shift_bound.py
@@ -57,6 +57,16 @@
     assert _away_fraction(ran, ran[-1][0] - _WINDOW_S) < 1 / 10
 
 
+def test_a_gateway_with_few_requests_moves_some(clock):
+    """Guards against a gateway that rounds its part of the bound to no request:
+    with eight requests in a window one more is 0.11 of them.
+    """
+    bound = ShiftBound(clock, _MAX_SHIFT, random.Random(7))
+    _play(clock, bound, 6, 4, wants_away=False)
+    ran = _play(clock, bound, 20, 4, wants_away=True)
+    assert _away_fraction(ran, ran[-1][0] - _WINDOW_S) > 3 / 5
+
+
 def test_requests_that_stay_do_not_hold_back_others(clock):
     """Guards against a region whose callers are refused while others are idle:
     on vks-boots-grown quiet-1, each request to a service that stays at home
