Keep one sliding window for the bound and for the traffic

Cause: the traffic by service wrote the slices of the bound on moves again: two deques of quarter seconds with the same look-up.

Change: SlidingCounts keeps the slices of any counts; both use it.

--- a/nutmegshore/balancing/service_traffic.py
+++ b/nutmegshore/balancing/service_traffic.py
@@ -1,18 +1,14 @@
 """Sliding counts of a gateway's or a region's requests to each service."""
 
-import collections
 from collections.abc import Iterable, Mapping
 
 import attrs
 
+from nutmegshore.balancing.sliding_counts import SlidingCounts
 from nutmegshore.clock import Clock
 
 __all__ = ('ServiceTraffic', 'TrafficWindow', 'sum_traffic')
 
-_WINDOW_S = 2
-_SLICE_S = 0.25
-_SLICES = int(_WINDOW_S / _SLICE_S)
-
 
 @attrs.define
 class ServiceTraffic:
@@ -81,12 +77,6 @@
     return total
 
 
-@attrs.define
-class _Slice:
-    number: int
-    by_service: dict[str, ServiceTraffic] = attrs.field(factory=dict)
-
-
 class TrafficWindow:
     """Counts the requests of the last 2 s by service.
 
@@ -96,23 +86,14 @@
 
     def __init__(self, clock: Clock) -> None:
         """Start without requests."""
-        self._clock = clock
-        self._slices: collections.deque[_Slice] = collections.deque()
+        self._counts: SlidingCounts[dict[str, ServiceTraffic]] = SlidingCounts(
+            clock, dict
+        )
 
     def get(self, service: str) -> ServiceTraffic:
         """Return the counts to which a request of now is added."""
-        by_service = self._current_slice().by_service
-        return by_service.setdefault(service, ServiceTraffic())
+        return self._counts.current().setdefault(service, ServiceTraffic())
 
     def by_service(self) -> dict[str, ServiceTraffic]:
         """Return the sums of the window for services with requests."""
-        self._current_slice()
-        return sum_traffic(one.by_service for one in self._slices)
-
-    def _current_slice(self) -> _Slice:
-        number = int(self._clock.now() / _SLICE_S)
-        if not self._slices or self._slices[-1].number != number:
-            self._slices.append(_Slice(number))
-        while self._slices[0].number <= number - _SLICES:
-            self._slices.popleft()
-        return self._slices[-1]
+        return sum_traffic(self._counts.window())
--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -1,18 +1,15 @@
 """Limit on how fast a region's requests move to or from other regions."""
 
-import collections
 import random
+from collections.abc import Iterable
 
 import attrs
 
+from nutmegshore.balancing.sliding_counts import WINDOW_S, SlidingCounts
 from nutmegshore.clock import Clock
 
 __all__ = ('ShiftBound',)
 
-#: Seconds of the windows that are compared.
-_WINDOW_S = 2
-_SLICE_S = 0.25
-_SLICES = int(_WINDOW_S / _SLICE_S)
 #: Fraction of the bound that one gateway uses. The rest covers chance in the
 #: few requests of a window, and windows that are not aligned with these.
 _USED_FRACTION = 0.65
@@ -31,8 +28,9 @@
 
 
 @attrs.define
-class _Slice:
-    number: int
+class _Sent:
+    """Requests that were sent within the region and elsewhere."""
+
     home: int = 0
     away: int = 0
 
@@ -77,7 +75,7 @@
         self._away_credit = self._initial_credit
         self._away_debt = self._initial_credit
         self._denied_at = float('-inf')
-        self._slices: collections.deque[_Slice] = collections.deque()
+        self._sent = SlidingCounts(clock, _Sent, windows=2)
         self.set_max_shift(max_shift)
 
     @property
@@ -97,15 +95,12 @@
     def set_max_shift(self, max_shift: float) -> None:
         """Replace the bound on the change of the fraction between windows."""
         self._max_step = max_shift * _USED_FRACTION
-        self.max_change_per_s = max_shift * _USED_FRACTION / _WINDOW_S
+        self.max_change_per_s = max_shift * _USED_FRACTION / WINDOW_S
         self._max_region_step = max_shift * _REGION_USED_FRACTION
 
     def window_counts(self) -> tuple[int, int]:
         """Return own requests of the last window, at home and elsewhere."""
-        oldest = self._current_slice().number - _SLICES + 1
-        home = sum(one.home for one in self._slices if one.number >= oldest)
-        away = sum(one.away for one in self._slices if one.number >= oldest)
-        return home, away
+        return _sum_sent(self._sent.window())
 
     def handle_region(self, home: int, away: int) -> None:
         """Record the requests of all gateways of the region in the last 2 s."""
@@ -116,7 +111,7 @@
 
     def record(self, *, is_away: bool) -> None:
         """Count a request that is sent."""
-        current = self._current_slice()
+        current = self._sent.current()
         if is_away:
             current.away += 1
         else:
@@ -159,7 +154,7 @@
         not saved up: all gateways would spend it at once when the first one
         comes.
         """
-        is_needed = self._clock.now() - self._denied_at <= _WINDOW_S
+        is_needed = self._clock.now() - self._denied_at <= WINDOW_S
         max_credit = _MAX_CREDIT if is_needed else self._initial_credit
         saved = min(self._away_credit + added, max_credit)
         self._away_credit = max(self._away_credit, saved)
@@ -178,17 +173,12 @@
 
     def _previous_away_fraction(self) -> float | None:
         """Return the fraction moved in the window before the last."""
-        oldest = self._current_slice().number - _SLICES + 1
-        home = sum(one.home for one in self._slices if one.number < oldest)
-        away = sum(one.away for one in self._slices if one.number < oldest)
+        home, away = _sum_sent(self._sent.window(windows_ago=1))
         if home + away < _MIN_WINDOW_REQUESTS:
             return None
         return away / (home + away)
 
-    def _current_slice(self) -> _Slice:
-        number = int(self._clock.now() / _SLICE_S)
-        if not self._slices or self._slices[-1].number != number:
-            self._slices.append(_Slice(number))
-        while self._slices[0].number <= number - 2 * _SLICES:
-            self._slices.popleft()
-        return self._slices[-1]
+
+def _sum_sent(sent: Iterable[_Sent]) -> tuple[int, int]:
+    counts = tuple(sent)
+    return sum(one.home for one in counts), sum(one.away for one in counts)
