Send the traffic by service only where it is summed

Cause: gateways of small fleets broadcast their traffic by service with each report, four times a second, and nobody reads it.

Change: a report carries it only in fleets with aggregators.

--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -64,16 +64,8 @@
     def report(self) -> None:
         """Send one report now, to all peers or to an aggregator."""
         peers = self._dependencies.peers
-        counts = self._load.own_counts()
-        body = LoadReport(
-            self.is_ready,
-            counts,
-            self._state_sync.known(),
-            self._dependencies.quarantine.digest,
-            self._traffic.shift_counts(),
-            self._traffic.own(),
-        )
         aggregators = peers.aggregators()
+        body = self._make_report(is_summed=bool(aggregators))
         if not aggregators:
             peers.broadcast(body)
             return
@@ -95,6 +87,17 @@
         """Seconds since the last contact with each peer, by name."""
         return self.roster.ages()
 
+    def _make_report(self, *, is_summed: bool) -> LoadReport:
+        """Return a report; only aggregators use the traffic by service."""
+        return LoadReport(
+            self.is_ready,
+            self._load.own_counts(),
+            self._state_sync.known(),
+            self._dependencies.quarantine.digest,
+            self._traffic.shift_counts(),
+            self._traffic.own() if is_summed else {},
+        )
+
     def _send_report(self, name: str, body: LoadReport) -> None:
         if name != self._dependencies.peers.local.name:
             self._sent_counts[name] = body.in_flight
