Learn from own requests while the aggregators are older

Cause: an aggregator of the version before sums no traffic by service. The empty sums counted as the region's, so that a newer gateway stopped learning from its own requests and its fraction stood still for the time of a rolling upgrade.

Change: sums without any service do not count as the region's.

--- a/nutmegshore/balancing/spillover.py
+++ b/nutmegshore/balancing/spillover.py
@@ -131,9 +131,10 @@
         """Update the fractions from the traffic of the whole region.
 
         `max_change` is the fraction of the region's requests that may move in
-        one second.
+        one second. Sums of an older version name no service and count as none.
         """
-        self._region_at = self._clock.now()
+        if by_service:
+            self._region_at = self._clock.now()
         sent = sum(traffic.sent for traffic in by_service.values())
         rising = sum(
             traffic.sent
--- a/tests/balancing/test_spillover.py
+++ b/tests/balancing/test_spillover.py
@@ -170,3 +170,14 @@
     clock.advance(2)
     _play(clock, table, 1, wait_ratio=5)
     assert table.fraction('orders') > 1 / 5
+
+
+def test_sums_of_an_older_version_do_not_stop_learning(clock):
+    """Guards against a fraction that stands still in a rolling upgrade, while
+    the aggregators are older and sum no traffic by service.
+    """
+    table = SpilloverTable(clock)
+    for _ in range(8):
+        table.handle_region({}, _MAX_CHANGE_PER_S)
+        _play(clock, table, _SUMS_INTERVAL_S, wait_ratio=5)
+    assert table.fraction('orders') > 1 / 5
