Ask once whether home admits a request

Cause: the choice between regions asked the admission for the candidate at home up to twice for each request.

Change: it asks once and passes the answer on.

--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -68,8 +68,9 @@
             return RegionChoice(away, _AWAY)
         if away is None:
             return RegionChoice(home, _HOME, StayReason.NO_UPSTREAM)
-        self._record_wait_ratio(request, home, away)
-        stay_reason = self._stay_reason(request, home, away)
+        is_refused = not self._is_admitted(request, home)
+        self._record_wait_ratio(request, home, away, is_refused=is_refused)
+        stay_reason = self._stay_reason(request, away, is_refused=is_refused)
         if stay_reason is StayReason.MOVED:
             return RegionChoice(away, _SPILL)
         return RegionChoice(home, _HOME, stay_reason)
@@ -98,15 +99,19 @@
     def _stay_reason(
         self,
         request: RoutingRequest,
-        home: Candidate,
         away: Candidate,
+        *,
+        is_refused: bool,
     ) -> StayReason:
-        """Return why a request that could run at home does not move."""
+        """Return why a request that could run at home does not move.
+
+        `is_refused` says whether home does not admit it.
+        """
         if not self._is_admitted(request, away):
             return StayReason.OVERLOADED
         if not self.shift_bound.allows_home():
             return StayReason.MOVED
-        if not self._is_selected(request, home, away):
+        if not self._is_selected(request, away, is_refused=is_refused):
             return StayReason.NOT_SELECTED
         if not self.shift_bound.try_away():
             return StayReason.BOUND
@@ -115,8 +120,9 @@
     def _is_selected(
         self,
         request: RoutingRequest,
-        home: Candidate,
         away: Candidate,
+        *,
+        is_refused: bool,
     ) -> bool:
         """Return whether a request should move, if the bound allows it.
 
@@ -127,13 +133,15 @@
         key = request.key if request.route.is_sticky else ''
         if self.spillover.should_move(request.service, key):
             return True
-        return away.has_handled and not self._is_admitted(request, home)
+        return away.has_handled and is_refused
 
     def _record_wait_ratio(
         self,
         request: RoutingRequest,
         home: Candidate,
         away: Candidate,
+        *,
+        is_refused: bool,
     ) -> None:
         """Record the length of the queue at home for the spillover."""
         target_s = request.route.target_latency_s
@@ -146,5 +154,5 @@
             request.service,
             wait_ratio,
             has_capacity=has_capacity,
-            is_refused=not self._is_admitted(request, home),
+            is_refused=is_refused,
         )
