Save credit for moves while the region moves anything

A gateway with one or two requests a second holds one back every few seconds, so that credit saved up only for 2 s after that was lost in between.

Change: credit is saved up while any service of the region moves requests, which the gateways know from the region's sums. The fraction that the spillover selects, the same at all of them, keeps the saved credit from being spent at once.

--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -77,7 +77,9 @@
 
     def record(self, service: str, *, is_away: bool) -> None:
         """Count a request that is sent."""
-        self.shift_bound.record(is_away=is_away)
+        self.shift_bound.record(
+            is_away=is_away, is_moving=self.spillover.is_active
+        )
         traffic = self.spillover.traffic.get(service)
         if is_away:
             traffic.away += 1
--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -17,7 +17,7 @@
 _MIN_WINDOW_REQUESTS = 6
 #: The same for the requests of a whole region.
 _MIN_REGION_REQUESTS = 16
-#: Credit, in requests, that a gateway may save up while it holds requests back.
+#: Credit, in requests, that a gateway may save up while its region moves any.
 _MAX_CREDIT = 2
 #: Seconds for which the region's sums are valid.
 _REGION_MAX_AGE_S = 1.5
@@ -109,8 +109,11 @@
             return
         self._region = _RegionSums(self._clock.now(), away / (home + away))
 
-    def record(self, *, is_away: bool) -> None:
-        """Count a request that is sent."""
+    def record(self, *, is_away: bool, is_moving: bool = False) -> None:
+        """Count a request that is sent.
+
+        `is_moving` says whether the region moves any requests elsewhere.
+        """
         current = self._sent.current()
         if is_away:
             current.away += 1
@@ -123,7 +126,7 @@
         if is_away:
             self._away_credit += credit - 1
         else:
-            self._add_credit(credit)
+            self._add_credit(credit, is_moving=is_moving)
         debt = self._away_debt + max(away_fraction - self._max_region_step, 0)
         self._away_debt = max(debt - is_away, 0)
 
@@ -147,14 +150,15 @@
         home, away = self.window_counts()
         return away / (home + away + 1) >= previous - self._max_step
 
-    def _add_credit(self, added: float) -> None:
+    def _add_credit(self, added: float, *, is_moving: bool) -> None:
         """Add the credit of one request.
 
-        Unless requests were held back lately, credit above the initial one is
-        not saved up: all gateways would spend it at once when the first one
-        comes.
+        Unless the region moves requests or some were held back lately, credit
+        above the initial one is not saved up: all gateways would spend it at
+        once when the first one comes.
         """
-        is_needed = self._clock.now() - self._denied_at <= WINDOW_S
+        was_denied = self._clock.now() - self._denied_at <= WINDOW_S
+        is_needed = is_moving or was_denied
         max_credit = _MAX_CREDIT if is_needed else self._initial_credit
         saved = min(self._away_credit + added, max_credit)
         self._away_credit = max(self._away_credit, saved)
--- a/nutmegshore/balancing/spillover.py
+++ b/nutmegshore/balancing/spillover.py
@@ -80,6 +80,11 @@
         self._by_service: dict[str, _Spillover] = {}
         self._region_at = float('-inf')
 
+    @property
+    def is_active(self) -> bool:
+        """Whether any service moves requests elsewhere."""
+        return any(one.fraction for one in self._by_service.values())
+
     def fraction(self, service: str) -> float:
         """Return the fraction of requests that run elsewhere, from 0 to 1."""
         found = self._by_service.get(service)
