Show the rate limits that upstreams name

Change: answers give a typed UpstreamReport in place of a tuple; the platform's dialect reads the limit into it, strictly: a sign, an exponent, a word or two different limits in one head are malformed. A table keeps the limits in force; each change is logged once, so is a malformed text, and gauges show limit and age. No decision uses the limit yet.

--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -10,6 +10,7 @@
 from nutmegshore.balancing.choice import Candidate, Candidates, RoutingRequest
 from nutmegshore.balancing.cold_start import ColdStartLimiter
 from nutmegshore.balancing.health import HealthTable
+from nutmegshore.balancing.limit_table import LimitTable
 from nutmegshore.balancing.load import LoadTable
 from nutmegshore.balancing.latency import LatencyTable, RouteLatency
 from nutmegshore.clock import Clock
@@ -63,6 +64,7 @@
         self.affinity = Affinity()
         self.cold_start = ColdStartLimiter(clock, dependencies.local)
         self.health = HealthTable(clock)
+        self.limits = LimitTable(clock)
         self.load = LoadTable(clock)
         self.latency = LatencyTable(clock)
         self._dependencies = dependencies
@@ -112,6 +114,7 @@
         self.affinity.forget(instance)
         self.cold_start.forget(instance)
         self.health.forget(instance)
+        self.limits.forget(instance)
         self.load.forget(instance)
         self.latency.forget(instance)
 
--- a/nutmegshore/entry/components.py
+++ b/nutmegshore/entry/components.py
@@ -28,7 +28,7 @@
 from nutmegshore.quarantine import Quarantine
 from nutmegshore.resources import Entry
 from nutmegshore.steering import Steering, SteeringDependencies
-from nutmegshore.upstreams import UpstreamClient
+from nutmegshore.upstreams import UpstreamClient, UpstreamReport
 
 __all__ = ('EntryOptions', 'EntryComponents', 'EntryDependencies')
 
@@ -136,14 +136,13 @@
     def record_report(
         self,
         name: str,
-        is_leaving: bool,
-        busy_slots: float | None,
+        report: UpstreamReport,
     ) -> None:
         """Record the leaving state and load that an upstream reported."""
-        if is_leaving:
+        if report.is_leaving:
             self.steering.record_leaving(name)
-        if busy_slots is not None:
-            self.steering.record_report(name, busy_slots)
+        if report.busy is not None:
+            self.steering.record_report(name, report.busy)
 
     def _build_shared_state(self, dependencies: EntryDependencies) -> None:
         """Build the components that share state with other entries."""
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -28,6 +28,7 @@
 )
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream_reports import UpstreamReports
 from nutmegshore.peers import (
     Member,
     MeshOptions,
@@ -186,7 +187,12 @@
         dependencies = self.dependencies
         dialect = PlatformDialect()
         upstreams = CurlUpstreams(dependencies.clock, dialect)
-        upstreams.on_report = self._handle_report
+        upstreams.on_report = UpstreamReports(
+            self.balancer,
+            self.state,
+            dependencies.log,
+            dependencies.counters,
+        ).record
         return GatewayContext(
             state=self.state,
             balancer=self.balancer,
@@ -209,9 +215,6 @@
     def _count_gateways(self) -> int:
         return len(self.peers.live())
 
-    def _handle_report(self, name: str, is_leaving: bool, busy: int) -> None:
-        self.balancer.candidate_builder.load.handle_report(name, busy)
-
 
 def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
     """Seconds within which a change must take effect, by key prefix."""
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -12,8 +12,8 @@
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
-from nutmegshore.gateway.events import UpstreamJudged
 from nutmegshore.gateway.request import AttemptRecord, RoutedRequest
+from nutmegshore.gateway.upstream_events import UpstreamJudged
 from nutmegshore.listener.headers import upstream_headers
 from nutmegshore.platform.dialect import (
     write_caller_headers,
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -233,7 +233,7 @@
         assembly = self._assembly
         sources = GaugeSources(
             assembly.state,
-            assembly.balancer.candidate_builder.load,
+            assembly.balancer.candidate_builder,
             assembly.balancer.region_chooser,
             self._peering,
             assembly.followers,
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -11,6 +11,12 @@
 import attrs
 
 from nutmegshore.gateway.severity import Severity
+from nutmegshore.gateway.upstream_events import (
+    UpstreamChanged,
+    UpstreamJudged,
+    UpstreamLimitChanged,
+    UpstreamLimitRejected,
+)
 
 __all__ = (
     'EVENT_NAMES',
@@ -33,8 +39,6 @@
     'Stopping',
     'StoreLost',
     'StoreRegained',
-    'UpstreamChanged',
-    'UpstreamJudged',
     'fields_of',
 )
 
@@ -161,33 +165,6 @@
     attempts: list
 
 
-@attrs.frozen
-class UpstreamChanged:
-    """An upstream's registration changed: `ready`, `draining`, `missing` or
-    `gone`; `revision` is the store's."""
-
-    severity = Severity.CHANGE
-
-    upstream: str
-    service: str
-    zone: str
-    change: str
-    revision: int
-
-
-@attrs.frozen
-class UpstreamJudged:
-    """An upstream gets fewer or more requests because of its answers."""
-
-    severity = Severity.CHANGE
-
-    upstream: str
-    service: str
-    change: str
-    failures: int
-    avoided_s: float
-
-
 @attrs.frozen
 class RequestJudged:
     """A request seems to crash upstreams: `suspect` or `quarantined`.
@@ -349,6 +326,8 @@
         RequestAbandoned: 'request_abandoned',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
+        UpstreamLimitChanged: 'upstream_limit_changed',
+        UpstreamLimitRejected: 'upstream_limit_rejected',
         RequestJudged: 'request_judged',
         ConfigurationAdopted: 'configuration_adopted',
         ConfigurationRejected: 'configuration_rejected',
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.candidate_builder import CandidateBuilder
 from nutmegshore.balancing.region_choice import RegionChooser
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
@@ -21,6 +21,8 @@
     'region_away_fraction',
     'region_room',
     'spillover_fraction',
+    'upstream_limit_age_seconds',
+    'upstream_limit_per_second',
     'upstream_report_age_seconds',
     'upstream_room',
 )
@@ -31,7 +33,7 @@
     """Objects that the gauges read; `in_flight` counts running requests."""
 
     state: FleetState
-    load: LoadTable
+    candidate_builder: CandidateBuilder
     chooser: RegionChooser
     peering: Peering
     followers: tuple[KindFollower, ...]
@@ -126,7 +128,7 @@
 
     def _set_upstream(self, upstream: RegisteredUpstream) -> int:
         """Set the gauges of one upstream; return its free slots."""
-        load = self._sources.load
+        load = self._sources.candidate_builder.load
         name = upstream.instance
         labels = {'upstream': name, 'service': upstream.service}
         is_usable = self._sources.state.is_usable(upstream)
@@ -138,4 +140,16 @@
         if age_s is not None:
             metric = 'upstream_report_age_seconds'
             self._counters.set_gauge(metric, age_s, **labels)
+        self._set_limit(name, labels)
         return unused
+
+    def _set_limit(self, name: str, labels: dict[str, str]) -> None:
+        """Set the gauges of an upstream that names a limit."""
+        limits = self._sources.candidate_builder.limits
+        max_rate = limits.max_rate(name)
+        if max_rate is None:
+            return
+        metric = 'upstream_limit_per_second'
+        self._counters.set_gauge(metric, max_rate, **labels)
+        metric = 'upstream_limit_age_seconds'
+        self._counters.set_gauge(metric, limits.age_s(name), **labels)
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -8,12 +8,12 @@
     ConfigurationRejected,
     EntryRejected,
     EvacuationChanged,
-    UpstreamChanged,
 )
 from nutmegshore.gateway.follower import Replica
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.upstream_events import UpstreamChanged
 from nutmegshore.platform.configuration import (
     CONFIGURATION_KEY,
     parse_configuration,
--- /dev/null
+++ b/nutmegshore/gateway/upstream_events.py
@@ -0,0 +1,66 @@
+"""Events about upstreams that a gateway logs."""
+
+import attrs
+
+from nutmegshore.gateway.severity import Severity
+
+__all__ = (
+    'UpstreamChanged',
+    'UpstreamJudged',
+    'UpstreamLimitChanged',
+    'UpstreamLimitRejected',
+)
+
+
+@attrs.frozen
+class UpstreamChanged:
+    """An upstream's registration changed: `ready`, `draining`, `missing` or
+    `gone`; `revision` is the store's."""
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    zone: str
+    change: str
+    revision: int
+
+
+@attrs.frozen
+class UpstreamJudged:
+    """An upstream gets fewer or more requests because of its answers."""
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    change: str
+    failures: int
+    avoided_s: float
+
+
+@attrs.frozen
+class UpstreamLimitChanged:
+    """An upstream's limit began, changed or ended.
+
+    `max_rate` is the requests per second that it accepts from all gateways
+    together, and `previous` what it accepted before (-1: no limit).
+    """
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    max_rate: float
+    previous: float
+
+
+@attrs.frozen
+class UpstreamLimitRejected:
+    """An upstream names a limit that is no decimal number."""
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    text: str
--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -1,5 +1,7 @@
 """HTTP headers between callers, the gateway and upstreams."""
 
+import re
+
 import attrs
 
 from nutmegshore.errors import ErrorKind
@@ -8,6 +10,7 @@
     AnswerHead,
     Dialect,
     Headers,
+    UpstreamReport,
     UpstreamRequest,
 )
 
@@ -30,11 +33,14 @@
 _SERVER_STAMP = 'server-stamp'
 _NOT_RUN = 'not-run'
 _LOAD = 'server-load'
+_LIMIT = 'server-limit'
 _MISDIRECTED_REQUEST = 421
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _MAX_DEADLINE_DIGITS = 9
 _LOAD_FIELDS = 3
+#: A limit in requests per second, without sign or exponent.
+_RATE = re.compile(r'\d{1,15}(\.\d{1,15})?', re.ASCII)
 #: Request headers that the gateway sets itself and strips from callers.
 _RESERVED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE.lower()))
 
@@ -125,11 +131,26 @@
         is_success = _FIRST_SUCCESS <= head.status < _FIRST_REDIRECT
         return not is_success or _SERVER_STAMP in head.fields
 
-    def read_report(self, head: AnswerHead) -> tuple[bool, int | None] | None:
-        """Return whether the upstream is leaving, and its busy slots.
+    def read_report(self, head: AnswerHead) -> UpstreamReport | None:
+        """Return the load and the rate limit that an answer reports.
 
-        Leaving is always False: upstreams announce it in their registration
-        only.
+        None if another instance has the upstream's address. Upstreams announce
+        that they are leaving in their registration only.
         """
-        load = read_load(head)
-        return None if load is None else (False, load)
+        refusal = self.read_refusal(head)
+        if refusal is ErrorKind.UPSTREAM_MOVED:
+            return None
+        texts = _header_values(head, _LIMIT)
+        # Two limits in one head contradict each other unless they are equal.
+        text = ', '.join(sorted(set(texts)))
+        is_valid = _RATE.fullmatch(text) is not None
+        return UpstreamReport(
+            busy=read_load(head),
+            max_rate=float(text) if is_valid else None,
+            malformed_limit=text if texts and not is_valid else None,
+            is_refusal=refusal is not None,
+        )
+
+
+def _header_values(head: AnswerHead, name: str) -> list[str]:
+    return [text for key, text in head.headers if key.lower() == name]
--- a/nutmegshore/upstreams/__init__.py
+++ b/nutmegshore/upstreams/__init__.py
@@ -9,6 +9,7 @@
     Headers,
     ReportReceiver,
     UpstreamClient,
+    UpstreamReport,
     UpstreamRequest,
 )
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
@@ -24,5 +25,6 @@
     'MemoryUpstreams',
     'ReportReceiver',
     'UpstreamClient',
+    'UpstreamReport',
     'UpstreamRequest',
 )
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -18,15 +18,12 @@
     'Headers',
     'ReportReceiver',
     'UpstreamClient',
+    'UpstreamReport',
     'UpstreamRequest',
 )
 
 Headers = tuple[tuple[str, str], ...]
 
-#: Called with an upstream's name, whether it is leaving, and its busy slots,
-#: which are None if the answer did not report them.
-ReportReceiver = Callable[[str, bool, int | None], None]
-
 _CONNECT_TIMEOUT_S = 1
 
 
@@ -89,6 +86,28 @@
         return MappingProxyType(named)
 
 
+@attrs.frozen
+class UpstreamReport:
+    """State that an upstream reports in the head of an answer.
+
+    `busy` is the number of its busy slots, or None if the answer does not tell.
+    `max_rate` is the number of requests per second that it accepts from all
+    gateways together, or None if the answer names no limit. The text of a limit
+    that cannot be read is in `malformed_limit`. `is_refusal` says whether the
+    upstream refused the request.
+    """
+
+    is_leaving: bool = False
+    busy: int | None = None
+    max_rate: float | None = None
+    malformed_limit: str | None = None
+    is_refusal: bool = False
+
+
+#: Called with an upstream's name and the state that it reports.
+ReportReceiver = Callable[[str, UpstreamReport], None]
+
+
 class Dialect(abc.ABC):
     """The headers that this system and its upstreams exchange.
 
@@ -111,8 +130,8 @@
         """Error kind if the upstream refused the request without running it."""
 
     @abc.abstractmethod
-    def read_report(self, head: AnswerHead) -> tuple[bool, int | None] | None:
-        """Leaving flag and busy slots that an answer reports, if any."""
+    def read_report(self, head: AnswerHead) -> UpstreamReport | None:
+        """State that an answer reports, or None if it tells nothing."""
 
 
 class AnswerReceiver(abc.ABC):
@@ -149,7 +168,7 @@
         """Pass the upstream's state in an answer's head to `on_report`."""
         found = self.dialect.read_report(head)
         if found is not None and self.on_report is not None:
-            self.on_report(name, *found)
+            self.on_report(name, found)
 
     @abc.abstractmethod
     async def send(
--- a/nutmegshore/upstreams/dialect.py
+++ b/nutmegshore/upstreams/dialect.py
@@ -7,6 +7,7 @@
     AnswerHead,
     Dialect,
     Headers,
+    UpstreamReport,
     UpstreamRequest,
 )
 
@@ -45,10 +46,10 @@
             return ErrorKind.UPSTREAM_REFUSED
         return None
 
-    def read_report(self, head: AnswerHead) -> tuple[bool, int | None] | None:
+    def read_report(self, head: AnswerHead) -> UpstreamReport | None:
         """Leaving flag and busy slots that an answer reports, if any."""
         is_leaving = head.fields.get(_LEAVING) == _YES
         load = head.fields.get(_LOAD, '')
         if load.isascii() and load.isdecimal():
-            return is_leaving, int(load)
-        return (is_leaving, None) if is_leaving else None
+            return UpstreamReport(is_leaving, int(load))
+        return UpstreamReport(is_leaving) if is_leaving else None
--- /dev/null
+++ b/tests/balancing/test_limit_table.py
@@ -0,0 +1,47 @@
+"""Tests of the limits that upstreams name."""
+
+import pytest
+
+from nutmegshore.balancing.limit_table import LimitTable
+from nutmegshore.upstreams import UpstreamReport
+
+
+@pytest.fixture
+def changes():
+    """Changes that a table reports."""
+    return []
+
+
+@pytest.fixture
+def limits(clock, changes):
+    """Table of limits that records its changes."""
+    table = LimitTable(clock)
+    table.on_change = lambda *change: changes.append(change)
+    return table
+
+
+def test_a_limit_holds_until_an_answer_names_none(limits, changes):
+    """Guards against a limit that outlives the need, or ends before it."""
+    for max_rate in (1.3, 1.3, 2, None, None):
+        limits.handle_report('u1', UpstreamReport(max_rate=max_rate))
+    assert changes == [('u1', None, 1.3), ('u1', 1.3, 2), ('u1', 2, None)]
+    assert limits.max_rate('u1') is None
+
+
+@pytest.mark.parametrize(
+    'report',
+    [UpstreamReport(malformed_limit='nan'), UpstreamReport(is_refusal=True)],
+)
+def test_other_answers_change_nothing(limits, report):
+    """Guards against ending a limit by an answer that does not tell."""
+    limits.handle_report('u1', report)
+    assert limits.max_rate('u1') is None
+    limits.handle_report('u1', UpstreamReport(max_rate=3))
+    limits.handle_report('u1', report)
+    assert limits.max_rate('u1') == 3
+
+
+def test_a_refusal_names_a_limit(limits):
+    """Guards against an upstream whose refusals are not heard."""
+    limits.handle_report('u1', UpstreamReport(max_rate=0, is_refusal=True))
+    assert limits.max_rate('u1') == 0
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -7,13 +7,14 @@
 import pytest
 
 from nutmegshore.balancing import BalancerDependencies
-from nutmegshore.balancing.load import LoadTable
+from nutmegshore.balancing.candidate_builder import CandidateBuilder
 from nutmegshore.balancing.region_choice import RegionChooser
 from nutmegshore.counters import Counters
 from nutmegshore.exposition import write_exposition
 from nutmegshore.gateway.gauges import Gauges, GaugeSources
 from nutmegshore.gateway.route import Configuration
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.upstreams import UpstreamReport
 
 
 @attrs.define
@@ -51,7 +52,7 @@
     )
     return GaugeSources(
         state,
-        LoadTable(clock),
+        CandidateBuilder(state, dependencies),
         RegionChooser(dependencies, lambda request, candidate: True),
         peering,
         (follower,),
@@ -70,8 +71,8 @@
 def test_state_is_shown_with_its_age(sources, clock):
     """Guards against an on-call engineer who cannot see how old the
     shown state is."""
-    sources.load.get('u1').in_flight = 2
-    sources.load.handle_report('u1', 2)
+    sources.candidate_builder.load.get('u1').in_flight = 2
+    sources.candidate_builder.load.handle_report('u1', 2)
     clock.seconds += 0.5
     shown = _shown(sources)
     upstream = 'service="orders",upstream="u1"'
@@ -120,3 +121,16 @@
     sources.chooser.spillover.record('orders', 0, has_capacity=True)
     metric = 'nutmegshore_spillover_fraction{service="orders"} 0'
     assert any(line.startswith(metric) for line in _shown(sources))
+
+
+def test_a_limit_is_shown_until_it_ends(sources, clock):
+    """Guards against an upstream in need that on-call cannot see."""
+    limits = sources.candidate_builder.limits
+    limits.handle_report('u1', UpstreamReport(max_rate=1.5))
+    clock.seconds += 2
+    shown = _shown(sources)
+    labels = '{service="orders",upstream="u1"}'
+    assert f'nutmegshore_upstream_limit_per_second{labels} 1.5' in shown
+    assert f'nutmegshore_upstream_limit_age_seconds{labels} 2' in shown
+    limits.handle_report('u1', UpstreamReport())
+    assert not any('upstream_limit' in line for line in _shown(sources))
--- /dev/null
+++ b/tests/gateway/test_upstream_reports.py
@@ -0,0 +1,43 @@
+"""Tests of the reports of upstreams and the log of their limits."""
+
+import pytest
+
+from nutmegshore.gateway.upstream_reports import UpstreamReports
+from nutmegshore.upstreams import UpstreamReport
+
+
+@pytest.fixture
+def context(make_context, scripted):
+    """Context of a gateway with three upstreams."""
+    return make_context(scripted())
+
+
+@pytest.fixture
+def reports(context):
+    """Receiver of the reports of upstreams."""
+    return UpstreamReports(
+        context.balancer, context.state, context.log, context.counters
+    )
+
+
+def test_each_change_of_a_limit_is_logged_once(reports, lines):
+    """Guards against an upstream in need that the logs do not show."""
+    for max_rate in (1.5, 1.5, None):
+        reports.record('u1', UpstreamReport(max_rate=max_rate))
+    found = lines.named('upstream_limit_changed')
+    shown = [(one['max_rate'], one['previous']) for one in found]
+    assert shown == [(1.5, -1), (-1, 1.5)]
+    assert found[0]['upstream'] == 'u1'
+    assert found[0]['service'] == 'orders'
+
+
+def test_a_malformed_limit_is_logged_once(reports, lines, context):
+    """Guards against a limit that is silently ignored, and against a line for
+    each answer of an upstream that goes on sending it."""
+    for text in ('nan', 'nan', 'x' * 500):
+        reports.record('u1', UpstreamReport(malformed_limit=text))
+    found = lines.named('upstream_limit_rejected')
+    assert [one['text'] for one in found] == ['nan', 'x' * 60]
+    metric = 'upstream_limits_rejected'
+    assert context.counters.total(metric, service='orders') == 3
+    assert context.balancer.candidate_builder.limits.max_rate('u1') is None
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -79,3 +79,43 @@
 def test_a_load_report_counts_running_and_waiting(raw, busy):
     """Guards against counting the total of slots as load."""
     assert read_load(_answer(200, ('Server-Load', raw))) == busy
+
+
+def _limit_report(*texts, status=200, headers=()):
+    limits = (('Server-Limit', text) for text in texts)
+    return PlatformDialect().read_report(_answer(status, *headers, *limits))
+
+
+@pytest.mark.parametrize(
+    ('text', 'max_rate'),
+    [('1.3', 1.3), ('0', 0), ('0.2', 0.2), ('1000000000', 1e9)],
+)
+def test_a_limit_is_read(text, max_rate):
+    """Guards against LIMIT: an upstream in need names the requests per second
+    that it accepts, and was not heard."""
+    report = _limit_report(text)
+    assert report.max_rate == max_rate
+    assert report.malformed_limit is None
+    assert _limit_report(text, text) == report
+
+
+@pytest.mark.parametrize(
+    'texts',
+    [
+        *((text,) for text in ('', 'nan', 'inf', '-1', '+1', '1e9', '1,3')),
+        *((text,) for text in ('1.', '.5', '0x1', '\u0661', '9' * 99)),
+        ('1', '2'),
+    ],
+)
+def test_a_malformed_limit_is_no_limit(texts):
+    """Guards against a limit that stops or frees an upstream by mistake."""
+    report = _limit_report(*texts)
+    assert report.max_rate is None
+    assert report.malformed_limit == ', '.join(texts)
+
+
+def test_another_instance_names_no_limit():
+    """Guards against the limit of the wrong instance: one that has taken over
+    an address refuses the requests for its predecessor."""
+    assert _limit_report('1', status=421) is None
+    assert _limit_report(status=503, headers=(('Not-Run', '1'),)).is_refusal
--- a/tests/upstreams/test_curl.py
+++ b/tests/upstreams/test_curl.py
@@ -7,6 +7,7 @@
 
 from nutmegshore.clock import SystemClock
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.upstreams import UpstreamReport
 from nutmegshore.upstreams.curl import CurlUpstreams
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -242,7 +243,9 @@
                 )
         return found
 
-    assert asyncio.run(session()) == [('u1', True, 3)]
+    assert asyncio.run(session()) == [
+        ('u1', UpstreamReport(is_leaving=True, busy=3))
+    ]
 
 
 def test_the_request_goes_out_as_given(raw_upstream, collector, make_request):
--- a/tests/upstreams/test_memory_upstreams.py
+++ b/tests/upstreams/test_memory_upstreams.py
@@ -3,7 +3,11 @@
 import random
 
 from nutmegshore.clock import VirtualClock, run_virtual
-from nutmegshore.upstreams import MemoryUpstream, MemoryUpstreams
+from nutmegshore.upstreams import (
+    MemoryUpstream,
+    MemoryUpstreams,
+    UpstreamReport,
+)
 
 
 def test_answers_report_leaving_and_load(collector, make_request):
@@ -21,4 +25,7 @@
             await upstreams.send(name, None, request, collector())
         return found
 
-    assert run_virtual(session) == [('u1', False, 0), ('u2', True, 0)]
+    assert run_virtual(session) == [
+        ('u1', UpstreamReport(busy=0)),
+        ('u2', UpstreamReport(is_leaving=True, busy=0)),
+    ]
