--- a/bench/balancing_load.py
+++ b/bench/balancing_load.py
@@ -6,15 +6,15 @@
 """
 
 import collections
-import heapq
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from types import MappingProxyType
 
 import attrs
 
+from bench.event_clock import EventClock, PlayEvent
 from nutmegshore.balancing import (
     AttemptOutcome,
     AttemptResult,
@@ -222,44 +222,6 @@
     return _Session(pattern, random.Random(seed)).run()
 
 
-_PlayEvent = Callable[[], None]
-#: When an event is played, its number, and what it does.
-_Event = tuple[float, int, _PlayEvent]
-
-
-class _EventClock(Clock):
-    """A clock that stands at the time of the event that is played."""
-
-    def __init__(self) -> None:
-        self._seconds = float(0)
-        self._events: list[_Event] = []
-        self._numbers = itertools.count()
-
-    def now(self) -> float:
-        """Time of the present event."""
-        return self._seconds
-
-    def wall(self) -> float:
-        """The same; nothing here compares clocks."""
-        return self._seconds
-
-    async def sleep(self, seconds: float) -> None:
-        """Not used: everything here is an event."""
-        raise NotImplementedError
-
-    def after(self, seconds: float, play_event: _PlayEvent) -> None:
-        """Play an event some seconds from now."""
-        at = self._seconds + seconds
-        heapq.heappush(self._events, (at, next(self._numbers), play_event))
-
-    def run(self) -> None:
-        """Play events until none is left."""
-        while self._events:
-            event = heapq.heappop(self._events)
-            self._seconds = event[0]
-            event[2]()
-
-
 @attrs.define(eq=False)
 class _Request:
     """One caller's request; `asked_at` is that of its first attempt."""
@@ -330,14 +292,14 @@
     """A request at an upstream; `done` is called when its work ends."""
 
     key: str
-    done: _PlayEvent
+    done: PlayEvent
 
 
 class _ModelUpstream:
     """Slots, a queue in order of arrival, and the objects it had lately."""
 
     def __init__(
-        self, pattern: Pattern, clock: _EventClock, rng: random.Random
+        self, pattern: Pattern, clock: EventClock, rng: random.Random
     ) -> None:
         self._pattern = pattern
         self._clock = clock
@@ -394,7 +356,7 @@
     def __init__(self, pattern: Pattern, rng: random.Random) -> None:
         self._pattern = pattern
         self._rng = rng
-        self._clock = _EventClock()
+        self._clock = EventClock()
         self._by_region = {one.name: Served() for one in pattern.regions}
         self._upstreams: dict[str, _ModelUpstream] = {}
         state = _make_state(pattern, self._clock)
