--- a/nutmegshore/balancing/recent_members.py
+++ b/nutmegshore/balancing/recent_members.py
@@ -41,6 +41,10 @@
         self._gateways = gateways
         self._by_region: dict[str, _Region] = {}
 
+    def observe(self, region: str) -> None:
+        """Note the gateways of a region; call this every few seconds."""
+        self._read(region)
+
     def names(self, region: str) -> tuple[str, ...]:
         """Return the gateways of a region, as seen at most 0.25 s ago."""
         return self._read(region).names
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -43,13 +43,13 @@
         """Subscribe to the reports of peers; `run` sends them."""
         self.is_ready = False
         self._dependencies = dependencies
-        self._load = dependencies.balancer.candidate_builder.load
         self.roster = Roster(dependencies.clock, dependencies.log)
         self._state_sync = StateSync(dependencies, followers, self.roster)
         self._traffic = RegionTraffic(dependencies.balancer.region_chooser)
-        self._limits = LimitGossip(
-            dependencies.balancer.candidate_builder, dependencies.clock
-        )
+        candidate_builder = dependencies.balancer.candidate_builder
+        self._load = candidate_builder.load
+        self._members = candidate_builder.members
+        self._limits = LimitGossip(candidate_builder, dependencies.clock)
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
@@ -196,3 +196,6 @@
         for gone in self._sent_counts.keys() - known.keys():
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
+        # Gateways that vanish in a partition must have been seen before.
+        for region in (self._dependencies.peers.local.region, ''):
+            self._members.observe(region)
--- a/tests/balancing/test_limit_table.py
+++ b/tests/balancing/test_limit_table.py
@@ -46,3 +46,36 @@
     """Guards against an upstream whose refusals are not heard."""
     limits.handle_report('u1', UpstreamReport(max_rate=0, is_refusal=True))
     assert limits.max_rate('u1') == 0
+
+
+def test_the_latest_statement_counts(limits, clock):
+    """Guards against old word of a peer that revives a limit or ends it."""
+    limits.handle_report('u1', UpstreamReport(max_rate=2))
+    limits.handle_peer('u1', None, age_s=1)
+    assert limits.max_rate('u1') == 2
+    clock.advance(3)
+    limits.handle_peer('u1', 4, age_s=1)
+    assert limits.max_rate('u1') == 4
+    limits.handle_report('u1', UpstreamReport())
+    limits.handle_peer('u1', 4, age_s=0.5)
+    assert limits.max_rate('u1') is None
+
+
+def test_a_restarted_upstream_has_no_limit(limits, clock):
+    """Guards against the limit of an earlier incarnation that peers revive."""
+    limits.handle_report('u1', UpstreamReport(max_rate=2))
+    clock.advance(1)
+    limits.forget('u1')
+    limits.handle_peer('u1', 2, age_s=0.5)
+    assert limits.max_rate('u1') is None
+
+
+def test_the_end_of_a_limit_is_passed_on_for_a_while(limits, clock):
+    """Guards against records of ended limits that pile up."""
+    limits.handle_report('u1', UpstreamReport(max_rate=2))
+    limits.handle_report('u1', UpstreamReport())
+    assert [statement.max_rate for _, statement in limits.statements()] == [
+        None
+    ]
+    clock.advance(20)
+    assert not list(limits.statements())
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -19,6 +19,7 @@
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine, fingerprint
 from nutmegshore.store import StoredObject
+from nutmegshore.upstreams import UpstreamReport
 
 _PREFIX = 'servers/'
 #: Seconds within which the users want a configuration in force.
@@ -78,6 +79,7 @@
     quarantine: Quarantine
     peers: object
     chooser: object
+    limits: object
 
 
 class Fleet(collections.UserDict):
@@ -93,16 +95,18 @@
 
 
 @pytest.fixture
-def run_fleet(make_log):
+def run_fleet(make_log, upstream):
     """Context manager that runs the peering of several gateways."""
 
     def build(network, name, region):
         clock = VirtualClock()
         peers = network.join(Member(name, region, f'{region}-a'), clock)
         state = FleetState(clock)
+        registered = [upstream('u1')]
+        state.replace_upstreams(registered, is_after_outage=False)
         rng = random.Random(7)
         balancer_dependencies = BalancerDependencies(
-            clock, rng, name, region, lambda _: [], 0.15
+            clock, rng, name, region, lambda _: list(peers.live()), 0.15
         )
         balancer = Balancer(state, balancer_dependencies)
         quarantine = Quarantine(
@@ -127,7 +131,15 @@
         load = balancer.candidate_builder.load
         chooser = balancer.region_chooser
         return Gateway(
-            clock, follower, peering, load, task, quarantine, peers, chooser
+            clock,
+            follower,
+            peering,
+            load,
+            task,
+            quarantine,
+            peers,
+            chooser,
+            balancer.candidate_builder.limits,
         )
 
     @contextlib.asynccontextmanager
@@ -307,6 +319,41 @@
     assert set(run_virtual(session)) == {48}
 
 
+@pytest.mark.parametrize('count', [3, 24, 96])
+def test_limits_of_upstreams_reach_all_gateways(run_fleet, count):
+    """Guards against gateways that an upstream in need has not told, and
+    against one that keeps to a limit that has ended."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet, count)
+            await asyncio.sleep(2)
+            found = []
+            for max_rate in (1.5, 0.5, None):
+                report = UpstreamReport(max_rate=max_rate)
+                fleet['g02'].limits.handle_report('u1', report)
+                await asyncio.sleep(1.5)
+                found.append(
+                    {one.limits.max_rate('u1') for one in fleet.values()}
+                )
+            return found
+
+    assert run_virtual(session) == [{1.5}, {0.5}, {None}]
+
+
+def test_limits_of_unknown_upstreams_are_dropped(run_fleet):
+    """Guards against limits of upstreams that are gone, passed on for ever."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            report = UpstreamReport(max_rate=1)
+            fleet['g1'].limits.handle_report('u9', report)
+            await asyncio.sleep(1)
+            return fleet['g2'].limits.max_rate('u9')
+
+    assert run_virtual(session) is None
+
+
 @pytest.mark.parametrize('count', [24, 96])
 def test_messages_of_a_gateway_do_not_grow_with_the_fleet(run_fleet, count):
     """Guards against reports that grow with the square of the gateways."""
