Count gateways that vanished lately as sharers of the retry budget

The extra retries of the fleet were divided among the gateways that one sees, so that both sides of a partition spent all of them; the rule sums over all gateways and excuses none.

Change: gateways seen in the last 30 s count, as for the limits. The price: after gateways died, the extra retries of the others are smaller for 30 s.

Evidence: in a partition of eight gateways into two halves, dividing by the four visible ones allows 96 extra retries; the test allows 60.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -213,7 +213,9 @@
         )
 
     def _count_gateways(self) -> int:
-        return len(self.peers.live())
+        """Return how many gateways may share an allowance of the fleet."""
+        members = self.balancer.candidate_builder.members
+        return max(len(self.peers.live()), members.count(''))
 
 
 def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
--- a/tests/balancing/test_budget.py
+++ b/tests/balancing/test_budget.py
@@ -7,6 +7,7 @@
 import pytest
 
 from nutmegshore.balancing.budget import FleetRetryBudget
+from nutmegshore.balancing.recent_members import RecentMembers
 
 
 def _make(clock):
@@ -28,6 +29,25 @@
     assert retries <= 0.2 * 100 * members + 60
 
 
+def test_sides_of_a_partition_stay_within_the_budget(clock):
+    """Guards against LIMIT in the retry budget: each side of a partition divided
+    the extra retries of the whole fleet among its own gateways only."""
+    names = [f'g{number}' for number in range(8)]
+    seen = list(names)
+    members = RecentMembers(clock, lambda region: list(seen))
+    members.observe('')
+    seen.clear()
+    seen.extend(names[:4])
+    clock.advance(1)
+    budgets = [_make(clock) for _ in names]
+    retries = 0
+    for budget in budgets:
+        while budget.may_retry('orders', members.count('')):
+            budget.record_retry('orders')
+            retries += 1
+    assert retries <= 60
+
+
 def test_a_retry_counts_for_the_window(clock):
     """Guards against a budget that does not recover after the window."""
     budget = FleetRetryBudget(clock, ratio=0, window_s=10, extra=2.5)
