--- a/tests/balancing/test_budget.py
+++ b/tests/balancing/test_budget.py
@@ -30,8 +30,8 @@
 
 
 def test_sides_of_a_partition_stay_within_the_budget(clock):
-    """Guards against LIMIT in the retry budget: each side of a partition divided
-    the extra retries of the whole fleet among its own gateways only."""
+    """Guards against the fault of LIMIT in the retry budget: each side of a
+    partition divided the fleet's extra retries among its own gateways only."""
     names = [f'g{number}' for number in range(8)]
     seen = list(names)
     members = RecentMembers(clock, lambda region: list(seen))
