Compare the request id before an answer is read as a refusal

Callers were told 'not run' for requests that an upstream was running: it wrote an earlier refusal once more on a kept connection. Cause: the client read the refusal, and the load in it, before anything compared the id; the gateway compared it only for other answers, the entry never.

Change: the client compares the id first, in both dialects. Where every answer names its request, one without an id counts only on a fresh connection. Such an answer ends the attempt with an unknown outcome, and its report is dropped.

Evidence: tests/upstreams/test_answer_identity.py failed in both dialects before: the second request ended as upstream_refused.

--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -101,6 +101,7 @@
     """Header conventions between the gateway and the users' upstreams."""
 
     accepts_unframed = True
+    always_echoes_id = True
 
     def request_headers(
         self,
@@ -110,6 +111,10 @@
         """Return the deadline header; the caller's own request id is kept."""
         return (('Deadline-Ms', str(remaining_ms)),)
 
+    def read_request_id(self, head: AnswerHead) -> str | None:
+        """Return the id of the request that an answer belongs to."""
+        return head.fields.get(_REQUEST_ID)
+
     def read_refusal(self, head: AnswerHead) -> ErrorKind | None:
         """Return why the request was not run, or None if it may have run.
 
@@ -125,7 +130,7 @@
         A late second answer to an earlier request carries the earlier
         request's id.
         """
-        answered_id = head.fields.get(_REQUEST_ID)
+        answered_id = self.read_request_id(head)
         if answered_id != request_id or 'content-encoding' in head.fields:
             return False
         is_success = _FIRST_SUCCESS <= head.status < _FIRST_REDIRECT
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -112,10 +112,12 @@
     """The headers that this system and its upstreams exchange.
 
     `accepts_unframed` says whether the close of the connection may end an
-    answer instead of a length or a last chunk.
+    answer instead of a length or a last chunk, `always_echoes_id` whether every
+    answer names its request.
     """
 
     accepts_unframed: bool = False
+    always_echoes_id: bool = False
 
     @abc.abstractmethod
     def request_headers(
@@ -125,6 +127,10 @@
     ) -> Headers:
         """Headers that this system sets, with the remaining time."""
 
+    @abc.abstractmethod
+    def read_request_id(self, head: AnswerHead) -> str | None:
+        """Id of the request that an answer belongs to, or None without one."""
+
     @abc.abstractmethod
     def read_refusal(self, head: AnswerHead) -> ErrorKind | None:
         """Error kind if the upstream refused the request without running it."""
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -144,6 +144,7 @@
         head = await self._transfer.wait_head()
         if head is None:
             raise self._lost_error()
+        self._check_origin(head)
         report(self._name, head)
         self._check_head(head)
         await receiver.begin(head)
@@ -162,6 +163,20 @@
             kind = ErrorKind.DEADLINE_AFTER_SEND
         return RequestError(kind, self._name)
 
+    def _check_origin(self, head: AnswerHead) -> None:
+        """Raise `RequestError` for an answer to an earlier request.
+
+        On a kept connection an upstream may write an answer twice. What the
+        second copy says of the request that waits there is not true.
+        """
+        answered_id = self._dialect.read_request_id(head)
+        if answered_id == self._request.request_id:
+            return
+        is_expected = self._dialect.always_echoes_id
+        is_doubtful = is_expected and self._transfer.is_on_kept_connection
+        if answered_id is not None or is_doubtful:
+            raise RequestError(ErrorKind.UPSTREAM_SPOILED, self._name)
+
     def _check_head(self, head: AnswerHead) -> None:
         refusal = self._dialect.read_refusal(head)
         if refusal is not None:
--- a/nutmegshore/upstreams/dialect.py
+++ b/nutmegshore/upstreams/dialect.py
@@ -35,6 +35,10 @@
             (_REQUEST_ID, request.request_id),
         )
 
+    def read_request_id(self, head: AnswerHead) -> str | None:
+        """The id that the request carried, from upstreams that echo it."""
+        return head.fields.get(_REQUEST_ID.lower())
+
     def read_refusal(self, head: AnswerHead) -> ErrorKind | None:
         """`UPSTREAM_REFUSED` if the upstream did not run the request.
 
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -44,6 +44,11 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._receive_chunk)
         curl.setopt(pycurl.READFUNCTION, self._provide_chunk)
 
+    @property
+    def is_on_kept_connection(self) -> bool:
+        """Whether the connection had served another request before."""
+        return not self._curl.getinfo(pycurl.NUM_CONNECTS)
+
     def start(self) -> None:
         """Start the transfer."""
         self._loop.add(self._curl, self._finish)
