Take an answer whose head breaks off in its last line end for lost

Callers got a 200 with an empty body, framed as whole. Cause: libcurl ends the head at a lone carriage return before the close, and an answer without a length may end with its connection, so that nothing was missing.

Change: a line of a head counts only with its line feed.

Evidence: of fifteen places at which an answer may break off, for safe and unsafe requests, this one ended as a success before; each is upstream_lost now (tests/upstreams/test_cut_answers.py).

--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -110,6 +110,10 @@
         if self.head is not None:
             # Trailers of a chunked answer are not passed on.
             return
+        if not raw.endswith(b'\n'):
+            # libcurl takes a head for complete that breaks off in its last line
+            # end. Without a length, the answer would be an empty success.
+            return
         line = raw.decode('latin-1').rstrip('\r\n')
         if line:
             self._lines.append(line)
