Take no requests late in a planned stop

Requests that came late in the grace period of a planned stop were passed on and cut at its end without an answer. Cause: a connection on which a request was under way when the stop began kept its promise to stay open, and took the next request at any time up to the end; a head or body that began early could also be completed late.

Change: a stop revokes the promise of the answers under way, so that they carry Connection: close; after the first part of the grace period a request that no upstream has seen is refused as not run, with Retry-After.

Evidence: the answer to a slow request of test_a_stop_cuts_no_request came without Connection: close before; a request whose body is completed after the first part of a stop was passed on (test_a_request_that_comes_late_in_a_stop_is_refused).

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -128,7 +128,8 @@
         """Withdraw from look-up answers, finish all requests and close.
 
         Callers cache look-up answers, so the gateway still accepts new
-        requests during the first part of the grace period.
+        requests during the first part of the grace period. Later ones are
+        refused: they could be cut at its end.
         """
         grace_s = self._settings.bounds.grace_s
         ends_at = self._dependencies.clock.now() + grace_s - _CLOSE_MARGIN_S
@@ -142,6 +143,7 @@
         if self._callers is not None:
             self._callers.leave()
             await self._dependencies.clock.sleep(min(_LINGER_S, grace_s / 2))
+            self._forwarder.refuse_new()
             await self._drain_callers(ends_at)
         self._dependencies.log.write(Stopped(self._forwarder.in_flight))
         await self._close()
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -44,10 +44,19 @@
     def __init__(self, context: GatewayContext) -> None:
         """Forward requests in the context of one gateway."""
         self.in_flight = 0
+        self._refuses_new = False
         self._context = context
         self._retries = Retries(context)
         self._crashes = context.crashes
 
+    def refuse_new(self) -> None:
+        """Refuse the requests that have not reached any upstream yet.
+
+        A stopping gateway would have to cut them at the end of its grace
+        period; other gateways can still serve them.
+        """
+        self._refuses_new = True
+
     def route(self, incoming: IncomingRequest) -> RoutedRequest:
         """Find the route of a request; raise `RequestError` without one."""
         missing = self._context.state.missing
@@ -128,6 +137,8 @@
                 return
 
     def _next_attempt(self, routed: RoutedRequest) -> Attempt:
+        if self._refuses_new and not routed.attempts:
+            raise RequestError(ErrorKind.STOPPING, routed.service)
         routing_request = RoutingRequest(
             routed.route,
             routed.service,
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -31,10 +31,11 @@
     def __init__(self, stream: IOStream, context: ListenerContext) -> None:
         """Wait for `run`."""
         self.is_idle = True
-        self.is_stopping = False
+        self.is_leaving = False
         self._stream = stream
         self._context = context
         self._reader = CallerReader(stream)
+        self._writer: AnswerWriter | None = None
         self._log = get_logger('callers')
 
     async def run(self) -> None:
@@ -45,9 +46,15 @@
             while await self._has_next():
                 await self._serve_one()
 
+    def leave(self) -> None:
+        """Close after the answer to the present or the next request."""
+        self.is_leaving = True
+        if self._writer is not None:
+            self._writer.keeps_alive = False
+
     def close_when_idle(self) -> None:
         """Close now if no request is under way, else after its answer."""
-        self.is_stopping = True
+        self.leave()
         if self._stream.closed() or not self.is_idle:
             return
         if not self._reader.has_held and not _has_unread(self._stream):
@@ -72,7 +79,8 @@
         return True
 
     async def _serve_one(self) -> None:
-        writer = AnswerWriter(self._stream, keeps_alive=not self.is_stopping)
+        writer = AnswerWriter(self._stream, keeps_alive=not self.is_leaving)
+        self._writer = writer
         responder = self._context.make_responder(writer)
         try:
             await self._read_request(responder)
--- a/nutmegshore/listener/server.py
+++ b/nutmegshore/listener/server.py
@@ -70,7 +70,7 @@
     ) -> None:
         """Serve one connection in the task that runs this method."""
         connection = CallerConnection(stream, self._listener_context)
-        connection.is_stopping = self._is_leaving
+        connection.is_leaving = self._is_leaving
         task = asyncio.current_task()
         self._tasks[task] = connection
         with contextlib.ExitStack() as stack:
@@ -79,10 +79,10 @@
             await connection.run()
 
     def leave(self) -> None:
-        """Answer every further request with `Connection: close`."""
+        """Answer every request from now on with `Connection: close`."""
         self._is_leaving = True
         for connection in self._tasks.values():
-            connection.is_stopping = True
+            connection.leave()
 
     def stop(self) -> None:
         """Accept what the kernel holds, then close the listening sockets.
--- a/tests/callers/test_stop.py
+++ b/tests/callers/test_stop.py
@@ -56,5 +56,7 @@
 
     answers, end_of_idle, is_waiting, remaining = asyncio.run(session())
     assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
-    assert b'Connection: close' in answers[1]
+    # Guards against LOST: the caller of a kept connection sent the next request
+    # late in the grace period, and it was cut at the end.
+    assert all(b'Connection: close' in answer for answer in answers)
     assert (end_of_idle, is_waiting, remaining) == (b'', True, 0)
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -33,13 +33,13 @@
     server = CallerServer(listener)
     port = server.open(0, '127.0.0.1')
     try:
-        yield port
+        yield port, forwarder
     finally:
         await server.close_all_connections()
 
 
 async def _send_bytes(context, sent):
-    async with _listening(context) as port:
+    async with _listening(context) as (port, _):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(sent)
         received = await reader.read()
@@ -247,7 +247,7 @@
     """Close a caller's connection once its request was sent upstream."""
 
     async def session():
-        async with _listening(context) as port:
+        async with _listening(context) as (port, _):
             _, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(_GET.replace(b'Connection: close\r\n', b''))
             while not context.upstreams.sent:
@@ -387,7 +387,7 @@
     monkeypatch.setattr(AnswerWriter, 'write_own', _write_forever)
 
     async def session():
-        async with _listening(context, write_s=0.05) as port:
+        async with _listening(context, write_s=0.05) as (port, _):
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(_GET)
             async with asyncio.timeout(2):
@@ -413,3 +413,26 @@
     _send(context, _POST)
     failed = lines.named('request_failed')[0]
     assert failed['no_retry'] == 'may_have_run'
+
+
+def test_a_request_that_comes_late_in_a_stop_is_refused(make_context, scripted):
+    """Guards against LOST: a stopping gateway passed on requests that it could
+    only cut at the end of its grace period."""
+    upstreams = scripted()
+    context = make_context(upstreams)
+
+    async def session():
+        async with _listening(context) as (port, forwarder):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(_POST[:-4])
+            await asyncio.sleep(0.05)
+            forwarder.refuse_new()
+            writer.write(_POST[-4:])
+            received = await reader.read()
+            writer.close()
+        return received
+
+    received = asyncio.run(session())
+    assert received.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: ' in received
+    assert not upstreams.sent
