Let the sides of a partition share the rate of a cold upstream

Each side chose four senders for a cold upstream, with a burst and a quarter of the rate each; the rule sums over all gateways and excuses none.

Change: the number of senders follows the fraction of the recent gateways that is still visible. The price: after gateways died, a cold upstream gets at most a few senders fewer for 30 s.

Evidence: 16 requests in a second in two halves of twelve gateways where 12.5 are allowed (test_halves_of_a_region_keep_the_rate); within it now.

--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -184,9 +184,12 @@
         rate = self.cold_rate(request.service)
         if not (rate and self._state.is_cold(name)):
             return True
-        gateways = self._dependencies.gateways(upstream.region)
-        gateways = gateways or self._dependencies.gateways('')
-        is_sender = self.cold_start.is_sender(name, gateways)
+        region = self.members.sender_region(upstream.region)
+        is_sender = self.cold_start.is_sender(
+            name,
+            self.members.names(region),
+            self.members.visible_fraction(region),
+        )
         return is_sender and self.cold_start.has_token(name, rate)
 
     def _evaluate(
--- a/nutmegshore/balancing/cold_start.py
+++ b/nutmegshore/balancing/cold_start.py
@@ -32,11 +32,21 @@
         self._local = local
         self._buckets: dict[str, TokenBucket] = {}
 
-    def is_sender(self, instance: str, gateways: Collection[str]) -> bool:
-        """Return whether this gateway may send to the upstream while cold."""
-        if len(gateways) <= _MAX_SENDERS:
+    def is_sender(
+        self,
+        instance: str,
+        gateways: Collection[str],
+        visible_fraction: float = 1,
+    ) -> bool:
+        """Return whether this gateway may send to the upstream while cold.
+
+        `visible_fraction` is the fraction of the recent gateways that are among
+        `gateways`: the others may be cut off and send as well.
+        """
+        senders = max(round(_MAX_SENDERS * visible_fraction), 1)
+        if len(gateways) <= senders:
             return True
-        return self._local in rank_by_hash(instance, gateways)[:_MAX_SENDERS]
+        return self._local in rank_by_hash(instance, gateways)[:senders]
 
     def has_token(self, instance: str, rate: float) -> bool:
         """Return whether one more request may be sent now."""
--- a/nutmegshore/balancing/limit_shares.py
+++ b/nutmegshore/balancing/limit_shares.py
@@ -133,7 +133,9 @@
         max_rate = self._limits.max_rate(upstream.instance)
         if max_rate is None:
             return math.inf
-        return self._usable_rate(max_rate, self._sender_region(upstream))
+        return self._usable_rate(
+            max_rate, self._members.sender_region(upstream.region)
+        )
 
     def next_room_s(
         self, upstreams: Sequence[RegisteredUpstream], rank: int
@@ -153,7 +155,9 @@
 
         The callers of all gateways of the region share the upstreams.
         """
-        names = self._members.names(self._sender_region(upstreams[0]))
+        names = self._members.names(
+            self._members.sender_region(upstreams[0].region)
+        )
         return max(len(names), 1) / self._sum_rates(upstreams)
 
     def forget(self, instance: str) -> None:
@@ -163,7 +167,7 @@
         self._shares.pop(instance, None)
 
     def _own_rate(self, upstream: RegisteredUpstream, max_rate: float) -> float:
-        region = self._sender_region(upstream)
+        region = self._members.sender_region(upstream.region)
         usable = self._usable_rate(max_rate, region)
         senders = _MIN_SENDERS + math.floor(_SENDERS_PER_RATE * usable)
         names = self._members.names(region)
@@ -190,14 +194,6 @@
         usable = max(max_rate, _MIN_RATE) * _USED_FRACTION
         return usable * self._members.visible_fraction(region)
 
-    def _sender_region(self, upstream: RegisteredUpstream) -> str:
-        """Return the region whose gateways send, empty for all regions.
-
-        A region that had gateways lately may be cut off from this one.
-        """
-        region = upstream.region
-        return region if self._members.count(region) else ''
-
     def _place(self, instance: str, names: tuple[str, ...]) -> int | None:
         known = self._positions.get(instance)
         if known is not None and known.names == names:
--- a/nutmegshore/balancing/recent_members.py
+++ b/nutmegshore/balancing/recent_members.py
@@ -53,6 +53,14 @@
         """Return how many gateways were seen in the last 30 s."""
         return len(self._read(region).last_seen)
 
+    def sender_region(self, region: str) -> str:
+        """Return the region whose gateways send to upstreams in a region.
+
+        It is that region, or empty for all regions if it had no gateways
+        lately: one that had some may be cut off from this one.
+        """
+        return region if self.count(region) else ''
+
     def visible_fraction(self, region: str) -> float:
         """Return the fraction of the recent gateways that is visible now."""
         found = self._read(region)
--- a/tests/balancing/conftest.py
+++ b/tests/balancing/conftest.py
@@ -76,7 +76,7 @@
             rng=random.Random(7),
             local=local,
             region=changes.get('region', 'west'),
-            gateways=lambda region: list(gateways),
+            gateways=lambda region: gateways,
             max_shift=0.15,
         )
         return Balancer(state, dependencies)
--- a/tests/balancing/test_cold_start.py
+++ b/tests/balancing/test_cold_start.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from nutmegshore.balancing import AttemptOutcome, AttemptResult
 from nutmegshore.balancing.cold_start import ColdStartLimiter
 
 _RATE = 7.4
 _STEP_S = 0.01
+_ANSWERED = AttemptResult(AttemptOutcome.ANSWERED, 0.1)
 #: The promised limit on requests in one second.
 _BOUND = 1.5 * _RATE + 5
 
@@ -58,3 +60,33 @@
     for number in range(20):
         senders = sum(one.is_sender(f'u{number}', names) for one in bounds)
         assert senders == 4
+
+
+def test_halves_of_a_region_keep_the_rate(
+    make_state, make_balancer, make_request, upstream, clock, configure
+):
+    """Guards against the fault of LIMIT at a cold upstream: each half of the
+    gateways in a partition used the whole rate, with all of its bursts."""
+    names = [f'g{number}' for number in range(12)]
+    cold = upstream('u1', cold_left_s=60)
+    state = make_state(cold, configuration=configure(cold_per_s=5))
+    views = {name: list(names) for name in names}
+    balancers = [
+        make_balancer(state, name, gateways=views[name]) for name in names
+    ]
+    for balancer in balancers:
+        balancer.candidate_builder.members.observe('west')
+    for half in (names[:6], names[6:]):
+        for name in half:
+            views[name].clear()
+            views[name].extend(half)
+    sent = []
+    for _ in range(300):
+        clock.advance(_STEP_S)
+        for balancer in balancers:
+            if balancer.candidate_builder.candidates(make_request()).home:
+                request = make_request()
+                attempt = balancer.begin(request, balancer.choose(request))
+                balancer.end(attempt, _ANSWERED)
+                sent.append(clock.now())
+    assert max(_count(sent, start) for start in sent) <= 1.5 * 5 + 5
