--- a/tests/upstreams/conftest.py
+++ b/tests/upstreams/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmegshore.clock import SystemClock
+from nutmegshore.errors import RequestError
 from nutmegshore.resources import Upstream
 from nutmegshore.upstreams import (
     AnswerReceiver,
@@ -98,6 +99,18 @@
             yield self.piece
 
 
+@pytest.fixture
+def fail():
+    """Function that sends a request and returns the kind of its error."""
+
+    async def send(client, raw, request, receiver):
+        with pytest.raises(RequestError) as caught:
+            await client.send('u1', raw.upstream(), request, receiver)
+        return caught.value.kind
+
+    return send
+
+
 @pytest.fixture
 def raw_upstream():
     """Class of scripted upstreams."""
--- a/tests/upstreams/test_answer_identity.py
+++ b/tests/upstreams/test_answer_identity.py
@@ -6,7 +6,7 @@
 import pytest
 
 from nutmegshore.clock import SystemClock
-from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.errors import ErrorKind
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
 from nutmegshore.upstreams.dialect import OwnDialect
@@ -31,15 +31,9 @@
         yield client
 
 
-async def _kind(client, raw, request, receiver):
-    with pytest.raises(RequestError) as caught:
-        await client.send('u1', raw.upstream(), request, receiver)
-    return caught.value.kind
-
-
 @pytest.mark.parametrize(('dialect', 'refusal'), [_PLATFORM, _OWN])
 def test_an_earlier_refusal_is_no_answer(
-    raw_upstream, collector, make_request, dialect, refusal
+    raw_upstream, collector, make_request, fail, dialect, refusal
 ):
     """Guards against REFUSED: an upstream wrote a refusal once more on a kept
     connection, and a request that it was running was reported as not run."""
@@ -50,7 +44,7 @@
         with _client(dialect()) as client:
             client.on_report = lambda *report: reports.append(report)
             found = [
-                await _kind(
+                await fail(
                     client,
                     raw,
                     make_request(request_id=request_id, may_run_twice=True),
@@ -66,7 +60,7 @@
 
 
 def test_a_refusal_without_id_is_only_trusted_on_a_fresh_connection(
-    raw_upstream, collector, make_request
+    raw_upstream, collector, make_request, fail
 ):
     """Guards against a refusal of unknown origin on a kept connection."""
     refusal = _PLATFORM[1].replace(b'Request-Id: r1\r\n', b'')
@@ -76,7 +70,7 @@
         request = make_request(may_run_twice=True)
         with _client(PlatformDialect()) as client:
             return [
-                await _kind(client, raw, request, collector()) for _ in range(2)
+                await fail(client, raw, request, collector()) for _ in range(2)
             ]
 
     assert asyncio.run(session()) == [
--- a/tests/upstreams/test_curl.py
+++ b/tests/upstreams/test_curl.py
@@ -22,12 +22,6 @@
         yield client
 
 
-async def _kind(client, raw, request, receiver):
-    with pytest.raises(RequestError) as caught:
-        await client.send('u1', raw.upstream(), request, receiver)
-    return caught.value.kind
-
-
 @pytest.mark.parametrize(('may_run_twice', 'runs'), [(True, 2), (False, 1)])
 def test_a_lost_request_is_repeated_only_if_it_may_run_twice(
     may_run_twice, runs, raw_upstream, collector, make_request
@@ -48,7 +42,7 @@
 
 
 def test_a_repeat_that_cannot_connect_is_not_reported_as_not_run(
-    raw_upstream, collector, make_request
+    raw_upstream, collector, make_request, fail
 ):
     """Guards against "not run" when libcurl's first try may have run."""
 
@@ -58,7 +52,7 @@
             warm = make_request(may_run_twice=True)
             await client.send('u1', raw.upstream(), warm, collector())
             raw.server.close()
-            return await _kind(client, raw, warm, collector())
+            return await fail(client, raw, warm, collector())
 
     assert asyncio.run(session()) is ErrorKind.UPSTREAM_LOST
 
@@ -89,15 +83,15 @@
         ),
     ],
 )
-def test_each_failure_has_its_kind(
-    answer, kind, raw_upstream, collector, make_request
+def test_each_failure_has_itsfail(
+    answer, kind, raw_upstream, collector, make_request, fail
 ):
     """Guards against a cut answer accepted as whole and a false "not run"."""
 
     async def session():
         raw = await raw_upstream(answer).start()
         with _client() as client:
-            return await _kind(client, raw, make_request(), collector())
+            return await fail(client, raw, make_request(), collector())
 
     assert asyncio.run(session()) is kind
 
@@ -118,7 +112,7 @@
     assert asyncio.run(session()).status == 503
 
 
-def test_kinds_without_an_answer(raw_upstream, collector, make_request):
+def test_kinds_without_an_answer(raw_upstream, collector, make_request, fail):
     """Guards against a confusion of "may have run" and "not run"."""
 
     async def session():
@@ -126,10 +120,10 @@
         raw = await raw_upstream().start()
         with _client() as client:
             late = make_request(deadline=clock.now() + 0.05)
-            kinds = [await _kind(client, raw, late, collector())]
-            kinds.append(await _kind(client, raw, late, collector()))
+            kinds = [await fail(client, raw, late, collector())]
+            kinds.append(await fail(client, raw, late, collector()))
             raw.server.close()
-            kinds.append(await _kind(client, raw, make_request(), collector()))
+            kinds.append(await fail(client, raw, make_request(), collector()))
         return kinds
 
     assert asyncio.run(session()) == [
@@ -274,7 +268,7 @@
 
 
 def test_a_lost_upstream_ends_the_reading_of_the_body(
-    raw_upstream, collector, make_request, pieces
+    raw_upstream, collector, make_request, fail, pieces
 ):
     """Guards against reading the whole body after the upstream is lost."""
 
@@ -283,7 +277,7 @@
         body = pieces(b'z' * 65_536, 1_000)
         request = make_request(method='PUT', body=body)
         with _client() as client:
-            kind = await _kind(client, raw, request, collector())
+            kind = await fail(client, raw, request, collector())
         return kind, body.read_count
 
     kind, read_count = asyncio.run(session())
--- a/tests/upstreams/test_cut_answers.py
+++ b/tests/upstreams/test_cut_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from nutmegshore.clock import SystemClock
-from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.errors import ErrorKind
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
 
@@ -34,7 +34,7 @@
 @pytest.mark.parametrize('pieces', _CUTS)
 @pytest.mark.parametrize('may_run_twice', [True, False])
 def test_an_answer_that_breaks_off_is_lost(
-    raw_upstream, collector, make_request, pieces, may_run_twice
+    raw_upstream, collector, make_request, fail, pieces, may_run_twice
 ):
     """Guards against MIXED: an upstream stopped in the middle of an answer's
     head and closed, and callers got an empty body, framed as whole."""
@@ -46,8 +46,6 @@
         with contextlib.closing(
             CurlUpstreams(SystemClock(), PlatformDialect())
         ) as client:
-            with pytest.raises(RequestError) as caught:
-                await client.send('u1', raw.upstream(), request, collector())
-        return caught.value.kind
+            return await fail(client, raw, request, collector())
 
     assert asyncio.run(session()) is ErrorKind.UPSTREAM_LOST
