Test that a slow upstream is used again after its limit

Cause: an upstream in need is slow, and gateways prefer faster ones; only its answers tell that the limit ended.

It passed at once: the slowness of an upstream fades, so that it is tried.

--- a/bench/limit_load.py
+++ b/bench/limit_load.py
@@ -62,7 +62,8 @@
     `gateways` and `upstreams` are numbers in each region, `per_s` the requests
     a second in each. A fraction `urgent` of the requests has the rank 0, the
     others 1. Gateways pass on what they know each quarter of a second; it
-    arrives after `gossip_s`, at each gateway up to `late_s` later.
+    arrives after `gossip_s`, at each gateway up to `late_s` later. An upstream
+    that names a limit works for `limited_work_s` on a request.
     """
 
     spans: tuple[LimitSpan, ...]
@@ -75,6 +76,7 @@
     faults: tuple[Fault, ...] = ()
     gossip_s: float = 0.5
     late_s: float = 0
+    limited_work_s: float = _WORK_S
 
 
 def upstream_name(region: str, number: int) -> str:
@@ -235,23 +237,29 @@
         self._result.arrivals[name].append(
             Arrival(self._clock.now(), gateway.name, gateway.told_at.get(name))
         )
-        queue_s = max(self._in_flight[name] / _SLOTS, 1) * _WORK_S
-        self._clock.after(queue_s, lambda: self._answer(attempt))
+        work_s = _WORK_S
+        if self._span(name) is not None:
+            work_s = self._fleet.limited_work_s
+        took_s = max(self._in_flight[name] / _SLOTS, 1) * work_s
+        self._clock.after(took_s, lambda: self._answer(attempt, took_s))
 
-    def _answer(self, attempt: _Attempt) -> None:
+    def _span(self, upstream: str) -> LimitSpan | None:
+        spans = [one for one in self._fleet.spans if one.upstream == upstream]
+        return span_at(spans, self._clock.now())
+
+    def _answer(self, attempt: _Attempt, took_s: float) -> None:
         name = attempt.upstream
         gateway = attempt.gateway
         now = self._clock.now()
         self._in_flight[name] -= 1
-        spans = [one for one in self._fleet.spans if one.upstream == name]
-        span = span_at(spans, now)
+        span = self._span(name)
         if span is not None:
             gateway.told_at.setdefault(name, now)
         gateway.limits.handle_report(
             name, UpstreamReport(max_rate=span.max_rate if span else None)
         )
         gateway.balancer.end(
-            attempt.sent, AttemptResult(AttemptOutcome.ANSWERED, _WORK_S)
+            attempt.sent, AttemptResult(AttemptOutcome.ANSWERED, took_s)
         )
         region = attempt.sent.choice.upstream.region
         self._finish(attempt.request, region)
--- a/tests/balancing/test_upstream_limits.py
+++ b/tests/balancing/test_upstream_limits.py
@@ -122,6 +122,17 @@
     assert result.rate('west-u1', 38, 43) > before / 2
 
 
+@pytest.mark.parametrize(('gateways', 'per_s'), _SIZES[:2])
+def test_a_slow_upstream_is_used_again_after_its_limit(gateways, per_s):
+    """Guards against a limit that nobody sees end, since other upstreams are
+    faster than the one in need."""
+    spans = (LimitSpan('west-u1', 6, 16, 1),)
+    fleet = Fleet(spans, gateways, per_s=per_s, limited_work_s=2)
+    result = play(fleet, seed=7)
+    assert excess(result, spans) <= 0
+    assert result.rate('west-u1', 24, 30) > result.rate('west-u1', 0, 6) / 2
+
+
 def test_a_limit_is_used():
     """Guards against an upstream that gets next to nothing of what it accepts,
     where all of the service name a limit and the gateways have the demand."""
