--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -22,6 +22,9 @@
     b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n'
     b'Content-Length: 2\r\n\r\nok'
 )
+_LIMITED_ANSWER = _ANSWER.replace(
+    b'Content-Length', b'Server-Limit: 1\r\nContent-Length'
+)
 _REQUEST = (
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
     b'Connection: close\r\n\r\n'
@@ -39,10 +42,14 @@
 
 
 async def _answer(reader, writer):
-    """A stand-in of an upstream: one answer per connection, after 0.3 s."""
-    await reader.readuntil(b'\r\n\r\n')
+    """A stand-in of an upstream: one answer per connection, after 0.3 s.
+
+    It names a limit of one request a second if the path says so.
+    """
+    head = await reader.readuntil(b'\r\n\r\n')
     await asyncio.sleep(0.3)
-    writer.write(_ANSWER)
+    is_limited = b'/limited ' in head
+    writer.write(_LIMITED_ANSWER if is_limited else _ANSWER)
     await writer.drain()
     writer.close()
 
@@ -146,6 +153,34 @@
     assert lines.named('stopped')[0]['cut'] == 0
 
 
+def test_a_gateway_keeps_to_the_limit_of_an_upstream(run_gateway, lines):
+    """Guards against LIMIT in the whole program: an answer that names a limit
+    reached no decision."""
+    limited = _REQUEST.replace(b'/orders/7 ', b'/orders/limited ')
+
+    async def session():
+        async with run_gateway() as (daemon, _):
+            await daemon.start()
+            answers = [
+                await _talk(daemon.caller_port, limited) for _ in range(2)
+            ]
+            await daemon.stop()
+        return answers
+
+    first, second = asyncio.run(asyncio.wait_for(session(), 20))
+    assert first.startswith(b'HTTP/1.1 200 ')
+    assert second.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: ' in second
+    changed = lines.named('upstream_limit_changed')
+    assert [(one['max_rate'], one['source']) for one in changed] == [
+        (1, 'answer')
+    ]
+    refused = lines.named('request_refused')
+    assert [(one['reason'], one['limited']) for one in refused] == [
+        ('rate_limited', ['i-1'])
+    ]
+
+
 def test_a_gateway_without_a_store_is_not_ready(run_gateway):
     """Guards against a gateway that takes requests before it knows any
     configuration, and against one that never recovers."""
