Show the history of the store that answers come from

Cause: a store that is restored from an older copy gives the same revisions out again. Logs and metrics could not tell four things apart: that the store was restored, that a listing was dropped as older, that watches got 410 again and again, and that a peer told an old position.

The client reads the era that each answer names; a restore and an era that cannot be read are logged and counted, the first in a row of listings that are not applied is logged with both positions, and gauges show the era and the revision of each kind. An answer without a readable era counts for the newest known one.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -18,16 +18,12 @@
     QuarantineDependencies,
     make_quarantine,
 )
-from nutmegshore.gateway.follower import FollowerContext, KindFollower
+from nutmegshore.gateway.follower import FollowerContext
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.registry import Registry, RegistryDependencies
-from nutmegshore.gateway.replicas import (
-    ConfigurationReplica,
-    EvacuationReplica,
-    UpstreamReplica,
-)
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.store_replicas import StoreReplicas
 from nutmegshore.gateway.upstream_reports import UpstreamReports
 from nutmegshore.peers import (
     Member,
@@ -36,12 +32,7 @@
     TcpTransport,
     first_incarnation,
 )
-from nutmegshore.platform.configuration import CONFIGURATION_PREFIX
 from nutmegshore.platform.dialect import PlatformDialect
-from nutmegshore.platform.registration import (
-    EVACUATION_PREFIX,
-    UPSTREAM_PREFIX,
-)
 from nutmegshore.store import Platform
 from nutmegshore.upstreams.curl import CurlUpstreams
 
@@ -85,14 +76,7 @@
                 dependencies.log,
             ),
         )
-        self.upstreams = UpstreamReplica(
-            self.state,
-            dependencies.log,
-            settings.regions_by_zone,
-            self.balancer.candidate_builder.forget,
-        )
-        self.configurations = ConfigurationReplica(self.state, dependencies.log)
-        self.followers = self._make_followers()
+        self.replicas = self._make_replicas()
         self.context = self._make_context()
 
     def gateway_names(self, region: str) -> list[str]:
@@ -114,9 +98,7 @@
         )
         self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
-        bounds_by_prefix = _bounds_by_prefix(settings)
-        for follower in self.followers:
-            follower.bound_s = bounds_by_prefix[follower.prefix]
+        self.replicas.apply_settings(settings)
 
     def _make_registry(self) -> Registry:
         settings = self.settings
@@ -161,25 +143,20 @@
         )
         return Balancer(self.state, balancer_dependencies)
 
-    def _make_followers(self) -> tuple[KindFollower, ...]:
+    def _make_replicas(self) -> StoreReplicas:
         dependencies = self.dependencies
-        evacuations = EvacuationReplica(self.state, dependencies.log)
-        replicas = (
-            (CONFIGURATION_PREFIX, self.configurations),
-            (UPSTREAM_PREFIX, self.upstreams),
-            (EVACUATION_PREFIX, evacuations),
-        )
-        bounds = _bounds_by_prefix(self.settings)
-        follower_context = FollowerContext(
+        context = FollowerContext(
             dependencies.store,
             dependencies.clock,
             dependencies.rng,
             dependencies.counters,
             dependencies.log,
         )
-        return tuple(
-            KindFollower(prefix, replica, follower_context, bounds[prefix])
-            for prefix, replica in replicas
+        return StoreReplicas(
+            self.settings,
+            self.state,
+            context,
+            self.balancer.candidate_builder.forget,
         )
 
     def _make_context(self) -> GatewayContext:
@@ -218,15 +195,6 @@
         return max(len(self.peers.live()), members.count(''))
 
 
-def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
-    """Seconds within which a change must take effect, by key prefix."""
-    return {
-        CONFIGURATION_PREFIX: settings.bounds.configuration_s,
-        UPSTREAM_PREFIX: settings.bounds.drain_s,
-        EVACUATION_PREFIX: settings.bounds.evacuation_s,
-    }
-
-
 def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
     """Peer addresses of the seeds in the settings."""
     return tuple(
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -88,7 +88,9 @@
         self._dependencies = dependencies
         self._started_at = dependencies.clock.now()
         self._assembly = Assembly(settings, dependencies)
-        self._assembly.configurations.on_adopted = self._apply_configuration
+        self._assembly.replicas.configurations.on_adopted = (
+            self._apply_configuration
+        )
         self._peering = self._make_peering()
         self._forwarder = GatewayForwarder(self._assembly.context)
         self._listener = ListenerContext(
@@ -172,7 +174,7 @@
 
     def _spawn_tasks(self) -> None:
         assembly = self._assembly
-        for follower in assembly.followers:
+        for follower in assembly.replicas.followers:
             self._tasks.spawn(follower.run())
             self._tasks.spawn(follower.run_checks())
         self._tasks.spawn(assembly.registry.run(assembly.peers))
@@ -204,7 +206,7 @@
 
     async def _expire_missing(self) -> None:
         while True:
-            self._assembly.upstreams.expire()
+            self._assembly.replicas.upstreams.expire()
             await self._dependencies.clock.sleep(_EXPIRY_INTERVAL_S)
 
     def _log_start(self) -> None:
@@ -238,10 +240,11 @@
             assembly.balancer.candidate_builder,
             assembly.balancer.region_chooser,
             self._peering,
-            assembly.followers,
+            assembly.replicas.followers,
             lambda: self._forwarder.in_flight,
             self._dependencies.clock,
             self._dependencies.counters,
+            self._dependencies.store.eras,
         )
         return Gauges(sources)
 
@@ -256,4 +259,4 @@
             dependencies.counters,
             dependencies.log,
         )
-        return Peering(peering_dependencies, self._assembly.followers)
+        return Peering(peering_dependencies, self._assembly.replicas.followers)
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -11,6 +11,13 @@
 import attrs
 
 from nutmegshore.gateway.severity import Severity
+from nutmegshore.gateway.store_events import (
+    ListingOutdated,
+    StoreEraRejected,
+    StoreLost,
+    StoreRegained,
+    StoreRestored,
+)
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
     UpstreamJudged,
@@ -37,8 +44,6 @@
     'Starting',
     'Stopped',
     'Stopping',
-    'StoreLost',
-    'StoreRegained',
     'fields_of',
 )
 
@@ -241,26 +246,6 @@
     silent_s: float
 
 
-@attrs.frozen
-class StoreLost:
-    """The store stopped answering for one kind of objects."""
-
-    severity = Severity.CHANGE
-
-    kind: str
-    reason: str
-
-
-@attrs.frozen
-class StoreRegained:
-    """The store answers again after `away_s` without answers."""
-
-    severity = Severity.CHANGE
-
-    kind: str
-    away_s: float
-
-
 @attrs.frozen
 class Starting:
     """A process has started, without any earlier state."""
@@ -340,6 +325,9 @@
         PeerChanged: 'peer_changed',
         StoreLost: 'store_lost',
         StoreRegained: 'store_regained',
+        StoreRestored: 'store_restored',
+        StoreEraRejected: 'store_era_rejected',
+        ListingOutdated: 'listing_outdated',
         Starting: 'starting',
         Started: 'started',
         Stopping: 'stopping',
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -14,7 +14,14 @@
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.store_health import StoreHealth
-from nutmegshore.store import Change, Changes, Listing, Platform, StoredObject
+from nutmegshore.store import (
+    Change,
+    Changes,
+    Listing,
+    Platform,
+    StoredObject,
+    StorePosition,
+)
 from nutmegshore.store.base import WATCH_WAIT_S
 
 __all__ = ('FollowerContext', 'KindFollower', 'Replica')
@@ -212,7 +219,13 @@
         self._health.record_answer()
         self._listed_at = self._context.clock.now()
         if listing.position < self.known.position:
+            self._context.counters.add(
+                'store_listings_outdated', kind=self.prefix
+            )
+            known_at = StorePosition(revision=self.known.position)
+            self._health.record_outdated(listing.read_at, known_at)
             return
+        self._health.record_current()
         before = self.known.digest
         self._apply_listing(listing)
         if self.known.digest != before:
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -12,6 +12,7 @@
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.store import StoreEras
 
 __all__ = ('GaugeSources', 'Gauges')
 
@@ -41,6 +42,7 @@
     in_flight: Callable[[], int]
     clock: Clock
     counters: Counters
+    eras: StoreEras | None = None
 
 
 class Gauges:
@@ -80,12 +82,17 @@
         self._counters.set_gauge('configuration_age_seconds', age_s)
 
     def _set_store(self) -> None:
+        if self._sources.eras is not None:
+            self._counters.set_gauge('store_era', self._sources.eras.newest)
         for follower in self._sources.followers:
             kind = follower.prefix
             is_store_reachable = int(follower.is_store_reachable)
             self._counters.set_gauge(
                 'store_in_touch', is_store_reachable, kind=kind
             )
+            self._counters.set_gauge(
+                'store_revision', follower.known.position, kind=kind
+            )
             if follower.is_listed:
                 self._counters.set_gauge(
                     'store_listing_age_seconds',
--- /dev/null
+++ b/nutmegshore/gateway/store_events.py
@@ -0,0 +1,71 @@
+"""Events about the store that a gateway logs."""
+
+import attrs
+
+from nutmegshore.gateway.severity import Severity
+
+__all__ = (
+    'ListingOutdated',
+    'StoreEraRejected',
+    'StoreLost',
+    'StoreRegained',
+    'StoreRestored',
+)
+
+
+@attrs.frozen
+class StoreLost:
+    """The store stopped answering for one kind of objects."""
+
+    severity = Severity.CHANGE
+
+    kind: str
+    reason: str
+
+
+@attrs.frozen
+class StoreRegained:
+    """The store answers again after `away_s` without answers."""
+
+    severity = Severity.CHANGE
+
+    kind: str
+    away_s: float
+
+
+@attrs.frozen
+class StoreRestored:
+    """The store was restored from an older copy.
+
+    `era` numbers its present history, `previous` the one before.
+    """
+
+    severity = Severity.CHANGE
+
+    era: int
+    previous: int
+
+
+@attrs.frozen
+class StoreEraRejected:
+    """An answer of the store names an era that is no number."""
+
+    severity = Severity.CHANGE
+
+    text: str
+
+
+@attrs.frozen
+class ListingOutdated:
+    """A listing is older than what is known, and was not applied.
+
+    Logged for the first of several in a row.
+    """
+
+    severity = Severity.CHANGE
+
+    kind: str
+    era: int
+    revision: int
+    known_era: int
+    known_revision: int
--- a/nutmegshore/gateway/store_health.py
+++ b/nutmegshore/gateway/store_health.py
@@ -4,8 +4,13 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.errors import PlatformError
-from nutmegshore.gateway.events import StoreLost, StoreRegained
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.store_events import (
+    ListingOutdated,
+    StoreLost,
+    StoreRegained,
+)
+from nutmegshore.store import StorePosition
 
 __all__ = ('StoreHealth',)
 
@@ -33,6 +38,7 @@
         self._clock = clock
         self._log = log
         self._failures = 0
+        self._is_outdated = False
         self._lost_at: float | None = None
         self._regained_at = float('-inf')
 
@@ -64,6 +70,26 @@
             self._lost_at = self._clock.now()
             self._log.write(StoreLost(self._kind, str(failure)))
 
+    def record_outdated(
+        self, listed_at: StorePosition, known_at: StorePosition
+    ) -> None:
+        """Log the first in a row of listings that are older than known."""
+        if self._is_outdated:
+            return
+        self._is_outdated = True
+        event = ListingOutdated(
+            self._kind,
+            listed_at.era,
+            listed_at.revision,
+            known_at.era,
+            known_at.revision,
+        )
+        self._log.write(event)
+
+    def record_current(self) -> None:
+        """Record a listing that is as new as what is known."""
+        self._is_outdated = False
+
     def end_outage(self) -> None:
         """End the outage: the store or an aggregator is the source again."""
         if self._lost_at is None:
--- /dev/null
+++ b/nutmegshore/gateway/store_replicas.py
@@ -0,0 +1,71 @@
+"""The replicas of a gateway and their followers of the store."""
+
+from collections.abc import Callable
+
+from nutmegshore.gateway.follower import FollowerContext, KindFollower
+from nutmegshore.gateway.replicas import (
+    ConfigurationReplica,
+    EvacuationReplica,
+    UpstreamReplica,
+)
+from nutmegshore.gateway.settings import GatewaySettings
+from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.store_restores import StoreRestores
+from nutmegshore.platform.configuration import CONFIGURATION_PREFIX
+from nutmegshore.platform.registration import (
+    EVACUATION_PREFIX,
+    UPSTREAM_PREFIX,
+)
+
+__all__ = ('StoreReplicas',)
+
+
+class StoreReplicas:
+    """Replicates configuration, upstreams and evacuations into a state.
+
+    replicas = StoreReplicas(settings, state, context, balancer.forget)
+    for follower in replicas.followers:
+        tasks.spawn(follower.run())
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        state: FleetState,
+        context: FollowerContext,
+        on_gone: Callable[[str], None],
+    ) -> None:
+        """Build the replicas; `on_gone` gets the name of a removed upstream."""
+        log = context.log
+        self.configurations = ConfigurationReplica(state, log)
+        self.upstreams = UpstreamReplica(
+            state, log, settings.regions_by_zone, on_gone
+        )
+        bounds = _bounds_by_prefix(settings)
+        replicas = (
+            (CONFIGURATION_PREFIX, self.configurations),
+            (UPSTREAM_PREFIX, self.upstreams),
+            (EVACUATION_PREFIX, EvacuationReplica(state, log)),
+        )
+        self.followers = tuple(
+            KindFollower(prefix, replica, context, bounds[prefix])
+            for prefix, replica in replicas
+        )
+        if context.store.eras is not None:
+            restores = StoreRestores(log, context.counters)
+            restores.follow(context.store.eras)
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Apply the bounds of reloaded settings."""
+        bounds = _bounds_by_prefix(settings)
+        for follower in self.followers:
+            follower.bound_s = bounds[follower.prefix]
+
+
+def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
+    """Seconds within which a change must take effect, by key prefix."""
+    return {
+        CONFIGURATION_PREFIX: settings.bounds.configuration_s,
+        UPSTREAM_PREFIX: settings.bounds.drain_s,
+        EVACUATION_PREFIX: settings.bounds.evacuation_s,
+    }
--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -18,6 +18,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
+from nutmegshore.platform.era import read_era
 from nutmegshore.store.base import (
     WATCH_WAIT_S,
     Change,
@@ -28,6 +29,7 @@
     Platform,
     StoredObject,
 )
+from nutmegshore.store.eras import StoreEras
 from nutmegshore.store.failures import unanswered
 
 __all__ = ('PlatformStore', 'StoreTimes')
@@ -73,7 +75,8 @@
 
     Reads raise `PlatformUnavailable`. Writes raise it where nothing was
     applied, `PlatformAnswerLost` where the outcome is unknown, and
-    `VersionConflict` where the object is not as expected.
+    `VersionConflict` where the object is not as expected. An answer without a
+    readable era counts for the newest era that any answer has named.
 
         store = PlatformStore('10.0.0.1:8642')
         listing = await store.read_listing('servers/')
@@ -83,6 +86,7 @@
         """Create the client; connections open on first use."""
         self._base_url = f'http://{address}/objects'
         self._times = times or StoreTimes()
+        self.eras = StoreEras()
         self._client = CurlAsyncHTTPClient(
             force_instance=True,
             max_clients=_MAX_CLIENTS,
@@ -114,15 +118,17 @@
         delivers the changes made between two pages.
         """
         kind = _kind(prefix)
-        page = await self._read_page(kind, '')
-        position = page.position
+        first = await self._read_page(kind, '')
+        page = first
         listed = list(page.listed)
         while page.has_more:
             page = await self._read_page(kind, _name(listed[-1].key))
             if not page.listed:
                 raise PlatformUnavailable(f'{kind}: listing does not advance')
+            if page.era != first.era:
+                raise PlatformUnavailable(f'{kind}: restored while listing')
             listed.extend(page.listed)
-        return Listing(position, tuple(listed))
+        return Listing(first.position, tuple(listed), first.era)
 
     async def watch(
         self,
@@ -143,7 +149,9 @@
         )
         raw = _parse_read(response, kind)
         try:
-            return _parse_changes(kind, raw)
+            return _parse_changes(
+                kind, raw, read_era(response.headers, self.eras)
+            )
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
 
@@ -192,6 +200,7 @@
                 int(raw['StoreRevision']),
                 tuple(_parse_object(kind, entry) for entry in raw['items']),
                 bool(raw.get('HasMore')),
+                read_era(response.headers, self.eras),
             )
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
@@ -207,6 +216,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as failure:
             raise unanswered(key, failure) from failure
+        read_era(response.headers, self.eras)
         if response.code < HTTPStatus.MULTIPLE_CHOICES:
             return response
         if response.code == HTTPStatus.CONFLICT:
@@ -216,9 +226,11 @@
     async def _fetch(self, path: str, **options: Any) -> HTTPResponse:
         request = self._build_request(path, **options)
         try:
-            return await self._client.fetch(request, raise_error=False)
+            response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as failure:
             raise PlatformUnavailable(f'{path}: {failure}') from failure
+        read_era(response.headers, self.eras)
+        return response
 
     def _build_request(self, path: str, **options: Any) -> HTTPRequest:
         options.setdefault('request_timeout', self._times.call_s)
@@ -257,6 +269,7 @@
     position: int
     listed: tuple[StoredObject, ...]
     has_more: bool
+    era: int
 
 
 def _kind(key: str) -> str:
@@ -294,10 +307,11 @@
         return None
 
 
-def _parse_changes(kind: str, raw: dict[str, Any]) -> Changes:
+def _parse_changes(kind: str, raw: dict[str, Any], era: int) -> Changes:
     return Changes(
         int(raw['StoreRevision']),
         tuple(_parse_change(kind, event) for event in raw['events']),
+        era,
     )
 
 
--- a/nutmegshore/store/__init__.py
+++ b/nutmegshore/store/__init__.py
@@ -9,7 +9,9 @@
     ListingPage,
     Platform,
     StoredObject,
+    StorePosition,
 )
+from nutmegshore.store.eras import StoreEras
 from nutmegshore.store.http import HttpPlatform
 from nutmegshore.store.memory import MemoryPlatform, MemoryStore
 from nutmegshore.store.resolve import make_operation, write_resolved
@@ -25,6 +27,8 @@
     'MemoryStore',
     'ListingPage',
     'Platform',
+    'StoreEras',
+    'StorePosition',
     'StoredObject',
     'make_operation',
     'write_resolved',
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from nutmegshore.store.eras import StoreEras
+
 __all__ = (
     'MAX_BODY_BYTES',
     'WATCH_WAIT_S',
@@ -14,6 +16,7 @@
     'Listing',
     'ListingPage',
     'Platform',
+    'StorePosition',
     'StoredObject',
 )
 
@@ -63,12 +66,35 @@
     stored: StoredObject | None
 
 
+@attrs.frozen(order=True)
+class StorePosition:
+    """A point in the history of a store.
+
+    Revisions only grow within an era. A later era is ahead of all positions of
+    the eras before it, whatever their revisions.
+
+        StorePosition(era=2, revision=40) > StorePosition(era=1, revision=90)
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @attrs.frozen
 class Changes:
-    """Result of a watch and the position to continue it from."""
+    """Result of a watch and the position to continue it from.
+
+    `position` is a revision, and `era` the history that it belongs to.
+    """
 
     position: int
     changes: tuple[Change, ...]
+    era: int = 0
+
+    @property
+    def read_at(self) -> StorePosition:
+        """Position in the store as of which the changes were read."""
+        return StorePosition(self.era, self.position)
 
 
 @attrs.frozen
@@ -84,10 +110,19 @@
 
 @attrs.frozen
 class Listing:
-    """All objects below a prefix, and the position to watch them from."""
+    """All objects below a prefix, and the position to watch them from.
+
+    `position` is a revision, and `era` the history that it belongs to.
+    """
 
     position: int
     listed: tuple[StoredObject, ...]
+    era: int = 0
+
+    @property
+    def read_at(self) -> StorePosition:
+        """Position in the store as of which the objects were read."""
+        return StorePosition(self.era, self.position)
 
 
 @attrs.frozen
@@ -106,9 +141,11 @@
 
     Every call can raise `PlatformUnavailable`: it had no effect. A write or
     removal can also raise `PlatformAnswerLost`, when its effect is unknown,
-    and `VersionConflict`.
+    and `VersionConflict`. `eras` is None for a store that is never restored.
     """
 
+    eras: StoreEras | None = None
+
     @abc.abstractmethod
     async def read(self, key: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -45,6 +45,7 @@
         is_store_reachable=True,
         is_listed=True,
         age_s=1.5,
+        known=types.SimpleNamespace(position=41),
     )
     peering = types.SimpleNamespace(report_ages=lambda: {'g2': 0.2})
     dependencies = BalancerDependencies(
@@ -85,6 +86,7 @@
         'nutmegshore_requests_in_flight 3',
         'nutmegshore_store_in_touch{kind="servers/"} 1',
         'nutmegshore_store_listing_age_seconds{kind="servers/"} 1.5',
+        'nutmegshore_store_revision{kind="servers/"} 41',
         f'nutmegshore_upstream_report_age_seconds{{{upstream}}} 0.5',
         f'nutmegshore_upstream_room{{{upstream}}} 1',
     }
