Let the stand-in of the store return from an older copy

The platform's store may come back from a copy some seconds old: what was written since is gone, revisions are given out again, a watch from a lost one gets 410, and the header Store-Era rises by one in all its answers. The stand-in could not play any of it, so no test did.

`copy` and `restore` do, with waiting watches closed or left hanging. Faults leave the era out, malform it, or answer listings from before the restore.

--- a/nutmegshore/platform/standin.py
+++ b/nutmegshore/platform/standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -10,9 +11,16 @@
 import attrs
 from tornado.web import Application, RequestHandler
 
-__all__ = ('StandinStore', 'StoreFaults', 'make_store_application')
+__all__ = (
+    'StandinStore',
+    'StoreCopy',
+    'StoreFaults',
+    'make_store_application',
+)
 
 _FIRST_REVISION = 4
+_FIRST_ERA = 1
+_ERA_HEADER = 'Store-Era'
 _PAGE_SIZE = 500
 _MS_PER_S = 1000
 _METADATA = 'Metadata'
@@ -28,7 +36,9 @@
     answer. The next `lost_answers` writes are applied and not answered. With
     `late_s`, replacements are applied that much later and not answered. After
     `remaining_reads` reads, further reads are answered with 429; None means
-    no limit.
+    no limit. `era_text` replaces the era in each answer; the header is left
+    out if it is empty. The next `outdated_listings` listings show the store
+    as it was before its last restore, with the era of that time.
     """
 
     status: int = 0
@@ -36,6 +46,8 @@
     lost_answers: int = 0
     late_s: float = 0
     remaining_reads: int | None = None
+    era_text: str | None = None
+    outdated_listings: int = 0
 
     def consume_lost_answer(self) -> bool:
         """Consume one lost answer; False if none remains."""
@@ -51,6 +63,25 @@
         self.remaining_reads -= 1
         return self.remaining_reads >= 0
 
+    def consume_outdated_listing(self) -> bool:
+        """Consume one outdated listing; False if none remains."""
+        if self.outdated_listings <= 0:
+            return False
+        self.outdated_listings -= 1
+        return True
+
+
+@attrs.frozen
+class StoreCopy:
+    """Contents of a store at one moment, with its history and its era."""
+
+    era: int
+    revision: int
+    by_kind: dict[str, dict[str, _Object]]
+    stale_by_kind: dict[str, dict[str, _Object]]
+    log: list[tuple[int, str, bool, _Object]]
+    oldest_revision: int
+
 
 class StandinStore:
     """Objects by kind and name, with one revision counter.
@@ -58,11 +89,15 @@
     store = StandinStore()
     store.put('servers', 'i-1', {'Addr': '127.0.0.1:1'})
     store.compact()  # watches from older revisions answer 410
+    kept = store.copy()
+    store.restore(kept)  # what was written since the copy is gone
     """
 
     def __init__(self) -> None:
         """Create an empty store without faults."""
+        self.era = _FIRST_ERA
         self.revision = _FIRST_REVISION
+        self.are_watches_hung = False
         self.faults = StoreFaults()
         self.calls = 0
         self.late_writes: list[asyncio.TimerHandle] = []
@@ -71,6 +106,36 @@
         self._log: list[tuple[int, str, bool, _Object]] = []
         self._oldest_revision = 0
         self._changed = asyncio.Event()
+        self.outdated = self.copy()
+
+    def copy(self) -> StoreCopy:
+        """Copy the objects, the history and the revision."""
+        return copy.deepcopy(
+            StoreCopy(
+                self.era,
+                self.revision,
+                self._by_kind,
+                self._stale_by_kind,
+                self._log,
+                self._oldest_revision,
+            ),
+        )
+
+    def restore(self, kept: StoreCopy, *, hangs_watches: bool = False) -> None:
+        """Return to a copy in a new era.
+
+        Waiting watches are closed without an answer, or never answered.
+        """
+        self.outdated = self.copy()
+        restored = copy.deepcopy(kept)
+        self.era += 1
+        self.revision = restored.revision
+        self.are_watches_hung = hangs_watches
+        self._by_kind = restored.by_kind
+        self._stale_by_kind = restored.stale_by_kind
+        self._log = restored.log
+        self._oldest_revision = restored.oldest_revision
+        self._wake_watches()
 
     def put(self, kind: str, name: str, spec: Any) -> _Object:
         """Create or replace an object unconditionally."""
@@ -130,14 +195,11 @@
     ) -> tuple[list[_Object], bool]:
         """Return objects of a kind after a name, and whether more follow."""
         source = self._stale_by_kind if is_stale else self._by_kind
-        known = source.get(kind, {})
-        names = sorted(name for name in known if name > after)
-        listed = [known[name] for name in names[:_PAGE_SIZE]]
-        return listed, len(names) > _PAGE_SIZE
+        return _page(source.get(kind, {}), after)
 
     def has_history(self, revision: int) -> bool:
         """Whether the changes since a revision are still in the history."""
-        return revision >= self._oldest_revision
+        return self._oldest_revision <= revision <= self.revision
 
     def iter_events(self, kind: str, after: int) -> Iterator[_Object]:
         """Yield the changes of a kind after a revision in watch format."""
@@ -165,6 +227,17 @@
         """Serve a store's objects with the faults of this application."""
         self._store = store
         self._faults = faults
+        self._answered_era: int | None = None
+
+    def finish(self, chunk: Any = None) -> Any:
+        """Add the era to each answer, also to errors."""
+        era = self._answered_era or self._store.era
+        era_text = self._faults.era_text
+        if era_text is None:
+            era_text = str(era)
+        if era_text:
+            self.set_header(_ERA_HEADER, era_text)
+        return super().finish(chunk)
 
     async def prepare(self) -> None:
         """Count the call and apply the configured faults."""
@@ -240,26 +313,33 @@
         self.request.connection.stream.close()
 
     def _list(self, kind: str) -> None:
-        listed, has_more = self._store.page(
-            kind,
-            self.get_query_argument('after', ''),
-            is_stale=self.get_query_argument('AllowStale', '') == '1',
-        )
+        after = self.get_query_argument('after', '')
+        is_stale = self.get_query_argument('AllowStale', '') == '1'
+        position = self._store.revision
+        listed, has_more = self._store.page(kind, after, is_stale=is_stale)
+        if self._faults.consume_outdated_listing():
+            outdated = self._store.outdated
+            self._answered_era = outdated.era
+            position = outdated.revision
+            listed, has_more = _page(outdated.by_kind.get(kind, {}), after)
         self.write(
-            {
-                'items': listed,
-                'HasMore': has_more,
-                'StoreRevision': self._store.revision,
-            },
+            {'items': listed, 'HasMore': has_more, 'StoreRevision': position},
         )
 
     async def _watch(self, kind: str) -> None:
         after = int(self.get_query_argument('Watch'))
         wait_s = int(self.get_query_argument('WaitMs')) / _MS_PER_S
+        era = self._store.era
         # A watch that times out answers with an empty list of events.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self._wait_event(kind, after)
+                await self._wait_event(kind, after, era)
+        if self._store.era == era:
+            self._answer_watch(kind, after)
+        else:
+            await self._end_by_restore()
+
+    def _answer_watch(self, kind: str, after: int) -> None:
         if self._store.has_history(after):
             events = list(self._store.iter_events(kind, after))
             position = self._store.revision
@@ -267,12 +347,18 @@
         else:
             self.send_error(HTTPStatus.GONE)
 
-    async def _wait_event(self, kind: str, after: int) -> None:
-        while self._store.has_history(after):
+    async def _wait_event(self, kind: str, after: int, era: int) -> None:
+        while self._store.era == era and self._store.has_history(after):
             if any(self._store.iter_events(kind, after)):
                 return
             await self._store.wait_change()
 
+    async def _end_by_restore(self) -> None:
+        """Close the connection of a watch from before a restore, or hang."""
+        if self._store.are_watches_hung:
+            await asyncio.Event().wait()
+        self.request.connection.stream.close()
+
     def _finish_write(self, written: _Object) -> None:
         if self._faults.consume_lost_answer():
             self.request.connection.stream.close()
@@ -290,6 +376,14 @@
             self.write(stored)
 
 
+def _page(
+    by_name: dict[str, _Object], after: str
+) -> tuple[list[_Object], bool]:
+    names = sorted(name for name in by_name if name > after)
+    listed = [by_name[name] for name in names[:_PAGE_SIZE]]
+    return listed, len(names) > _PAGE_SIZE
+
+
 def _has_expected_revision(submitted: _Object, present: _Object) -> bool:
     """Whether a write expects the object's revision, or none."""
     revision = present[_METADATA]['Revision']
