Reproduce what gateways do when the store returns from a copy

What the failing ones print:

- configuration in force after the return (6 cases: away 0, 0.5 and 3 s, watches cut or hung), beside a peer with the lost history, restored twice: `assert 2 == 3`; cut off from the store: `assert 1 == 3`
- a restored store is not flooded: 1,455 calls in 5 s, 60 allowed; a store that keeps no history, without any restore: 600 calls in 5 s, 60 allowed
- an upstream that registers after the return: `{'i-1'} == {'i-1', 'i-2'}`
- one that left or drains is used again once revisions have passed the lost ones (2 cases), one that never registers again is used for ever, and a lost evacuation ends at once: `{'i-1', 'i-2'} == {'i-1'}`
- four gateways after a restore all keep `{'i-1', 'i-2'}`, not `{i-1, i-3}`
- a listing from before the restore that comes late revives its upstreams: `{'i-1', 'i-2'} == {'i-1', 'i-3'}`
- the entry under gateways/ is not written again: `assert None` (2 cases)

Command: python -m pytest tests/gateway/test_restored_store.py.

--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,640 @@
+"""Tests of a store that returns from an older copy, on virtual time.
+
+Whole gateways follow a stand-in store through the real client; only callers,
+upstreams and sockets are missing.
+"""
+
+import asyncio
+import contextlib
+import random
+from types import MappingProxyType
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
+from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
+from nutmegshore.gateway.peering import Peering
+from nutmegshore.gateway.settings import GatewaySettings
+from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.peers import MemoryNetwork
+from nutmegshore.platform.standin import (
+    StandinStore,
+    StoreFaults,
+    make_store_application,
+)
+from nutmegshore.platform.standin_client import StandinClient
+from nutmegshore.platform.store import PlatformStore
+
+#: Seconds within which a change is in force and a drain is respected.
+_BOUND_S = 2
+#: Seconds after its return in which the store gets again what it lost.
+_WRITTEN_AGAIN_S = 2
+#: Seconds after which an upstream that never registers again is not used.
+_GONE_S = 5
+_POLL_S = 0.05
+_KINDS = 3
+
+
+class Gateway:
+    """One gateway with its own view of the store; `faults` are its calls'."""
+
+    def __init__(self, name, store, network, applications, make_log):
+        self.name = name
+        self.faults = StoreFaults()
+        self.clock = VirtualClock()
+        self._network = network
+        address = f'{name}:80'
+        applications[address] = make_store_application(store, self.faults)
+        counters = Counters()
+        dependencies = GatewayDependencies(
+            PlatformStore(address),
+            self.clock,
+            random.Random(name),
+            counters,
+            make_log(self.clock, counters),
+        )
+        self.assembly = Assembly(_settings(name, address), dependencies)
+        self.state = self.assembly.state
+        self.tasks = []
+
+    def start(self):
+        """Run what the daemon runs, but for listeners."""
+        assembly = self.assembly
+        dependencies = assembly.dependencies
+        peering_dependencies = PeeringDependencies(
+            assembly.peers,
+            assembly.balancer,
+            assembly.quarantine,
+            self.clock,
+            dependencies.rng,
+            dependencies.counters,
+            dependencies.log,
+        )
+        peering = Peering(peering_dependencies, assembly.followers)
+        peering.is_ready = True
+        works = [peering.run(), self._register(), self._expire()]
+        for follower in assembly.followers:
+            works.extend((follower.run(), follower.run_checks()))
+        self.tasks = [asyncio.ensure_future(work) for work in works]
+
+    def stop(self):
+        """Stop without notice."""
+        for task in self.tasks:
+            task.cancel()
+        self._network.leave(self.name)
+
+    def read_version(self):
+        """Version of the configuration in force."""
+        configuration = self.state.configuration
+        return configuration.version if configuration else 0
+
+    def names(self):
+        """Upstreams that get new requests."""
+        return {one.instance for one in self.state.usable('orders')}
+
+    async def _register(self):
+        await self.assembly.registry.read_seeds()
+        await self.assembly.registry.run(self.assembly.peers)
+
+    async def _expire(self):
+        while True:
+            self.assembly.upstreams.expire()
+            await self.clock.sleep(_POLL_S)
+
+
+class Fleet:
+    """A store with its operator and upstreams, and gateways that follow it."""
+
+    def __init__(self, stack, start):
+        self.store = StandinStore()
+        self._stack = stack
+        self._start = start
+        self.configure(1)
+        self.register('i-1')
+
+    def start(self, name='g1', **faults):
+        """Start one more gateway."""
+        gateway = self._start(name, self.store)
+        for fault, strength in faults.items():
+            setattr(gateway.faults, fault, strength)
+        gateway.start()
+        self._stack.callback(gateway.stop)
+        return gateway
+
+    def configure(self, version):
+        """Write a configuration as the operator does."""
+        text = format(version, '08x')
+        spec = {'Version': text, 'Routes': {}, 'Services': {}}
+        self.store.put('config', 'main', spec)
+
+    def register(self, name, state='ready', zone='west-a', born=1):
+        """Write an entry as an upstream does."""
+        spec = {
+            'Addr': '10.0.0.9:80',
+            'born': born,
+            'Info': {'Service': 'orders', 'Zone': zone, 'Slots': 3},
+            'Status': {'State': state, 'Sequence': 1, 'ColdLeftS': 0},
+        }
+        self.store.put('servers', name, spec)
+
+    def write_much(self):
+        """Write more revisions than the store lost, of no followed kind."""
+        for number in range(50):
+            self.store.put('notes', str(number), {})
+
+    async def return_from(self, kept, away_s=0.5, **options):
+        """Take the store away for a moment and restore it."""
+        self.store.faults.status = 503
+        await asyncio.sleep(away_s)
+        self.store.restore(kept, **options)
+        self.store.faults.status = 0
+
+
+@pytest.fixture
+def run_fleet(make_log, monkeypatch):
+    """Run a session with a store that gateways can follow."""
+
+    def run(session):
+        async def running():
+            applications = {}
+            network = MemoryNetwork()
+            _patch_sockets(monkeypatch, applications, network)
+            async with contextlib.AsyncExitStack() as stack:
+                fleet = Fleet(
+                    stack,
+                    lambda name, store: Gateway(
+                        name, store, network, applications, make_log
+                    ),
+                )
+                return await session(fleet)
+
+        return run_virtual(running)
+
+    return run
+
+
+def _patch_sockets(monkeypatch, applications, network):
+    """Replace what opens sockets, which virtual time does not have."""
+    monkeypatch.setattr(
+        'nutmegshore.platform.store.CurlAsyncHTTPClient',
+        lambda **options: StandinClient(applications),
+    )
+    monkeypatch.setattr(
+        'nutmegshore.gateway.assembly.MeshPeers',
+        lambda local, *options: network.join(local, VirtualClock()),
+    )
+
+
+def _settings(name, address):
+    return GatewaySettings(
+        name=name,
+        ip='127.0.0.1',
+        region='west',
+        availability_zone='west-a',
+        callers='127.0.0.1:0',
+        ready='127.0.0.1:0',
+        lookup='127.0.0.1:0',
+        peer_port=0,
+        metrics_port=0,
+        store=address,
+        cluster='test',
+        key='a key of a test cluster',
+        regions_by_zone=MappingProxyType({'west-a': 'west', 'west-b': 'west'}),
+    )
+
+
+async def _hold(seconds, read, expected):
+    """Assert that something stays as expected all the time."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    while loop.time() < ends_at:
+        assert read() == expected
+        await asyncio.sleep(_POLL_S)
+
+
+@pytest.mark.parametrize('hangs_watches', [False, True])
+@pytest.mark.parametrize('away_s', [0, 0.5, 3])
+def test_a_configuration_after_the_return_is_in_force_in_time(
+    run_fleet, away_s, hangs_watches
+):
+    """Guards against a gateway that drops every listing and change of a
+    restored store until its revisions have passed those that it lost."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept, away_s, hangs_watches=hangs_watches)
+        await asyncio.sleep(2)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+
+    run_fleet(session)
+
+
+def test_a_change_is_seen_after_the_lost_revisions_are_passed(run_fleet):
+    """Guards against a watch from a lost revision that the store has given
+    out again: the change lies below it."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept, hangs_watches=True)
+        fleet.configure(3)
+        fleet.write_much()
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+
+    run_fleet(session)
+
+
+def test_a_restored_store_is_not_flooded(run_fleet):
+    """Guards against a listing that is dropped and a watch that gets 410, in
+    turn and without pause."""
+
+    async def session(fleet):
+        fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        before = fleet.store.calls
+        await asyncio.sleep(5)
+        # A listing and a watch of each kind in 0.5 s, as at a usual change.
+        assert fleet.store.calls - before <= 5 * 4 * _KINDS
+
+    run_fleet(session)
+
+
+def test_a_store_without_history_is_not_flooded(run_fleet):
+    """Guards against a listing at each 410 of a store that changes all the
+    time and keeps no history."""
+
+    async def session(fleet):
+        fleet.start()
+        await asyncio.sleep(3)
+        before = fleet.store.calls
+        for _ in range(100):
+            fleet.store.put('notes', 'n', {})
+            fleet.store.compact()
+            await asyncio.sleep(_POLL_S)
+        assert fleet.store.calls - before <= 5 * 4 * _KINDS
+
+    run_fleet(session)
+
+
+def test_an_upstream_that_comes_after_the_return_is_used(run_fleet):
+    """Guards against a new upstream whose entry is older than what was lost."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        await asyncio.sleep(1)
+        fleet.register('i-2')
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.names() == {'i-1', 'i-2'}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('has_left', [False, True])
+@pytest.mark.parametrize('writes_much', [False, True])
+def test_an_upstream_that_left_is_not_revived(run_fleet, has_left, writes_much):
+    """Guards against requests to an upstream that left before the restore and
+    whose old entry is back with the copy."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2', state='draining')
+        await asyncio.sleep(3)
+        if has_left:
+            fleet.store.delete('servers', 'i-2')
+            await asyncio.sleep(3)
+        assert gateway.names() == {'i-1'}
+        await fleet.return_from(kept)
+        if writes_much:
+            fleet.write_much()
+        await _hold(10, gateway.names, {'i-1'})
+
+    run_fleet(session)
+
+
+def test_a_new_start_under_the_id_of_one_that_left_is_used(run_fleet):
+    """Guards against an upstream that stays excluded because an earlier start
+    of it left before a restore."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.store.delete('servers', 'i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        await asyncio.sleep(1)
+        fleet.register('i-2', born=2)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.names() == {'i-1', 'i-2'}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('hangs_watches', [False, True])
+def test_an_upstream_that_the_copy_lacks_may_register_again(
+    run_fleet, hangs_watches
+):
+    """Guards against a live upstream that is dropped because the copy is older
+    than its entry."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept, hangs_watches=hangs_watches)
+        await _hold(_WRITTEN_AGAIN_S, gateway.names, {'i-1', 'i-2'})
+        fleet.register('i-2')
+        await _hold(10, gateway.names, {'i-1', 'i-2'})
+
+    run_fleet(session)
+
+
+def test_an_upstream_that_does_not_register_again_is_gone(run_fleet):
+    """Guards against requests to an upstream that ended beside a restore: no
+    removal of its lost entry is ever seen."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        await asyncio.sleep(_GONE_S)
+        assert gateway.names() == {'i-1'}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('writes_much', [False, True])
+def test_an_evacuation_that_is_lost_holds_until_it_is_written_again(
+    run_fleet, writes_much
+):
+    """Guards against requests to an evacuated zone, since the copy is older
+    than the evacuation."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', zone='west-b')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.store.put('evacuations', 'west-b', {})
+        await asyncio.sleep(3)
+        assert gateway.names() == {'i-1'}
+        await fleet.return_from(kept)
+        if writes_much:
+            fleet.write_much()
+        await _hold(_WRITTEN_AGAIN_S, gateway.names, {'i-1'})
+        fleet.store.put('evacuations', 'west-b', {})
+        await _hold(10, gateway.names, {'i-1'})
+        fleet.store.delete('evacuations', 'west-b')
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.names() == {'i-1', 'i-2'}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('writes_much', [False, True])
+def test_an_evacuation_that_was_taken_back_is_not_revived_for_long(
+    run_fleet, writes_much
+):
+    """Guards against a zone that stays empty because the copy is older than
+    the end of its evacuation."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', zone='west-b')
+        fleet.store.put('evacuations', 'west-b', {})
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.store.delete('evacuations', 'west-b')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        if writes_much:
+            fleet.write_much()
+        await asyncio.sleep(_WRITTEN_AGAIN_S)
+        fleet.store.delete('evacuations', 'west-b')
+        await asyncio.sleep(_BOUND_S)
+        await _hold(5, gateway.names, {'i-1', 'i-2'})
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('writes_much', [False, True])
+def test_the_configuration_in_force_never_goes_back(run_fleet, writes_much):
+    """Guards against a configuration of the copy in place of a newer one that
+    the operator had been told is stored."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        if writes_much:
+            fleet.write_much()
+        await _hold(_WRITTEN_AGAIN_S, gateway.read_version, 2)
+        fleet.configure(2)
+        await _hold(4, gateway.read_version, 2)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+
+    run_fleet(session)
+
+
+def test_a_peer_with_the_lost_history_does_not_mislead_a_new_gateway(
+    run_fleet,
+):
+    """Guards against a gateway that boots after a restore and takes over the
+    position of a peer that has not heard of it."""
+
+    async def session(fleet):
+        told = fleet.start('g1')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        fleet.configure(2)
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        told.faults.status = 503
+        await fleet.return_from(kept)
+        booted = fleet.start('g2', status=503)
+        await asyncio.sleep(3)
+        assert booted.read_version() == 2
+        booted.faults.status = 0
+        await asyncio.sleep(1)
+        fleet.configure(3)
+        fleet.register('i-3')
+        await asyncio.sleep(_BOUND_S)
+        assert booted.read_version() == 3
+        assert 'i-3' in booted.names()
+
+    run_fleet(session)
+
+
+def test_a_gateway_that_is_cut_off_learns_of_a_restore_from_its_peers(
+    run_fleet,
+):
+    """Guards against a gateway without the store that refuses what its peers
+    read from the restored one, since its own position is higher."""
+
+    async def session(fleet):
+        cut_off = fleet.start('g1')
+        fleet.start('g2')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        await asyncio.sleep(3)
+        cut_off.faults.status = 503
+        await fleet.return_from(kept)
+        await asyncio.sleep(1)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert cut_off.read_version() == 3
+
+    run_fleet(session)
+
+
+def test_gateways_agree_after_a_restore(run_fleet):
+    """Guards against gateways that list the store for ever, each thinking the
+    other one ahead, or that keep different upstreams."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(4)]
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.register('i-3')
+        await asyncio.sleep(_GONE_S)
+        found = {frozenset(one.names()) for one in gateways}
+        assert found == {frozenset(('i-1', 'i-3'))}
+        before = fleet.store.calls
+        await asyncio.sleep(10)
+        # One listing of each kind within its bound, and a watch by each.
+        assert fleet.store.calls - before <= 10 * _KINDS + 4 * _KINDS
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('writes_much', [False, True])
+def test_the_own_entry_is_written_again(run_fleet, writes_much):
+    """Guards against a gateway that no other one finds after a restore, since
+    the copy is older than its entry."""
+
+    async def session(fleet):
+        kept = fleet.store.copy()
+        fleet.start('g1')
+        await asyncio.sleep(3)
+        assert fleet.store.get('gateways', 'g1')
+        await fleet.return_from(kept)
+        if writes_much:
+            fleet.write_much()
+        await asyncio.sleep(10)
+        assert fleet.store.get('gateways', 'g1')
+
+    run_fleet(session)
+
+
+def test_a_store_may_be_restored_twice(run_fleet):
+    """Guards against a second restore that is taken for the first one."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.write_much()
+        fleet.configure(2)
+        await asyncio.sleep(1)
+        await fleet.return_from(kept)
+        await asyncio.sleep(1)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize(
+    'era_text',
+    ['', 'x', '-1', '0', '1', '1.5', '9' * 400, '2, 3', 'nan', '٣'],
+)
+def test_an_odd_era_does_not_stop_the_gateway(run_fleet, era_text):
+    """Guards against a follower that ends at an era that is missing, malformed
+    or older than the last one."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        await fleet.return_from(fleet.store.copy())
+        await asyncio.sleep(3)
+        gateway.faults.era_text = era_text
+        await asyncio.sleep(3)
+        fleet.configure(2)
+        await asyncio.sleep(_BOUND_S)
+        gateway.faults.era_text = None
+        await asyncio.sleep(3)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+        assert not any(task.done() for task in gateway.tasks)
+
+    run_fleet(session)
+
+
+def test_a_late_answer_of_the_lost_history_is_not_used(run_fleet):
+    """Guards against an answer from before the restore that arrives after
+    newer ones: its revision is higher."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.register('i-3')
+        await asyncio.sleep(_GONE_S)
+        gateway.faults.outdated_listings = _KINDS
+        await _hold(10, gateway.names, {'i-1', 'i-3'})
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 3
+
+    run_fleet(session)
