Follow a store that is restored from an older copy

What callers saw: after a restore routes that had been added were answered 404, routes went to their old services, and homes were those of an older configuration, until the store's revisions had passed the lost ones.

Cause: followers, their copies of objects and the messages between gateways compared bare revisions, which is right only while revisions grow. After a restore each listing and change looked older than what was known and was dropped, the next watch got 410, and gateways that started later were told the lost position by their peers. The class: an order over numbers that are given out again.

Change: a typed position of era and revision orders all three. A later era is ahead of every revision before it; a listing or a watch of an older era is a failed call; one of a later era leads to a new listing. A gateway that read the lost history gets the difference, one that was ahead gets all objects. Reports, requests and replies name eras in new last fields; a gateway that names none counts for the first era known here, so that it is believed in a rolling update until a restore.

What the copy lacks stays in use for 2.3 s, until upstreams and operator can have written it again; what had been removed and is back is ignored until its owner writes it, or for 15 s. A report of an upstream that is older than the known one of the same start changes nothing, so that the copy does not take a drain back. The version of the configuration in force still never decreases.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -206,7 +206,7 @@
 
     async def _expire_missing(self) -> None:
         while True:
-            self._assembly.replicas.upstreams.expire()
+            self._assembly.replicas.expire()
             await self._dependencies.clock.sleep(_EXPIRY_INTERVAL_S)
 
     def _log_start(self) -> None:
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -1,31 +1,29 @@
 """Replicates one kind of object from the platform's store."""
 
-import abc
 import asyncio
 import contextlib
 import random
-from collections.abc import Iterable
 
 import attrs
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
-from nutmegshore.errors import HistoryLost, PlatformError
+from nutmegshore.errors import (
+    HistoryLost,
+    PlatformError,
+    PlatformUnavailable,
+)
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.objects import KnownObjects
+from nutmegshore.gateway.replica import Replica, ReplicaFeed
 from nutmegshore.gateway.store_health import StoreHealth
-from nutmegshore.store import (
-    Change,
-    Changes,
-    Listing,
-    Platform,
-    StoredObject,
-    StorePosition,
-)
+from nutmegshore.store import Changes, Listing, Platform
 from nutmegshore.store.base import WATCH_WAIT_S
 
-__all__ = ('FollowerContext', 'KindFollower', 'Replica')
+__all__ = ('REWRITE_S', 'FollowerContext', 'KindFollower', 'Replica')
 
+#: Seconds after a restore of the store within which upstreams register again.
+REWRITE_S = 2.3
 #: Seconds to wait after a failed check before the next one.
 _CHECK_RETRY_S = 0.15
 #: Least seconds from one watch to the next, so that a burst of changes costs
@@ -35,23 +33,6 @@
 _WATCH_GRACE_S = 1
 
 
-class Replica(abc.ABC):
-    """Local copy of one kind of object, updated by a follower."""
-
-    @abc.abstractmethod
-    def replace(
-        self,
-        listed: Iterable[StoredObject],
-        *,
-        is_after_outage: bool,
-    ) -> None:
-        """Replace all objects by those of a listing."""
-
-    @abc.abstractmethod
-    def change(self, change: Change, *, is_after_outage: bool) -> None:
-        """Apply one change."""
-
-
 @attrs.frozen
 class FollowerContext:
     """Dependencies that the followers of one gateway share."""
@@ -69,7 +50,8 @@
     `known` holds the objects; the watch continues from their position. If
     the digests of two gateways differ, the one with the lower position is
     behind. `bound_s` is the time within which a change must take effect.
-    After a failure the follower lists all objects again.
+    After a failure, and after a restore of the store, the follower lists all
+    objects again.
 
     A relayed follower applies the changes that an aggregator sends and does
     not call the store. When relaying ends, the watch continues from the
@@ -85,14 +67,19 @@
         replica: Replica,
         context: FollowerContext,
         bound_s: float,
+        rewrite_s: float = REWRITE_S,
     ) -> None:
-        """Start with no objects."""
+        """Start with no objects.
+
+        After a restore of the store the owners of objects get `rewrite_s`
+        seconds to write again what it lost.
+        """
         self.prefix = prefix
         self.bound_s = bound_s
-        self.known = KnownObjects()
         self.is_listed = False
+        self.feed = ReplicaFeed(replica, context.clock, rewrite_s)
+        self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
-        self._replica = replica
         self._context = context
         self._check_requested = asyncio.Event()
         self._restart = asyncio.Event()
@@ -193,19 +180,15 @@
         follower accepts them only while it cannot reach the store.
         """
         if self.is_relayed:
-            is_newer = found.position >= self.known.position
+            is_newer = found.read_at >= self.known.position
         else:
             is_newer = (
-                found.position > self.known.position
+                found.read_at > self.known.position
                 and not self.is_store_reachable
             )
         if not is_newer:
             return False
-        if isinstance(found, Listing):
-            self._needs_listing = False
-            self._apply_listing(found, is_after_outage=is_after_outage)
-        else:
-            self._apply_changes(found, is_after_outage=is_after_outage)
+        self._apply(found, is_after_outage=is_after_outage)
         return True
 
     @property
@@ -218,16 +201,16 @@
         self._context.counters.add('store_listings', kind=self.prefix)
         self._health.record_answer()
         self._listed_at = self._context.clock.now()
-        if listing.position < self.known.position:
+        if listing.read_at < self.known.position:
             self._context.counters.add(
                 'store_listings_outdated', kind=self.prefix
             )
-            known_at = StorePosition(revision=self.known.position)
-            self._health.record_outdated(listing.read_at, known_at)
+            self._health.record_outdated(listing.read_at, self.known.position)
+            _check_era(self.prefix, listing.era, self.known)
             return
         self._health.record_current()
         before = self.known.digest
-        self._apply_listing(listing)
+        self._apply(listing)
         if self.known.digest != before:
             self._restart.set()
 
@@ -235,7 +218,9 @@
         self._restart.clear()
         started_at = self._context.clock.now()
         watch = asyncio.ensure_future(
-            self._context.store.watch(self.prefix, self.known.position),
+            self._context.store.watch(
+                self.prefix, self.known.position.revision
+            ),
         )
         restart = asyncio.ensure_future(self._restart.wait())
         with contextlib.ExitStack() as stack:
@@ -251,34 +236,23 @@
         changes = watch.result()
         self._context.counters.add('store_watches', kind=self.prefix)
         self._health.record_answer()
+        _check_era(self.prefix, changes.era, self.known)
         # A concurrent listing may already include these changes.
-        if changes.position >= self.known.position:
-            self._apply_changes(changes)
+        if changes.read_at >= self.known.position:
+            self._apply(changes)
         waited_s = self._context.clock.now() - started_at
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
-    def _apply_changes(
-        self,
-        changes: Changes,
-        *,
-        is_after_outage: bool = False,
+    def _apply(
+        self, found: Listing | Changes, *, is_after_outage: bool = False
     ) -> None:
         is_recent = is_after_outage or self.is_after_outage
-        for change in self.known.apply(changes):
-            self._replica.change(change, is_after_outage=is_recent)
-
-    def _apply_listing(
-        self,
-        listing: Listing,
-        *,
-        is_after_outage: bool = False,
-    ) -> None:
-        self.known.replace(listing)
-        self._replica.replace(
-            listing.listed,
-            is_after_outage=is_after_outage or self.is_after_outage,
-        )
+        if isinstance(found, Changes):
+            self.feed.apply_changes(found, is_after_outage=is_recent)
+            return
+        self.feed.apply_listing(found, is_after_outage=is_recent)
         self.is_listed = True
+        self._needs_listing = False
 
     async def _back_off(self, failure: PlatformError) -> None:
         self._health.record_failure(failure)
@@ -287,3 +261,11 @@
         await self._context.clock.sleep(
             self._health.backoff_s(self._context.rng)
         )
+
+
+def _check_era(kind: str, era: int, known: KnownObjects) -> None:
+    """Raise `PlatformError` unless an answer has the known objects' era."""
+    if era < known.position.era:
+        raise PlatformUnavailable(f'{kind}: answer of the older era {era}')
+    if era > known.position.era:
+        raise HistoryLost(f'{kind}: era {era}')
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -91,7 +91,7 @@
                 'store_in_touch', is_store_reachable, kind=kind
             )
             self._counters.set_gauge(
-                'store_revision', follower.known.position, kind=kind
+                'store_revision', follower.known.position.revision, kind=kind
             )
             if follower.is_listed:
                 self._counters.set_gauge(
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -5,6 +5,7 @@
 from nutmegshore.peers import message
 
 __all__ = (
+    'UNKNOWN_ERA',
     'LoadReport',
     'LoadSummary',
     'RegionLoadReport',
@@ -12,6 +13,9 @@
     'StateReply',
 )
 
+#: In place of an era, from gateways that read none in the store's answers.
+UNKNOWN_ERA = -1
+
 _LOAD_REPORT_NUMBER = 80
 _STATE_REQUEST_NUMBER = 81
 _STATE_REPLY_NUMBER = 82
@@ -31,7 +35,8 @@
     because they crash upstreams. `shift_counts` holds two counts of requests
     in the last 2 s: those sent within the region, and those sent elsewhere.
     `traffic` holds, by service, the fields of `ServiceTraffic`, and `limits`
-    what `LimitGossip` packs.
+    what `LimitGossip` packs. `eras` holds, by key prefix, the era of the store
+    that the position in `replicas` belongs to.
     """
 
     is_ready: bool
@@ -41,6 +46,7 @@
     shift_counts: list = attrs.field(factory=list)
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
+    eras: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -48,12 +54,14 @@
 class StateRequest:
     """Requests the changes below a prefix after a position.
 
-    `is_full` requests all objects, for when the changes do not suffice.
+    `is_full` requests all objects, for when the changes do not suffice. `era`
+    is that of the position, or `UNKNOWN_ERA`.
     """
 
     prefix: str
     position: int
     is_full: bool = True
+    era: int = UNKNOWN_ERA
 
 
 @message(_STATE_REPLY_NUMBER)
@@ -63,7 +71,8 @@
 
     Unless `is_full`, only the objects that changed are listed, and `removed`
     holds the keys of removed ones. `is_after_outage` means that entries may
-    still be missing from the store after an outage.
+    still be missing from the store after an outage. `era` is that of the
+    position, or `UNKNOWN_ERA`.
     """
 
     prefix: str
@@ -72,6 +81,7 @@
     is_full: bool = True
     removed: list = attrs.field(factory=list)
     is_after_outage: bool = False
+    era: int = UNKNOWN_ERA
 
 
 @message(_LOAD_SUMMARY_NUMBER)
@@ -82,8 +92,8 @@
     `ready` names the gateways of the region that accept requests.
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
-    `shift_counts` and `traffic` are summed over the region, and `limits` is
-    what the aggregator knows.
+    `shift_counts` and `traffic` are summed over the region, `limits` is what
+    the aggregator knows, and `eras` are as in `LoadReport`.
     """
 
     ready: list
@@ -93,6 +103,7 @@
     shift_counts: list = attrs.field(factory=list)
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
+    eras: dict = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -101,7 +112,7 @@
     """Load of a region, sent to the aggregators of other regions.
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
-    and `limits` is what `LimitGossip` packs.
+    `limits` is what `LimitGossip` packs, and `eras` are as in `LoadReport`.
     """
 
     region: str
@@ -109,3 +120,4 @@
     replicas: dict
     quarantine_digest: int = 0
     limits: dict = attrs.field(factory=dict)
+    eras: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -2,7 +2,13 @@
 
 import zlib
 
-from nutmegshore.store import Change, Changes, Listing, StoredObject
+from nutmegshore.store import (
+    Change,
+    Changes,
+    Listing,
+    StoredObject,
+    StorePosition,
+)
 
 __all__ = ('KnownObjects',)
 
@@ -17,24 +23,35 @@
     tombstones records removals, so that a peer can be sent the changes after
     its own position.
 
+    If the store is restored from an older copy, a listing or the changes of a
+    peer lead to its next era. Revisions of two eras are not compared.
+
         known.apply(changes)
-        known.changes_since(16)
+        known.changes_since(StorePosition(2, 16))
     """
 
     def __init__(self) -> None:
         """Start without objects, at position 0."""
         self.by_key: dict[str, StoredObject] = {}
         self.digest = 0
-        self.position = 0
-        self._changed_at: dict[str, int] = {}
-        self._history_start = 0
+        self.position = StorePosition()
+        self._changed_at: dict[str, StorePosition] = {}
+        self._history_start = StorePosition()
+        self._last_of_previous_era = StorePosition()
+        self._first_era = 0
+        self._removed_uids: dict[str, str] = {}
 
     def apply(self, changes: Changes) -> list[Change]:
         """Apply changes; return those that are not outdated."""
-        self.position = changes.position
+        is_same_era = changes.era == self.position.era
+        self._move_to(changes.read_at)
         applied = [
-            change for change in changes.changes if self._apply_change(change)
+            change
+            for change in changes.changes
+            if not (is_same_era and self._is_outdated(change))
         ]
+        for change in applied:
+            self._apply_change(change)
         self._prune()
         return applied
 
@@ -45,39 +62,75 @@
         self.digest = 0
         for stored in listing.listed:
             self.digest ^= _digest(stored)
-        self.position = max(self.position, listing.position)
+        self._move_to(max(self.position, listing.read_at))
         for key in before.keys() | self.by_key.keys():
             if before.get(key) != self.by_key.get(key):
-                self._record_change(key)
+                self._record_change(key, before.get(key))
         self._prune()
 
-    def changes_since(self, position: int) -> Changes | None:
-        """Changes after a position; None if the history is too short."""
-        if position < self._history_start:
+    def locate(self, revision: int, era: int | None) -> StorePosition:
+        """Return the position that a gateway names.
+
+        A gateway that names no era does not notice restores of the store. Its
+        position counts for the first era that was known here.
+        """
+        return StorePosition(self._first_era if era is None else era, revision)
+
+    def was_removed(self, stored: StoredObject) -> bool:
+        """Whether an object with this uid is known to have been removed."""
+        removed_uid = self._removed_uids.get(stored.key, '')
+        return bool(removed_uid) and removed_uid == stored.uid
+
+    def changes_since(self, position: StorePosition) -> Changes | None:
+        """Changes after a position; None if the history is too short.
+
+        Of an earlier era only positions that were known here can be continued
+        from.
+        """
+        if position < self._history_start or not self._was_here(position):
             return None
         changes = tuple(
             Change(key, self.by_key.get(key))
             for key, changed_at in self._changed_at.items()
             if changed_at > position
         )
-        return Changes(self.position, changes)
-
-    def _apply_change(self, change: Change) -> bool:
+        return Changes(self.position.revision, changes, self.position.era)
+
+    def _was_here(self, position: StorePosition) -> bool:
+        """Whether this history leads through a position."""
+        if position.era == self.position.era:
+            return True
+        last = self._last_of_previous_era
+        return position.era == last.era and position <= last
+
+    def _move_to(self, position: StorePosition) -> None:
+        if position.era > self.position.era:
+            self._last_of_previous_era = self.position
+        self.position = position
+        self._first_era = self._first_era or position.era
+
+    def _is_outdated(self, change: Change) -> bool:
         known = self.by_key.get(change.key)
-        if change.stored is None:
-            self.by_key.pop(change.key, None)
-        elif known is not None and known.version > change.stored.version:
+        if change.stored is None or known is None:
             return False
-        else:
+        return known.version > change.stored.version
+
+    def _apply_change(self, change: Change) -> None:
+        known = self.by_key.pop(change.key, None)
+        if change.stored is not None:
             self.by_key[change.key] = change.stored
         self.digest ^= _digest(known) ^ _digest(change.stored)
-        self._record_change(change.key)
-        return True
+        self._record_change(change.key, known)
 
-    def _record_change(self, key: str) -> None:
+    def _record_change(self, key: str, before: StoredObject | None) -> None:
         # Reinsert the key, so that keys stay ordered by their last change.
         self._changed_at.pop(key, None)
         self._changed_at[key] = self.position
+        present = self.by_key.get(key)
+        if before is not None and (
+            present is None or present.uid != before.uid
+        ):
+            self._removed_uids[key] = before.uid
 
     def _prune(self) -> None:
         """Drop the oldest tombstones beyond the limit."""
@@ -85,6 +138,7 @@
         excess = len(removed) - len(self.by_key) - _EXTRA_TOMBSTONES
         for key in removed[: max(excess, 0)]:
             dropped_at = self._changed_at.pop(key)
+            self._removed_uids.pop(key, None)
             self._history_start = max(self._history_start, dropped_at)
 
 
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -101,6 +101,7 @@
             self._traffic.shift_counts(),
             self._traffic.own() if is_summed else {},
             self._limits.own(),
+            self._state_sync.eras(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -123,6 +124,7 @@
             self._traffic.sum_shift_counts(ready),
             self._traffic.sum_services(ready),
             self._limits.known(),
+            self._state_sync.eras(),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -138,6 +140,7 @@
             self._state_sync.known(),
             self._dependencies.quarantine.digest,
             self._limits.known(),
+            self._state_sync.eras(),
         )
         for other in regions:
             peers.send_each(peers.aggregators(other), body)
@@ -183,7 +186,7 @@
     ) -> None:
         """Compare what a peer knows with the local state."""
         self._limits.adopt(report.limits)
-        self._state_sync.compare(sender, report.replicas)
+        self._state_sync.compare(sender, report.replicas, report.eras)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
             self._dependencies.quarantine.send_verdicts(sender)
--- /dev/null
+++ b/nutmegshore/gateway/replica.py
@@ -0,0 +1,88 @@
+"""Replicas of the store's objects, and how they are updated."""
+
+import abc
+from collections.abc import Iterable
+
+from nutmegshore.clock import Clock
+from nutmegshore.gateway.objects import KnownObjects
+from nutmegshore.gateway.restore_guard import RestoreGuard
+from nutmegshore.store import Change, Changes, Listing, StoredObject
+
+__all__ = ('Replica', 'ReplicaFeed')
+
+
+class Replica(abc.ABC):
+    """Local copy of one kind of object, updated by a follower."""
+
+    @abc.abstractmethod
+    def replace(
+        self,
+        listed: Iterable[StoredObject],
+        *,
+        is_after_outage: bool,
+    ) -> None:
+        """Replace all objects by those of a listing."""
+
+    @abc.abstractmethod
+    def change(self, change: Change, *, is_after_outage: bool) -> None:
+        """Apply one change."""
+
+
+class ReplicaFeed:
+    """Keeps the known objects of one kind, and updates the replica by them.
+
+    When a listing or changes lead to the next era of the store, what the
+    restore took away or brought back reaches the replica only after its
+    owners could have written it again.
+
+        feed = ReplicaFeed(replica, clock, rewrite_s=2.3)
+        feed.apply_listing(listing, is_after_outage=False)
+        feed.expire()  # often
+    """
+
+    def __init__(
+        self, replica: Replica, clock: Clock, rewrite_s: float
+    ) -> None:
+        """Start without objects."""
+        self.known = KnownObjects()
+        self._replica = replica
+        self._guard = RestoreGuard(clock, rewrite_s)
+
+    def apply_listing(self, listing: Listing, *, is_after_outage: bool) -> None:
+        """Replace all objects by those of a listing."""
+        before = self._guard.visible(self.known.by_key)
+        is_restored = self._is_restored(listing.era)
+        self.known.replace(listing)
+        self._replace_all(
+            before if is_restored else None, is_after_outage=is_after_outage
+        )
+
+    def apply_changes(self, changes: Changes, *, is_after_outage: bool) -> None:
+        """Apply changes, which start at the position of the known objects."""
+        if self._is_restored(changes.era):
+            before = self._guard.visible(self.known.by_key)
+            self.known.apply(changes)
+            self._replace_all(before, is_after_outage=is_after_outage)
+            return
+        for change in self.known.apply(changes):
+            self._guard.accept(change)
+            self._replica.change(change, is_after_outage=is_after_outage)
+
+    def expire(self) -> None:
+        """Let go of what is kept or ignored since a restore for too long."""
+        for change in self._guard.end_overdue():
+            self._replica.change(change, is_after_outage=False)
+
+    def _is_restored(self, era: int) -> bool:
+        """Whether an era follows the known one; the first one does not."""
+        return 0 < self.known.position.era < era
+
+    def _replace_all(
+        self, before: list[StoredObject] | None, *, is_after_outage: bool
+    ) -> None:
+        if before is not None:
+            self._guard.begin(before, self.known)
+        self._replica.replace(
+            self._guard.visible(self.known.by_key),
+            is_after_outage=is_after_outage,
+        )
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -179,8 +179,9 @@
             self._report_gone(upstream)
 
     def _parse(self, stored: StoredObject) -> RegisteredUpstream | None:
+        """Return what an entry reports, or the later report that is known."""
         try:
-            return parse_upstream(
+            found = parse_upstream(
                 stored.key,
                 stored.body,
                 self._regions_by_zone,
@@ -188,6 +189,10 @@
         except (PlatformFormatError, ValueError) as failure:
             self._reject(stored, str(failure))
             return None
+        known = self._state.by_id.get(found.instance)
+        if known is None or found.follows(known):
+            return found
+        return known
 
     def _reject(self, stored: StoredObject, reason: str) -> None:
         if self._rejected.get(stored.key) == stored.version:
--- /dev/null
+++ b/nutmegshore/gateway/restore_guard.py
@@ -0,0 +1,102 @@
+"""What a restore of the store took away or brought back."""
+
+from collections.abc import Iterable, Mapping
+
+from nutmegshore.clock import Clock
+from nutmegshore.gateway.objects import KnownObjects
+from nutmegshore.store import Change, StoredObject
+
+__all__ = ('RestoreGuard',)
+
+#: Seconds for which a removed object that a restore brought back is ignored;
+#: the store drops an upstream that is silent for a few seconds.
+_REVIVED_TTL_S = 15
+
+
+class RestoreGuard:
+    """Holds to what was known until its owners have written it again.
+
+    A restored store lacks the objects created since its copy, and has those
+    removed since. Their owners repeat what they wrote. Until they can have
+    done so, lost objects stay in use and revived ones are ignored. A change to
+    an object is its owner's word and ends both for it.
+
+        guard.begin(before, known, removed_uids)
+        replica.replace(guard.visible(known))
+        guard.end_overdue()  # often
+    """
+
+    def __init__(self, clock: Clock, rewrite_s: float) -> None:
+        """Give owners `rewrite_s` seconds to write lost objects again."""
+        self._clock = clock
+        self._rewrite_s = rewrite_s
+        self._begun_at = float('-inf')
+        self._lost: dict[str, StoredObject] = {}
+        self._revived: dict[str, StoredObject] = {}
+
+    def begin(
+        self, before: Iterable[StoredObject], known: KnownObjects
+    ) -> None:
+        """Compare the objects in use before a restore with those after it."""
+        in_use = {stored.key: stored for stored in before}
+        self._begun_at = self._clock.now()
+        self._revived = {
+            key: stored
+            for key, stored in known.by_key.items()
+            if known.was_removed(stored)
+        }
+        self._lost = {
+            key: stored
+            for key, stored in in_use.items()
+            if key not in known.by_key or key in self._revived
+        }
+
+    def visible(self, by_key: Mapping[str, StoredObject]) -> list[StoredObject]:
+        """Return the objects to use, after all objects were listed."""
+        self._revived = {
+            key: stored
+            for key, stored in self._revived.items()
+            if by_key.get(key) == stored
+        }
+        self._lost = {
+            key: stored
+            for key, stored in self._lost.items()
+            if key not in by_key or key in self._revived
+        }
+        used = {
+            key: stored
+            for key, stored in by_key.items()
+            if key not in self._revived
+        }
+        return list((used | self._lost).values())
+
+    def accept(self, change: Change) -> None:
+        """End the guard for an object that was written again or removed."""
+        self._lost.pop(change.key, None)
+        self._revived.pop(change.key, None)
+
+    def end_overdue(self) -> list[Change]:
+        """End the guard when its time is over; return what changes by that."""
+        since_s = self._clock.now() - self._begun_at
+        changes: list[Change] = []
+        if since_s > self._rewrite_s:
+            changes.extend(self._end_lost())
+        if since_s > _REVIVED_TTL_S:
+            changes.extend(self._end_revived())
+        return changes
+
+    def _end_lost(self) -> list[Change]:
+        """Let go of the lost objects that have no older one in their place."""
+        keys = self._lost.keys() - self._revived.keys()
+        self._lost = {
+            key: stored
+            for key, stored in self._lost.items()
+            if key in self._revived
+        }
+        return [Change(key, None) for key in keys]
+
+    def _end_revived(self) -> list[Change]:
+        changes = [Change(key, stored) for key, stored in self._revived.items()]
+        self._revived = {}
+        self._lost = {}
+        return changes
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -12,11 +12,21 @@
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.log import EventLog
-from nutmegshore.gateway.messages import StateReply, StateRequest
+from nutmegshore.gateway.messages import (
+    UNKNOWN_ERA,
+    StateReply,
+    StateRequest,
+)
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.peers import Peers
 from nutmegshore.quarantine import Quarantine
-from nutmegshore.store import Change, Changes, Listing, StoredObject
+from nutmegshore.store import (
+    Change,
+    Changes,
+    Listing,
+    StoredObject,
+    StorePosition,
+)
 
 __all__ = ('REPORT_INTERVAL_S', 'PeeringDependencies', 'StateSync')
 
@@ -93,13 +103,13 @@
     def known(self) -> dict[str, list]:
         """Summary of each replica, as sent in reports.
 
-        By prefix: the position, the digest, the seconds since any gateway
+        By prefix: the revision, the digest, the seconds since any gateway
         listed the kind, and whether peers may use it as a source.
         """
         now = self._dependencies.clock.now()
         return {
             prefix: [
-                follower.known.position,
+                follower.known.position.revision,
                 follower.known.digest,
                 now - self._last_check(follower) + _TRANSIT_S,
                 follower.is_current and not follower.is_relayed,
@@ -107,12 +117,25 @@
             for prefix, follower in self._followers.items()
         }
 
-    def compare(self, sender: str, known: dict[str, list]) -> None:
+    def eras(self) -> dict[str, int]:
+        """Return the era of each replica's position, by prefix."""
+        return {
+            prefix: follower.known.position.era
+            for prefix, follower in self._followers.items()
+        }
+
+    def compare(
+        self,
+        sender: str,
+        known: dict[str, list],
+        eras: dict[str, int],
+    ) -> None:
         """Compare the replica summaries of a peer with the local replicas."""
         is_aggregator = sender in self._dependencies.peers.aggregators()
         for prefix in known.keys() & self._followers.keys():
-            position, digest, age_s, *source_flags = known[prefix]
+            revision, digest, age_s, *source_flags = known[prefix]
             follower = self._followers[prefix]
+            position = follower.known.locate(revision, eras.get(prefix))
             self._record_check(prefix, age_s)
             if is_aggregator and any(source_flags):
                 self._source_seen_at[prefix] = self._dependencies.clock.now()
@@ -145,7 +168,7 @@
         self,
         sender: str,
         follower: KindFollower,
-        position: int,
+        position: StorePosition,
         digest: int,
     ) -> None:
         """Check the store if a peer has been ahead for too long."""
@@ -165,7 +188,7 @@
         self,
         aggregator: str,
         follower: KindFollower,
-        position: int,
+        position: StorePosition,
         digest: int,
     ) -> None:
         """Request the changes that an aggregator is ahead by."""
@@ -176,9 +199,7 @@
             return
         # Equal positions with different digests: changes cannot repair this.
         is_full = position == follower.known.position or not follower.is_listed
-        request = StateRequest(
-            follower.prefix, follower.known.position, is_full
-        )
+        request = _make_request(follower, is_full=is_full)
         self._dependencies.peers.send(aggregator, request)
         self._dependencies.counters.add('state_questions', kind=follower.prefix)
 
@@ -247,7 +268,7 @@
         self._requested_at = now
         for follower in unreachable:
             name = self._dependencies.rng.choice(names)
-            request = StateRequest(follower.prefix, follower.known.position)
+            request = _make_request(follower)
             self._dependencies.peers.send(name, request)
             self._dependencies.counters.add(
                 'state_questions', kind=follower.prefix
@@ -257,11 +278,12 @@
         follower = self._followers.get(request.prefix)
         if follower is None or not follower.is_listed:
             return
-        if follower.known.position < request.position:
+        position = _locate(follower, request)
+        if follower.known.position < position:
             return
         changes = None
         if not request.is_full:
-            changes = follower.known.changes_since(request.position)
+            changes = follower.known.changes_since(position)
         reply = _make_full_reply(follower)
         if changes is not None:
             reply = _make_changes_reply(follower, changes)
@@ -271,27 +293,48 @@
         follower = self._followers.get(reply.prefix)
         if follower is None:
             return
-        listed = tuple(
-            StoredObject(key, body, uid, version, '')
-            for key, body, uid, version in reply.listed
-        )
-        found: Listing | Changes = Listing(reply.position, listed)
-        if not reply.is_full:
-            changes = [Change(stored.key, stored) for stored in listed]
-            changes.extend(Change(key, None) for key in reply.removed)
-            found = Changes(reply.position, tuple(changes))
+        found = _read_reply(reply, _locate(follower, reply))
         if follower.apply_from_peer(
             found, is_after_outage=reply.is_after_outage
         ):
             self._dependencies.counters.add('state_adopted', kind=reply.prefix)
 
 
+def _locate(
+    follower: KindFollower, body: StateRequest | StateReply
+) -> StorePosition:
+    era = None if body.era == UNKNOWN_ERA else body.era
+    return follower.known.locate(body.position, era)
+
+
+def _read_reply(reply: StateReply, read_at: StorePosition) -> Listing | Changes:
+    listed = tuple(
+        StoredObject(key, body, uid, version, '')
+        for key, body, uid, version in reply.listed
+    )
+    if reply.is_full:
+        return Listing(read_at.revision, listed, read_at.era)
+    changes = [Change(stored.key, stored) for stored in listed]
+    changes.extend(Change(key, None) for key in reply.removed)
+    return Changes(read_at.revision, tuple(changes), read_at.era)
+
+
+def _make_request(
+    follower: KindFollower, *, is_full: bool = True
+) -> StateRequest:
+    position = follower.known.position
+    return StateRequest(
+        follower.prefix, position.revision, is_full, position.era
+    )
+
+
 def _make_full_reply(follower: KindFollower) -> StateReply:
     return StateReply(
         follower.prefix,
-        follower.known.position,
+        follower.known.position.revision,
         [_to_fields(stored) for stored in follower.known.by_key.values()],
         is_after_outage=follower.is_after_outage,
+        era=follower.known.position.era,
     )
 
 
@@ -304,6 +347,7 @@
         is_full=False,
         removed=[one.key for one in changes.changes if one.stored is None],
         is_after_outage=follower.is_after_outage,
+        era=changes.era,
     )
 
 
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -61,6 +61,12 @@
         for follower in self.followers:
             follower.bound_s = bounds[follower.prefix]
 
+    def expire(self) -> None:
+        """End what is kept since an outage or a restore; call this often."""
+        for follower in self.followers:
+            follower.feed.expire()
+        self.upstreams.expire()
+
 
 def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
     """Seconds within which a change must take effect, by key prefix."""
--- a/nutmegshore/platform/registration.py
+++ b/nutmegshore/platform/registration.py
@@ -50,6 +50,7 @@
         is_draining=_read_state(status) == _DRAINING,
         cold_left_s=fields.read_number(status, 'ColdLeftS', 0),
         born_ms=fields.read_integer(raw, 'born', 0),
+        sequence=fields.read_integer(status, 'Sequence', 0),
     )
 
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -10,7 +10,14 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import HistoryLost, PlatformUnavailable
 from nutmegshore.gateway.follower import FollowerContext, KindFollower, Replica
-from nutmegshore.store import Change, Changes, Listing, Platform, StoredObject
+from nutmegshore.store import (
+    Change,
+    Changes,
+    Listing,
+    Platform,
+    StoredObject,
+    StorePosition,
+)
 
 
 class KeptReplica(Replica):
@@ -123,7 +130,7 @@
             store.watches.put_nowait(Changes(11, (change,)))
             await clock.sleep(0.1)
             assert replica.keys == {'servers/a', 'servers/b'}
-            assert follower.known.position == 11
+            assert follower.known.position == StorePosition(0, 11)
 
     run_virtual(session)
 
@@ -183,7 +190,7 @@
             await clock.sleep(0.1)
             assert replica.keys == {'servers/missed'}
             assert follower.age_s < 1
-            assert follower.known.position == 20
+            assert follower.known.position == StorePosition(0, 20)
 
     run_virtual(session)
 
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -14,6 +14,7 @@
 from nutmegshore.gateway.gauges import Gauges, GaugeSources
 from nutmegshore.gateway.route import Configuration
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.store import StorePosition
 from nutmegshore.upstreams import UpstreamReport
 
 
@@ -45,7 +46,7 @@
         is_store_reachable=True,
         is_listed=True,
         age_s=1.5,
-        known=types.SimpleNamespace(position=41),
+        known=types.SimpleNamespace(position=StorePosition(2, 41)),
     )
     peering = types.SimpleNamespace(report_ages=lambda: {'g2': 0.2})
     dependencies = BalancerDependencies(
--- a/tests/gateway/test_objects.py
+++ b/tests/gateway/test_objects.py
@@ -3,7 +3,13 @@
 import pytest
 
 from nutmegshore.gateway.objects import KnownObjects
-from nutmegshore.store import Change, Changes, Listing, StoredObject
+from nutmegshore.store import (
+    Change,
+    Changes,
+    Listing,
+    StoredObject,
+    StorePosition,
+)
 
 
 def _stored(name, version):
@@ -42,7 +48,7 @@
     other.apply(changes)
     assert other.by_key == known.by_key
     assert other.digest == known.digest
-    assert other.position == 12
+    assert other.position == StorePosition(0, 12)
 
 
 def test_a_change_that_only_a_listing_shows_is_passed_on(known):
@@ -50,7 +56,7 @@
     not passed on."""
     known.apply(Changes(15, ()))
     known.replace(Listing(15, (_stored('a', 12), _stored('b', 9))))
-    changes = known.changes_since(14)
+    changes = known.changes_since(StorePosition(0, 14))
     assert [change.key for change in changes.changes] == ['servers/a']
 
 
@@ -68,5 +74,53 @@
     for index in range(2000):
         known.apply(_put(f'x{index}', 2 * index + 20))
         known.apply(_gone(f'x{index}', 2 * index + 21))
-    assert known.changes_since(10) is None
-    assert known.changes_since(4000) is not None
+    assert known.changes_since(StorePosition(0, 10)) is None
+    assert known.changes_since(StorePosition(0, 4000)) is not None
+
+
+def test_a_restore_is_passed_on_as_changes(known):
+    """Guards against all objects going to every gateway after a restore."""
+    known.apply(_put('c', 30))
+    other = KnownObjects()
+    other.replace(Listing(10, (_stored('a', 8), _stored('b', 9))))
+    restored = (_stored('a', 8), _stored('d', 11))
+    known.replace(Listing(12, restored, era=1))
+    changes = known.changes_since(other.position)
+    assert {change.key for change in changes.changes} == {
+        'servers/b',
+        'servers/c',
+        'servers/d',
+    }
+    other.apply(changes)
+    assert other.by_key == known.by_key
+    assert other.position == StorePosition(1, 12)
+
+
+def test_a_position_that_was_never_here_is_not_continued(known):
+    """Guards against changes for a gateway that was ahead before a restore: it
+    keeps an object that nobody names any more."""
+    known.replace(Listing(5, (_stored('a', 4),), era=1))
+    assert known.changes_since(StorePosition(0, 10)) is not None
+    assert known.changes_since(StorePosition(0, 11)) is None
+    known.replace(Listing(7, (_stored('a', 4),), era=2))
+    assert known.changes_since(StorePosition(1, 5)) is not None
+    assert known.changes_since(StorePosition(0, 10)) is None
+
+
+def test_a_rewritten_object_with_a_lower_version_is_applied(known):
+    """Guards against a change after a restore that is dropped because the lost
+    object had a higher version."""
+    known.apply(_put('a', 50))
+    changed = _stored('a', 12)
+    known.apply(Changes(12, (Change(changed.key, changed),), era=1))
+    assert known.by_key[changed.key].version == 12
+
+
+def test_a_gateway_without_eras_is_believed_until_a_restore(known):
+    """Guards against a fleet that stands still in a rolling update, and against
+    an old gateway that spreads the lost history."""
+    known.replace(Listing(20, (), era=3))
+    assert known.locate(30, None) == StorePosition(3, 30)
+    known.replace(Listing(5, (), era=4))
+    assert known.locate(30, None) < known.position
+    assert known.locate(6, 4) > known.position
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -18,7 +18,7 @@
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine, fingerprint
-from nutmegshore.store import StoredObject
+from nutmegshore.store import StoredObject, StorePosition
 from nutmegshore.upstreams import UpstreamReport
 
 _PREFIX = 'servers/'
@@ -28,7 +28,7 @@
 
 def _make_known():
     known = KnownObjects()
-    known.position = 10
+    known.position = StorePosition(1, 10)
     known.digest = 1
     return known
 
@@ -211,7 +211,7 @@
         async with run_fleet('g1', 'g2', 'g3') as fleet:
             await asyncio.sleep(2)
             ahead = fleet['g1'].follower
-            ahead.known.position = 11
+            ahead.known.position = StorePosition(1, 11)
             ahead.known.digest = 2
             before = fleet['g3'].follower.checks
             await asyncio.sleep(_APPLY_S)
@@ -227,7 +227,7 @@
         async with run_fleet('g1', 'g2') as fleet:
             stored = StoredObject('servers/a', b'{}', 'uid', 11, '')
             fleet['g1'].follower.known.by_key = {stored.key: stored}
-            fleet['g1'].follower.known.position = 12
+            fleet['g1'].follower.known.position = StorePosition(1, 12)
             fleet['g2'].follower.is_store_reachable = False
             await asyncio.sleep(2)
             applied = fleet['g2'].follower.applied
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -71,10 +71,10 @@
             dependencies.counters,
             dependencies.log,
         )
-        peering = Peering(peering_dependencies, assembly.followers)
+        peering = Peering(peering_dependencies, assembly.replicas.followers)
         peering.is_ready = True
         works = [peering.run(), self._register(), self._expire()]
-        for follower in assembly.followers:
+        for follower in assembly.replicas.followers:
             works.extend((follower.run(), follower.run_checks()))
         self.tasks = [asyncio.ensure_future(work) for work in works]
 
@@ -99,7 +99,7 @@
 
     async def _expire(self):
         while True:
-            self.assembly.upstreams.expire()
+            self.assembly.replicas.expire()
             await self.clock.sleep(_POLL_S)
 
 
@@ -638,3 +638,31 @@
         assert gateway.read_version() == 3
 
     run_fleet(session)
+
+
+def test_a_large_fleet_follows_a_restore_through_its_aggregators(run_fleet):
+    """Guards against gateways that get their state from aggregators and stay in
+    the lost history, and against a store that all of them ask at once."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(20)]
+        await asyncio.sleep(4)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        fleet.register('i-2')
+        fleet.write_much()
+        await asyncio.sleep(3)
+        before = fleet.store.calls
+        await fleet.return_from(kept)
+        await asyncio.sleep(1)
+        fleet.configure(3)
+        fleet.register('i-3')
+        await asyncio.sleep(_BOUND_S)
+        assert {gateway.read_version() for gateway in gateways} == {3}
+        await asyncio.sleep(_GONE_S)
+        used = {frozenset(gateway.names()) for gateway in gateways}
+        assert used == {frozenset(('i-1', 'i-3'))}
+        # Some ten calls of each aggregator and kind, none of the others.
+        assert fleet.store.calls - before < 150
+
+    run_fleet(session)
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from nutmegshore.clock import VirtualClock
+from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.store_restores import StoreRestores
 from nutmegshore.store import StoreEras
@@ -12,7 +12,9 @@
 def eras(make_log):
     """Eras that are followed, after a first answer of era 1."""
     tracked = StoreEras()
-    StoreRestores(make_log(VirtualClock()), Counters()).follow(tracked)
+    StoreRestores(make_log(SystemClock(), Counters()), Counters()).follow(
+        tracked
+    )
     tracked.observe(1)
     return tracked
 
--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize(
-    'text', ['', '-4', '4.5', 'four', '٤', '1' * 16, '4, 4', 'nan']
+    'text', ['', '-4', '4.5', 'four', '\xb2', '1' * 16, '4, 4', 'nan']
 )
 def test_an_unreadable_era_counts_for_the_newest(eras, text):
     """Guards against a store that is not followed any more because of one odd
