Pause between listings that help no watch

What was seen: 600 calls in 5 s to a store that keeps no history (1,455 after a restore, where each listing was dropped too).

Cause: a 410 leads to a listing at once, and the next watch to the next 410. Only failed calls had a pause.

Change: after a 410 the follower lists again 0.5 to 1 s after its last listing. The first 410 after a watch that lasted is followed by a listing at once, as before.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -99,9 +99,7 @@
                 await self._watch()
             except HistoryLost:
                 self._needs_listing = True
-                self._context.counters.add(
-                    'store_history_lost', kind=self.prefix
-                )
+                await self._pause_after_listing()
             except PlatformError as failure:
                 self._needs_listing = True
                 await self._back_off(failure)
@@ -254,6 +252,12 @@
         self.is_listed = True
         self._needs_listing = False
 
+    async def _pause_after_listing(self) -> None:
+        """Pause if the last listing was recent: it did not help a watch."""
+        self._context.counters.add('store_history_lost', kind=self.prefix)
+        pause_s = _MIN_WATCH_S * (1 + self._context.rng.random())
+        await self._context.clock.sleep(max(pause_s - self.age_s, 0))
+
     async def _back_off(self, failure: PlatformError) -> None:
         self._health.record_failure(failure)
         kind = failure.kind.value
