--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -86,6 +86,7 @@
         self._watches_store = asyncio.Event()
         self._watches_store.set()
         self._listed_at = float('-inf')
+        self._history_lost_at = float('-inf')
         self._needs_listing = True
 
     async def run(self) -> None:
@@ -99,7 +100,7 @@
                 await self._watch()
             except HistoryLost:
                 self._needs_listing = True
-                await self._pause_after_listing()
+                await self._pace_losses()
             except PlatformError as failure:
                 self._needs_listing = True
                 await self._back_off(failure)
@@ -252,11 +253,14 @@
         self.is_listed = True
         self._needs_listing = False
 
-    async def _pause_after_listing(self) -> None:
-        """Pause if the last listing was recent: it did not help a watch."""
+    async def _pace_losses(self) -> None:
+        """Pause if the history was lost lately: listing again did not help."""
         self._context.counters.add('store_history_lost', kind=self.prefix)
+        clock = self._context.clock
         pause_s = _MIN_WATCH_S * (1 + self._context.rng.random())
-        await self._context.clock.sleep(max(pause_s - self.age_s, 0))
+        ends_at = self._history_lost_at + pause_s
+        await clock.sleep(max(ends_at - clock.now(), 0))
+        self._history_lost_at = clock.now()
 
     async def _back_off(self, failure: PlatformError) -> None:
         self._health.record_failure(failure)
