Register gateways again after a restore of the store

What was seen: a gateway whose entry the restore lost stayed out of the store, so that gateways that start later did not find it.

Cause: an entry was written once and then counted as written for good. The class: a confirmation that is kept as a fact, although the store may lose it.

Change: each restore, seen in an answer or told by a peer, has the entry written again, spread over 5 s; a restore that crosses the write is not missed. The kinds that this gateway reads from the store itself are listed at once as well, since a watch may hang over a restore.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -77,6 +77,7 @@
             ),
         )
         self.replicas = self._make_replicas()
+        self.replicas.restores.on_restore.append(self.registry.handle_restore)
         self.context = self._make_context()
 
     def gateway_names(self, region: str) -> list[str]:
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -187,6 +187,8 @@
             )
         if not is_newer:
             return False
+        if self._context.store.eras is not None:
+            self._context.store.eras.observe(found.era)
         self._apply(found, is_after_outage=is_after_outage)
         return True
 
--- a/nutmegshore/gateway/registry.py
+++ b/nutmegshore/gateway/registry.py
@@ -20,6 +20,9 @@
 _MAX_RETRY_S = 2
 #: Least seconds between two sweeps for entries of dead instances.
 _SWEEP_INTERVAL_S = 60
+#: Seconds over which the instances of a fleet announce themselves again after
+#: a restore of the store; only instances that start read the entries.
+_RESTORE_SPREAD_S = 5
 
 
 @attrs.frozen
@@ -55,12 +58,14 @@
         self._name = name
         self._address = address
         self.seeds = seeds
-        self._is_announced = False
+        self._unannounced = asyncio.Event()
+        self._unannounced.set()
+        self._restore_spread_s = float(0)
 
     async def read_seeds(self) -> dict[str, str]:
         """Peer addresses of the other instances, by name."""
         try:
-            if not self._is_announced:
+            if self._unannounced.is_set():
                 await self._announce()
             listed = await self._dependencies.store.iter_objects(_PREFIX)
         except PlatformError:
@@ -71,15 +76,34 @@
         return {name: address for name, address in found.items() if address}
 
     async def run(self, peers: Peers) -> None:
-        """Retry the announcement until it succeeds, then sweep dead entries."""
+        """Keep the announcement in the store, and sweep dead entries."""
+        await asyncio.gather(self._keep_announced(), self._keep_swept(peers))
+
+    def handle_restore(self) -> None:
+        """Announce again: a restored store may have lost the entry."""
+        self._restore_spread_s = _RESTORE_SPREAD_S
+        self._unannounced.set()
+
+    async def _keep_announced(self) -> None:
+        """Announce this instance whenever the store may lack its entry."""
+        while True:
+            await self._unannounced.wait()
+            spread_s = self._restore_spread_s * self._dependencies.rng.random()
+            await self._dependencies.clock.sleep(spread_s)
+            await self._retry_announcement()
+
+    async def _retry_announcement(self) -> None:
         pause_s: float = _MIN_RETRY_S
-        while not self._is_announced:
+        while self._unannounced.is_set():
             await self._pause(pause_s)
             pause_s = min(2 * pause_s, _MAX_RETRY_S)
             try:
                 await self._announce()
             except PlatformError:
                 self._dependencies.counters.add('registry_failures')
+
+    async def _keep_swept(self, peers: Peers) -> None:
+        """Remove the entries of dead instances, once a minute."""
         while True:
             await self._pause(_SWEEP_INTERVAL_S)
             live = peers.live()
@@ -87,6 +111,15 @@
                 await self._sweep(live)
 
     async def _announce(self) -> None:
+        # Cleared before the write: a restore that it crosses sets it again.
+        self._unannounced.clear()
+        try:
+            await self._write_entry()
+        except PlatformError:
+            self._unannounced.set()
+            raise
+
+    async def _write_entry(self) -> None:
         body = json.dumps({'address': self._address}).encode()
         operation = make_operation(self._dependencies.rng)
         key = f'{_PREFIX}{self._name}'
@@ -101,7 +134,6 @@
                     Expected.of(present),
                     operation,
                 )
-        self._is_announced = True
 
     async def _pause(self, seconds: float) -> None:
         """Sleep for 1 to 2 times `seconds`, to spread the instances' calls."""
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -51,9 +51,10 @@
             KindFollower(prefix, replica, context, bounds[prefix])
             for prefix, replica in replicas
         )
+        self.restores = StoreRestores(log, context.counters)
+        self.restores.on_restore.append(self._check_all)
         if context.store.eras is not None:
-            restores = StoreRestores(log, context.counters)
-            restores.follow(context.store.eras)
+            self.restores.follow(context.store.eras)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the bounds of reloaded settings."""
@@ -67,6 +68,12 @@
             follower.feed.expire()
         self.upstreams.expire()
 
+    def _check_all(self) -> None:
+        """List what this gateway reads from the store itself."""
+        for follower in self.followers:
+            if not follower.is_relayed:
+                follower.check()
+
 
 def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
     """Seconds within which a change must take effect, by key prefix."""
--- a/nutmegshore/gateway/store_restores.py
+++ b/nutmegshore/gateway/store_restores.py
@@ -1,5 +1,7 @@
 """Reacts when the store is restored from an older copy."""
 
+from collections.abc import Callable
+
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.store_events import StoreEraRejected, StoreRestored
@@ -12,13 +14,16 @@
 
 
 class StoreRestores:
-    """Logs and counts the restores of the store.
+    """Logs the restores of the store, and has it read and written again.
 
-    StoreRestores(log, counters).follow(store.eras)
+    restores = StoreRestores(log, counters)
+    restores.on_restore.append(registry.handle_restore)
+    restores.follow(store.eras)
     """
 
     def __init__(self, log: EventLog, counters: Counters) -> None:
         """Start without restores."""
+        self.on_restore: list[Callable[[], None]] = []
         self._log = log
         self._counters = counters
         self._rejected = ''
@@ -31,6 +36,8 @@
     def _handle_restore(self, era: int, previous: int) -> None:
         self._counters.add('store_restores')
         self._log.write(StoreRestored(era, previous))
+        for handle_restore in self.on_restore:
+            handle_restore()
 
     def _handle_unreadable(self, text: str) -> None:
         """Count an unreadable era, and log it once while it stays the same."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -662,6 +662,8 @@
         await asyncio.sleep(_GONE_S)
         used = {frozenset(gateway.names()) for gateway in gateways}
         assert used == {frozenset(('i-1', 'i-3'))}
+        for gateway in gateways:
+            assert fleet.store.get('gateways', gateway.name)
         # Some ten calls of each aggregator and kind, none of the others.
         assert fleet.store.calls - before < 150
 
