Keep a lost evacuation for as long as one may take

Cause: an evacuation that a restore lost was kept for 2.3 s, the time in which upstreams register again. Operators have no such time.

Change: evacuations and configurations that a restore lost are kept for their own bounds; upstreams as before.

Result: tests/gateway/test_restored_store.py passes (42).

--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable
 
-from nutmegshore.gateway.follower import FollowerContext, KindFollower
+from nutmegshore.gateway.follower import (
+    REWRITE_S,
+    FollowerContext,
+    KindFollower,
+)
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
@@ -47,8 +51,13 @@
             (UPSTREAM_PREFIX, self.upstreams),
             (EVACUATION_PREFIX, EvacuationReplica(state, log)),
         )
+        # Operators may take as long to repeat an evacuation as it may take to
+        # begin; upstreams register again sooner.
+        rewrite_s = bounds | {UPSTREAM_PREFIX: REWRITE_S}
         self.followers = tuple(
-            KindFollower(prefix, replica, context, bounds[prefix])
+            KindFollower(
+                prefix, replica, context, bounds[prefix], rewrite_s[prefix]
+            )
             for prefix, replica in replicas
         )
         self.restores = StoreRestores(log, context.counters)
