Test five more ways in which a restored store misleads gateways

The listing shows the same objects, so the watch of the old era is not restarted; changes come by checks only. `CreatedAt` is a revision, and is given out again: the new object counts for the removed one.

--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -668,3 +668,122 @@
         assert fleet.store.calls - before < 150
 
     run_fleet(session)
+
+
+@pytest.mark.parametrize('count', [1, 4, 20])
+def test_equal_revisions_of_two_eras_are_told_apart(run_fleet, count):
+    """Guards against gateways that take a lost configuration for a new one
+    that got its revision: the digests are equal, and nobody asks."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(count)]
+        await asyncio.sleep(4)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert {one.read_version() for one in gateways} == {3}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('count', [1, 4])
+def test_a_watch_that_hangs_after_a_restore_without_loss_is_replaced(
+    run_fleet, count
+):
+    """Guards against a watch that is kept since the listing after a restore
+    shows the same objects: the store never answers it."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(count)]
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        await fleet.return_from(kept, away_s=0, hangs_watches=True)
+        await asyncio.sleep(3)
+        for version in (2, 3, 4):
+            fleet.configure(version)
+            await asyncio.sleep(_BOUND_S)
+            assert {one.read_version() for one in gateways} == {version}
+
+    run_fleet(session)
+
+
+def test_a_new_start_with_a_lost_revision_is_used(run_fleet):
+    """Guards against an upstream that is taken for one that left, since its
+    entry was created at the same revision in another era."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        fleet.store.delete('servers', 'i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.register('i-2', born=2)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.names() == {'i-1', 'i-2'}
+
+    run_fleet(session)
+
+
+def test_an_evacuation_with_a_lost_revision_is_in_force(run_fleet):
+    """Guards against an evacuation that is taken for one that had ended, since
+    it was created at the same revision in another era."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', zone='west-b')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.store.put('evacuations', 'west-b', {})
+        await asyncio.sleep(3)
+        fleet.store.delete('evacuations', 'west-b')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        fleet.store.put('evacuations', 'west-b', {})
+        await asyncio.sleep(5)
+        assert gateway.names() == {'i-1'}
+
+    run_fleet(session)
+
+
+def test_an_era_far_too_high_does_not_hide_the_store_for_good(run_fleet):
+    """Guards against one answer with a wrong era, after which all answers of
+    the store look older."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        gateway.faults.era_text = '900'
+        await asyncio.sleep(3)
+        gateway.faults.era_text = None
+        await asyncio.sleep(10)
+        fleet.configure(2)
+        await asyncio.sleep(_BOUND_S)
+        assert gateway.read_version() == 2
+
+    run_fleet(session)
+
+
+def test_a_gateway_that_missed_a_restore_finds_equal_revisions(run_fleet):
+    """Guards against a gateway without the store that keeps a lost upstream,
+    since its peers know other objects of the same revisions."""
+
+    async def session(fleet):
+        cut_off = fleet.start('g1')
+        fleet.start('g2')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        cut_off.faults.status = 503
+        await fleet.return_from(kept)
+        fleet.configure(3)
+        await asyncio.sleep(_BOUND_S)
+        assert cut_off.read_version() == 3
+
+    run_fleet(session)
