Tell equal digests of two eras apart

What was seen: 18 of 20 gateways kept configuration 2 for good after a restore.

Cause: digests are made of keys and versions. A configuration written after the restore got the revision of the lost one, and so its digest, and gateways that follow aggregators saw no difference.

Change: digests are compared within an era only.

Result: test_equal_revisions_of_two_eras_are_told_apart[20] failed before (`{2, 3} == {3}`) and passes.

--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -175,7 +175,7 @@
         now = self._dependencies.clock.now()
         difference = (sender, follower.prefix)
         if (
-            digest == follower.known.digest
+            _is_same_state(follower, position, digest)
             or position <= follower.known.position
         ):
             self._differs_since.pop(difference, None)
@@ -192,9 +192,8 @@
         digest: int,
     ) -> None:
         """Request the changes that an aggregator is ahead by."""
-        if (
-            position < follower.known.position
-            or digest == follower.known.digest
+        if position < follower.known.position or _is_same_state(
+            follower, position, digest
         ):
             return
         # Equal positions with different digests: changes cannot repair this.
@@ -300,6 +299,17 @@
             self._dependencies.counters.add('state_adopted', kind=reply.prefix)
 
 
+def _is_same_state(
+    follower: KindFollower, position: StorePosition, digest: int
+) -> bool:
+    """Whether a peer has the same objects.
+
+    Digests are made of versions, which another era gives out again.
+    """
+    is_same_era = position.era == follower.known.position.era
+    return is_same_era and digest == follower.known.digest
+
+
 def _locate(
     follower: KindFollower, body: StateRequest | StateReply
 ) -> StorePosition:
