Replace a watch of the history before a restore

Cause: a listing replaced a watch only if the objects differed. After a restore that lost nothing of a kind, a watch that hung over it went on hanging, and the next change was seen with the next listing only.

Change: a listing of a new era replaces the watch as well.

Result: test_a_watch_that_hangs_after_a_restore_without_loss_is_replaced[4] failed before (`{1, 2} == {2}` after 2 s) and passes.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -210,9 +210,9 @@
             _check_era(self.prefix, listing.era, self.known)
             return
         self._health.record_current()
-        before = self.known.digest
+        before = (self.known.position.era, self.known.digest)
         self._apply(listing)
-        if self.known.digest != before:
+        if (self.known.position.era, self.known.digest) != before:
             self._restart.set()
 
     async def _watch(self) -> None:
