Use a new object at the revision of a removed one

What was seen: an evacuation written after a restore was ignored for up to 15 s, and so was an upstream that started anew.

Cause: uids are revisions, which a restored store gives out again, so that a new object looked like the removed one that the copy had brought back.

Change: only an upstream's entry is taken for a removed one, and only if both are of the same start. A revived evacuation is believed until the operator removes it again.

--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -39,7 +39,7 @@
         self._history_start = StorePosition()
         self._last_of_previous_era = StorePosition()
         self._first_era = 0
-        self._removed_uids: dict[str, str] = {}
+        self._removed: dict[str, StoredObject] = {}
 
     def apply(self, changes: Changes) -> list[Change]:
         """Apply changes; return those that are not outdated."""
@@ -76,10 +76,14 @@
         """
         return StorePosition(self._first_era if era is None else era, revision)
 
-    def was_removed(self, stored: StoredObject) -> bool:
-        """Whether an object with this uid is known to have been removed."""
-        removed_uid = self._removed_uids.get(stored.key, '')
-        return bool(removed_uid) and removed_uid == stored.uid
+    def find_removed(self, stored: StoredObject) -> StoredObject | None:
+        """Return the removed object with the same key and uid, if any.
+
+        After a restore another object may have got the same uid.
+        """
+        removed = self._removed.get(stored.key)
+        is_same = removed is not None and removed.uid == stored.uid
+        return removed if is_same and stored.uid else None
 
     def changes_since(self, position: StorePosition) -> Changes | None:
         """Changes after a position; None if the history is too short.
@@ -130,7 +134,7 @@
         if before is not None and (
             present is None or present.uid != before.uid
         ):
-            self._removed_uids[key] = before.uid
+            self._removed[key] = before
 
     def _prune(self) -> None:
         """Drop the oldest tombstones beyond the limit."""
@@ -138,7 +142,7 @@
         excess = len(removed) - len(self.by_key) - _EXTRA_TOMBSTONES
         for key in removed[: max(excess, 0)]:
             dropped_at = self._changed_at.pop(key)
-            self._removed_uids.pop(key, None)
+            self._removed.pop(key, None)
             self._history_start = max(self._history_start, dropped_at)
 
 
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -27,6 +27,15 @@
     def change(self, change: Change, *, is_after_outage: bool) -> None:
         """Apply one change."""
 
+    def is_same_start(
+        self, removed: StoredObject, stored: StoredObject
+    ) -> bool:
+        """Whether a stored object is a removed one that a restore revived.
+
+        False believes the store: whoever removed the object does so again.
+        """
+        return False
+
 
 class ReplicaFeed:
     """Keeps the known objects of one kind, and updates the replica by them.
@@ -46,7 +55,7 @@
         """Start without objects."""
         self.known = KnownObjects()
         self._replica = replica
-        self._guard = RestoreGuard(clock, rewrite_s)
+        self._guard = RestoreGuard(clock, rewrite_s, replica.is_same_start)
 
     def apply_listing(self, listing: Listing, *, is_after_outage: bool) -> None:
         """Replace all objects by those of a listing."""
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -162,6 +162,16 @@
         self._detect_change(upstream, change.stored.version)
         self._state.put(upstream)
 
+    def is_same_start(
+        self, removed: StoredObject, stored: StoredObject
+    ) -> bool:
+        """Whether both entries are of the same start of an upstream."""
+        before = self._parse(removed)
+        found = self._parse(stored)
+        if before is None or found is None:
+            return False
+        return before.identity == found.identity
+
     def expire(self) -> None:
         """Remove upstreams that stay missing too long after an outage."""
         before = dict(self._state.by_id)
--- a/nutmegshore/gateway/restore_guard.py
+++ b/nutmegshore/gateway/restore_guard.py
@@ -1,6 +1,6 @@
 """What a restore of the store took away or brought back."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.objects import KnownObjects
@@ -26,9 +26,19 @@
         guard.end_overdue()  # often
     """
 
-    def __init__(self, clock: Clock, rewrite_s: float) -> None:
-        """Give owners `rewrite_s` seconds to write lost objects again."""
+    def __init__(
+        self,
+        clock: Clock,
+        rewrite_s: float,
+        is_same_start: Callable[[StoredObject, StoredObject], bool],
+    ) -> None:
+        """Give owners `rewrite_s` seconds to write lost objects again.
+
+        `is_same_start` tells whether a removed object and one that the store
+        shows are of the same owner.
+        """
         self._clock = clock
+        self._is_same_start = is_same_start
         self._rewrite_s = rewrite_s
         self._begun_at = float('-inf')
         self._lost: dict[str, StoredObject] = {}
@@ -43,7 +53,7 @@
         self._revived = {
             key: stored
             for key, stored in known.by_key.items()
-            if known.was_removed(stored)
+            if self._is_revived(stored, known)
         }
         self._lost = {
             key: stored
@@ -85,6 +95,10 @@
             changes.extend(self._end_revived())
         return changes
 
+    def _is_revived(self, stored: StoredObject, known: KnownObjects) -> bool:
+        removed = known.find_removed(stored)
+        return removed is not None and self._is_same_start(removed, stored)
+
     def _end_lost(self) -> list[Change]:
         """Let go of the lost objects that have no older one in their place."""
         keys = self._lost.keys() - self._revived.keys()
