Test that an upstream that asks for a pause gets one

Cause: nothing reads the Retry-After of an upstream's 503, so that its machine goes on sending to it (BUDGET).

Change: three tests through the forwarder, on a clock that they advance; the scripted upstreams report their heads, as the client over sockets does.

--- /dev/null
+++ b/tests/gateway/test_upstream_pauses.py
@@ -0,0 +1,140 @@
+"""Tests of upstreams that ask for a pause, through a gateway's forwarder."""
+
+import asyncio
+import types
+
+import attrs
+import pytest
+
+from nutmegshore.errors import RefusedError
+from nutmegshore.gateway.answer import BufferedAnswer
+from nutmegshore.gateway.forward import GatewayForwarder
+from nutmegshore.gateway.request import IncomingRequest
+from nutmegshore.gateway.upstream_reports import UpstreamReports
+from nutmegshore.listener.headers import parse_head
+from nutmegshore.platform.dialect import read_caller_fields
+
+_HEAD = (
+    b'GET /orders/%d HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r%d\r\n'
+    b'Affinity-Key: %d\r\nDeadline-Ms: 1500'
+)
+_NOT_RUN = ('Not-Run', '1')
+
+
+@attrs.define
+class ManualClock:
+    """A clock that advances only on request."""
+
+    seconds: float = 100
+
+    def now(self):
+        return self.seconds
+
+    def wall(self):
+        return self.seconds
+
+
+@attrs.define
+class Session:
+    """Sends numbered requests through one gateway."""
+
+    context: object
+    clock: ManualClock
+    count: int = 0
+
+    def send(self):
+        """Send a request; return the names of the upstreams that it reached."""
+        sent = self.context.upstreams.sent
+        before = len(sent)
+        asyncio.run(self._forward())
+        return [name for name, _ in sent[before:]]
+
+    async def _forward(self):
+        self.count += 1
+        head = parse_head(_HEAD % ((self.count,) * 3))
+        fields = read_caller_fields(head)
+        forwarder = GatewayForwarder(self.context)
+        incoming = IncomingRequest(head, fields, self.clock.now())
+        routed = forwarder.route(incoming)
+        answer = BufferedAnswer(
+            None, self.context.dialect, routed.request_id, is_safe=True
+        )
+        body = types.SimpleNamespace(is_whole=True)
+        await forwarder.run(routed, body, answer)
+
+
+@pytest.fixture
+def clock():
+    """Clock that stands still."""
+    return ManualClock()
+
+
+@pytest.fixture
+def open_session(make_context, clock):
+    """Function that opens a session with a gateway and its upstreams."""
+
+    def build(upstreams):
+        context = make_context(upstreams, clock=clock)
+        upstreams.on_report = UpstreamReports(
+            context.balancer, context.state, context.log, context.counters
+        ).record
+        return Session(context, clock)
+
+    return build
+
+
+@pytest.fixture
+def ask(step):
+    """Function that builds a refusal that asks for a pause of some seconds."""
+
+    def build(seconds, *headers):
+        asked = ('Retry-After', seconds)
+        return step(status=503, headers=(_NOT_RUN, asked, *headers))
+
+    return build
+
+
+def test_an_upstream_gets_no_request_in_its_pause(
+    open_session, scripted, step, ask, clock
+):
+    """Guards against BUDGET: an upstream that answered 503 and asked for a
+    pause went on getting requests from the gateway that it had told."""
+    session = open_session(scripted(ask('2.5'), step()))
+    paused = session.send()[0]
+    reached = set()
+    for _ in range(24):
+        clock.seconds += 0.1
+        reached.update(session.send())
+    assert len(reached) == 2
+    assert paused not in reached
+
+
+def test_an_upstream_is_used_after_its_pause(
+    open_session, scripted, step, ask, clock
+):
+    """Guards against an upstream that stays unused after its pause."""
+    session = open_session(scripted(ask('2.5'), step()))
+    paused = session.send()[0]
+    clock.seconds += 3
+    reached = set()
+    for _ in range(40):
+        clock.seconds += 0.5
+        reached.update(session.send())
+    assert paused in reached
+
+
+def test_no_request_waits_for_the_end_of_a_pause(
+    open_session, scripted, ask, clock
+):
+    """Guards against a request that is held, or sent, while all upstreams
+    pause, and against a refusal at the deadline."""
+    session = open_session(scripted(ask('2.5')))
+    for _ in range(2):
+        with pytest.raises(RefusedError):
+            session.send()
+    assert len(session.context.upstreams.sent) == 3
+    clock.seconds += 1
+    with pytest.raises(RefusedError) as caught:
+        session.send()
+    assert len(session.context.upstreams.sent) == 3
+    assert caught.value.retry_after_s >= 1.5
