Read the pause that an upstream asks for

Cause: an upstream that turns a request away with 503 may say for how many seconds it wants nothing from the machine; the dialect did not read it.

Change: a report has pause_s, or the text of a time that cannot be read. Only a 503 of the upstream itself asks for a pause: not a 421, and not an answer to another request, which the client drops before it reads the report. The time is decimal, without sign or exponent and with at most 9 digits before the point; a date, nan, an empty text or several times that differ are odd. A long time that can be read is taken as it is.

--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -34,6 +34,7 @@
 _NOT_RUN = 'not-run'
 _LOAD = 'server-load'
 _LIMIT = 'server-limit'
+_SERVICE_UNAVAILABLE = 503
 _MISDIRECTED_REQUEST = 421
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
@@ -41,6 +42,8 @@
 _LOAD_FIELDS = 3
 #: A limit in requests per second, without sign or exponent.
 _RATE = re.compile(r'\d{1,15}(\.\d{1,15})?', re.ASCII)
+#: Seconds of a pause, without sign or exponent.
+_SECONDS = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 #: Request headers that the gateway sets itself and strips from callers.
 _RESERVED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE.lower()))
 
@@ -137,25 +140,49 @@
         return not is_success or _SERVER_STAMP in head.fields
 
     def read_report(self, head: AnswerHead) -> UpstreamReport | None:
-        """Return the load and the rate limit that an answer reports.
+        """Return the load, rate limit and pause that an answer reports.
 
         None if another instance has the upstream's address. Upstreams announce
-        that they are leaving in their registration only.
+        that they are leaving in their registration only, and ask for a pause
+        only as they turn a request away.
         """
         refusal = self.read_refusal(head)
         if refusal is ErrorKind.UPSTREAM_MOVED:
             return None
-        texts = _header_values(head, _LIMIT)
-        # Two limits in one head contradict each other unless they are equal.
-        text = ', '.join(sorted(set(texts)))
-        is_valid = _RATE.fullmatch(text) is not None
+        limit = _read_decimal(head, _LIMIT, _RATE)
+        pause = _Decimal()
+        if head.status == _SERVICE_UNAVAILABLE:
+            pause = _read_decimal(head, RETRY_AFTER.lower(), _SECONDS)
         return UpstreamReport(
             busy=read_load(head),
-            max_rate=float(text) if is_valid else None,
-            malformed_limit=text if texts and not is_valid else None,
+            max_rate=limit.number,
+            malformed_limit=limit.malformed,
             is_refusal=refusal is not None,
+            pause_s=pause.number,
+            malformed_pause=pause.malformed,
         )
 
 
+@attrs.frozen
+class _Decimal:
+    """The number in a header, or its text if it cannot be read."""
+
+    number: float | None = None
+    malformed: str | None = None
+
+
+def _read_decimal(
+    head: AnswerHead, name: str, pattern: re.Pattern[str]
+) -> _Decimal:
+    texts = set(_header_values(head, name))
+    if not texts:
+        return _Decimal()
+    # Two numbers in one head contradict each other unless they are equal.
+    text = ', '.join(sorted(texts))
+    if pattern.fullmatch(text) is None:
+        return _Decimal(malformed=text)
+    return _Decimal(float(text))
+
+
 def _header_values(head: AnswerHead, name: str) -> list[str]:
     return [text for key, text in head.headers if key.lower() == name]
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -94,7 +94,9 @@
     `max_rate` is the number of requests per second that it accepts from all
     gateways together, or None if the answer names no limit. The text of a limit
     that cannot be read is in `malformed_limit`. `is_refusal` says whether the
-    upstream refused the request.
+    upstream refused the request. `pause_s` is the number of seconds for which
+    it wants no requests from this process, or None if it did not ask for a
+    pause; the text of a time that cannot be read is in `malformed_pause`.
     """
 
     is_leaving: bool = False
@@ -102,6 +104,8 @@
     max_rate: float | None = None
     malformed_limit: str | None = None
     is_refusal: bool = False
+    pause_s: float | None = None
+    malformed_pause: str | None = None
 
 
 #: Called with an upstream's name and the state that it reports.
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -119,3 +119,53 @@
     an address refuses the requests for its predecessor."""
     assert _limit_report('1', status=421) is None
     assert _limit_report(status=503, headers=(('Not-Run', '1'),)).is_refusal
+
+
+def _pause_report(*texts, status=503, headers=(('Not-Run', '1'),)):
+    pauses = (('Retry-After', text) for text in texts)
+    return PlatformDialect().read_report(_answer(status, *headers, *pauses))
+
+
+@pytest.mark.parametrize(
+    ('text', 'pause_s'),
+    [('2', 2), ('0.25', 0.25), ('0', 0), ('999999999', 999999999)],
+)
+def test_a_pause_is_read(text, pause_s):
+    """Guards against BUDGET: an upstream that turns a request away asks for a
+    pause, and was not heard."""
+    report = _pause_report(text)
+    assert report.pause_s == pause_s
+    assert report.malformed_pause is None
+    assert _pause_report(text, text) == report
+    assert _pause_report(text, headers=()).pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    'texts',
+    [
+        *((text,) for text in ('', 'nan', 'inf', '-1', '+1', '1e3', '1,5')),
+        *((text,) for text in ('1.', '.5', '0x1', '\u0661', '9' * 10)),
+        ('Sat, 05 Dec 2026 09:00:00 GMT',),
+        ('1', '2'),
+    ],
+)
+def test_a_malformed_pause_is_no_pause(texts):
+    """Guards against an upstream that is not used for years, or gets no pause,
+    by mistake."""
+    report = _pause_report(*texts)
+    assert report.pause_s is None
+    assert report.malformed_pause == ', '.join(texts)
+
+
+@pytest.mark.parametrize('status', [200, 429, 500, 502])
+def test_other_answers_ask_for_no_pause(status):
+    """Guards against a pause that the upstream did not ask for: of other
+    answers the header tells something else."""
+    report = _pause_report('2', status=status)
+    assert report.pause_s is None
+    assert report.malformed_pause is None
+
+
+def test_another_instance_asks_for_no_pause():
+    """Guards against the pause of the wrong instance at an address."""
+    assert _pause_report('2', status=421) is None
