Show pauses of upstreams in lines of requests and a gauge

Cause: on-call could not see why a request was refused, or how long an upstream gets nothing.

Change: lines of requests name the upstreams that were passed over for their pause; upstream_pause_seconds is the rest of a pause (0: the next request is the trial).

tests/gateway/test_gauges.py and test_session_log.py pass.

--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -152,8 +152,10 @@
             choice = self._context.balancer.choose(routing_request)
         except RefusedError as refusal:
             routed.limited = refusal.limited
+            routed.paused = refusal.paused
             raise self._final_error(routed, refusal) from refusal
         routed.limited = choice.limited
+        routed.paused = choice.paused
         routed.tried.add(choice.upstream.instance)
         routed.last_region = choice.upstream.region
         routed.runs += 1
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -24,6 +24,7 @@
     'upstream_limit_age_seconds',
     'upstream_limit_per_second',
     'upstream_limit_share_per_second',
+    'upstream_pause_seconds',
     'upstream_report_age_seconds',
     'upstream_room',
 )
@@ -142,6 +143,7 @@
             metric = 'upstream_report_age_seconds'
             self._counters.set_gauge(metric, age_s, **labels)
         self._set_limit(upstream, labels)
+        self._set_pause(upstream, labels)
         return unused
 
     def _set_limit(
@@ -160,3 +162,12 @@
         shares = self._sources.candidate_builder.limit_shares
         metric = 'upstream_limit_share_per_second'
         self._counters.set_gauge(metric, shares.rate(upstream), **labels)
+
+    def _set_pause(
+        self, upstream: RegisteredUpstream, labels: dict[str, str]
+    ) -> None:
+        """Set the rest of the pause that an upstream asked for."""
+        pauses = self._sources.candidate_builder.pauses
+        if pauses.is_on_trial(upstream):
+            left_s = pauses.left_s(upstream)
+            self._counters.set_gauge('upstream_pause_seconds', left_s, **labels)
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -55,7 +55,8 @@
     counts the attempts except those that certainly did not run the request,
     `tried` are the instances used so far. `last_region` is the region of the
     last upstream, `no_retry` the reason why the last attempt is not retried,
-    `limited` the upstreams passed over lately because of their rate limit.
+    `limited` the upstreams passed over lately because of their rate limit,
+    `paused` those that had asked for a pause.
     """
 
     incoming: IncomingRequest
@@ -72,6 +73,7 @@
     last_region: str = ''
     no_retry: str = ''
     limited: list[str] = attrs.field(factory=list)
+    paused: list[str] = attrs.field(factory=list)
 
     @property
     def request_id(self) -> str:
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -139,6 +139,7 @@
                 status=status,
                 attempts=routed.describe_attempts(),
                 limited=routed.limited,
+                paused=routed.paused,
                 **self._common_fields(),
             ),
         )
@@ -168,6 +169,7 @@
                 **attrs.asdict(refusal.remote),
                 candidates=refusal.candidates,
                 limited=refusal.limited,
+                paused=refusal.paused,
                 retry_after_s=round(_retry_after_s(error), 3),
             ),
         )
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -134,3 +134,15 @@
     assert f'nutmegshore_upstream_limit_age_seconds{labels} 2' in shown
     limits.handle_report('u1', UpstreamReport())
     assert not any('upstream_limit' in line for line in _shown(sources))
+
+
+def test_a_pause_is_shown_until_it_ends(sources, clock):
+    """Guards against an upstream without requests that on-call cannot see."""
+    builder = sources.candidate_builder
+    builder.pauses.begin(sources.state.by_id['u1'], 30)
+    clock.seconds += 31
+    labels = '{service="orders",upstream="u1"}'
+    assert f'nutmegshore_upstream_pause_seconds{labels} 0' in _shown(sources)
+    builder.forget('u1')
+    sources.state.drop('u1', is_after_outage=False)
+    assert not any('upstream_pause' in line for line in _shown(sources))
