Test a pause over a connection to an upstream

Cause: the tests of pauses used scripted upstreams only.

Change: a test over loopback with the client that gateways use: an upstream asks for 60.5 s, and the second request is refused at once without reaching it.

It passes; with a table that begins no pause it fails: both refusals are expected to be upstream_paused, and the second request is sent.

--- a/tests/gateway/test_upstream_pauses.py
+++ b/tests/gateway/test_upstream_pauses.py
@@ -6,19 +6,25 @@
 import attrs
 import pytest
 
+from nutmegshore.clock import SystemClock
 from nutmegshore.errors import ErrorKind, RefusedError
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.request import IncomingRequest
 from nutmegshore.gateway.upstream_reports import UpstreamReports
 from nutmegshore.listener.headers import parse_head
-from nutmegshore.platform.dialect import read_caller_fields
+from nutmegshore.platform.dialect import PlatformDialect, read_caller_fields
+from nutmegshore.upstreams.curl import CurlUpstreams
 
 _HEAD = (
     b'GET /orders/%d HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r%d\r\n'
     b'Affinity-Key: %d\r\nDeadline-Ms: 1500'
 )
 _NOT_RUN = ('Not-Run', '1')
+_REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Run: 1\r\n'
+    b'Retry-After: 60.5\r\nContent-Length: 0\r\n\r\n'
+)
 
 
 @attrs.define
@@ -46,10 +52,10 @@
         """Send a request; return the names of the upstreams that it reached."""
         sent = self.context.upstreams.sent
         before = len(sent)
-        asyncio.run(self._forward())
+        asyncio.run(self.forward())
         return [name for name, _ in sent[before:]]
 
-    async def _forward(self):
+    async def forward(self):
         self.count += 1
         head = parse_head(_HEAD % ((self.count,) * 3))
         fields = read_caller_fields(head)
@@ -73,7 +79,7 @@
 def open_session(make_context, clock):
     """Function that opens a session with a gateway and its upstreams."""
 
-    def build(upstreams):
+    def build(upstreams, clock=clock):
         context = make_context(upstreams, clock=clock)
         upstreams.on_report = UpstreamReports(
             context.balancer, context.state, context.log, context.counters
@@ -195,3 +201,37 @@
     builder = session.context.balancer.candidate_builder
     assert builder.health.refusal_share(first) > 0
     assert not builder.pauses.is_on_trial(session.context.state.by_id[first])
+
+
+def test_a_pause_is_heard_over_a_connection(open_session, upstream):
+    """Guards against a pause that the client over sockets does not report:
+    the first of two requests is answered with it, the second is refused."""
+    system_clock = SystemClock()
+    client = CurlUpstreams(system_clock, PlatformDialect())
+    session = open_session(client, system_clock)
+    heads = []
+
+    async def refuse(reader, writer):
+        heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(_REFUSAL)
+        await writer.drain()
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(refuse, '127.0.0.1')
+        port = server.sockets[0].getsockname()[1]
+        only = upstream('u1', address=f'127.0.0.1:{port}')
+        session.context.state.replace_upstreams([only], is_after_outage=False)
+        refusals = []
+        for _ in range(2):
+            with pytest.raises(RefusedError) as caught:
+                await session.forward()
+            refusals.append(caught.value)
+        client.close()
+        server.close()
+        return refusals
+
+    first, second = asyncio.run(asyncio.wait_for(run(), 10))
+    assert len(heads) == 1
+    assert {first.kind, second.kind} == {ErrorKind.UPSTREAM_PAUSED}
+    assert second.retry_after_s > 60
