Stop sending to upstreams that leave by answer

Cause: the flag by which an upstream says in its answers that it is leaving was read nowhere on the users' platform; only registrations counted.

Change: the dialect reads the flag, and an answer is reported with the destination of its request, which tells incarnations apart. Departures remembers incarnations (id, address, start) that have said so: they are not usable, and neither their registration nor an outage of the store brings them back. The next incarnation is usable at once, and a late answer of the one before does not mark it. The loss of a leaving upstream makes no suspect. A flag that is neither 0 nor 1, or contradicts itself, is ignored, counted, and logged once while it stays the same.

Measured: tests/gateway/test_daemon.py:: test_an_upstream_that_leaves_by_answer_gets_nothing_more failed on: the second request was answered "HTTP/1.1 200 OK" by the upstream where 503 is due.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -91,6 +91,12 @@
             settings.regions_by_zone,
             self.balancer.candidate_builder.forget,
         )
+        self.reports = UpstreamReports(
+            self.balancer,
+            self.state,
+            dependencies.log,
+            dependencies.counters,
+        )
         self.configurations = ConfigurationReplica(self.state, dependencies.log)
         self.followers = self._make_followers()
         self.context = self._make_context()
@@ -187,12 +193,8 @@
         dependencies = self.dependencies
         dialect = PlatformDialect()
         upstreams = CurlUpstreams(dependencies.clock, dialect)
-        upstreams.on_report = UpstreamReports(
-            self.balancer,
-            self.state,
-            dependencies.log,
-            dependencies.counters,
-        ).record
+        upstreams.on_report = self.reports.record
+        upstreams.on_destination_report = self.reports.leaving.record
         return GatewayContext(
             state=self.state,
             balancer=self.balancer,
--- a/nutmegshore/gateway/crashes.py
+++ b/nutmegshore/gateway/crashes.py
@@ -91,9 +91,9 @@
         return local or {upstream.instance for upstream in healthy}
 
     def is_explained(self, name: str) -> bool:
-        """Whether an upstream is draining or deregistered, so no crash."""
+        """Whether an upstream is leaving or deregistered, so no crash."""
         upstream = self._state.by_id.get(name)
-        return upstream is None or upstream.is_draining
+        return upstream is None or self._state.departures.is_leaving(upstream)
 
 
 class _VerdictLog:
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -14,6 +14,8 @@
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
     UpstreamJudged,
+    UpstreamLeaving,
+    UpstreamLeavingRejected,
     UpstreamLimitChanged,
     UpstreamLimitRejected,
 )
@@ -330,6 +332,8 @@
         RequestAbandoned: 'request_abandoned',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
+        UpstreamLeaving: 'upstream_leaving',
+        UpstreamLeavingRejected: 'upstream_leaving_rejected',
         UpstreamLimitChanged: 'upstream_limit_changed',
         UpstreamLimitRejected: 'upstream_limit_rejected',
         RequestJudged: 'request_judged',
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmegshore.clock import Clock
+from nutmegshore.gateway.departures import Departures
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.route import Configuration
 
@@ -37,6 +38,7 @@
         self._missing_since: dict[str, float] = {}
         self._usable: dict[str, tuple[RegisteredUpstream, ...]] = {}
         self._moved: dict[str, RegisteredUpstream] = {}
+        self.departures = Departures(self.by_id, self._usable.clear)
 
     @property
     def is_complete(self) -> bool:
@@ -104,7 +106,8 @@
         upstream = self.by_id.get(instance)
         if upstream is None:
             return
-        if is_after_outage and not upstream.is_draining:
+        is_leaving = self.departures.is_leaving(upstream)
+        if is_after_outage and not is_leaving:
             self._missing_since.setdefault(instance, self._clock.now())
             return
         self._forget(instance)
@@ -140,7 +143,8 @@
         """Whether a registered upstream accepts new requests."""
         is_evacuated = upstream.availability_zone in self.evacuated
         is_moved = upstream.instance in self._moved
-        return not (upstream.is_draining or is_evacuated or is_moved)
+        is_leaving = self.departures.is_leaving(upstream)
+        return not (is_leaving or is_evacuated or is_moved)
 
     def is_cold(self, instance: str) -> bool:
         """Whether an upstream is still in its cold-start period."""
@@ -148,7 +152,9 @@
 
     def _forget(self, instance: str) -> None:
         self._missing_since.pop(instance, None)
-        self.by_id.pop(instance, None)
+        gone = self.by_id.pop(instance, None)
+        if gone is not None:
+            self.departures.end(gone)
         self.cold_until.pop(instance, None)
         self._moved.pop(instance, None)
         self._usable.clear()
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -7,6 +7,8 @@
 __all__ = (
     'UpstreamChanged',
     'UpstreamJudged',
+    'UpstreamLeaving',
+    'UpstreamLeavingRejected',
     'UpstreamLimitChanged',
     'UpstreamLimitRejected',
 )
@@ -39,6 +41,34 @@
     avoided_s: float
 
 
+@attrs.frozen
+class UpstreamLeaving:
+    """An upstream said in an answer that it is leaving.
+
+    It gets no new requests, whatever its registration says. `born_ms` is its
+    start in milliseconds since 1970. `source` is `answer`, or `peer` if another
+    gateway passed it on.
+    """
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    born_ms: int
+    source: str
+
+
+@attrs.frozen
+class UpstreamLeavingRejected:
+    """An upstream says neither that it is leaving nor that it is not."""
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    text: str
+
+
 @attrs.frozen
 class UpstreamLimitChanged:
     """An upstream's limit began, changed or ended.
--- a/nutmegshore/gateway/upstream_reports.py
+++ b/nutmegshore/gateway/upstream_reports.py
@@ -3,6 +3,7 @@
 from nutmegshore.balancing import Balancer
 from nutmegshore.balancing.limit_table import LimitChange
 from nutmegshore.counters import Counters
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.gateway.upstream_events import (
@@ -40,6 +41,7 @@
         self._log = log
         self._counters = counters
         self._rejected: dict[str, str] = {}
+        self.leaving = LeavingUpstreams(state, log, counters)
 
     def record(self, instance: str, report: UpstreamReport) -> None:
         """Record the load and the limit that an answer reports."""
--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -34,11 +34,15 @@
 _NOT_RUN = 'not-run'
 _LOAD = 'server-load'
 _LIMIT = 'server-limit'
+_LEAVING = 'server-leaving'
 _MISDIRECTED_REQUEST = 421
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _MAX_DEADLINE_DIGITS = 9
 _LOAD_FIELDS = 3
+_IS_LEAVING = '1'
+_IS_STAYING = '0'
+_LEAVING_TEXTS = frozenset((_IS_STAYING, _IS_LEAVING))
 #: A limit in requests per second, without sign or exponent.
 _RATE = re.compile(r'\d{1,15}(\.\d{1,15})?', re.ASCII)
 #: Request headers that the gateway sets itself and strips from callers.
@@ -137,10 +141,10 @@
         return not is_success or _SERVER_STAMP in head.fields
 
     def read_report(self, head: AnswerHead) -> UpstreamReport | None:
-        """Return the load and the rate limit that an answer reports.
+        """Return the state that an answer reports.
 
-        None if another instance has the upstream's address. Upstreams announce
-        that they are leaving in their registration only.
+        None if another instance has the upstream's address. An upstream may
+        announce that it is leaving here, in its registration, or in both.
         """
         refusal = self.read_refusal(head)
         if refusal is ErrorKind.UPSTREAM_MOVED:
@@ -149,13 +153,25 @@
         # Two limits in one head contradict each other unless they are equal.
         text = ', '.join(sorted(set(texts)))
         is_valid = _RATE.fullmatch(text) is not None
+        leaving = _read_leaving(head)
         return UpstreamReport(
+            is_leaving=leaving == _IS_LEAVING,
             busy=read_load(head),
             max_rate=float(text) if is_valid else None,
             malformed_limit=text if texts and not is_valid else None,
             is_refusal=refusal is not None,
+            malformed_leaving=None if leaving in _LEAVING_TEXTS else leaving,
         )
 
 
+def _read_leaving(head: AnswerHead) -> str:
+    """Return what an answer says about leaving; texts that differ are joined.
+
+    A head without the header says that its upstream stays.
+    """
+    texts = set(_header_values(head, _LEAVING)) or {_IS_STAYING}
+    return ', '.join(sorted(texts))
+
+
 def _header_values(head: AnswerHead, name: str) -> list[str]:
     return [text for key, text in head.headers if key.lower() == name]
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -14,6 +14,7 @@
     'AnswerReceiver',
     'BodySource',
     'Destination',
+    'DestinationReportReceiver',
     'Dialect',
     'Headers',
     'ReportReceiver',
@@ -93,8 +94,9 @@
     `busy` is the number of its busy slots, or None if the answer does not tell.
     `max_rate` is the number of requests per second that it accepts from all
     gateways together, or None if the answer names no limit. The text of a limit
-    that cannot be read is in `malformed_limit`. `is_refusal` says whether the
-    upstream refused the request.
+    that cannot be read is in `malformed_limit`, and in `malformed_leaving` that
+    of a flag which says neither that it is leaving nor that it is not.
+    `is_refusal` says whether the upstream refused the request.
     """
 
     is_leaving: bool = False
@@ -102,10 +104,14 @@
     max_rate: float | None = None
     malformed_limit: str | None = None
     is_refusal: bool = False
+    malformed_leaving: str | None = None
 
 
 #: Called with an upstream's name and the state that it reports.
 ReportReceiver = Callable[[str, UpstreamReport], None]
+#: Called with the destination of a request and the state that its answer
+#: reports.
+DestinationReportReceiver = Callable[[Destination, UpstreamReport], None]
 
 
 class Dialect(abc.ABC):
@@ -165,16 +171,26 @@
     `on_report` is called with the state that each answer reports:
 
         upstreams.on_report = reports.record
+
+    `on_destination_report` gets the same state with the destination that was
+    passed to `send`. It tells the incarnations of an upstream apart.
     """
 
     on_report: ReportReceiver | None = None
+    on_destination_report: DestinationReportReceiver | None = None
     dialect: Dialect
 
-    def report(self, name: str, head: AnswerHead) -> None:
-        """Pass the upstream's state in an answer's head to `on_report`."""
+    def report(
+        self, name: str, upstream: Destination, head: AnswerHead
+    ) -> None:
+        """Pass the upstream's state in an answer's head to the receivers."""
         found = self.dialect.read_report(head)
-        if found is not None and self.on_report is not None:
+        if found is None:
+            return
+        if self.on_report is not None:
             self.on_report(name, found)
+        if self.on_destination_report is not None:
+            self.on_destination_report(upstream, found)
 
     @abc.abstractmethod
     async def send(
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -64,7 +64,7 @@
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
         curl = self._make_curl(upstream.address, request, remaining_s)
         with contextlib.closing(Transfer(self._loop, curl)) as transfer:
-            attempt = _Attempt(transfer, request, name, self.dialect)
+            attempt = _Attempt(transfer, request, name, upstream, self.dialect)
             transfer.start()
             try:
                 async with asyncio.timeout(remaining_s):
@@ -115,11 +115,13 @@
         transfer: Transfer,
         request: UpstreamRequest,
         name: str,
+        upstream: Destination,
         dialect: Dialect,
     ) -> None:
         self._transfer = transfer
         self._request = request
         self._name = name
+        self._upstream = upstream
         self._dialect = dialect
 
     @property
@@ -138,14 +140,14 @@
     async def relay_answer(
         self,
         receiver: AnswerReceiver,
-        report: Callable[[str, AnswerHead], None],
+        report: Callable[[str, Destination, AnswerHead], None],
     ) -> AnswerHead:
         """Copy the answer from libcurl to its receiver."""
         head = await self._transfer.wait_head()
         if head is None:
             raise self._lost_error()
         self._check_origin(head)
-        report(self._name, head)
+        report(self._name, self._upstream, head)
         self._check_head(head)
         await receiver.begin(head)
         chunk = await self._transfer.read_chunk()
--- a/nutmegshore/upstreams/memory.py
+++ b/nutmegshore/upstreams/memory.py
@@ -162,7 +162,7 @@
         await self._run(name, target, request)
         await self._clock.sleep(self._delay_s(name))
         head = AnswerHead(_STATUS_OK, _answer_headers(name, target))
-        self.report(name, head)
+        self.report(name, upstream, head)
         await receiver.begin(head)
         await receiver.receive(request.request_id.encode())
         return head
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -88,6 +88,7 @@
             raise RequestError(step.failure, name)
         headers = (('Request-Id', request.request_id), *step.headers)
         head = AnswerHead(step.status, headers)
+        self.report(name, upstream, head)
         refusal = self.dialect.read_refusal(head)
         if refusal is not None:
             raise RequestError(refusal, name)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -25,6 +25,9 @@
 _LIMITED_ANSWER = _ANSWER.replace(
     b'Content-Length', b'Server-Limit: 1\r\nContent-Length'
 )
+_LEAVING_ANSWER = _ANSWER.replace(
+    b'Content-Length', b'Server-Leaving: 1\r\nContent-Length'
+)
 _REQUEST = (
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
     b'Connection: close\r\n\r\n'
@@ -41,15 +44,21 @@
 )
 
 
+def _choose_answer(head):
+    if b'/limited ' in head:
+        return _LIMITED_ANSWER
+    return _LEAVING_ANSWER if b'/leaving ' in head else _ANSWER
+
+
 async def _answer(reader, writer):
     """A stand-in of an upstream: one answer per connection, after 0.3 s.
 
-    It names a limit of one request a second if the path says so.
+    It names a limit of one request a second, or says that it is leaving, if
+    the path says so.
     """
     head = await reader.readuntil(b'\r\n\r\n')
     await asyncio.sleep(0.3)
-    is_limited = b'/limited ' in head
-    writer.write(_LIMITED_ANSWER if is_limited else _ANSWER)
+    writer.write(_choose_answer(head))
     await writer.drain()
     writer.close()
 
@@ -181,6 +190,29 @@
     ]
 
 
+def test_an_upstream_that_leaves_by_answer_gets_nothing_more(
+    run_gateway, lines
+):
+    """Guards against DRAIN in the whole program: an upstream whose answers
+    said that it was leaving, and whose registration did not, was sent more."""
+    leaving = _REQUEST.replace(b'/orders/7 ', b'/orders/leaving ')
+
+    async def session():
+        async with run_gateway() as (daemon, _):
+            await daemon.start()
+            port = daemon.caller_port
+            answers = [await _talk(port, one) for one in (leaving, _REQUEST)]
+            await daemon.stop()
+        return answers
+
+    first, second = asyncio.run(asyncio.wait_for(session(), 20))
+    assert first.startswith(b'HTTP/1.1 200 ')
+    assert second.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: ' in second
+    refused = lines.named('request_refused')
+    assert [one['reason'] for one in refused] == ['no_upstream']
+
+
 def test_a_gateway_without_a_store_is_not_ready(run_gateway):
     """Guards against a gateway that takes requests before it knows any
     configuration, and against one that never recovers."""
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -119,3 +119,54 @@
     an address refuses the requests for its predecessor."""
     assert _limit_report('1', status=421) is None
     assert _limit_report(status=503, headers=(('Not-Run', '1'),)).is_refusal
+
+
+def _leaving_report(*texts, status=200, headers=()):
+    flags = (('Server-Leaving', text) for text in texts)
+    return PlatformDialect().read_report(_answer(status, *headers, *flags))
+
+
+@pytest.mark.parametrize('texts', [['1'], ['1', '1']])
+def test_the_flag_of_a_leaving_upstream_is_read(texts):
+    """Guards against DRAIN: an upstream said in its answers that it was
+    leaving, and was not heard."""
+    report = _leaving_report(*texts)
+    assert report.is_leaving
+    assert report.malformed_leaving is None
+
+
+@pytest.mark.parametrize('texts', [[], ['0']])
+def test_an_upstream_stays_without_the_flag(texts):
+    """Guards against a sound upstream that gets nothing."""
+    report = _leaving_report(*texts)
+    assert not report.is_leaving
+    assert report.malformed_leaving is None
+
+
+_ODD_FLAGS = ('', '2', '01', '1.0', 'true', '1, 1', '\u0661')
+
+
+@pytest.mark.parametrize(
+    'texts', [('0', '1'), ('1', 'x'), *((text,) for text in _ODD_FLAGS)]
+)
+def test_a_malformed_flag_takes_no_upstream_out(texts):
+    """Guards against a sound upstream that gets nothing because of a header
+    that contradicts itself or says neither."""
+    report = _leaving_report(*texts)
+    assert not report.is_leaving
+    assert report.malformed_leaving == ', '.join(texts)
+
+
+@pytest.mark.parametrize('status', [200, 500, 503, 504])
+def test_an_upstream_may_leave_in_any_answer(status):
+    """Guards against an upstream that refuses or fails while it leaves, and
+    was not heard."""
+    assert _leaving_report('1', status=status).is_leaving
+    refused = _leaving_report('1', status=503, headers=(('Not-Run', '1'),))
+    assert refused.is_leaving
+
+
+def test_another_instance_does_not_announce_a_leaving():
+    """Guards against taking out an upstream because the instance that has its
+    address now is leaving."""
+    assert _leaving_report('1', status=421) is None
--- a/tests/upstreams/test_answer_identity.py
+++ b/tests/upstreams/test_answer_identity.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from nutmegshore.clock import SystemClock
-from nutmegshore.errors import ErrorKind
+from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
 from nutmegshore.upstreams.dialect import OwnDialect
@@ -77,3 +78,55 @@
         ErrorKind.UPSTREAM_REFUSED,
         ErrorKind.UPSTREAM_SPOILED,
     ]
+
+
+@attrs.frozen
+class _Incarnation:
+    """Where a request is sent to."""
+
+    address: str
+    number: int
+
+
+async def _ask(answers, make_request, collector, raw_upstream):
+    """Send a request per answer; return who said that it was leaving."""
+    raw = await raw_upstream(*answers).start()
+    left = []
+    with _client(PlatformDialect()) as client:
+        client.on_destination_report = lambda upstream, report: (
+            left.append(upstream.number) if report.is_leaving else None
+        )
+        for number in range(1, len(answers) + 1):
+            upstream = _Incarnation(raw.upstream().address, number)
+            request = make_request(request_id=f'r{number}', may_run_twice=True)
+            with contextlib.suppress(RequestError):
+                await client.send('u1', upstream, request, collector())
+    return left
+
+
+_LEAVING = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n'
+    b'Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok'
+)
+
+
+@pytest.mark.parametrize(
+    ('answers', 'left'),
+    [
+        ([_LEAVING], [1]),
+        ([_LEAVING.replace(b'\r\nok', b'\r\no<cut>')], [1]),
+        ([_PLATFORM[1].replace(b'Server-Limit', b'Server-Leaving')], [1]),
+        ([_LEAVING, _LEAVING], [1]),
+        ([_LEAVING.replace(b'200 OK', b'421 Other')], []),
+        ([_LEAVING.replace(b'\r\n\r\nok', b'<cut>')], []),
+    ],
+    ids=['whole', 'cut', 'refusal', 'late_second', 'moved', 'cut_head'],
+)
+def test_an_answer_says_leaving_for_whom_it_was_asked(
+    raw_upstream, collector, make_request, answers, left
+):
+    """Guards against an upstream that was not heard since its answer broke off
+    or refused, and against one that is excluded because of an answer to another
+    request or of another instance."""
+    found = _ask(answers, make_request, collector, raw_upstream)
+    assert asyncio.run(found) == left
