Tell peers which upstreams leave by answer

Cause: a gateway learned that an upstream was leaving only from an answer to a request of its own, so that each gateway sent it one more; an upstream that never registers its leaving was asked by all of them in turn.

Change: reports, summaries and region reports have a last field `leaving`, the start time by upstream of at most 64 that are registered as ready and have said otherwise. A peer applies it to that incarnation only. Unknown, malformed and older starts exclude nothing; a peer that sends no such field is understood.

Measured on virtual time (tests/gateway/test_peering.py): 3, 24 and 96 gateways in two regions know it 1.5 s after one was told, and one that knows the next incarnation already goes on using it.

--- a/bench/gateway_fleet.py
+++ b/bench/gateway_fleet.py
@@ -11,6 +11,7 @@
 from nutmegshore.clock import VirtualClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.crashes import QuarantineDependencies, make_quarantine
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog, LineWriter
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state_sync import PeeringDependencies
@@ -184,10 +185,11 @@
     balancer: Balancer,
     outer: _Outer,
 ) -> PeeringDependencies:
+    state = FleetState(outer.clock)
     quarantine = make_quarantine(
         QuarantineDependencies(
             peers,
-            FleetState(outer.clock),
+            state,
             balancer,
             outer.clock,
             outer.counters,
@@ -202,4 +204,5 @@
         outer.rng,
         outer.counters,
         outer.log,
+        LeavingUpstreams(state, outer.log, outer.counters),
     )
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -255,5 +255,6 @@
             dependencies.rng,
             dependencies.counters,
             dependencies.log,
+            self._assembly.reports.leaving,
         )
         return Peering(peering_dependencies, self._assembly.followers)
--- a/nutmegshore/gateway/leaving.py
+++ b/nutmegshore/gateway/leaving.py
@@ -47,9 +47,13 @@
         if report.is_leaving:
             self._mark(upstream, 'answer')
 
-    def handle_peer(self, upstream: RegisteredUpstream) -> None:
-        """Apply what an answer to another gateway said."""
-        self._mark(upstream, 'peer')
+    def handle_peer(self, instance: str, born_ms: int) -> None:
+        """Apply what an answer to another gateway said of an incarnation."""
+        upstream = self._state.by_id.get(instance)
+        if upstream is None or not born_ms:
+            return
+        if upstream.born_ms == born_ms:
+            self._mark(upstream, 'peer')
 
     def _mark(self, upstream: RegisteredUpstream, source: str) -> None:
         if not self.departures.add(upstream):
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -30,8 +30,8 @@
     a source. `quarantine_digest` covers the requests that are refused
     because they crash upstreams. `shift_counts` holds two counts of requests
     in the last 2 s: those sent within the region, and those sent elsewhere.
-    `traffic` holds, by service, the fields of `ServiceTraffic`, and `limits`
-    what `LimitGossip` packs.
+    `traffic` holds, by service, the fields of `ServiceTraffic`, `limits` what
+    `LimitGossip` packs, and `leaving` what `LeavingGossip` packs.
     """
 
     is_ready: bool
@@ -41,6 +41,7 @@
     shift_counts: list = attrs.field(factory=list)
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -82,8 +83,8 @@
     `ready` names the gateways of the region that accept requests.
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
-    `shift_counts` and `traffic` are summed over the region, and `limits` is
-    what the aggregator knows.
+    `shift_counts` and `traffic` are summed over the region, and `limits` and
+    `leaving` are what the aggregator knows.
     """
 
     ready: list
@@ -93,6 +94,7 @@
     shift_counts: list = attrs.field(factory=list)
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -101,7 +103,7 @@
     """Load of a region, sent to the aggregators of other regions.
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
-    and `limits` is what `LimitGossip` packs.
+    `limits` and `leaving` are what `LimitGossip` and `LeavingGossip` pack.
     """
 
     region: str
@@ -109,3 +111,4 @@
     replicas: dict
     quarantine_digest: int = 0
     limits: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmegshore.gateway.follower import KindFollower
+from nutmegshore.gateway.leaving_gossip import LeavingGossip
 from nutmegshore.gateway.limit_gossip import LimitGossip
 from nutmegshore.gateway.messages import (
     LoadReport,
@@ -50,6 +51,7 @@
         self._load = candidate_builder.load
         self._members = candidate_builder.members
         self._limits = LimitGossip(candidate_builder, dependencies.clock)
+        self._leaving = LeavingGossip(dependencies.leaving)
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
@@ -101,6 +103,7 @@
             self._traffic.shift_counts(),
             self._traffic.own() if is_summed else {},
             self._limits.own(),
+            self._leaving.known(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -123,6 +126,7 @@
             self._traffic.sum_shift_counts(ready),
             self._traffic.sum_services(ready),
             self._limits.known(),
+            self._leaving.known(),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -138,6 +142,7 @@
             self._state_sync.known(),
             self._dependencies.quarantine.digest,
             self._limits.known(),
+            self._leaving.known(),
         )
         for other in regions:
             peers.send_each(peers.aggregators(other), body)
@@ -183,6 +188,7 @@
     ) -> None:
         """Compare what a peer knows with the local state."""
         self._limits.adopt(report.limits)
+        self._leaving.adopt(report.leaving)
         self._state_sync.compare(sender, report.replicas)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -11,6 +11,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import KindFollower
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.messages import StateReply, StateRequest
 from nutmegshore.gateway.roster import Roster
@@ -55,6 +56,7 @@
     rng: random.Random
     counters: Counters
     log: EventLog
+    leaving: LeavingUpstreams
 
 
 class StateSync:
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -12,6 +12,7 @@
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state_sync import PeeringDependencies
@@ -80,6 +81,7 @@
     peers: object
     chooser: object
     limits: object
+    state: FleetState
 
 
 class Fleet(collections.UserDict):
@@ -102,7 +104,7 @@
         clock = VirtualClock()
         peers = network.join(Member(name, region, f'{region}-a'), clock)
         state = FleetState(clock)
-        registered = [upstream('u1')]
+        registered = [upstream('u1', born_ms=1)]
         state.replace_upstreams(registered, is_after_outage=False)
         rng = random.Random(7)
         balancer_dependencies = BalancerDependencies(
@@ -124,6 +126,7 @@
             rng,
             Counters(),
             make_log(clock),
+            LeavingUpstreams(state, make_log(clock), Counters()),
         )
         follower = PlainFollower(clock)
         peering = Peering(dependencies, [follower])
@@ -140,6 +143,7 @@
             peers,
             chooser,
             balancer.candidate_builder.limits,
+            state,
         )
 
     @contextlib.asynccontextmanager
@@ -341,6 +345,31 @@
     assert run_virtual(session) == [{1.5}, {0.5}, {None}]
 
 
+@pytest.mark.parametrize('count', [3, 24, 96])
+def test_leaving_upstreams_are_known_to_all_gateways(
+    run_fleet, upstream, count
+):
+    """Guards against gateways that learn one by one, at the cost of requests
+    refused by an upstream which is leaving; the next incarnation, which one of
+    them knows already, is not excluded."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet, count)
+            await asyncio.sleep(2)
+            fleet['g01'].state.put(upstream('u1', born_ms=2))
+            state = fleet['g02'].state
+            state.departures.add(state.by_id['u1'])
+            await asyncio.sleep(1.5)
+            return [
+                name
+                for name, one in fleet.items()
+                if one.state.usable('orders')
+            ]
+
+    assert run_virtual(session) == ['g01']
+
+
 def test_limits_of_unknown_upstreams_are_dropped(run_fleet):
     """Guards against limits of upstreams that are gone, passed on for ever."""
 
--- a/tests/gateway/test_state_sync.py
+++ b/tests/gateway/test_state_sync.py
@@ -12,6 +12,7 @@
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import FollowerContext, KindFollower, Replica
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.gateway.state_sync import PeeringDependencies
@@ -130,7 +131,8 @@
             FollowerContext(platform, clock, rng, counters, log),
             _DRAIN_S,
         )
-        balancer = Balancer(FleetState(clock), balancer_dependencies)
+        state = FleetState(clock)
+        balancer = Balancer(state, balancer_dependencies)
         quarantine = Quarantine(
             peers,
             clock,
@@ -147,6 +149,7 @@
                 rng,
                 counters,
                 log,
+                LeavingUpstreams(state, log, counters),
             ),
             [follower],
         )
