--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -21,6 +21,7 @@
     'region_away_fraction',
     'region_room',
     'spillover_fraction',
+    'upstream_leaving_by_answer',
     'upstream_limit_age_seconds',
     'upstream_limit_per_second',
     'upstream_limit_share_per_second',
@@ -68,6 +69,7 @@
         self._set_store()
         self._set_peers()
         self._set_upstreams()
+        self._set_leaving()
         self._set_moves()
 
     def _set_configuration(self) -> None:
@@ -127,6 +129,16 @@
                 region=region,
             )
 
+    def _set_leaving(self) -> None:
+        """Set the gauge of upstreams that get nothing while registered."""
+        for upstream in self._sources.state.departures.by_answer_only():
+            self._counters.set_gauge(
+                'upstream_leaving_by_answer',
+                1,
+                upstream=upstream.instance,
+                service=upstream.service,
+            )
+
     def _set_upstream(self, upstream: RegisteredUpstream) -> int:
         """Set the gauges of one upstream; return its free slots."""
         load = self._sources.candidate_builder.load
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -134,3 +134,17 @@
     assert f'nutmegshore_upstream_limit_age_seconds{labels} 2' in shown
     limits.handle_report('u1', UpstreamReport())
     assert not any('upstream_limit' in line for line in _shown(sources))
+
+
+def test_an_upstream_that_leaves_by_answer_is_shown(sources):
+    """Guards against an upstream that gets nothing while the store calls it
+    ready, and on-call cannot see why."""
+    metric = 'nutmegshore_upstream_leaving_by_answer'
+    assert not any(metric in line for line in _shown(sources))
+    sources.state.departures.add(sources.state.by_id['u1'])
+    shown = _shown(sources)
+    assert f'{metric}{{service="orders",upstream="u1"}} 1' in shown
+    room = 'nutmegshore_region_room{region="west",service="orders"}'
+    assert f'{room} 0' in shown
+    sources.state.drop('u1', is_after_outage=False)
+    assert not any(metric in line for line in _shown(sources))
