Test where requests go when all upstreams at home leave

Cause: what happens when every upstream of a service leaves by answer was covered for one region only.

Change: two tests at the balancer.

The move to other regions is not held to the bound on moves, as with upstreams that drain by registration or are gone; that is as before and stays open.

--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -267,3 +267,35 @@
     assert last.remote_upstream == 'n1'
     assert not last.remote_wait_s
     assert not last.away_fraction
+
+
+@pytest.fixture
+def leaving_home(make_state, make_balancer, upstream):
+    """Balancer whose upstream at home is leaving, with one elsewhere."""
+    state = make_state(upstream('w1'), upstream('n1', region='north'))
+    state.departures.add(state.by_id['w1'])
+    return make_balancer(state)
+
+
+def test_requests_go_elsewhere_when_all_at_home_leave(
+    leaving_home, make_request
+):
+    """Guards against requests that are refused, or wait for upstreams that take
+    none, beside a region with room."""
+    choice = leaving_home.choose(make_request('7'))
+    assert choice.upstream.instance == 'n1'
+    assert choice.reason == 'away'
+
+
+def test_homes_hold_when_all_upstreams_there_leave(
+    leaving_home, make_request, route
+):
+    """Guards against HOME: a request that leaves its homes because all
+    upstreams there do; it is refused at once, with a time to return."""
+    request = attrs.evolve(
+        make_request('7'), route=route(homes=frozenset(('west',)))
+    )
+    with pytest.raises(RefusedError) as refused:
+        leaving_home.choose(request)
+    assert refused.value.kind is ErrorKind.NO_UPSTREAM
+    assert 0 < refused.value.retry_after_s < 1
