Check that a refusal which says leaving was heard

Cause: the case `refusal` of test_no_request_follows_an_answer_that_says_leaving stayed green on a scratch copy whose state ignored leaving upstreams: an upstream that refuses gets fewer requests anyway.

Change: the test also asks the state whether the upstream is leaving.

Measured: with refusals ignored (scratch copy) the case is red now; the test passes on this code.

--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -89,6 +89,8 @@
     left, *others = gateway.asked
     assert len(others) >= 8
     assert left not in others
+    state = gateway.context.state
+    assert state.departures.is_leaving(state.by_id[left])
 
 
 def test_another_instances_answer_takes_nothing_out(make_gateway, step):
