Merge upstreams that leave by answer

Cause: upstreams say in their answers that they leave, and nothing read it.

Beside it, pauses are recorded with the incarnation that an answer was asked of, as departures are, so that an answer of an earlier start does not pause the next one; a test covers that.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -78,6 +78,12 @@
         )
         self.replicas = self._make_replicas()
         self.replicas.restores.on_restore.append(self.registry.handle_restore)
+        self.reports = UpstreamReports(
+            self.balancer,
+            self.state,
+            dependencies.log,
+            dependencies.counters,
+        )
         self.context = self._make_context()
 
     def gateway_names(self, region: str) -> list[str]:
@@ -165,12 +171,8 @@
         dependencies = self.dependencies
         dialect = PlatformDialect()
         upstreams = CurlUpstreams(dependencies.clock, dialect)
-        upstreams.on_report = UpstreamReports(
-            self.balancer,
-            self.state,
-            dependencies.log,
-            dependencies.counters,
-        ).record
+        upstreams.on_report = self.reports.record
+        upstreams.on_destination_report = self.reports.record_destination
         return GatewayContext(
             state=self.state,
             balancer=self.balancer,
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -258,5 +258,6 @@
             dependencies.rng,
             dependencies.counters,
             dependencies.log,
+            self._assembly.reports.leaving,
         )
         return Peering(peering_dependencies, self._assembly.replicas.followers)
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -21,6 +21,8 @@
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
     UpstreamJudged,
+    UpstreamLeaving,
+    UpstreamLeavingRejected,
     UpstreamLimitChanged,
     UpstreamLimitRejected,
     UpstreamPauseChanged,
@@ -321,6 +323,8 @@
         RequestAbandoned: 'request_abandoned',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
+        UpstreamLeaving: 'upstream_leaving',
+        UpstreamLeavingRejected: 'upstream_leaving_rejected',
         UpstreamLimitChanged: 'upstream_limit_changed',
         UpstreamLimitRejected: 'upstream_limit_rejected',
         UpstreamPauseChanged: 'upstream_pause_changed',
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -34,9 +34,10 @@
     a source. `quarantine_digest` covers the requests that are refused
     because they crash upstreams. `shift_counts` holds two counts of requests
     in the last 2 s: those sent within the region, and those sent elsewhere.
-    `traffic` holds, by service, the fields of `ServiceTraffic`, and `limits`
-    what `LimitGossip` packs. `eras` holds, by key prefix, the era of the store
-    that the position in `replicas` belongs to.
+    `traffic` holds, by service, the fields of `ServiceTraffic`, `limits` what
+    `LimitGossip` packs, and `leaving` what `LeavingGossip` packs. `eras` holds,
+    by key prefix, the era of the store that the position in `replicas` belongs
+    to.
     """
 
     is_ready: bool
@@ -47,6 +48,7 @@
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -92,8 +94,8 @@
     `ready` names the gateways of the region that accept requests.
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
-    `shift_counts` and `traffic` are summed over the region, `limits` is what
-    the aggregator knows, and `eras` are as in `LoadReport`.
+    `shift_counts` and `traffic` are summed over the region, `limits` and
+    `leaving` are what the aggregator knows, and `eras` are as in `LoadReport`.
     """
 
     ready: list
@@ -104,6 +106,7 @@
     traffic: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -112,7 +115,8 @@
     """Load of a region, sent to the aggregators of other regions.
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
-    `limits` is what `LimitGossip` packs, and `eras` are as in `LoadReport`.
+    `limits` and `leaving` are what `LimitGossip` and `LeavingGossip` pack, and
+    `eras` are as in `LoadReport`.
     """
 
     region: str
@@ -121,3 +125,4 @@
     quarantine_digest: int = 0
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
+    leaving: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/pause_reports.py
+++ b/nutmegshore/gateway/pause_reports.py
@@ -4,6 +4,7 @@
 from nutmegshore.balancing.pause_table import PauseChange
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.gateway.upstream_events import (
     UpstreamPauseChanged,
@@ -23,7 +24,7 @@
     """Gives the pauses that upstreams ask for to the balancer, and logs them.
 
     pauses = PauseReports(balancer, state, log, counters)
-    pauses.record('orders-3', UpstreamReport(pause_s=2.5))
+    pauses.record(upstream, UpstreamReport(pause_s=2.5))
     """
 
     def __init__(
@@ -41,13 +42,16 @@
         self._counters = counters
         self._rejected: dict[str, str] = {}
 
-    def record(self, instance: str, report: UpstreamReport) -> None:
+    def record(
+        self, upstream: RegisteredUpstream, report: UpstreamReport
+    ) -> None:
         """Begin the pause that an answer asks for, unless its time is odd.
 
-        An upstream that is not registered any more gets no requests anyway.
+        An incarnation that is not registered any more gets no requests anyway.
         """
-        upstream = self._state.by_id.get(instance)
-        if upstream is None:
+        instance = upstream.instance
+        registered = self._state.by_id.get(instance)
+        if registered is None or registered.identity != upstream.identity:
             return
         if report.malformed_pause is not None:
             self._reject(instance, upstream.service, report.malformed_pause)
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -11,6 +11,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import KindFollower
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.messages import (
     UNKNOWN_ERA,
@@ -65,6 +66,7 @@
     rng: random.Random
     counters: Counters
     log: EventLog
+    leaving: LeavingUpstreams
 
 
 class StateSync:
--- a/nutmegshore/gateway/upstream_reports.py
+++ b/nutmegshore/gateway/upstream_reports.py
@@ -3,8 +3,10 @@
 from nutmegshore.balancing import Balancer
 from nutmegshore.balancing.limit_table import LimitChange
 from nutmegshore.counters import Counters
+from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.pause_reports import PauseReports
+from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.gateway.upstream_events import (
     UpstreamLimitChanged,
@@ -44,9 +46,10 @@
         self._counters = counters
         self._rejected: dict[str, str] = {}
         self._pauses = PauseReports(balancer, state, log, counters)
+        self.leaving = LeavingUpstreams(state, log, counters)
 
     def record(self, instance: str, report: UpstreamReport) -> None:
-        """Record the load, limit and pause that an answer reports."""
+        """Record the load and the limit that an answer reports."""
         if report.busy is not None:
             self._load.handle_report(instance, report.busy)
         if report.malformed_limit is None:
@@ -54,7 +57,13 @@
         else:
             self._reject(instance, report.malformed_limit)
         self._limits.handle_report(instance, report)
-        self._pauses.record(instance, report)
+
+    def record_destination(
+        self, upstream: RegisteredUpstream, report: UpstreamReport
+    ) -> None:
+        """Record what an answer says of the incarnation it was asked of."""
+        self._pauses.record(upstream, report)
+        self.leaving.record(upstream, report)
 
     def _reject(self, instance: str, text: str) -> None:
         """Count a malformed limit, and log it once while it stays the same."""
--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -34,12 +34,16 @@
 _NOT_RUN = 'not-run'
 _LOAD = 'server-load'
 _LIMIT = 'server-limit'
+_LEAVING = 'server-leaving'
 _SERVICE_UNAVAILABLE = 503
 _MISDIRECTED_REQUEST = 421
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _MAX_DEADLINE_DIGITS = 9
 _LOAD_FIELDS = 3
+_IS_LEAVING = '1'
+_IS_STAYING = '0'
+_LEAVING_TEXTS = frozenset((_IS_STAYING, _IS_LEAVING))
 #: A limit in requests per second, without sign or exponent.
 _RATE = re.compile(r'\d{1,15}(\.\d{1,15})?', re.ASCII)
 #: Seconds of a pause, without sign or exponent.
@@ -140,11 +144,11 @@
         return not is_success or _SERVER_STAMP in head.fields
 
     def read_report(self, head: AnswerHead) -> UpstreamReport | None:
-        """Return the load, rate limit and pause that an answer reports.
+        """Return the state that an answer reports.
 
-        None if another instance has the upstream's address. Upstreams announce
-        that they are leaving in their registration only, and ask for a pause
-        only as they turn a request away.
+        None if another instance has the upstream's address. An upstream may
+        announce that it is leaving here, in its registration, or in both. It
+        asks for a pause only as it turns a request away.
         """
         refusal = self.read_refusal(head)
         if refusal is ErrorKind.UPSTREAM_MOVED:
@@ -153,13 +157,16 @@
         pause = _Decimal()
         if head.status == _SERVICE_UNAVAILABLE:
             pause = _read_decimal(head, RETRY_AFTER.lower(), _SECONDS)
+        leaving = _read_leaving(head)
         return UpstreamReport(
+            is_leaving=leaving == _IS_LEAVING,
             busy=read_load(head),
             max_rate=limit.number,
             malformed_limit=limit.malformed,
             is_refusal=refusal is not None,
             pause_s=pause.number,
             malformed_pause=pause.malformed,
+            malformed_leaving=None if leaving in _LEAVING_TEXTS else leaving,
         )
 
 
@@ -184,5 +191,14 @@
     return _Decimal(float(text))
 
 
+def _read_leaving(head: AnswerHead) -> str:
+    """Return what an answer says about leaving; texts that differ are joined.
+
+    A head without the header says that its upstream stays.
+    """
+    texts = set(_header_values(head, _LEAVING)) or {_IS_STAYING}
+    return ', '.join(sorted(texts))
+
+
 def _header_values(head: AnswerHead, name: str) -> list[str]:
     return [text for key, text in head.headers if key.lower() == name]
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -70,6 +70,7 @@
             dependencies.rng,
             dependencies.counters,
             dependencies.log,
+            assembly.reports.leaving,
         )
         peering = Peering(peering_dependencies, assembly.replicas.followers)
         peering.is_ready = True
--- a/tests/gateway/test_upstream_pauses.py
+++ b/tests/gateway/test_upstream_pauses.py
@@ -81,9 +81,11 @@
 
     def build(upstreams, clock=clock):
         context = make_context(upstreams, clock=clock)
-        upstreams.on_report = UpstreamReports(
+        reports = UpstreamReports(
             context.balancer, context.state, context.log, context.counters
-        ).record
+        )
+        upstreams.on_report = reports.record
+        upstreams.on_destination_report = reports.record_destination
         return Session(context, clock)
 
     return build
--- a/tests/gateway/test_upstream_reports.py
+++ b/tests/gateway/test_upstream_reports.py
@@ -1,5 +1,6 @@
 """Tests of the reports of upstreams and the log of their limits."""
 
+import attrs
 import pytest
 
 from nutmegshore.gateway.upstream_reports import UpstreamReports
@@ -46,8 +47,9 @@
 def test_a_pause_is_logged_from_its_begin_to_its_end(reports, lines, context):
     """Guards against an upstream without requests that the logs do not
     explain, and against a line for each refusal in flight."""
+    upstream = context.state.by_id['u1']
     for _ in range(3):
-        reports.record('u1', UpstreamReport(pause_s=1e9))
+        reports.record_destination(upstream, UpstreamReport(pause_s=1e9))
     context.balancer.candidate_builder.forget('u1')
     found = lines.named('upstream_pause_changed')
     assert [one['change'] for one in found] == ['begun', 'gone']
@@ -61,19 +63,28 @@
     """Guards against a time that is silently ignored, and against a line for
     each refusal of an upstream that goes on sending it between other answers.
     """
+    upstream = context.state.by_id['u1']
     for text in ('nan', 'nan', 'x' * 500):
-        reports.record('u1', UpstreamReport(malformed_pause=text))
-        reports.record('u1', UpstreamReport(busy=1))
+        report = UpstreamReport(malformed_pause=text)
+        reports.record_destination(upstream, report)
+        reports.record_destination(upstream, UpstreamReport(busy=1))
     found = lines.named('upstream_pause_rejected')
     assert [one['text'] for one in found] == ['nan', 'x' * 60]
     metric = 'upstream_pauses_rejected'
     assert context.counters.total(metric, service='orders') == 3
-    upstream = context.state.by_id['u1']
     pauses = context.balancer.candidate_builder.pauses
     assert not pauses.is_paused(upstream)
 
 
-def test_an_upstream_that_is_gone_begins_no_pause(reports, lines):
+def test_an_upstream_that_is_gone_begins_no_pause(reports, lines, upstream):
     """Guards against records of upstreams that are not registered."""
-    reports.record('u9', UpstreamReport(pause_s=60))
+    reports.record_destination(upstream('u9'), UpstreamReport(pause_s=60))
+    assert not lines.lines
+
+
+def test_an_earlier_incarnation_begins_no_pause(reports, lines, context):
+    """Guards against a pause of an upstream that has just started, by an answer
+    that its predecessor under the same id gave."""
+    earlier = attrs.evolve(context.state.by_id['u1'], born_ms=5)
+    reports.record_destination(earlier, UpstreamReport(pause_s=60))
     assert not lines.lines
