Read each object of a store's answer apart from the others

Cause: an answer of the store was parsed as a whole, and only those exceptions were caught that somebody had foreseen. One entry that could not be read decided over the reading of all others.

Change: `json_reader` reads what it can of an answer; a part that cannot be read becomes a typed `Unreadable`, the parts beside it are read. `stored_object` gives an object that cannot be read a body that says why, under its own name, so that replicas, digests and peers handle it like any other; one without a legible name is left out and reported. Numbers are at most 2**53, texts are printable, names have no slashes. A version of an odd entry is logged once, within a bound on lines; the counter `entries_rejected` and the gauge `entries_rejected_now` show the rest.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -24,6 +24,7 @@
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
+    ReplicaContext,
     UpstreamReplica,
 )
 from nutmegshore.gateway.settings import GatewaySettings
@@ -85,13 +86,20 @@
                 dependencies.log,
             ),
         )
-        self.upstreams = UpstreamReplica(
+        self.replica_context = ReplicaContext(
             self.state,
             dependencies.log,
+            dependencies.counters,
+            dependencies.clock,
+        )
+        rejected = self.replica_context.rejected
+        dependencies.store.on_unnamed = rejected.handle_unnamed
+        self.upstreams = UpstreamReplica(
+            self.replica_context,
             settings.regions_by_zone,
             self.balancer.candidate_builder.forget,
         )
-        self.configurations = ConfigurationReplica(self.state, dependencies.log)
+        self.configurations = ConfigurationReplica(self.replica_context)
         self.followers = self._make_followers()
         self.context = self._make_context()
 
@@ -163,7 +171,7 @@
 
     def _make_followers(self) -> tuple[KindFollower, ...]:
         dependencies = self.dependencies
-        evacuations = EvacuationReplica(self.state, dependencies.log)
+        evacuations = EvacuationReplica(self.replica_context)
         replicas = (
             (CONFIGURATION_PREFIX, self.configurations),
             (UPSTREAM_PREFIX, self.upstreams),
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -239,6 +239,7 @@
             assembly.balancer.region_chooser,
             self._peering,
             assembly.followers,
+            assembly.replica_context.rejected,
             lambda: self._forwarder.in_flight,
             self._dependencies.clock,
             self._dependencies.counters,
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -11,12 +11,14 @@
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
+from nutmegshore.gateway.rejected_entries import RejectedEntries
 from nutmegshore.gateway.state import FleetState
 
 __all__ = ('GaugeSources', 'Gauges')
 
 #: Gauges whose series change with upstreams, peers and evacuations.
 _DYNAMIC_GAUGES = (
+    'entries_rejected_now',
     'peer_report_age_seconds',
     'region_away_fraction',
     'region_room',
@@ -38,6 +40,7 @@
     chooser: RegionChooser
     peering: Peering
     followers: tuple[KindFollower, ...]
+    rejected: RejectedEntries
     in_flight: Callable[[], int]
     clock: Clock
     counters: Counters
@@ -93,6 +96,9 @@
                     kind=kind,
                 )
 
+        for kind, count in self._sources.rejected.counts().items():
+            self._counters.set_gauge('entries_rejected_now', count, kind=kind)
+
     def _set_peers(self) -> None:
         for peer, age_s in self._sources.peering.report_ages().items():
             self._counters.set_gauge(
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -2,26 +2,61 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+import attrs
+
+from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformFormatError
 from nutmegshore.gateway.events import (
     ConfigurationAdopted,
     ConfigurationRejected,
-    EntryRejected,
     EvacuationChanged,
 )
 from nutmegshore.gateway.follower import Replica
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
+from nutmegshore.gateway.rejected_entries import RejectedEntries
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.gateway.upstream_events import UpstreamChanged
 from nutmegshore.platform.configuration import (
     CONFIGURATION_KEY,
     parse_configuration,
 )
-from nutmegshore.platform.registration import parse_upstream, parse_zone
+from nutmegshore.platform.registration import (
+    UPSTREAM_PREFIX,
+    parse_upstream,
+    parse_zone,
+)
 from nutmegshore.store import Change, StoredObject
 
-__all__ = ('ConfigurationReplica', 'EvacuationReplica', 'UpstreamReplica')
+__all__ = (
+    'ConfigurationReplica',
+    'EvacuationReplica',
+    'ReplicaContext',
+    'UpstreamReplica',
+)
+
+
+@attrs.frozen
+class ReplicaContext:
+    """Dependencies that the replicas of one gateway share.
+
+    `rejected` holds the entries that cannot be read.
+    """
+
+    state: FleetState
+    log: EventLog
+    counters: Counters
+    clock: Clock
+    rejected: RejectedEntries = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda context: RejectedEntries(
+                context.log, context.counters, context.clock
+            ),
+            takes_self=True,
+        ),
+    )
 
 
 class ConfigurationReplica(Replica):
@@ -30,11 +65,11 @@
     `on_adopted` is called after each change.
     """
 
-    def __init__(self, state: FleetState, log: EventLog) -> None:
+    def __init__(self, context: ReplicaContext) -> None:
         """Start without a configuration."""
         self.on_adopted: Callable[[], None] | None = None
-        self._state = state
-        self._log = log
+        self._state = context.state
+        self._log = context.log
 
     def replace(
         self,
@@ -81,10 +116,10 @@
 class EvacuationReplica(Replica):
     """Replicates the set of evacuated availability zones."""
 
-    def __init__(self, state: FleetState, log: EventLog) -> None:
+    def __init__(self, context: ReplicaContext) -> None:
         """Start without evacuations."""
-        self._state = state
-        self._log = log
+        self._state = context.state
+        self._log = context.log
         self._zones: set[str] = set()
 
     def replace(
@@ -118,17 +153,16 @@
 
     def __init__(
         self,
-        state: FleetState,
-        log: EventLog,
+        context: ReplicaContext,
         regions_by_zone: Mapping[str, str],
         on_gone: Callable[[str], None],
     ) -> None:
         """Call `on_gone` with the name of each removed upstream."""
-        self._state = state
-        self._log = log
+        self._state = context.state
+        self._log = context.log
         self._regions_by_zone = regions_by_zone
         self._on_gone = on_gone
-        self._rejected: dict[str, int] = {}
+        self._rejected = context.rejected
 
     def replace(
         self,
@@ -138,6 +172,7 @@
     ) -> None:
         """Replace all registrations by those of a listing."""
         stored = {one.key: one for one in listed}
+        self._rejected.retain(UPSTREAM_PREFIX, stored)
         parsed = {key: self._parse(one) for key, one in stored.items()}
         found = [upstream for upstream in parsed.values() if upstream]
         before = dict(self._state.by_id)
@@ -153,6 +188,7 @@
         """Apply one registration or its removal."""
         instance = change.key.partition('/')[2]
         if change.stored is None:
+            self._rejected.discard(change.key)
             self._drop(instance, is_after_outage=is_after_outage)
             return
         upstream = self._parse(change.stored)
@@ -180,20 +216,16 @@
 
     def _parse(self, stored: StoredObject) -> RegisteredUpstream | None:
         try:
-            return parse_upstream(
+            upstream = parse_upstream(
                 stored.key,
                 stored.body,
                 self._regions_by_zone,
             )
-        except (PlatformFormatError, ValueError) as failure:
-            self._reject(stored, str(failure))
+        except PlatformFormatError as failure:
+            self._rejected.add(stored, str(failure))
             return None
-
-    def _reject(self, stored: StoredObject, reason: str) -> None:
-        if self._rejected.get(stored.key) == stored.version:
-            return
-        self._rejected[stored.key] = stored.version
-        self._log.write(EntryRejected(stored.key, stored.version, reason))
+        self._rejected.discard(stored.key)
+        return upstream
 
     def _detect_change(
         self, upstream: RegisteredUpstream, revision: int
--- a/nutmegshore/platform/fields.py
+++ b/nutmegshore/platform/fields.py
@@ -3,14 +3,15 @@
 Each reader raises `PlatformFormatError` for a field of another type.
 """
 
-import math
 from typing import Any
 
 from nutmegshore.errors import PlatformFormatError
+from nutmegshore.platform.json_reader import Unreadable
 
 __all__ = (
     'read_boolean',
     'read_integer',
+    'read_name',
     'read_number',
     'read_object',
     'read_string',
@@ -20,6 +21,11 @@
 _JsonObject = dict[str, Any]
 #: Characters of an invalid value that an error message quotes.
 _MAX_EXCERPT = 60
+_MAX_NAME_CHARS = 256
+_MAX_TEXT_CHARS = 4096
+_EXACT_BITS = 53
+#: Largest number that floats and integers of all writers represent exactly.
+_MAX_NUMBER = 2**_EXACT_BITS
 
 
 def read_object(fields: _JsonObject, name: str) -> _JsonObject:
@@ -33,9 +39,17 @@
 
 
 def read_string(fields: _JsonObject, name: str) -> str:
-    """Return a required, non-empty string."""
+    """Return a required string of 1 to 4096 printable characters."""
     raw = fields.get(name)
-    if not (isinstance(raw, str) and raw):
+    if not (_is_text(raw) and raw):
+        raise _invalid_field(name, raw)
+    return raw
+
+
+def read_name(fields: _JsonObject, name: str) -> str:
+    """Return a required name: a short string without slashes."""
+    raw = read_string(fields, name)
+    if len(raw) > _MAX_NAME_CHARS or '/' in raw:
         raise _invalid_field(name, raw)
     return raw
 
@@ -44,7 +58,7 @@
     """Return a list of strings; empty if absent or null."""
     raw = fields.get(name) or []
     is_list = isinstance(raw, list)
-    if not (is_list and all(isinstance(entry, str) for entry in raw)):
+    if not (is_list and all(_is_text(entry) for entry in raw)):
         raise _invalid_field(name, raw)
     return tuple(raw)
 
@@ -53,11 +67,12 @@
     fields: _JsonObject,
     name: str,
     default: float | None = None,
+    most: float = _MAX_NUMBER,
 ) -> float:
-    """Return a finite number, 0 or more; required without a default."""
+    """Return a number from 0 to `most`; required without a default."""
     raw = fields.get(name, default)
     is_number = isinstance(raw, int | float) and not isinstance(raw, bool)
-    if not (is_number and math.isfinite(raw) and raw >= 0):
+    if not (is_number and 0 <= raw <= most):
         raise _invalid_field(name, raw)
     return raw
 
@@ -66,9 +81,10 @@
     fields: _JsonObject,
     name: str,
     default: int | None = None,
+    most: int = _MAX_NUMBER,
 ) -> int:
-    """Return an integer, 0 or more; required without a default."""
-    raw = read_number(fields, name, default)
+    """Return an integer from 0 to `most`; required without a default."""
+    raw = read_number(fields, name, default, most)
     if raw != int(raw):
         raise _invalid_field(name, raw)
     return int(raw)
@@ -82,6 +98,24 @@
     return raw
 
 
+def _is_text(raw: object) -> bool:
+    """Whether this is a string that headers, messages and logs may carry."""
+    is_short = isinstance(raw, str) and len(raw) <= _MAX_TEXT_CHARS
+    return is_short and raw.isprintable()
+
+
 def _invalid_field(name: str, raw: object) -> PlatformFormatError:
-    excerpt = repr(raw)[:_MAX_EXCERPT]
-    return PlatformFormatError(f'{name}: {excerpt}')
+    return PlatformFormatError(f'{name}: {_excerpt(raw)}')
+
+
+def _excerpt(raw: object) -> str:
+    """Describe an invalid value, whatever its size."""
+    if isinstance(raw, Unreadable):
+        return raw.reason
+    if isinstance(raw, str):
+        return repr(raw[:_MAX_EXCERPT])
+    if isinstance(raw, dict | list):
+        return 'an object' if isinstance(raw, dict) else 'an array'
+    if isinstance(raw, int) and abs(raw) > _MAX_NUMBER:
+        return 'a number beyond 2**53'
+    return repr(raw)
--- a/nutmegshore/platform/registration.py
+++ b/nutmegshore/platform/registration.py
@@ -1,13 +1,13 @@
 """Parsers of registered upstreams and of evacuated zones."""
 
 import ipaddress
-import json
 from collections.abc import Mapping
 from typing import Any
 
 from nutmegshore.errors import PlatformFormatError
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.platform import fields
+from nutmegshore.platform.json_reader import read_json
 
 __all__ = (
     'EVACUATION_PREFIX',
@@ -34,7 +34,7 @@
     that is missing or of another type, an unknown state or zone, an invalid
     address.
     """
-    raw = _merge_spec_and_status(json.loads(body))
+    raw = _merge_spec_and_status(read_json(body))
     info = fields.read_object(raw, 'Info')
     status = fields.read_object(raw, 'Status')
     zone = fields.read_string(info, 'Zone')
--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -15,9 +16,18 @@
     HistoryLost,
     PlatformAnswerLost,
     PlatformError,
+    PlatformFormatError,
     PlatformUnavailable,
     VersionConflict,
 )
+from nutmegshore.platform.json_reader import read_parts
+from nutmegshore.platform.stored_object import (
+    BODY,
+    OBJECT_LEVELS,
+    OPERATION,
+    UNKNOWN_REVISION,
+    parse_object,
+)
 from nutmegshore.store.base import (
     WATCH_WAIT_S,
     Change,
@@ -27,6 +37,7 @@
     Listing,
     Platform,
     StoredObject,
+    Unnamed,
 )
 from nutmegshore.store.failures import unanswered
 
@@ -34,12 +45,9 @@
 
 _MAX_CLIENTS = 16
 _MS_PER_S = 1000
-#: Fields around each body that this client writes: the operation id
-#: identifies a write whose answer was lost.
-_OPERATION = 'operation'
-_BODY = 'body'
-_SPEC = 'Spec'
-_STATUS = 'Status'
+#: Levels of an answer whose parts are read apart if the whole is unreadable.
+_LISTING_LEVELS = 2 + OBJECT_LEVELS
+_WATCH_LEVELS = 3 + OBJECT_LEVELS
 #: Statuses that guarantee that the write was not applied.
 _NOT_APPLIED = frozenset(
     (
@@ -49,7 +57,7 @@
         HTTPStatus.NOT_FOUND,
     ),
 )
-_MALFORMED_ERRORS = (ValueError, TypeError, LookupError)
+_MALFORMED_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
 
 
 @attrs.frozen
@@ -97,7 +105,8 @@
         response = await self._fetch(f'/{quote(key)}')
         if response.code == HTTPStatus.NOT_FOUND:
             return None
-        return _parse_object(_kind(key), _parse_read(response, key))
+        raw = _parse_read(response, key, OBJECT_LEVELS)
+        return parse_object(_kind(key), raw)
 
     async def iter_objects(self, prefix: str) -> list[StoredObject]:
         """Read all objects of a kind; the prefix is `KIND/`."""
@@ -117,11 +126,14 @@
         page = await self._read_page(kind, '')
         position = page.position
         listed = list(page.listed)
+        reasons = list(page.unnamed)
         while page.has_more:
             page = await self._read_page(kind, _name(listed[-1].key))
             if not page.listed:
                 raise PlatformUnavailable(f'{kind}: listing does not advance')
             listed.extend(page.listed)
+            reasons.extend(page.unnamed)
+        self.report_unnamed(prefix, Unnamed(tuple(reasons), is_listing=True))
         return Listing(position, tuple(listed))
 
     async def watch(
@@ -141,11 +153,17 @@
             f'/{kind}?{query}',
             request_timeout=wait_s + self._times.call_s,
         )
-        raw = _parse_read(response, kind)
+        raw = _parse_read(response, kind, _WATCH_LEVELS)
         try:
-            return _parse_changes(kind, raw)
+            found = _parse_events(kind, raw['events'])
+            changes = Changes(int(raw['StoreRevision']), found.parsed)
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
+        if found.unnamed:
+            self.report_unnamed(
+                prefix, Unnamed(found.unnamed, is_listing=False)
+            )
+        return changes
 
     async def write(
         self,
@@ -155,11 +173,11 @@
         operation: str,
     ) -> StoredObject:
         """Write if the object is as expected; None expects no object."""
-        spec = {_OPERATION: operation, _BODY: json.loads(body)}
+        spec = {OPERATION: operation, BODY: json.loads(body)}
         metadata: dict[str, Any] = {'Name': _name(key)}
         if expected is not None:
             metadata['Revision'] = expected.version
-        payload = json.dumps({'Metadata': metadata, _SPEC: spec})
+        payload = json.dumps({'Metadata': metadata, 'Spec': spec})
         is_new = expected is None
         try:
             response = await self._send_write(
@@ -172,7 +190,7 @@
             if conflict.present and conflict.present.operation == operation:
                 return conflict.present
             raise
-        return _parse_object(_kind(key), _parse_written(response, key))
+        return parse_object(_kind(key), _parse_written(response, key))
 
     async def remove(self, key: str, expected: Expected) -> None:
         """Remove the object if it is as expected."""
@@ -186,12 +204,14 @@
     async def _read_page(self, kind: str, after: str) -> '_Page':
         query = urlencode({'after': after}) if after else ''
         response = await self._fetch(f'/{kind}?{query}')
-        raw = _parse_read(response, kind)
+        raw = _parse_read(response, kind, _LISTING_LEVELS)
         try:
+            found = _parse_items(kind, raw['items'])
             return _Page(
                 int(raw['StoreRevision']),
-                tuple(_parse_object(kind, entry) for entry in raw['items']),
+                found.parsed,
                 bool(raw.get('HasMore')),
+                found.unnamed,
             )
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
@@ -257,6 +277,15 @@
     position: int
     listed: tuple[StoredObject, ...]
     has_more: bool
+    unnamed: tuple[str, ...]
+
+
+@attrs.frozen
+class _Parsed:
+    """The objects or changes of an answer, and the reasons for the rest."""
+
+    parsed: tuple[Any, ...]
+    unnamed: tuple[str, ...]
 
 
 def _kind(key: str) -> str:
@@ -267,61 +296,68 @@
     return key.partition('/')[2]
 
 
-def _parse_read(response: HTTPResponse, subject: str) -> Any:
+def _parse_read(response: HTTPResponse, subject: str, levels: int) -> Any:
     if response.code == HTTPStatus.GONE:
         raise HistoryLost(subject)
     if response.code != HTTPStatus.OK:
         raise PlatformUnavailable(f'{subject}: status {response.code}')
     try:
-        return json.loads(response.body)
-    except ValueError as failure:
+        return read_parts(response.body, levels)
+    except PlatformFormatError as failure:
         raise PlatformUnavailable(f'{subject}: malformed JSON') from failure
 
 
 def _parse_written(response: HTTPResponse, key: str) -> Any:
     """Parse the answer to a write; if malformed, the outcome is unknown."""
     try:
-        return json.loads(response.body)
-    except ValueError as failure:
+        return read_parts(response.body, OBJECT_LEVELS)
+    except PlatformFormatError as failure:
         raise PlatformAnswerLost(f'{key}: malformed JSON') from failure
 
 
 def _parse_conflicting(key: str, response: HTTPResponse) -> StoredObject | None:
     try:
-        return _parse_object(_kind(key), json.loads(response.body))
-    except _MALFORMED_ERRORS:
+        raw = read_parts(response.body, OBJECT_LEVELS)
+        return parse_object(_kind(key), raw)
+    except PlatformFormatError:
         # The write conflicts even if the present object is unreadable.
         return None
 
 
-def _parse_changes(kind: str, raw: dict[str, Any]) -> Changes:
-    return Changes(
-        int(raw['StoreRevision']),
-        tuple(_parse_change(kind, event) for event in raw['events']),
-    )
-
-
-def _parse_change(kind: str, event: dict[str, Any]) -> Change:
-    stored = _parse_object(kind, event['Object'])
-    return Change(stored.key, None if event.get('Deleted') else stored)
-
-
-def _parse_object(kind: str, raw: dict[str, Any]) -> StoredObject:
-    metadata = raw['Metadata']
-    operation, body = _parse_body(raw.get(_SPEC), raw.get(_STATUS))
-    return StoredObject(
-        key=f'{kind}/{metadata["Name"]}',
-        body=body,
-        uid=str(metadata.get('CreatedAt', '')),
-        version=int(metadata['Revision']),
-        operation=operation,
-    )
+def _parse_items(kind: str, items: list[Any]) -> _Parsed:
+    parsed: list[StoredObject] = []
+    unnamed: list[str] = []
+    for entry in items:
+        try:
+            parsed.append(parse_object(kind, entry))
+        except PlatformFormatError as failure:
+            unnamed.append(str(failure))
+    return _Parsed(tuple(parsed), tuple(unnamed))
 
 
-def _parse_body(spec: Any, status: Any) -> tuple[str, bytes]:
-    if isinstance(spec, dict) and set(spec) == {_OPERATION, _BODY}:
-        return str(spec[_OPERATION]), json.dumps(spec[_BODY]).encode()
-    return '', json.dumps({_SPEC: spec, _STATUS: status}).encode()
+def _parse_events(kind: str, events: list[Any]) -> _Parsed:
+    parsed: list[Change] = []
+    unnamed: list[str] = []
+    for event in events:
+        try:
+            parsed.extend(_iter_changes(kind, event))
+        except PlatformFormatError as failure:
+            unnamed.append(str(failure))
+    return _Parsed(tuple(parsed), tuple(unnamed))
+
+
+def _iter_changes(kind: str, event: Any) -> Iterator[Change]:
+    """Yield the change that an event describes."""
+    if not isinstance(event, dict):
+        raise PlatformFormatError('an event that is no JSON object')
+    stored = parse_object(kind, event.get('Object'))
+    is_removed = bool(event.get('Deleted'))
+    # An object of unknown revision follows a removal, since it would appear
+    # to be older than the one that is known.
+    if is_removed or stored.version == UNKNOWN_REVISION:
+        yield Change(stored.key, None)
+    if not is_removed:
+        yield Change(stored.key, stored)
 
 
 def _status_error(key: str, status: int) -> PlatformError:
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -1,6 +1,7 @@
 """Interface of the platform's object API."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 
@@ -15,6 +16,7 @@
     'ListingPage',
     'Platform',
     'StoredObject',
+    'Unnamed',
 )
 
 MAX_BODY_BYTES = 1_000_000
@@ -90,6 +92,17 @@
     listed: tuple[StoredObject, ...]
 
 
+@attrs.frozen
+class Unnamed:
+    """Why objects of an answer were left out: one reason for each.
+
+    `is_listing` says whether the answer had all objects of the kind.
+    """
+
+    reasons: tuple[str, ...]
+    is_listing: bool
+
+
 @attrs.frozen
 class ListedInstance:
     """An instance in the platform's list, which lags behind its changes."""
@@ -107,8 +120,19 @@
     Every call can raise `PlatformUnavailable`: it had no effect. A write or
     removal can also raise `PlatformAnswerLost`, when its effect is unknown,
     and `VersionConflict`.
+
+    An object that cannot be read is delivered with a body that is not JSON;
+    one without a legible name is left out. `on_unnamed` is then called with
+    the prefix and the reasons, and after each listing without any.
     """
 
+    on_unnamed: Callable[[str, Unnamed], None] | None = None
+
+    def report_unnamed(self, prefix: str, unnamed: Unnamed) -> None:
+        """Call `on_unnamed` if it is set."""
+        if self.on_unnamed is not None:
+            self.on_unnamed(prefix, unnamed)
+
     @abc.abstractmethod
     async def read(self, key: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -56,6 +56,7 @@
         RegionChooser(dependencies, lambda request, candidate: True),
         peering,
         (follower,),
+        types.SimpleNamespace(counts=lambda: {'servers/': 2}),
         lambda: 3,
         clock,
         Counters(),
@@ -79,6 +80,7 @@
     assert shown >= {
         'nutmegshore_configuration_age_seconds 0.5',
         'nutmegshore_configuration_version 7',
+        'nutmegshore_entries_rejected_now{kind="servers/"} 2',
         'nutmegshore_peer_report_age_seconds{peer="g2"} 0.2',
         'nutmegshore_region_room{region="north",service="orders"} 3',
         'nutmegshore_region_room{region="west",service="orders"} 1',
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -5,9 +5,11 @@
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
+    ReplicaContext,
     UpstreamReplica,
 )
 from nutmegshore.gateway.state import FleetState
@@ -41,11 +43,10 @@
         self.state = FleetState(VirtualClock())
         self.gone = []
         zones = {'west-a': 'west'}
-        self.upstreams = UpstreamReplica(
-            self.state, log, zones, self.gone.append
-        )
-        self.configurations = ConfigurationReplica(self.state, log)
-        self.evacuations = EvacuationReplica(self.state, log)
+        context = ReplicaContext(self.state, log, Counters(), VirtualClock())
+        self.upstreams = UpstreamReplica(context, zones, self.gone.append)
+        self.configurations = ConfigurationReplica(context)
+        self.evacuations = EvacuationReplica(context)
         self.state.replace_evacuated(())
 
     def change(self, stored):
