Use no upstream at an address that no connection can have

Cause: an entry's port was any run of digits and its address any IP number, slots and the rest of a cold start had no upper bound, and 0 slots counted as 1.

Any other entry is rejected like one that cannot be read.

Measured: on ports 0, 65536 and one of 5,000 digits, leading zeros, IPv6 without and with a zone id, 0.0.0.0, 0 and 1e9 slots and a cold start of 1e30 s were taken into use, in a listing, in a watch and in place of a good entry (`in use: ['i-1', 'i-2', 'i-odd']`).

--- a/nutmegshore/platform/registration.py
+++ b/nutmegshore/platform/registration.py
@@ -1,6 +1,7 @@
 """Parsers of registered upstreams and of evacuated zones."""
 
 import ipaddress
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -21,6 +22,14 @@
 
 _READY = 'ready'
 _DRAINING = 'draining'
+_PORT = re.compile('[1-9][0-9]{0,4}')
+_MAX_PORT = 65_535
+#: Characters of an invalid address that an error message quotes.
+_MAX_ADDRESS_CHARS = 60
+#: Requests that an upstream can run at once; more would draw all traffic.
+_MAX_SLOTS = 1_000_000
+#: Seconds of the longest cold start, a day.
+_MAX_COLD_S = 86_400
 
 
 def parse_upstream(
@@ -30,9 +39,9 @@
 ) -> RegisteredUpstream:
     """Parse one registration.
 
-    Raises `PlatformFormatError` for an entry that no upstream writes: a field
-    that is missing or of another type, an unknown state or zone, an invalid
-    address.
+    Raises `PlatformFormatError`, and nothing else, for an entry that no
+    upstream writes: a field that is missing, of another type or out of range,
+    an unknown state or zone, an address that no connection can have.
     """
     raw = _merge_spec_and_status(read_json(body))
     info = fields.read_object(raw, 'Info')
@@ -41,14 +50,14 @@
     if zone not in regions_by_zone:
         raise PlatformFormatError(f'Zone: {zone}')
     return RegisteredUpstream(
-        instance=key.removeprefix(UPSTREAM_PREFIX),
+        instance=_read_instance(key),
         service=fields.read_string(info, 'Service'),
         address=_read_address(raw),
         availability_zone=zone,
         region=regions_by_zone[zone],
-        slots=max(fields.read_integer(info, 'Slots'), 1),
+        slots=_read_slots(info),
         is_draining=_read_state(status) == _DRAINING,
-        cold_left_s=fields.read_number(status, 'ColdLeftS', 0),
+        cold_left_s=fields.read_number(status, 'ColdLeftS', 0, _MAX_COLD_S),
         born_ms=fields.read_integer(raw, 'born', 0),
     )
 
@@ -76,13 +85,38 @@
     return state
 
 
+def _read_instance(key: str) -> str:
+    """Return the name of the entry, which requests carry in a header."""
+    instance = key.removeprefix(UPSTREAM_PREFIX)
+    if not instance.isascii() or ' ' in instance:
+        raise PlatformFormatError('Name: not ASCII')
+    return fields.read_name({'Name': instance}, 'Name')
+
+
+def _read_slots(info: dict[str, Any]) -> int:
+    slots = fields.read_integer(info, 'Slots', most=_MAX_SLOTS)
+    if not slots:
+        raise PlatformFormatError('Slots: 0')
+    return slots
+
+
 def _read_address(raw: dict[str, Any]) -> str:
+    """Return the address, IP:port; the platform has IPv4 only."""
     address = fields.read_string(raw, 'Addr')
     host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as failure:
-        raise PlatformFormatError(f'Addr: {address}') from failure
-    if not (port.isascii() and port.isdecimal()):
-        raise PlatformFormatError(f'Addr: {address}')
+    if not _is_host(host) or not _is_port(port):
+        shown = address[:_MAX_ADDRESS_CHARS]
+        raise PlatformFormatError(f'Addr: {shown!r}')
     return address
+
+
+def _is_host(text: str) -> bool:
+    try:
+        host = ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return not (host.is_unspecified or host.is_multicast or host.is_reserved)
+
+
+def _is_port(text: str) -> bool:
+    return _PORT.fullmatch(text) is not None and int(text) <= _MAX_PORT
