Reject a configuration with any odd part as a whole

Cause: `parse_configuration` raised AttributeError, TypeError or OverflowError for parts of another type, and the replica caught only some of these: the task that follows the configuration ended. `int` also took versions such as `0_c`, `+c` and ones of any length, after which no later version is newer.

Change: the parser raises `PlatformFormatError` and nothing else, before anything is adopted; a version is 1 to 16 hexadecimal digits; names of routes and services are printable.

--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -92,7 +92,7 @@
         previous = self._state.configuration
         try:
             found = parse_configuration(stored.body)
-        except (PlatformFormatError, ValueError, TypeError) as failure:
+        except PlatformFormatError as failure:
             self._reject(stored, str(failure))
             return
         if not self._state.adopt(found):
--- a/nutmegshore/platform/configuration.py
+++ b/nutmegshore/platform/configuration.py
@@ -1,6 +1,6 @@
 """Parser of the operator's configuration, a JSON object in the store."""
 
-import json
+import re
 from types import MappingProxyType
 from typing import Any
 
@@ -14,6 +14,7 @@
     ServiceShare,
 )
 from nutmegshore.platform import fields
+from nutmegshore.platform.json_reader import read_json
 
 __all__ = ('CONFIGURATION_KEY', 'CONFIGURATION_PREFIX', 'parse_configuration')
 
@@ -21,33 +22,42 @@
 CONFIGURATION_KEY = 'config/main'
 
 _VERSION_BASE = 16
+#: Versions fit into 64 bits.
+_VERSION = re.compile('[0-9a-fA-F]{1,16}')
 
 
 def parse_configuration(body: bytes) -> Configuration:
     """Parse the object at `CONFIGURATION_KEY`.
 
-    Raises `PlatformFormatError` for a required field that is missing and for
-    most invalid ones, and `ValueError` for a body that is not JSON. A value
-    of the wrong JSON type can raise `AttributeError` or `TypeError` instead.
+    Raises `PlatformFormatError`, and nothing else, for a body that is not
+    JSON, a required field that is missing, and any field that is invalid.
     """
-    spec = fields.read_object(json.loads(body), 'Spec')
+    raw = read_json(body)
+    if not isinstance(raw, dict):
+        raise PlatformFormatError('not a JSON object')
+    spec = fields.read_object(raw, 'Spec')
     routes = fields.read_object(spec, 'Routes')
     services = fields.read_object(spec, 'Services')
     return Configuration(
         version=_parse_version(fields.read_string(spec, 'Version')),
-        routes=tuple(_parse_route(*pair) for pair in routes.items()),
+        routes=tuple(
+            _parse_route(name, fields.read_object(routes, name))
+            for name in fields.read_names(routes)
+        ),
         services=MappingProxyType(
-            {name: _parse_rules(raw) for name, raw in services.items()},
+            {
+                name: _parse_rules(fields.read_object(services, name))
+                for name in fields.read_names(services)
+            },
         ),
         limits=_parse_limits(fields.read_object(spec, 'Limits')),
     )
 
 
 def _parse_version(text: str) -> int:
-    try:
-        return int(text, _VERSION_BASE)
-    except ValueError as failure:
-        raise PlatformFormatError(f'Version: {text}') from failure
+    if _VERSION.fullmatch(text) is None:
+        raise PlatformFormatError(f'Version: {text}')
+    return int(text, _VERSION_BASE)
 
 
 def _parse_route(name: str, raw: dict[str, Any]) -> Route:
@@ -74,7 +84,7 @@
 
 
 def _parse_shares(raw: dict[str, Any]) -> tuple[ServiceShare, ...]:
-    split = raw.get('TrafficSplit')
+    split = fields.read_objects(raw, 'TrafficSplit')
     if not split:
         return (ServiceShare(fields.read_string(raw, 'Service')),)
     return tuple(
--- a/nutmegshore/platform/fields.py
+++ b/nutmegshore/platform/fields.py
@@ -12,8 +12,10 @@
     'read_boolean',
     'read_integer',
     'read_name',
+    'read_names',
     'read_number',
     'read_object',
+    'read_objects',
     'read_string',
     'read_strings',
 )
@@ -38,6 +40,23 @@
     return raw
 
 
+def read_objects(fields: _JsonObject, name: str) -> tuple[_JsonObject, ...]:
+    """Return a list of JSON objects; empty if absent or null."""
+    raw = fields.get(name) or []
+    is_list = isinstance(raw, list)
+    if not (is_list and all(isinstance(entry, dict) for entry in raw)):
+        raise _invalid_field(name, raw)
+    return tuple(raw)
+
+
+def read_names(fields: _JsonObject) -> tuple[str, ...]:
+    """Return the keys of a table, each of them a printable string."""
+    for name in fields:
+        if not (_is_text(name) and name):
+            raise _invalid_field('name', name)
+    return tuple(fields)
+
+
 def read_string(fields: _JsonObject, name: str) -> str:
     """Return a required string of 1 to 4096 printable characters."""
     raw = fields.get(name)
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -104,6 +104,52 @@
         parse_configuration(_configuration(**changes))
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'Routes': {'r1': 'x'}},
+        {'Routes': {'r1': None}},
+        {'Routes': [7]},
+        {'Routes': {'': dict(_ROUTE)}},
+        {'Routes': {'\ud800': dict(_ROUTE)}},
+        {'Routes': {'r1': {**_ROUTE, 'TrafficSplit': 7}}},
+        {'Routes': {'r1': {**_ROUTE, 'TrafficSplit': ['x']}}},
+        {'Routes': {'r1': {**_ROUTE, 'TrafficSplit': {'a': 1}}}},
+        {'Routes': {'r1': {**_ROUTE, 'TimeoutS': 10**400}}},
+        {'Routes': {'r1': {**_ROUTE, 'TimeoutS': float('inf')}}},
+        {'Routes': {'r1': {**_ROUTE, 'Priority': 10**400}}},
+        {'Routes': {'r1': {**_ROUTE, 'Host': 'a\n'}}},
+        {'Routes': {'r1': {**_ROUTE, 'HomeRegions': [{}]}}},
+        {'Services': {'orders': []}},
+        {'Services': {'orders': 'x'}},
+        {'Services': {'orders': {'MaxConns': 1e400}}},
+        {'Limits': 'x'},
+        {'Limits': {'MaxBodyBytes': 10**400}},
+        {'Version': '+c'},
+        {'Version': '0x0c'},
+        {'Version': '0_c'},
+        {'Version': '\u0663'},
+        {'Version': 'f' * 17},
+    ],
+)
+def test_an_odd_part_rejects_the_whole_configuration(changes):
+    """Guards against LOST: a configuration with a part of another type ended
+    the task that follows it."""
+    spec = json.loads(_configuration())['Spec'] | changes
+    with pytest.raises(PlatformFormatError):
+        parse_configuration(json.dumps({'Spec': spec}).encode())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'7', b'null', b'"x"', b'[]', b'x', b'{"Spec":%s}' % (b'9' * 5000)],
+)
+def test_a_body_that_is_no_object_is_rejected(body):
+    """Guards against LOST: such a body ended the task that read it."""
+    with pytest.raises(PlatformFormatError):
+        parse_configuration(body)
+
+
 def test_a_registration_is_parsed():
     """Guards against reading a field from the wrong object."""
     found = parse_upstream('servers/i-1', _entry(), _ZONES)
