Start a gateway's task again after an exception

What operators saw: a process that follows nothing any more and looks alive. An exception that nobody had foreseen ended the task of a follower, of the reports or of the registration, and only a restart of the process brought it back.

Cause: `OwnedTasks` logged and counted such an end, outside the event log, and left the task gone.

Change: a gateway keeps its tasks: one that fails starts again after 0.5 s, doubled up to 30 s while it keeps failing. Each failure is an event `task_restarted` and counted in `task_restarts`; the gauge `tasks_failing` is 1 while a task waits. A follower lists anew, since the run that failed may have applied a part of an answer.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -19,13 +19,13 @@
 from nutmegshore.gateway.responder import GatewayResponder
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.gauges import GaugeSources, Gauges
+from nutmegshore.gateway.kept_tasks import KeptTasks
 from nutmegshore.gateway.log import EventLog, LineWriter
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state_sync import PeeringDependencies
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.status_pages import StatusPages
 from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
-from nutmegshore.peers.tasks import OwnedTasks
 from nutmegshore.platform.store import PlatformStore
 from nutmegshore.store import Platform
 
@@ -94,7 +94,9 @@
         self._listener = ListenerContext(
             self._make_responder, dependencies.counters
         )
-        self._tasks = OwnedTasks('gateway', dependencies.counters)
+        self._tasks = KeptTasks(
+            dependencies.clock, dependencies.counters, dependencies.log
+        )
         self._pages: list[CallerServer] = []
         self._callers: CallerServer | None = None
 
@@ -173,11 +175,14 @@
     def _spawn_tasks(self) -> None:
         assembly = self._assembly
         for follower in assembly.followers:
-            self._tasks.spawn(follower.run())
-            self._tasks.spawn(follower.run_checks())
-        self._tasks.spawn(assembly.registry.run(assembly.peers))
-        self._tasks.spawn(self._peering.run())
-        self._tasks.spawn(self._expire_missing())
+            prefix = follower.prefix
+            self._tasks.keep(f'follow {prefix}', follower.run)
+            self._tasks.keep(f'check {prefix}', follower.run_checks)
+        self._tasks.keep(
+            'register', lambda: assembly.registry.run(assembly.peers)
+        )
+        self._tasks.keep('report', self._peering.run)
+        self._tasks.keep('expire', self._expire_missing)
 
     async def _drain_callers(self, ends_at: float) -> None:
         remaining_s = max(ends_at - self._dependencies.clock.now(), 0)
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -39,6 +39,7 @@
     'Stopping',
     'StoreLost',
     'StoreRegained',
+    'TaskRestarted',
     'fields_of',
 )
 
@@ -310,6 +311,17 @@
     fault: str
 
 
+@attrs.frozen
+class TaskRestarted:
+    """A task failed, and starts again after `pause_s`."""
+
+    severity = Severity.CHANGE
+
+    task: str
+    reason: str
+    pause_s: float
+
+
 @attrs.frozen
 class LinesDropped:
     """Numbers of lines dropped since the last such event."""
@@ -345,6 +357,7 @@
         Stopping: 'stopping',
         Stopped: 'stopped',
         SettingsReloaded: 'settings_reloaded',
+        TaskRestarted: 'task_restarted',
         LinesDropped: 'lines_dropped',
     },
 )
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -96,6 +96,8 @@
 
     async def run(self) -> None:
         """List and watch until cancelled."""
+        # A run that failed may have applied only a part of an answer.
+        self._needs_listing = True
         while True:
             await self._watches_store.wait()
             try:
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -181,6 +181,35 @@
     ]
 
 
+def test_a_follower_that_failed_follows_again(run_gateway, lines, monkeypatch):
+    """Guards against LOST: a follower that an exception ended was gone until
+    the gateway was restarted."""
+    read_listing = PlatformStore.read_listing
+    failures = iter(range(3))
+
+    async def fail_first(client, prefix):
+        if next(failures, None) is not None:
+            raise RecursionError('odd')
+        return await read_listing(client, prefix)
+
+    monkeypatch.setattr(PlatformStore, 'read_listing', fail_first)
+
+    async def session():
+        async with run_gateway() as (daemon, _):
+            await daemon.start()
+            received = await _talk(daemon.caller_port, _REQUEST)
+            assert received.startswith(b'HTTP/1.1 200 ')
+            await daemon.stop()
+
+    asyncio.run(asyncio.wait_for(session(), 20))
+    restarted = {line['task'] for line in lines.named('task_restarted')}
+    assert restarted == {
+        'follow config/',
+        'follow servers/',
+        'follow evacuations/',
+    }
+
+
 def test_a_gateway_without_a_store_is_not_ready(run_gateway):
     """Guards against a gateway that takes requests before it knows any
     configuration, and against one that never recovers."""
--- /dev/null
+++ b/tests/peers/test_tasks.py
@@ -0,0 +1,69 @@
+"""Tests of tasks that a component owns."""
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
+from nutmegshore.peers.tasks import OwnedTasks
+
+_HOUR_S = 3600
+
+
+class Failing:
+    """Work that fails some times and then goes on."""
+
+    def __init__(self, clock, failures):
+        self.starts = 0
+        self._clock = clock
+        self._failures = failures
+
+    async def run(self):
+        self.starts += 1
+        if self.starts <= self._failures:
+            raise RecursionError('odd')
+        await self._clock.sleep(_HOUR_S)
+
+
+@pytest.mark.parametrize('failures', [1, 3])
+def test_a_task_that_fails_starts_again(failures):
+    """Guards against LOST: an exception that nobody had foreseen ended a task
+    until the process was restarted."""
+
+    async def session():
+        clock = VirtualClock()
+        counters = Counters()
+        tasks = OwnedTasks('gateway', counters)
+        work = Failing(clock, failures)
+        seen = []
+        tasks.spawn_kept(
+            'follow', work.run, clock, lambda *failed: seen.append(failed)
+        )
+        await clock.sleep(0.1)
+        assert counters.gauges['tasks_failing', (('task', 'follow'),)] == 1
+        await clock.sleep(10)
+        assert work.starts == failures + 1
+        assert counters.gauges['tasks_failing', (('task', 'follow'),)] == 0
+        assert counters.total('task_restarts', task='follow') == failures
+        assert {name for name, _, _ in seen} == {'follow'}
+        assert len(seen) == failures
+        await tasks.stop()
+
+    run_virtual(session)
+
+
+def test_a_task_that_always_fails_is_paused():
+    """Guards against a failing task that uses the whole processor."""
+
+    async def session():
+        clock = VirtualClock()
+        tasks = OwnedTasks('gateway', Counters())
+        work = Failing(clock, _HOUR_S)
+        tasks.spawn_kept('follow', work.run, clock, lambda *failed: None)
+        await clock.sleep(_HOUR_S)
+        assert 100 < work.starts < 150
+        await tasks.stop()
+        stopped_at = work.starts
+        await clock.sleep(_HOUR_S)
+        assert work.starts == stopped_at
+
+    run_virtual(session)
