Let a message that its handler can't read cost only itself

Cause: handlers of peers' messages ran in the task of the link that the message came by. An exception ended that task and the link, for a relayed message even the link of the gateway that only passed it on.

Change: the mesh delivers through `GuardedDelivery`, which counts a failed message in `message_failures` by type and logs the first of each type.

Measured: tests/peers/test_mesh.py -k costs_no_link failed on (`assert 0 == 2`, no counter) and passes now: no link is opened anew.

--- a/nutmegshore/peers/mesh.py
+++ b/nutmegshore/peers/mesh.py
@@ -15,6 +15,7 @@
 from nutmegshore.peers.link import Transport
 from nutmegshore.peers.link_manager import LinkManager
 from nutmegshore.peers.membership import MemberRecord, State
+from nutmegshore.peers.message_failures import GuardedDelivery
 from nutmegshore.peers.prober import PROBE_INTERVAL_S
 from nutmegshore.peers.seeds import SeedReader, SeedSource
 
@@ -61,7 +62,7 @@
             transport,
             options,
             self._gossip.send_full_state,
-            self.deliver,
+            GuardedDelivery(self.deliver, self.components.counters),
         )
         self._subscribe_handlers()
 
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -7,6 +7,7 @@
 
 from nutmegshore.clock import run_virtual
 from nutmegshore.peers import message, process_of, prober
+from nutmegshore.peers.messages import Relay
 from nutmegshore.peers.suspicion import SUSPICION_TIMEOUT_S
 
 
@@ -44,6 +45,35 @@
         assert all(name in links[other] for other in others)
 
 
+def test_a_message_that_fails_costs_no_link(net):
+    """Guards against LOST: a message that its handler could not read, or a
+    relayed one that was malformed, ended the link that it came by."""
+
+    def fail(sender, note):
+        if note.text == 'odd':
+            raise OverflowError('odd')
+        notes.append(note.text)
+
+    notes = []
+
+    async def session():
+        net.start_many(3)
+        await asyncio.sleep(8)
+        net.meshes['m00'].subscribe(_Note, fail)
+        opened = net.totals('links_opened')
+        sender = net.meshes['m01']
+        sender.send('m00', _Note('odd'))
+        sender.send('m00', Relay('m02', 1, 'm00', '', 0, b'malformed'))
+        sender.send('m00', _Note('good'))
+        await asyncio.sleep(2)
+        assert net.total('m00', 'message_failures') == 2
+        assert net.totals('links_opened') == opened
+        assert not net.failures()
+
+    run_virtual(session)
+    assert notes == ['good']
+
+
 @pytest.mark.parametrize('count', [9, 30])
 def test_each_message_comes_once_to_those_it_is_for(net, count):
     """Guards against forwarding that repeats, loses or leaks messages."""
