Reject bounds that are not finite numbers of 0 or more

Cause: `float` reads nan, inf and negative numbers, and so did the reader of the bounds; the limit of the log took inf.

Change: such a value is a fault of the settings, at the start and at a reload, where the old settings stay; the message names the bound.

Measured: 10 of the 11 new cases of tests/gateway/test_settings.py failed before (DID NOT RAISE, or a message without the name of the bound).

--- a/nutmegshore/gateway/settings.py
+++ b/nutmegshore/gateway/settings.py
@@ -2,6 +2,7 @@
 
 import configparser
 import ipaddress
+import math
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -73,7 +74,7 @@
 
 def _read_amount(raw: str) -> float:
     amount = float(raw)
-    if not amount >= 0:
+    if not (math.isfinite(amount) and amount >= 0):
         raise ValueError(raw)
     return amount
 
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -1,5 +1,6 @@
 """Bounds that the platform's settings define."""
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -52,15 +53,23 @@
 def parse_bounds(texts_by_name: Mapping[str, str]) -> Bounds:
     """Parse the known settings; ignore others and default absent ones.
 
-    Raises `PlatformFormatError` for a value that is not a number.
+    Raises `PlatformFormatError` for a value that is not a finite number of 0
+    or more.
     """
+    return Bounds(
+        **{
+            field: _parse_bound(setting, texts_by_name[setting])
+            for field, setting in _SETTING_NAMES
+            if setting in texts_by_name
+        },
+    )
+
+
+def _parse_bound(setting: str, text: str) -> float:
     try:
-        return Bounds(
-            **{
-                field: float(texts_by_name[setting])
-                for field, setting in _SETTING_NAMES
-                if setting in texts_by_name
-            },
-        )
+        bound = float(text)
     except ValueError as failure:
-        raise PlatformFormatError(f'bounds: {failure}') from failure
+        raise PlatformFormatError(f'{setting}: {text}') from failure
+    if not (math.isfinite(bound) and bound >= 0):
+        raise PlatformFormatError(f'{setting}: {text}')
+    return bound
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -82,3 +82,26 @@
     """Guards against a half-written file that is taken for an empty one."""
     with pytest.raises(SettingsError):
         read_settings('NodeName: x')
+
+
+@pytest.mark.parametrize(
+    'text', ['nan', 'inf', '-inf', '-1', '1e400', '', 'x', 'nan ']
+)
+def test_a_bound_that_bounds_nothing_is_a_fault(text):
+    """Guards against a bound of nan or inf, which no comparison reaches, and
+    against a negative one, which stops a gateway at once."""
+    filled = _fill(_TEMPLATE).replace('GraceS = 7', f'GraceS = {text}')
+    assert filled != _fill(_TEMPLATE)
+    with pytest.raises(SettingsError, match='GraceS'):
+        read_settings(filled)
+
+
+@pytest.mark.parametrize('text', ['nan', 'inf', '1e400'])
+def test_an_amount_that_is_no_number_is_a_fault(text):
+    """Guards against a log without a limit."""
+    section = f'[log]\nbytes_per_s = {text}\n'
+    filled = re.sub(r'\[log\]\n[^[]*', section, _fill(_TEMPLATE))
+    if section not in filled:
+        filled = f'{filled}\n{section}'
+    with pytest.raises(SettingsError, match='bytes_per_s'):
+        read_settings(filled)
