Ignore an evacuation whose key names no zone

Cause: the key of an evacuation was taken as a zone, whatever it was. With the reader of objects an evacuation whose body cannot be read still arrives under its name; nothing tested that it holds.

Change: `parse_zone` rejects a key that cannot be a name; the others hold. `is_address` stands on its own, for the entries of gateways.

--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -130,13 +130,14 @@
     ) -> None:
         """Replace all evacuations by those of a listing."""
         stored = tuple(listed)
-        self._zones = {parse_zone(one.key) for one in stored}
+        zones = (_find_zone(one.key) for one in stored)
+        self._zones = {zone for zone in zones if zone}
         self._apply(max((one.version for one in stored), default=0))
 
     def change(self, change: Change, *, is_after_outage: bool) -> None:
         """Apply the start or the end of one evacuation."""
-        zone = parse_zone(change.key)
-        if change.stored is None:
+        zone = _find_zone(change.key)
+        if change.stored is None or not zone:
             self._zones.discard(zone)
         else:
             self._zones.add(zone)
@@ -148,6 +149,14 @@
             self._log.write(EvacuationChanged(zones, revision))
 
 
+def _find_zone(key: str) -> str:
+    """Return the zone that an evacuation names; '' if it names none."""
+    try:
+        return parse_zone(key)
+    except PlatformFormatError:
+        return ''
+
+
 class UpstreamReplica(Replica):
     """Replicates the registered upstreams; rejects invalid entries."""
 
--- a/nutmegshore/platform/registration.py
+++ b/nutmegshore/platform/registration.py
@@ -13,6 +13,7 @@
 __all__ = (
     'EVACUATION_PREFIX',
     'UPSTREAM_PREFIX',
+    'is_address',
     'parse_upstream',
     'parse_zone',
 )
@@ -63,8 +64,11 @@
 
 
 def parse_zone(key: str) -> str:
-    """Return the availability zone that an evacuation key names."""
-    return key.removeprefix(EVACUATION_PREFIX)
+    """Return the availability zone that an evacuation key names.
+
+    Raises `PlatformFormatError` for a key that cannot name a zone.
+    """
+    return fields.read_name({'key': key.removeprefix(EVACUATION_PREFIX)}, 'key')
 
 
 def _merge_spec_and_status(raw: Any) -> dict[str, Any]:
@@ -103,13 +107,18 @@
 def _read_address(raw: dict[str, Any]) -> str:
     """Return the address, IP:port; the platform has IPv4 only."""
     address = fields.read_string(raw, 'Addr')
-    host, _, port = address.rpartition(':')
-    if not _is_host(host) or not _is_port(port):
+    if not is_address(address):
         shown = address[:_MAX_ADDRESS_CHARS]
         raise PlatformFormatError(f'Addr: {shown!r}')
     return address
 
 
+def is_address(text: str) -> bool:
+    """Whether a text is the IPv4 address of a host with a port."""
+    host, _, port = text.rpartition(':')
+    return _is_host(host) and _is_port(port)
+
+
 def _is_host(text: str) -> bool:
     try:
         host = ipaddress.IPv4Address(text)
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -163,3 +163,19 @@
         assert made.names() == {'i-1'}
 
     run_virtual(session)
+
+
+def test_an_evacuation_whose_body_is_odd_holds(kept):
+    """Guards against sending requests to a zone whose evacuation cannot be
+    read, and against one that names no zone and hides the others."""
+
+    async def session():
+        made = kept()
+        made.change(_entry('i-1', 5))
+        odd = StoredObject('evacuations/west-a', b'[[', '', 0, '')
+        unnamed = StoredObject('evacuations/', b'{}', '', 7, '')
+        made.evacuations.replace([unnamed, odd], is_after_outage=False)
+        assert made.state.evacuated == {'west-a'}
+        assert not made.names()
+
+    run_virtual(session)
