Dial only addresses that a gateway's entry can have

Cause: whatever stood under `address` in an entry of a gateway was turned into text and dialled; a port beyond 65535 raises OverflowError there, which the dialler does not expect.

Change: the entry is read as typed fields, and one whose address is not IPv4:port names no gateway.

--- a/nutmegshore/gateway/registry.py
+++ b/nutmegshore/gateway/registry.py
@@ -11,11 +11,15 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import PlatformError, VersionConflict
 from nutmegshore.peers import Peers
+from nutmegshore.platform import fields
+from nutmegshore.platform.json_reader import read_json
+from nutmegshore.platform.registration import is_address
 from nutmegshore.store import Expected, Platform, StoredObject, make_operation
 
 __all__ = ('Registry', 'RegistryDependencies')
 
 _PREFIX = 'gateways/'
+_BODY = 'body'
 _MIN_RETRY_S = 0.3
 _MAX_RETRY_S = 2
 #: Least seconds between two sweeps for entries of dead instances.
@@ -134,7 +138,10 @@
 
 
 def _address(stored: StoredObject) -> str:
+    """Return the peer address in an entry; '' if it names none."""
     try:
-        return str(json.loads(stored.body)['address'])
-    except (ValueError, LookupError, TypeError):
+        body = fields.read_object({_BODY: read_json(stored.body)}, _BODY)
+        address = fields.read_string(body, 'address')
+    except PlatformError:
         return ''
+    return address if is_address(address) else ''
