Check a peer's report before any of it is kept

Cause: the types inside a report's maps and lists were not checked. A handler kept a part before it raised, or kept all, and the task that sends this gateway's own reports ended on it later.

Fields that later versions add to a list are not looked at. State replies remain unchecked.

All 15 are dropped whole now (tests/gateway/test_peering.py -k odd_report). The cost of the checks was not measured.

--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -10,6 +10,7 @@
     RegionLoadReport,
 )
 from nutmegshore.gateway.region_traffic import RegionTraffic
+from nutmegshore.gateway.report_checks import check_report
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.state_sync import (
     REPORT_INTERVAL_S,
@@ -152,12 +153,14 @@
         }
 
     def _handle_report(self, sender: str, report: LoadReport) -> None:
+        check_report(report)
         self.roster.record_contact(sender, is_ready=report.is_ready)
         self._load.handle_peer_counts(sender, report.in_flight)
         self._traffic.handle_report(sender, report)
         self._compare(sender, report)
 
     def _handle_summary(self, sender: str, summary: LoadSummary) -> None:
+        check_report(summary)
         peers = self._dependencies.peers
         local = peers.local.name
         others = [name for name in summary.ready if name != local]
@@ -169,6 +172,7 @@
         self._compare(sender, summary)
 
     def _handle_region(self, sender: str, report: RegionLoadReport) -> None:
+        check_report(report)
         if (
             self._dependencies.peers.local.name
             in self._dependencies.peers.aggregators()
--- /dev/null
+++ b/nutmegshore/gateway/report_checks.py
@@ -0,0 +1,74 @@
+"""Checks of what reports of peers contain, before any of it is kept."""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from nutmegshore.balancing.service_traffic import ServiceTraffic
+from nutmegshore.errors import ErrorKind, LinkError
+from nutmegshore.gateway.messages import (
+    LoadReport,
+    LoadSummary,
+    RegionLoadReport,
+)
+
+__all__ = ('check_report',)
+
+#: Position, digest and age of a replica; more may follow.
+_MIN_REPLICA_FIELDS = 3
+#: Rate and age of a limit; more may follow.
+_MIN_LIMIT_FIELDS = 2
+_TRAFFIC_FIELDS = len(attrs.fields(ServiceTraffic))
+#: Integers in messages have at most this many bits.
+_NUMBER_BITS = 64
+_MAX_NUMBER = 2**_NUMBER_BITS
+
+
+def check_report(report: LoadReport | LoadSummary | RegionLoadReport) -> None:
+    """Raise `LinkError` if a field has a part of another type.
+
+    Fields that later versions add to a list are not looked at.
+    """
+    _check_counts(report.in_flight)
+    _check_lists(report.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
+    _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
+    if isinstance(report, RegionLoadReport):
+        return
+    _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
+    _check_numbers(report.shift_counts)
+    if isinstance(report, LoadSummary):
+        _check(all(isinstance(name, str) for name in report.ready), 'ready')
+
+
+def _check_counts(by_name: Mapping[Any, Any]) -> None:
+    _check_names(by_name)
+    for count in by_name.values():
+        _check(isinstance(count, int) and _is_number(count), 'a count')
+
+
+def _check_lists(by_name: Mapping[Any, Any], least: int, known: int) -> None:
+    """Check lists of `least` or more fields, of which `known` are read."""
+    _check_names(by_name)
+    for numbers in by_name.values():
+        _check(isinstance(numbers, list) and len(numbers) >= least, 'a list')
+        _check_numbers(numbers[:known])
+
+
+def _check_numbers(numbers: list[Any]) -> None:
+    _check(all(_is_number(number) for number in numbers), 'a number')
+
+
+def _check_names(by_name: Mapping[Any, Any]) -> None:
+    _check(all(isinstance(name, str) for name in by_name), 'a name')
+
+
+def _is_number(raw: Any) -> bool:
+    is_number = isinstance(raw, int | float)
+    return is_number and math.isfinite(raw) and abs(raw) < _MAX_NUMBER
+
+
+def _check(is_valid: object, subject: str) -> None:
+    if not is_valid:
+        raise LinkError(ErrorKind.MALFORMED_FRAME, f'{subject} expected')
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -11,7 +11,8 @@
 from nutmegshore.balancing import Balancer, BalancerDependencies
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
-from nutmegshore.errors import ErrorKind
+from nutmegshore.errors import ErrorKind, LinkError
+from nutmegshore.gateway.messages import LoadReport, LoadSummary
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state_sync import PeeringDependencies
@@ -191,6 +192,44 @@
     assert checks <= 2 * 30 / bound_s
 
 
+@pytest.mark.parametrize(
+    'odd',
+    [
+        LoadReport(True, {'u1': 'x'}, {}),
+        LoadReport(True, {'u1': float('nan')}, {}),
+        LoadReport(True, {'u1': 10**30}, {}),
+        LoadReport(True, {7: 1}, {}),
+        LoadReport(True, {}, {_PREFIX: 7}),
+        LoadReport(True, {}, {_PREFIX: [1, 2]}),
+        LoadReport(True, {}, {_PREFIX: [1, 2, float('inf')]}),
+        LoadReport(True, {}, {}, 0, ['x', 1]),
+        LoadReport(True, {}, {}, 0, [], {'orders': 'x'}),
+        LoadReport(True, {}, {}, 0, [], {'orders': [{}]}),
+        LoadReport(True, {}, {}, 0, [], {}, {'u1': [1]}),
+        LoadReport(True, {}, {}, 0, [], {}, {'u1': [[], 1]}),
+        LoadReport(True, {}, {}, 0, [], {}, {'u1': [float('nan'), 1]}),
+        LoadSummary([{}], {}, {}),
+        LoadSummary(['g2'], {'u1': None}, {}),
+    ],
+    ids=str,
+)
+def test_an_odd_report_of_a_peer_is_dropped_whole(run_fleet, odd):
+    """Guards against LOST: what a peer's report had of another type was kept,
+    and ended the task that sends this gateway's reports later on."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            await asyncio.sleep(1)
+            with pytest.raises(LinkError):
+                fleet['g1'].peers.deliver('g3', odd)
+            await asyncio.sleep(70)
+            assert not fleet['g1'].task.done()
+            assert fleet['g1'].peering.roster.is_ready('g3') is False
+            assert 'g3' not in fleet['g1'].peering.report_ages()
+
+    run_virtual(session)
+
+
 def test_others_check_where_the_first_has_no_store(run_fleet):
     """Guards against a fleet that relies on a gateway without the store."""
 
