Merge readers that odd entries do not stop

Cause: one odd entry stopped the reading of all others.

Changes of one answer are applied one after the other again: a removal before an object without a legible revision makes room for it.

--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -45,13 +45,11 @@
         """Apply changes; return those that are not outdated."""
         is_same_era = changes.era == self.position.era
         self._move_to(changes.read_at)
-        applied = [
-            change
-            for change in changes.changes
-            if not (is_same_era and self._is_outdated(change))
-        ]
-        for change in applied:
-            self._apply_change(change)
+        applied: list[Change] = []
+        for change in changes.changes:
+            if not (is_same_era and self._is_outdated(change)):
+                self._apply_change(change)
+                applied.append(change)
         self._prune()
         return applied
 
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -10,6 +10,7 @@
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
+    ReplicaContext,
     UpstreamReplica,
 )
 from nutmegshore.gateway.settings import GatewaySettings
@@ -41,15 +42,20 @@
     ) -> None:
         """Build the replicas; `on_gone` gets the name of a removed upstream."""
         log = context.log
-        self.configurations = ConfigurationReplica(state, log)
+        replica_context = ReplicaContext(
+            state, log, context.counters, context.clock
+        )
+        self.rejected = replica_context.rejected
+        context.store.on_unnamed = self.rejected.handle_unnamed
+        self.configurations = ConfigurationReplica(replica_context)
         self.upstreams = UpstreamReplica(
-            state, log, settings.regions_by_zone, on_gone
+            replica_context, settings.regions_by_zone, on_gone
         )
         bounds = _bounds_by_prefix(settings)
         replicas = (
             (CONFIGURATION_PREFIX, self.configurations),
             (UPSTREAM_PREFIX, self.upstreams),
-            (EVACUATION_PREFIX, EvacuationReplica(state, log)),
+            (EVACUATION_PREFIX, EvacuationReplica(replica_context)),
         )
         # Operators may take as long to repeat an evacuation as it may take to
         # begin; upstreams register again sooner.
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -1,6 +1,7 @@
 """Interface of the platform's object API."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 
@@ -18,6 +19,7 @@
     'Platform',
     'StorePosition',
     'StoredObject',
+    'Unnamed',
 )
 
 MAX_BODY_BYTES = 1_000_000
@@ -125,6 +127,17 @@
         return StorePosition(self.era, self.position)
 
 
+@attrs.frozen
+class Unnamed:
+    """Why objects of an answer were left out: one reason for each.
+
+    `is_listing` says whether the answer had all objects of the kind.
+    """
+
+    reasons: tuple[str, ...]
+    is_listing: bool
+
+
 @attrs.frozen
 class ListedInstance:
     """An instance in the platform's list, which lags behind its changes."""
@@ -142,9 +155,19 @@
     Every call can raise `PlatformUnavailable`: it had no effect. A write or
     removal can also raise `PlatformAnswerLost`, when its effect is unknown,
     and `VersionConflict`. `eras` is None for a store that is never restored.
+
+    An object that cannot be read is delivered with a body that is not JSON;
+    one without a legible name is left out. `on_unnamed` is then called with
+    the prefix and the reasons, and after each listing without any.
     """
 
     eras: StoreEras | None = None
+    on_unnamed: Callable[[str, Unnamed], None] | None = None
+
+    def report_unnamed(self, prefix: str, unnamed: Unnamed) -> None:
+        """Call `on_unnamed` if it is set."""
+        if self.on_unnamed is not None:
+            self.on_unnamed(prefix, unnamed)
 
     @abc.abstractmethod
     async def read(self, key: str) -> StoredObject | None:
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -5,9 +5,11 @@
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.counters import Counters
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
+    ReplicaContext,
     UpstreamReplica,
 )
 from nutmegshore.gateway.state import FleetState
@@ -41,11 +43,10 @@
         self.state = FleetState(VirtualClock())
         self.gone = []
         zones = {'west-a': 'west'}
-        self.upstreams = UpstreamReplica(
-            self.state, log, zones, self.gone.append
-        )
-        self.configurations = ConfigurationReplica(self.state, log)
-        self.evacuations = EvacuationReplica(self.state, log)
+        context = ReplicaContext(self.state, log, Counters(), VirtualClock())
+        self.upstreams = UpstreamReplica(context, zones, self.gone.append)
+        self.configurations = ConfigurationReplica(context)
+        self.evacuations = EvacuationReplica(context)
         self.state.replace_evacuated(())
 
     def change(self, stored):
@@ -162,3 +163,19 @@
         assert made.names() == {'i-1'}
 
     run_virtual(session)
+
+
+def test_an_evacuation_whose_body_is_odd_holds(kept):
+    """Guards against sending requests to a zone whose evacuation cannot be
+    read, and against one that names no zone and hides the others."""
+
+    async def session():
+        made = kept()
+        made.change(_entry('i-1', 5))
+        odd = StoredObject('evacuations/west-a', b'[[', '', 0, '')
+        unnamed = StoredObject('evacuations/', b'{}', '', 7, '')
+        made.evacuations.replace([unnamed, odd], is_after_outage=False)
+        assert made.state.evacuated == {'west-a'}
+        assert not made.names()
+
+    run_virtual(session)
