Show what a gateway sends to cold upstreams

Change: the event upstream_cold_used, at most one line an upstream and 5 s, with the rest of the cold time, the rate, and the gateways that are visible and recent; the counter cold_requests_total. No decision changes.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -37,13 +37,17 @@
     """A request in flight at an upstream.
 
     `token` identifies it in the `LatencyTable`; `was_handled` says whether
-    the upstream had handled the request's object before.
+    the upstream had handled the request's object before. `is_cold` says
+    whether the upstream was cold, `is_first_cold` whether it got no request of
+    this gateway for some seconds while cold.
     """
 
     choice: Choice
     request: RoutingRequest
     token: int
     was_handled: bool
+    is_cold: bool = False
+    is_first_cold: bool = False
 
 
 class Balancer:
@@ -94,10 +98,10 @@
         """Count a request that is about to be sent."""
         candidate_builder = self.candidate_builder
         name = choice.upstream.instance
-        if self._state.is_cold(name):
-            candidate_builder.cold_start.acquire(
-                name, candidate_builder.cold_rate(request.service)
-            )
+        is_cold = self._state.is_cold(name)
+        is_first_cold = is_cold and candidate_builder.cold_start.acquire(
+            name, candidate_builder.cold_rate(request.service)
+        )
         candidate_builder.limit_shares.acquire(choice.upstream)
         candidate_builder.load.get(name).in_flight += 1
         is_away = choice.upstream.region != self._region
@@ -109,7 +113,9 @@
         if request.key:
             # An upstream is warm once it starts the work, not at its end.
             candidate_builder.affinity.record(name, request.key)
-        return InFlightRequest(choice, request, token, was_handled)
+        return InFlightRequest(
+            choice, request, token, was_handled, is_cold, is_first_cold
+        )
 
     def end(self, sent: InFlightRequest, result: AttemptResult) -> float:
         """Record the end of an attempt.
--- a/nutmegshore/balancing/cold_start.py
+++ b/nutmegshore/balancing/cold_start.py
@@ -1,5 +1,6 @@
 """Rate limit for upstreams that have just started."""
 
+import math
 from collections.abc import Collection
 
 from nutmegshore.balancing.affinity import rank_by_hash
@@ -14,6 +15,8 @@
 #: Fraction of the rate that is used. The rest covers clock drift, and requests
 #: that arrive later than they were sent.
 _USED_FRACTION = 0.9
+#: Seconds without a request after which the next one counts as the first.
+_UNUSED_S = 5
 
 
 class ColdStartLimiter:
@@ -31,6 +34,7 @@
         self._clock = clock
         self._local = local
         self._buckets: dict[str, TokenBucket] = {}
+        self._used_at: dict[str, float] = {}
 
     def is_sender(
         self,
@@ -52,13 +56,21 @@
         """Return whether one more request may be sent now."""
         return self._refill(instance, rate).tokens >= 1
 
-    def acquire(self, instance: str, rate: float) -> None:
-        """Consume the token of a request that is sent."""
+    def acquire(self, instance: str, rate: float) -> bool:
+        """Consume the token of a request that is sent.
+
+        Returns whether it is the first for some seconds.
+        """
         self._refill(instance, rate).take()
+        now = self._clock.now()
+        used_at = self._used_at.get(instance, -math.inf)
+        self._used_at[instance] = now
+        return now - used_at > _UNUSED_S
 
     def forget(self, instance: str) -> None:
         """Drop a removed upstream."""
         self._buckets.pop(instance, None)
+        self._used_at.pop(instance, None)
 
     def _refill(self, instance: str, rate: float) -> TokenBucket:
         now = self._clock.now()
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -13,7 +13,7 @@
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.request import AttemptRecord, RoutedRequest
-from nutmegshore.gateway.upstream_events import UpstreamJudged
+from nutmegshore.gateway.upstream_events import UpstreamColdUsed, UpstreamJudged
 from nutmegshore.listener.headers import upstream_headers
 from nutmegshore.platform.dialect import (
     write_caller_headers,
@@ -72,6 +72,8 @@
         in_flight = self._context.balancer.begin(
             self._routing_request, self._choice
         )
+        if in_flight.is_cold:
+            self._record_cold(is_first=in_flight.is_first_cold)
         try:
             head = await self._send(answer, is_last=is_last)
         except RequestError as failure:
@@ -161,6 +163,26 @@
             reason=self._choice.reason,
         )
 
+    def _record_cold(self, *, is_first: bool) -> None:
+        upstream = self._choice.upstream
+        service = self._routing_request.service
+        self._context.counters.add('cold_requests', service=service)
+        if not is_first:
+            return
+        candidate_builder = self._context.balancer.candidate_builder
+        members = candidate_builder.members
+        region = members.sender_region(upstream.region)
+        left_s = self._context.state.cold_left_s(upstream.instance)
+        event = UpstreamColdUsed(
+            upstream.instance,
+            service,
+            round(left_s, 3),
+            candidate_builder.cold_rate(service),
+            len(members.names(region)),
+            members.count(region),
+        )
+        self._context.log.write(event)
+
     def _log_avoided(self, avoided_s: float) -> None:
         upstream = self._choice.upstream
         health = self._context.balancer.candidate_builder.health
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -13,6 +13,7 @@
 from nutmegshore.gateway.severity import Severity
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
+    UpstreamColdUsed,
     UpstreamJudged,
     UpstreamLimitChanged,
     UpstreamLimitRejected,
@@ -330,6 +331,7 @@
         RequestAbandoned: 'request_abandoned',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
+        UpstreamColdUsed: 'upstream_cold_used',
         UpstreamLimitChanged: 'upstream_limit_changed',
         UpstreamLimitRejected: 'upstream_limit_rejected',
         RequestJudged: 'request_judged',
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -144,7 +144,11 @@
 
     def is_cold(self, instance: str) -> bool:
         """Whether an upstream is still in its cold-start period."""
-        return self.cold_until.get(instance, 0) > self._clock.now()
+        return self.cold_left_s(instance) > 0
+
+    def cold_left_s(self, instance: str) -> float:
+        """Seconds for which an upstream stays cold, or 0."""
+        return max(self.cold_until.get(instance, 0) - self._clock.now(), 0)
 
     def _forget(self, instance: str) -> None:
         self._missing_since.pop(instance, None)
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'UpstreamChanged',
+    'UpstreamColdUsed',
     'UpstreamJudged',
     'UpstreamLimitChanged',
     'UpstreamLimitRejected',
@@ -26,6 +27,25 @@
     revision: int
 
 
+@attrs.frozen
+class UpstreamColdUsed:
+    """This gateway sends to a cold upstream, the first time for some seconds.
+
+    `cold_left_s` is how long it stays cold, `max_rate` the requests per second
+    that it accepts from all gateways together. `visible` of the `recent`
+    gateways that may send to it are seen at present.
+    """
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    cold_left_s: float
+    max_rate: float
+    visible: int
+    recent: int
+
+
 @attrs.frozen
 class UpstreamJudged:
     """An upstream gets fewer or more requests because of its answers."""
--- a/tests/balancing/test_cold_start.py
+++ b/tests/balancing/test_cold_start.py
@@ -90,3 +90,18 @@
                 balancer.end(attempt, _ANSWERED)
                 sent.append(clock.now())
     assert max(_count(sent, start) for start in sent) <= 1.5 * 5 + 5
+
+
+def test_the_first_request_at_a_cold_upstream_is_marked(
+    make_state, make_balancer, make_request, upstream, clock
+):
+    """Guards against LOST without a trace: no line or metric told which
+    gateways had sent to a cold upstream, and whether they knew."""
+    balancer = make_balancer(make_state(upstream('u1', cold_left_s=60)))
+    sent = []
+    for pause_s in (2, 2, 7):
+        clock.advance(pause_s)
+        request = make_request()
+        sent.append(balancer.begin(request, balancer.choose(request)))
+    assert all(one.is_cold for one in sent)
+    assert [one.is_first_cold for one in sent] == [True, False, True]
