Choose the senders of cold upstreams among recent gateways

What callers saw: a cold upstream got more requests than its rate allows.

Cause: each gateway chose the senders from those that it saw at the moment. One that had just started saw only itself and sent everywhere. Where all gateways of a region had vanished, the choice was among none, and took that for a fleet too small to choose from: all gateways of the other regions sent.

Change: the choice is among the gateways of the last 30 s, so that all views agree; a gateway sends to no cold upstream in its first 3 s; the gateways of all regions are noted, not only those of the own. The price: the part of dead senders is unused for up to 30 s, and after a restart of all gateways cold upstreams get nothing for 3 s.

--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -184,13 +184,17 @@
         rate = self.cold_rate(request.service)
         if not (rate and self._state.is_cold(name)):
             return True
-        region = self.members.sender_region(upstream.region)
-        is_sender = self.cold_start.is_sender(
-            name,
-            self.members.names(region),
-            self.members.visible_fraction(region),
+        return self._is_cold_sender(upstream) and self.cold_start.has_token(
+            name, rate
         )
-        return is_sender and self.cold_start.has_token(name, rate)
+
+    def _is_cold_sender(self, upstream: RegisteredUpstream) -> bool:
+        """Return whether this gateway may send to an upstream while cold."""
+        if self.members.is_joining:
+            return False
+        region = self.members.sender_region(upstream.region)
+        gateways = self.members.recent_names(region)
+        return self.cold_start.is_sender(upstream.instance, gateways)
 
     def _evaluate(
         self,
--- a/nutmegshore/balancing/cold_start.py
+++ b/nutmegshore/balancing/cold_start.py
@@ -25,8 +25,11 @@
     Each cold upstream has at most four senders, chosen by rendezvous hashing
     among the gateways of its region, or among all gateways if its region has
     none. Each sender uses a quarter of the rate with a burst of one request,
-    so that a second holds at most the rate plus one request per sender. A
-    gateway that sees only some of the others still uses at most a quarter.
+    so that a second holds at most the rate plus one request per sender.
+
+    The choice includes gateways that vanished lately: they may be cut off and
+    alive, and then choose the same senders. If they are dead, their part
+    of the rate stays unused for a while.
     """
 
     def __init__(self, clock: Clock, local: str) -> None:
@@ -36,21 +39,13 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._used_at: dict[str, float] = {}
 
-    def is_sender(
-        self,
-        instance: str,
-        gateways: Collection[str],
-        visible_fraction: float = 1,
-    ) -> bool:
+    def is_sender(self, instance: str, gateways: Collection[str]) -> bool:
         """Return whether this gateway may send to the upstream while cold.
 
-        `visible_fraction` is the fraction of the recent gateways that are among
-        `gateways`: the others may be cut off and send as well.
+        `gateways` are those that were seen lately, whether or not they are
+        visible now.
         """
-        senders = max(round(_MAX_SENDERS * visible_fraction), 1)
-        if len(gateways) <= senders:
-            return True
-        return self._local in rank_by_hash(instance, gateways)[:senders]
+        return self._local in rank_by_hash(instance, gateways)[:_MAX_SENDERS]
 
     def has_token(self, instance: str, rate: float) -> bool:
         """Return whether one more request may be sent now."""
--- a/nutmegshore/balancing/recent_members.py
+++ b/nutmegshore/balancing/recent_members.py
@@ -13,6 +13,9 @@
 _REMEMBERED_S = 30
 #: Seconds for which a list of gateways is used.
 _REFRESH_S = 0.25
+#: Seconds after its start in which a gateway may not know the others yet. They
+#: may all have started together, while the store was away.
+_JOINING_S = 3
 
 
 @attrs.define
@@ -40,6 +43,12 @@
         self._clock = clock
         self._gateways = gateways
         self._by_region: dict[str, _Region] = {}
+        self._started_at = clock.now()
+
+    @property
+    def is_joining(self) -> bool:
+        """Whether this gateway has just started and may not know the others."""
+        return self._clock.now() - self._started_at < _JOINING_S
 
     def observe(self, region: str) -> None:
         """Note the gateways of a region; call this every few seconds."""
@@ -49,6 +58,14 @@
         """Return the gateways of a region, as seen at most 0.25 s ago."""
         return self._read(region).names
 
+    def recent_names(self, region: str) -> Collection[str]:
+        """Return the gateways of a region that were seen in the last 30 s.
+
+        Both sides of a partition return the same ones, but for those that one
+        of them has not met before.
+        """
+        return self._read(region).last_seen.keys()
+
     def count(self, region: str) -> int:
         """Return how many gateways were seen in the last 30 s."""
         return len(self._read(region).last_seen)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -197,5 +197,5 @@
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
         # Gateways that vanish in a partition must have been seen before.
-        for region in (self._dependencies.peers.local.region, ''):
+        for region in ('', *self._dependencies.peers.regions()):
             self._members.observe(region)
