--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -45,7 +45,9 @@
 
     `token` identifies it in the `LatencyTable`; `was_handled` says whether
     the upstream had handled the request's object before. `trial` is set if its
-    answer may end a pause of the upstream.
+    answer may end a pause of the upstream. `is_cold` says whether the upstream
+    was cold, `is_first_cold` whether it got no request of this gateway for some
+    seconds while cold.
     """
 
     choice: Choice
@@ -53,6 +55,8 @@
     token: int
     was_handled: bool
     trial: Trial | None = None
+    is_cold: bool = False
+    is_first_cold: bool = False
 
 
 class Balancer:
@@ -107,10 +111,10 @@
         """Count a request that is about to be sent."""
         candidate_builder = self.candidate_builder
         name = choice.upstream.instance
-        if self._state.is_cold(name):
-            candidate_builder.cold_start.acquire(
-                name, candidate_builder.cold_rate(request.service)
-            )
+        is_cold = self._state.is_cold(name)
+        is_first_cold = is_cold and candidate_builder.cold_start.acquire(
+            name, candidate_builder.cold_rate(request.service)
+        )
         candidate_builder.limit_shares.acquire(choice.upstream)
         candidate_builder.load.get(name).in_flight += 1
         is_away = choice.upstream.region != self._region
@@ -122,8 +126,15 @@
         if request.key:
             # An upstream is warm once it starts the work, not at its end.
             candidate_builder.affinity.record(name, request.key)
-        trial = candidate_builder.pauses.start_trial(choice.upstream)
-        return InFlightRequest(choice, request, token, was_handled, trial)
+        return InFlightRequest(
+            choice,
+            request,
+            token,
+            was_handled,
+            candidate_builder.pauses.start_trial(choice.upstream),
+            is_cold,
+            is_first_cold,
+        )
 
     def end(self, sent: InFlightRequest, result: AttemptResult) -> float:
         """Record the end of an attempt.
--- a/nutmegshore/balancing/cold_start.py
+++ b/nutmegshore/balancing/cold_start.py
@@ -1,5 +1,6 @@
 """Rate limit for upstreams that have just started."""
 
+import math
 from collections.abc import Collection
 
 from nutmegshore.balancing.affinity import rank_by_hash
@@ -14,6 +15,8 @@
 #: Fraction of the rate that is used. The rest covers clock drift, and requests
 #: that arrive later than they were sent.
 _USED_FRACTION = 0.9
+#: Seconds without a request after which the next one counts as the first.
+_UNUSED_S = 5
 
 
 class ColdStartLimiter:
@@ -22,8 +25,11 @@
     Each cold upstream has at most four senders, chosen by rendezvous hashing
     among the gateways of its region, or among all gateways if its region has
     none. Each sender uses a quarter of the rate with a burst of one request,
-    so that a second holds at most the rate plus one request per sender. A
-    gateway that sees only some of the others still uses at most a quarter.
+    so that a second holds at most the rate plus one request per sender.
+
+    The choice includes gateways that vanished lately: they may be cut off and
+    alive, and then choose the same senders. If they are dead, their part
+    of the rate stays unused for a while.
     """
 
     def __init__(self, clock: Clock, local: str) -> None:
@@ -31,34 +37,35 @@
         self._clock = clock
         self._local = local
         self._buckets: dict[str, TokenBucket] = {}
+        self._used_at: dict[str, float] = {}
 
-    def is_sender(
-        self,
-        instance: str,
-        gateways: Collection[str],
-        visible_fraction: float = 1,
-    ) -> bool:
+    def is_sender(self, instance: str, gateways: Collection[str]) -> bool:
         """Return whether this gateway may send to the upstream while cold.
 
-        `visible_fraction` is the fraction of the recent gateways that are among
-        `gateways`: the others may be cut off and send as well.
+        `gateways` are those that were seen lately, whether or not they are
+        visible now.
         """
-        senders = max(round(_MAX_SENDERS * visible_fraction), 1)
-        if len(gateways) <= senders:
-            return True
-        return self._local in rank_by_hash(instance, gateways)[:senders]
+        return self._local in rank_by_hash(instance, gateways)[:_MAX_SENDERS]
 
     def has_token(self, instance: str, rate: float) -> bool:
         """Return whether one more request may be sent now."""
         return self._refill(instance, rate).tokens >= 1
 
-    def acquire(self, instance: str, rate: float) -> None:
-        """Consume the token of a request that is sent."""
+    def acquire(self, instance: str, rate: float) -> bool:
+        """Consume the token of a request that is sent.
+
+        Returns whether it is the first for some seconds.
+        """
         self._refill(instance, rate).take()
+        now = self._clock.now()
+        used_at = self._used_at.get(instance, -math.inf)
+        self._used_at[instance] = now
+        return now - used_at > _UNUSED_S
 
     def forget(self, instance: str) -> None:
         """Drop a removed upstream."""
         self._buckets.pop(instance, None)
+        self._used_at.pop(instance, None)
 
     def _refill(self, instance: str, rate: float) -> TokenBucket:
         now = self._clock.now()
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -20,6 +20,7 @@
 )
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
+    UpstreamColdUsed,
     UpstreamJudged,
     UpstreamLeaving,
     UpstreamLeavingRejected,
@@ -337,6 +338,7 @@
         UpstreamJudged: 'upstream_judged',
         UpstreamLeaving: 'upstream_leaving',
         UpstreamLeavingRejected: 'upstream_leaving_rejected',
+        UpstreamColdUsed: 'upstream_cold_used',
         UpstreamLimitChanged: 'upstream_limit_changed',
         UpstreamLimitRejected: 'upstream_limit_rejected',
         UpstreamPauseChanged: 'upstream_pause_changed',
