Take no aggregator of an older era for the store

What was seen, in a review: after a restore in the middle of a rolling update, gateways that knew the new era were held for good by aggregators that name none.

Cause: such an aggregator still counted as a source, so that its gateways did not watch the store themselves, and its positions were older, so that they asked it for nothing.

Change: an aggregator is a source only if its era is not older.

Result: test_old_aggregators_do_not_hold_new_gateways_back[3] and [6] failed before (gateways stay at configuration 2) and pass; they come with the tests of the review.

--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -140,7 +140,7 @@
             position = follower.known.locate(revision, eras.get(prefix))
             self._record_check(prefix, age_s)
             if is_aggregator and any(source_flags):
-                self._source_seen_at[prefix] = self._dependencies.clock.now()
+                self._record_source(follower, position)
             if not follower.is_relayed:
                 self._compare_one(sender, follower, position, digest)
             elif is_aggregator:
@@ -166,6 +166,17 @@
         before = self._checked_at.get(prefix, checked_at)
         self._checked_at[prefix] = max(before, checked_at)
 
+    def _record_source(
+        self, follower: KindFollower, position: StorePosition
+    ) -> None:
+        """Record that an aggregator follows the store.
+
+        One that has not noticed the last restore is no source.
+        """
+        if position.era >= follower.known.position.era:
+            now = self._dependencies.clock.now()
+            self._source_seen_at[follower.prefix] = now
+
     def _compare_one(
         self,
         sender: str,
