List again when a listing is asked for during another

What was seen, in a review: a listing that a restore asked for while another hung was dropped, and the watch of the lost history stayed.

Cause: the request was cleared after the listing, with those that came meanwhile.

Change: it is cleared before.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -115,6 +115,8 @@
         """
         while True:
             await self._check_requested.wait()
+            # Cleared first: a request during the listing is for another one.
+            self._check_requested.clear()
             try:
                 await self._list()
             except PlatformError:
@@ -123,7 +125,6 @@
                     'store_checks_failed', kind=self.prefix
                 )
                 await self._context.clock.sleep(_CHECK_RETRY_S)
-            self._check_requested.clear()
 
     def check(self) -> None:
         """Request a listing in addition to the watch."""
