Keep to the latest start of an upstream over a restore

Cause: what an aggregator's own listing changed at the restore reached others as changes and was taken for the owners' word. And only the entry of the very start that had been removed last was recognised.

Change: a change that repeats what is known ends nothing that is held back. An entry of an earlier start than the one in use, or of one that is not later than the one removed, counts as brought back by the restore. Changes within an era begin with its first listing, since an object may be written again at its lost revision.

--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -14,6 +14,7 @@
 
 #: Tombstones kept in addition to one for each present object.
 _EXTRA_TOMBSTONES = 512
+_START = StorePosition()
 
 
 class KnownObjects:
@@ -34,10 +35,11 @@
         """Start without objects, at position 0."""
         self.by_key: dict[str, StoredObject] = {}
         self.digest = 0
-        self.position = StorePosition()
+        self.position = _START
         self._changed_at: dict[str, StorePosition] = {}
-        self._history_start = StorePosition()
-        self._last_of_previous_era = StorePosition()
+        self._history_start = _START
+        self._last_of_previous_era = _START
+        self._era_began_at = _START
         self._first_era = 0
         self._removed: dict[str, StoredObject] = {}
 
@@ -74,14 +76,12 @@
         """
         return StorePosition(self._first_era if era is None else era, revision)
 
-    def find_removed(self, stored: StoredObject) -> StoredObject | None:
-        """Return the removed object with the same key and uid, if any.
+    def find_removed(self, key: str) -> StoredObject | None:
+        """Return the last object with a key if it was removed.
 
-        After a restore another object may have got the same uid.
+        An object that a restore has brought back counts as removed.
         """
-        removed = self._removed.get(stored.key)
-        is_same = removed is not None and removed.uid == stored.uid
-        return removed if is_same and stored.uid else None
+        return self._removed.get(key)
 
     def changes_since(self, position: StorePosition) -> Changes | None:
         """Changes after a position; None if the history is too short.
@@ -101,13 +101,15 @@
     def _was_here(self, position: StorePosition) -> bool:
         """Whether this history leads through a position."""
         if position.era == self.position.era:
-            return True
+            return position >= self._era_began_at
         last = self._last_of_previous_era
         return position.era == last.era and position <= last
 
     def _move_to(self, position: StorePosition) -> None:
         if position.era > self.position.era:
             self._last_of_previous_era = self.position
+            # What was written again at its lost revision is no change here.
+            self._era_began_at = position if self.position.era else _START
         self.position = position
         self._first_era = self._first_era or position.era
 
@@ -128,10 +130,7 @@
         # Reinsert the key, so that keys stay ordered by their last change.
         self._changed_at.pop(key, None)
         self._changed_at[key] = self.position
-        present = self.by_key.get(key)
-        if before is not None and (
-            present is None or present.uid != before.uid
-        ):
+        if before is not None and key not in self.by_key:
             self._removed[key] = before
 
     def _prune(self) -> None:
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -27,14 +27,12 @@
     def change(self, change: Change, *, is_after_outage: bool) -> None:
         """Apply one change."""
 
-    def is_same_start(
-        self, removed: StoredObject, stored: StoredObject
-    ) -> bool:
-        """Whether a stored object is a removed one that a restore revived.
+    def find_start(self, stored: StoredObject) -> int | None:
+        """Return a number that grows with each start of an object's owner.
 
-        False believes the store: whoever removed the object does so again.
+        None if owners have none: a restored store is then believed, and whoever
+        removed the object does so again.
         """
-        return False
 
 
 class ReplicaFeed:
@@ -55,7 +53,7 @@
         """Start without objects."""
         self.known = KnownObjects()
         self._replica = replica
-        self._guard = RestoreGuard(clock, rewrite_s, replica.is_same_start)
+        self._guard = RestoreGuard(clock, rewrite_s, replica.find_start)
 
     def apply_listing(self, listing: Listing, *, is_after_outage: bool) -> None:
         """Replace all objects by those of a listing."""
@@ -73,7 +71,15 @@
             self.known.apply(changes)
             self._replace_all(before, is_after_outage=is_after_outage)
             return
+        repeated = {
+            change.key
+            for change in changes.changes
+            if self.known.by_key.get(change.key) == change.stored
+        }
         for change in self.known.apply(changes):
+            # A peer repeats what the restore changed; its owner did not.
+            if change.key in repeated and self._guard.holds(change.key):
+                continue
             self._guard.accept(change)
             self._replica.change(change, is_after_outage=is_after_outage)
 
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -207,15 +207,16 @@
         self._detect_change(upstream, change.stored.version)
         self._state.put(upstream)
 
-    def is_same_start(
-        self, removed: StoredObject, stored: StoredObject
-    ) -> bool:
-        """Whether both entries are of the same start of an upstream."""
-        before = self._parse(removed)
-        found = self._parse(stored)
-        if before is None or found is None:
-            return False
-        return before.identity == found.identity
+    def find_start(self, stored: StoredObject) -> int | None:
+        """Return the start time of the upstream that wrote an entry."""
+        try:
+            found = parse_upstream(
+                stored.key, stored.body, self._regions_by_zone
+            )
+        except PlatformFormatError:
+            # Logged when the entry itself is read.
+            return None
+        return found.born_ms or None
 
     def expire(self) -> None:
         """Remove upstreams that stay missing too long after an outage."""
--- a/nutmegshore/gateway/restore_guard.py
+++ b/nutmegshore/gateway/restore_guard.py
@@ -21,8 +21,8 @@
     done so, lost objects stay in use and revived ones are ignored. A change to
     an object is its owner's word and ends both for it.
 
-        guard.begin(before, known, removed_uids)
-        replica.replace(guard.visible(known))
+        guard.begin(before, known)
+        replica.replace(guard.visible(known.by_key))
         guard.end_overdue()  # often
     """
 
@@ -30,15 +30,15 @@
         self,
         clock: Clock,
         rewrite_s: float,
-        is_same_start: Callable[[StoredObject, StoredObject], bool],
+        find_start: Callable[[StoredObject], int | None],
     ) -> None:
         """Give owners `rewrite_s` seconds to write lost objects again.
 
-        `is_same_start` tells whether a removed object and one that the store
-        shows are of the same owner.
+        `find_start` returns a number that grows with each start of an owner,
+        or None where there is none.
         """
         self._clock = clock
-        self._is_same_start = is_same_start
+        self._find_start = find_start
         self._rewrite_s = rewrite_s
         self._begun_at = float('-inf')
         self._lost: dict[str, StoredObject] = {}
@@ -53,7 +53,7 @@
         self._revived = {
             key: stored
             for key, stored in known.by_key.items()
-            if self._is_revived(stored, known)
+            if self._is_revived(stored, known, in_use.get(key))
         }
         self._lost = {
             key: stored
@@ -80,6 +80,10 @@
         }
         return list((used | self._lost).values())
 
+    def holds(self, key: str) -> bool:
+        """Whether what the store says of an object is not used yet."""
+        return key in self._lost or key in self._revived
+
     def accept(self, change: Change) -> None:
         """End the guard for an object that was written again or removed."""
         self._lost.pop(change.key, None)
@@ -95,9 +99,24 @@
             changes.extend(self._end_revived())
         return changes
 
-    def _is_revived(self, stored: StoredObject, known: KnownObjects) -> bool:
-        removed = known.find_removed(stored)
-        return removed is not None and self._is_same_start(removed, stored)
+    def _is_revived(
+        self,
+        stored: StoredObject,
+        known: KnownObjects,
+        before: StoredObject | None,
+    ) -> bool:
+        """Whether the store shows an earlier start, or one that was removed."""
+        removed = known.find_removed(stored.key)
+        latest = before or removed
+        if latest is None:
+            return False
+        start = self._find_start(stored)
+        latest_start = self._find_start(latest)
+        if start is None or latest_start is None:
+            return False
+        return start < latest_start or (
+            before is None and start == latest_start
+        )
 
     def _end_lost(self) -> list[Change]:
         """Let go of the lost objects that have no older one in their place."""
