--- a/nutmegshore/platform/standin.py
+++ b/nutmegshore/platform/standin.py
@@ -97,6 +97,7 @@
         """Create an empty store without faults."""
         self.era = _FIRST_ERA
         self.revision = _FIRST_REVISION
+        self.watch_generation = 0
         self.are_watches_hung = False
         self.faults = StoreFaults()
         self.calls = 0
@@ -130,6 +131,7 @@
         restored = copy.deepcopy(kept)
         self.era += 1
         self.revision = restored.revision
+        self.watch_generation += 1
         self.are_watches_hung = hangs_watches
         self._by_kind = restored.by_kind
         self._stale_by_kind = restored.stale_by_kind
@@ -137,6 +139,12 @@
         self._oldest_revision = restored.oldest_revision
         self._wake_watches()
 
+    def cut_watches(self) -> None:
+        """Close the waiting watches, as a store that goes away does."""
+        self.watch_generation += 1
+        self.are_watches_hung = False
+        self._wake_watches()
+
     def put(self, kind: str, name: str, spec: Any) -> _Object:
         """Create or replace an object unconditionally."""
         known = self.get(kind, name)
@@ -329,15 +337,15 @@
     async def _watch(self, kind: str) -> None:
         after = int(self.get_query_argument('Watch'))
         wait_s = int(self.get_query_argument('WaitMs')) / _MS_PER_S
-        era = self._store.era
+        generation = self._store.watch_generation
         # A watch that times out answers with an empty list of events.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self._wait_event(kind, after, era)
-        if self._store.era == era:
+                await self._wait_event(kind, after, generation)
+        if self._store.watch_generation == generation:
             self._answer_watch(kind, after)
         else:
-            await self._end_by_restore()
+            await self._end_cut_watch()
 
     def _answer_watch(self, kind: str, after: int) -> None:
         if self._store.has_history(after):
@@ -347,14 +355,17 @@
         else:
             self.send_error(HTTPStatus.GONE)
 
-    async def _wait_event(self, kind: str, after: int, era: int) -> None:
-        while self._store.era == era and self._store.has_history(after):
+    async def _wait_event(self, kind: str, after: int, generation: int) -> None:
+        while (
+            self._store.watch_generation == generation
+            and self._store.has_history(after)
+        ):
             if any(self._store.iter_events(kind, after)):
                 return
             await self._store.wait_change()
 
-    async def _end_by_restore(self) -> None:
-        """Close the connection of a watch from before a restore, or hang."""
+    async def _end_cut_watch(self) -> None:
+        """Close the connection of a watch that was cut, or hang."""
         if self._store.are_watches_hung:
             await asyncio.Event().wait()
         self.request.connection.stream.close()
--- a/tests/gateway/test_objects.py
+++ b/tests/gateway/test_objects.py
@@ -124,3 +124,15 @@
     known.replace(Listing(5, (), era=4))
     assert known.locate(30, None) < known.position
     assert known.locate(6, 4) > known.position
+
+
+def test_changes_of_an_era_include_what_was_written_again_at_its_revision():
+    """Guards against an object that was written again at its lost revision
+    and is missing in the changes since before that write."""
+    known = KnownObjects()
+    old, new = _stored('i-1', 10), _stored('i-1', 41)
+    known.replace(Listing(40, (old,), 1))
+    known.apply(Changes(41, (Change(new.key, new),), 1))
+    known.replace(Listing(41, (new,), 2))
+    changes = known.changes_since(StorePosition(2, 40))
+    assert changes is None or changes.changes == (Change(new.key, new),)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -9,11 +9,14 @@
 import random
 from types import MappingProxyType
 
+import attrs
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
+from nutmegshore.errors import PlatformUnavailable, VersionConflict
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
+from nutmegshore.gateway.messages import UNKNOWN_ERA
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state_sync import PeeringDependencies
@@ -25,6 +28,7 @@
 )
 from nutmegshore.platform.standin_client import StandinClient
 from nutmegshore.platform.store import PlatformStore
+from nutmegshore.store import Expected
 
 #: Seconds within which a change is in force and a drain is respected.
 _BOUND_S = 2
@@ -109,6 +113,7 @@
 
     def __init__(self, stack, start):
         self.store = StandinStore()
+        self.gateways = []
         self._stack = stack
         self._start = start
         self.configure(1)
@@ -120,6 +125,7 @@
         for fault, strength in faults.items():
             setattr(gateway.faults, fault, strength)
         gateway.start()
+        self.gateways.append(gateway)
         self._stack.callback(gateway.stop)
         return gateway
 
@@ -146,10 +152,15 @@
 
     async def return_from(self, kept, away_s=0.5, **options):
         """Take the store away for a moment and restore it."""
-        self.store.faults.status = 503
+        present = [one for one in self.gateways if not one.faults.status]
+        for gateway in present:
+            gateway.faults.status = 503
+        if not options.get('hangs_watches'):
+            self.store.cut_watches()
         await asyncio.sleep(away_s)
         self.store.restore(kept, **options)
-        self.store.faults.status = 0
+        for gateway in present:
+            gateway.faults.status = 0
 
 
 @pytest.fixture
@@ -788,3 +799,299 @@
         assert cut_off.read_version() == 3
 
     run_fleet(session)
+
+
+def test_the_store_is_away(run_fleet):
+    """Guards against a test of an absence in which the store answers."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        task = asyncio.ensure_future(fleet.return_from(kept, away_s=3))
+        await asyncio.sleep(2.5)
+        followers = gateway.assembly.replicas.followers
+        assert not any(one.is_store_reachable for one in followers)
+        await task
+
+    run_fleet(session)
+
+
+def test_an_earlier_start_is_not_taken_back(run_fleet):
+    """Guards against the entry of an earlier start of an upstream that was
+    overwritten in place (one CreatedAt), back with the copy."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', born=1)
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2', born=2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        await _hold(2, lambda: gateway.state.by_id['i-2'].born_ms, 2)
+
+    run_fleet(session)
+
+
+def test_a_draining_start_is_not_replaced_by_an_earlier_one(run_fleet):
+    """Guards against requests to a draining upstream: the copy holds its
+    earlier start, which was ready."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', born=1)
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.register('i-2', born=2)
+        await asyncio.sleep(1)
+        fleet.register('i-2', born=2, state='draining')
+        await asyncio.sleep(2)
+        assert gateway.names() == {'i-1'}
+        await fleet.return_from(kept)
+        await _hold(2, gateway.names, {'i-1'})
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('is_back', [False, True])
+def test_the_start_before_the_last_one_is_not_revived(run_fleet, is_back):
+    """Guards against requests to a start of an upstream two starts ago: only
+    the last removed object of a key is kept."""
+
+    async def session(fleet):
+        gateway = fleet.start()
+        fleet.register('i-2', born=1)
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        for born in (2, 3):
+            fleet.store.delete('servers', 'i-2')
+            await asyncio.sleep(1)
+            fleet.register('i-2', born=born)
+            await asyncio.sleep(1)
+        if not is_back:
+            fleet.store.delete('servers', 'i-2')
+            await asyncio.sleep(1)
+        await fleet.return_from(kept)
+        await _hold(
+            2,
+            lambda: getattr(gateway.state.by_id.get('i-2'), 'born_ms', None),
+            3 if is_back else None,
+        )
+
+    run_fleet(session)
+
+
+def _record_wrong(gateways, expected, wrong):
+    for gateway in gateways:
+        if gateway.names() != expected:
+            wrong[gateway.name] = gateway.names()
+
+
+@pytest.mark.parametrize('prefix', ['g', 'h', 'k'])
+@pytest.mark.parametrize('away_s', [0, 0.5, 2])
+@pytest.mark.parametrize('is_busy', [False, True])
+def test_a_large_fleet_keeps_what_the_copy_lacks(
+    run_fleet, away_s, prefix, is_busy
+):
+    """Guards against relayed gateways that drop live upstreams, or revive
+    those that left, before the owners can have written again."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'{prefix}{number}') for number in range(20)]
+        fleet.register('i-2')
+        await asyncio.sleep(4)
+        kept = fleet.store.copy()
+        fleet.store.delete('servers', 'i-2')
+        fleet.register('i-3')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept, away_s=away_s)
+        wrong = {}
+        for step in range(36):
+            if is_busy and step % 4 == 0:
+                fleet.register('i-1', born=1)
+            _record_wrong(gateways, {'i-1', 'i-3'}, wrong)
+            await asyncio.sleep(_POLL_S)
+        assert not wrong
+
+    run_fleet(session)
+
+
+def _strip_eras(body):
+    if hasattr(body, 'eras'):
+        return attrs.evolve(body, eras={})
+    if hasattr(body, 'era'):
+        return attrs.evolve(body, era=UNKNOWN_ERA)
+    return body
+
+
+def _make_old(gateway):
+    """Send what gateways send that know no eras, and read no era."""
+    gateway.faults.era_text = ''
+    peers = gateway.assembly.peers
+    send, send_each = peers.send, peers.send_each
+    broadcast = peers.broadcast
+    peers.send = lambda name, body: send(name, _strip_eras(body))
+    peers.send_each = lambda names, body: send_each(names, _strip_eras(body))
+    peers.broadcast = lambda body: broadcast(_strip_eras(body))
+
+
+@pytest.mark.parametrize('away_s', [3, 6])
+def test_old_aggregators_do_not_hold_new_gateways_back(run_fleet, away_s):
+    """Guards against a gateway that knows the new era and is relayed by
+    aggregators that name none: it takes nothing from them and asks nobody."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(20)]
+        await asyncio.sleep(4)
+        aggregators = set(gateways[0].assembly.peers.aggregators())
+        for name in aggregators:
+            _make_old(next(one for one in gateways if one.name == name))
+        await asyncio.sleep(1)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept, away_s=away_s)
+        await asyncio.sleep(2)
+        # Past the lost revisions, so that old gateways are right again.
+        fleet.write_much()
+        await asyncio.sleep(10)
+        fleet.configure(3)
+        await asyncio.sleep(5)
+        behind = [one.name for one in gateways if one.read_version() != 3]
+        assert not behind
+
+    run_fleet(session)
+
+
+def test_a_gateway_that_boots_at_the_return_respects_an_evacuation(run_fleet):
+    """Guards against requests to an evacuated zone by a gateway that boots
+    before the operator has repeated the evacuation."""
+
+    async def session(fleet):
+        first = fleet.start('g1')
+        fleet.register('i-2', zone='west-b')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.store.put('evacuations', 'west-b', {})
+        await asyncio.sleep(6)
+        await fleet.return_from(kept)
+        booted = fleet.start('g2')
+        await asyncio.sleep(1)
+        assert booted.state.is_complete
+        assert (first.names(), booted.names()) == ({'i-1'}, {'i-1'})
+
+    run_fleet(session)
+
+
+def test_a_sweep_that_crosses_a_restore_spares_a_new_entry(run_fleet):
+    """Guards against the removal of a live gateway's entry that got the
+    revision of a dead one's: only the revision is sent."""
+
+    async def session(fleet):
+        kept = fleet.store.copy()
+        gateway = fleet.start('g1')
+        await asyncio.sleep(3)
+        store = fleet.store
+        store.restore(kept)
+        first = store.put(
+            'gateways', 'g9', {'operation': '', 'body': {'address': 'a'}}
+        )
+        client = gateway.assembly.dependencies.store
+        listed = await client.iter_objects('gateways/')
+        dead = next(one for one in listed if one.key == 'gateways/g9')
+        store.restore(kept)
+        second = store.put(
+            'gateways', 'g9', {'operation': '', 'body': {'address': 'b'}}
+        )
+        assert first['Metadata']['Revision'] == second['Metadata']['Revision']
+        with pytest.raises(VersionConflict):
+            await client.remove(dead.key, Expected.of(dead))
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('count', [2, 20])
+def test_a_gateway_that_boots_at_the_return_never_has_less(run_fleet, count):
+    """Guards against a gateway that boots at the return and serves the
+    configuration of the copy while its peers hold the confirmed one."""
+
+    async def session(fleet):
+        for number in range(count - 1):
+            fleet.start(f'g{number}')
+        await asyncio.sleep(4)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        booted = fleet.start('g99')
+        seen = set()
+        for _ in range(30):
+            await asyncio.sleep(0.05)
+            if booted.state.is_complete:
+                seen.add(booted.read_version())
+        assert seen == {2}
+
+    run_fleet(session)
+
+
+def test_an_era_too_high_at_one_gateway_stays_there(run_fleet):
+    """Guards against one gateway that spreads a wrong era to all others."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(20)]
+        await asyncio.sleep(4)
+        name = gateways[0].assembly.peers.aggregators()[0]
+        one = next(one for one in gateways if one.name == name)
+        one.faults.era_text = '900'
+        await asyncio.sleep(3)
+        one.faults.era_text = None
+        await asyncio.sleep(10)
+        before = fleet.store.calls
+        fleet.configure(2)
+        await asyncio.sleep(_BOUND_S)
+        behind = [one.name for one in gateways if one.read_version() != 2]
+        calls = fleet.store.calls - before
+        assert (len(behind), calls) < (1, 100)
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('count', [1, 4])
+@pytest.mark.parametrize('hung_s', [0.5, 1, 1.5, 2])
+@pytest.mark.parametrize('later_s', [0.1, 1])
+def test_a_check_that_a_restore_crosses_is_repeated(
+    run_fleet, count, later_s, hung_s
+):
+    """Guards against a listing that is asked for while one is under way that
+    fails: the watch of the lost history stays."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(count)]
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        fleet.write_much()
+        await asyncio.sleep(3)
+        assembly = gateways[0].assembly
+        follower = assembly.replicas.followers[0]
+        store = assembly.dependencies.store
+        read_listing = store.read_listing
+
+        async def fail(prefix):
+            if prefix != follower.prefix:
+                return await read_listing(prefix)
+            store.read_listing = read_listing
+            await asyncio.sleep(hung_s)
+            raise PlatformUnavailable('no answer')
+
+        while follower._check_requested.is_set():
+            await asyncio.sleep(0.01)
+        store.read_listing = fail
+        follower.check()
+        await fleet.return_from(kept, away_s=0.1, hangs_watches=True)
+        await asyncio.sleep(later_s)
+        fleet.configure(2)
+        await asyncio.sleep(_BOUND_S)
+        assert {one.read_version() for one in gateways} == {2}
+
+    run_fleet(session)
