--- a/nutmegshore/gateway/restore_guard.py
+++ b/nutmegshore/gateway/restore_guard.py
@@ -14,12 +14,13 @@
 
 
 class RestoreGuard:
-    """Holds to what was known until its owners have written it again.
+    """Keeps to what was known until its owners have written it again.
 
     A restored store lacks the objects created since its copy, and has those
     removed since. Their owners repeat what they wrote. Until they can have
-    done so, lost objects stay in use and revived ones are ignored. A change to
-    an object is its owner's word and ends both for it.
+    done so, lost objects are kept in use and revived ones are ignored. If an
+    object was replaced by a later one since the copy, the later one is kept in
+    its place. A change to an object is its owner's word and ends both for it.
 
         guard.begin(before, known)
         replica.replace(guard.visible(known.by_key))
@@ -41,7 +42,7 @@
         self._find_start = find_start
         self._rewrite_s = rewrite_s
         self._begun_at = float('-inf')
-        self._lost: dict[str, StoredObject] = {}
+        self._kept: dict[str, StoredObject] = {}
         self._revived: dict[str, StoredObject] = {}
 
     def begin(
@@ -55,22 +56,25 @@
             for key, stored in known.by_key.items()
             if self._is_revived(stored, known, in_use.get(key))
         }
-        self._lost = {
+        self._kept = {
             key: stored
             for key, stored in in_use.items()
             if key not in known.by_key or key in self._revived
         }
 
     def visible(self, by_key: Mapping[str, StoredObject]) -> list[StoredObject]:
-        """Return the objects to use, after all objects were listed."""
+        """Return the objects to use, after all objects were listed.
+
+        What the listing shows differently by now is not held back any more.
+        """
         self._revived = {
             key: stored
             for key, stored in self._revived.items()
             if by_key.get(key) == stored
         }
-        self._lost = {
+        self._kept = {
             key: stored
-            for key, stored in self._lost.items()
+            for key, stored in self._kept.items()
             if key not in by_key or key in self._revived
         }
         used = {
@@ -78,15 +82,15 @@
             for key, stored in by_key.items()
             if key not in self._revived
         }
-        return list((used | self._lost).values())
+        return list((used | self._kept).values())
 
     def holds(self, key: str) -> bool:
         """Whether what the store says of an object is not used yet."""
-        return key in self._lost or key in self._revived
+        return key in self._kept or key in self._revived
 
     def accept(self, change: Change) -> None:
         """End the guard for an object that was written again or removed."""
-        self._lost.pop(change.key, None)
+        self._kept.pop(change.key, None)
         self._revived.pop(change.key, None)
 
     def end_overdue(self) -> list[Change]:
@@ -94,7 +98,7 @@
         since_s = self._clock.now() - self._begun_at
         changes: list[Change] = []
         if since_s > self._rewrite_s:
-            changes.extend(self._end_lost())
+            changes.extend(self._end_kept())
         if since_s > _REVIVED_TTL_S:
             changes.extend(self._end_revived())
         return changes
@@ -118,12 +122,12 @@
             before is None and start == latest_start
         )
 
-    def _end_lost(self) -> list[Change]:
-        """Let go of the lost objects that have no older one in their place."""
-        keys = self._lost.keys() - self._revived.keys()
-        self._lost = {
+    def _end_kept(self) -> list[Change]:
+        """Let go of kept objects that have no earlier one in their place."""
+        keys = self._kept.keys() - self._revived.keys()
+        self._kept = {
             key: stored
-            for key, stored in self._lost.items()
+            for key, stored in self._kept.items()
             if key in self._revived
         }
         return [Change(key, None) for key in keys]
@@ -131,5 +135,5 @@
     def _end_revived(self) -> list[Change]:
         changes = [Change(key, stored) for key, stored in self._revived.items()]
         self._revived = {}
-        self._lost = {}
+        self._kept = {}
         return changes
