Show when a gateway learns that an upstream is cold

A restart under the same id left no line, nor did word of a cold upstream; only the first request sent with that word did.

Change: upstream_changed says restarted, and upstream_cold_changed says that this gateway learned of a cold upstream, from what, and how many requests it had sent there in the last second without knowing. What is known of cold upstreams moves from FleetState into a class of its own. No decision changes.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -12,6 +12,7 @@
 )
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
+from nutmegshore.gateway.cold_reports import ColdReports
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.crashes import (
     CrashGuard,
@@ -84,6 +85,12 @@
             dependencies.log,
             dependencies.counters,
         )
+        ColdReports(
+            self.state,
+            dependencies.clock,
+            dependencies.log,
+            dependencies.counters,
+        ).follow()
         self.context = self._make_context()
 
     def gateway_names(self, region: str) -> list[str]:
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -20,6 +20,7 @@
 )
 from nutmegshore.gateway.upstream_events import (
     UpstreamChanged,
+    UpstreamColdChanged,
     UpstreamColdUsed,
     UpstreamJudged,
     UpstreamLeaving,
@@ -338,6 +339,7 @@
         UpstreamJudged: 'upstream_judged',
         UpstreamLeaving: 'upstream_leaving',
         UpstreamLeavingRejected: 'upstream_leaving_rejected',
+        UpstreamColdChanged: 'upstream_cold_changed',
         UpstreamColdUsed: 'upstream_cold_used',
         UpstreamLimitChanged: 'upstream_limit_changed',
         UpstreamLimitRejected: 'upstream_limit_rejected',
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -258,6 +258,7 @@
         if before is not None and before.identity != upstream.identity:
             # A restarted upstream has none of the state of its predecessor.
             self._on_gone(upstream.instance)
+            self._log_change(upstream, 'restarted', revision)
         was_draining = before.is_draining if before else None
         if was_draining != upstream.is_draining:
             change = 'draining' if upstream.is_draining else 'ready'
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmegshore.clock import Clock
+from nutmegshore.gateway.cold_starts import ColdStarts
 from nutmegshore.gateway.departures import Departures
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.route import Configuration
@@ -33,8 +34,8 @@
         self.zones_known = False
         self.evacuated: frozenset[str] = frozenset()
         self.by_id: dict[str, RegisteredUpstream] = {}
-        self.cold_until: dict[str, float] = {}
         self._clock = clock
+        self.cold_starts = ColdStarts(clock)
         self._missing_since: dict[str, float] = {}
         self._usable: dict[str, tuple[RegisteredUpstream, ...]] = {}
         self._moved: dict[str, RegisteredUpstream] = {}
@@ -96,9 +97,7 @@
         moved = self._moved.get(name)
         if moved is not None and moved.identity != upstream.identity:
             self._moved.pop(name)
-        if upstream.cold_left_s:
-            until = self._clock.now() + upstream.cold_left_s
-            self.cold_until[name] = until
+        self.cold_starts.register(upstream)
         self._usable.clear()
 
     def drop(self, instance: str, *, is_after_outage: bool) -> None:
@@ -152,13 +151,13 @@
 
     def cold_left_s(self, instance: str) -> float:
         """Seconds for which an upstream stays cold, or 0."""
-        return max(self.cold_until.get(instance, 0) - self._clock.now(), 0)
+        return self.cold_starts.left_s(instance)
 
     def _forget(self, instance: str) -> None:
         self._missing_since.pop(instance, None)
         gone = self.by_id.pop(instance, None)
         if gone is not None:
             self.departures.end(gone)
-        self.cold_until.pop(instance, None)
+        self.cold_starts.forget(instance)
         self._moved.pop(instance, None)
         self._usable.clear()
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'UpstreamChanged',
+    'UpstreamColdChanged',
     'UpstreamColdUsed',
     'UpstreamJudged',
     'UpstreamLeaving',
@@ -19,8 +20,8 @@
 
 @attrs.frozen
 class UpstreamChanged:
-    """An upstream's registration changed: `ready`, `draining`, `missing` or
-    `gone`; `revision` is the store's."""
+    """An upstream's registration changed: `ready`, `draining`, `missing`,
+    `restarted` or `gone`; `revision` is the store's."""
 
     severity = Severity.CHANGE
 
@@ -31,6 +32,26 @@
     revision: int
 
 
+@attrs.frozen
+class UpstreamColdChanged:
+    """This gateway learned that an upstream is cold.
+
+    It stays cold for `cold_left_s`. `source` is what says so, `age_s` how old
+    that is. `sent_lately` counts the requests that this gateway sent to it in
+    the last second.
+    """
+
+    severity = Severity.CHANGE
+
+    upstream: str
+    service: str
+    born_ms: int
+    source: str
+    cold_left_s: float
+    age_s: float
+    sent_lately: int
+
+
 @attrs.frozen
 class UpstreamColdUsed:
     """This gateway sends to a cold upstream, the first time for some seconds.
