--- a/bench/cold_load.py
+++ b/bench/cold_load.py
@@ -13,10 +13,12 @@
 
 import attrs
 
+from bench.cold_gateway import ModelGateway, ReportExchange
 from bench.cold_record import ColdResult
 from bench.cold_upstreams import (
     SLOTS,
     ColdStart,
+    Evacuation,
     ModelUpstream,
     Reception,
     UpstreamFleet,
@@ -99,6 +101,7 @@
     without_upstreams: frozenset[str] = frozenset()
     separations: tuple[Separation, ...] = ()
     boots: tuple[Boot, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
     def iter_gateways(self) -> Iterator[tuple[str, str]]:
         """Yield each gateway with its region."""
@@ -139,17 +142,6 @@
     return _Session(fleet, random.Random(seed)).run()
 
 
-@attrs.define(eq=False)
-class _Gateway:
-    """A gateway; `lateness` is its part of the latest time of word."""
-
-    name: str
-    region: str
-    state: FleetState
-    balancer: Balancer
-    lateness: float
-
-
 @attrs.frozen
 class _Request:
     home: str
@@ -162,7 +154,7 @@
 @attrs.define(eq=False)
 class _Attempt:
     request: _Request
-    gateway: _Gateway
+    gateway: ModelGateway
     sent: InFlightRequest
 
     @property
@@ -198,6 +190,7 @@
             name: self._make_gateway(name, region)
             for name, region in fleet.iter_gateways()
         }
+        self._reports = ReportExchange(self._gateways, self._views, self._clock)
 
     def run(self) -> ColdResult:
         """Play to the end."""
@@ -213,11 +206,15 @@
                 functools.partial(self._upstreams.stop, start),
             )
             self._clock.after(start.at_s, functools.partial(self._start, start))
+        for evacuation in self._fleet.evacuations:
+            self._clock.after(
+                evacuation.at_s, functools.partial(self._evacuate, evacuation)
+            )
         self._observe()
         self._clock.run()
         return ColdResult(self._upstreams.arrivals, self._served)
 
-    def _make_gateway(self, name: str, region: str) -> _Gateway:
+    def _make_gateway(self, name: str, region: str) -> ModelGateway:
         dependencies = BalancerDependencies(
             self._clock,
             random.Random(self._rng.random()),
@@ -233,7 +230,8 @@
             self._upstreams.iter_entries(), is_after_outage=False
         )
         balancer = Balancer(state, dependencies)
-        return _Gateway(name, region, state, balancer, self._rng.random())
+        lateness = self._rng.random()
+        return ModelGateway(name, region, state, balancer, lateness)
 
     def _boot(self, name: str) -> None:
         """Replace a gateway by one that knows no other gateways."""
@@ -246,9 +244,19 @@
             members = gateway.balancer.candidate_builder.members
             for region in ('', *self._fleet.regions):
                 members.observe(region)
+        self._reports.exchange()
         if self._clock.now() < self._fleet.seconds:
             self._clock.after(_OBSERVE_INTERVAL_S, self._observe)
 
+    def _evacuate(self, evacuation: Evacuation) -> None:
+        for gateway in self._gateways.values():
+            gateway.state.replace_evacuated((evacuation.zone,))
+            late_s = gateway.lateness * evacuation.late_s
+            self._clock.after(
+                evacuation.for_s + late_s,
+                functools.partial(gateway.state.replace_evacuated, ()),
+            )
+
     def _start(self, start: ColdStart) -> None:
         before = self._upstreams.get(start.upstream).entry
         upstream = self._upstreams.start(start)
--- a/bench/cold_upstreams.py
+++ b/bench/cold_upstreams.py
@@ -9,7 +9,13 @@
 from bench.event_clock import EventClock
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 
-__all__ = ('ColdStart', 'ModelUpstream', 'Reception', 'UpstreamFleet')
+__all__ = (
+    'ColdStart',
+    'Evacuation',
+    'ModelUpstream',
+    'Reception',
+    'UpstreamFleet',
+)
 
 SLOTS = 4
 _QUEUE = 12
@@ -36,6 +42,19 @@
     late_s: float = 0
 
 
+@attrs.frozen
+class Evacuation:
+    """A zone whose upstreams are to get nothing for `for_s`, from `at_s` on.
+
+    Gateways learn of its end up to `late_s` later.
+    """
+
+    zone: str
+    at_s: float
+    for_s: float
+    late_s: float = 0
+
+
 class Reception(enum.Enum):
     """What becomes of a request that is sent to an upstream."""
 
