Count an upstream that failed as cold until it is heard of

Callers of a cold upstream saw it crash again: it had started anew under its id, and all gateways sent to it as to a warm one.

Cause: an upstream counted as warm unless its registration said otherwise, and that word comes seconds after a restart under the same id. Each gateway avoided it for a while and then tried by itself, at the rate of a warm upstream; since nothing ran there, it looked the emptiest to all.

Change: an attempt that could not reach an upstream, or broke off, makes it cold until something newer is heard: its new registration, its health page (Cold-Ms, not read before), an answer, or a peer that heard of it. An answer to a request that was sent before shows that it runs on. Gateways tell each other in the reports that also carry their load, so that nobody sees the room without the reason. Only the gateway that failed and the four senders ask health pages, with growing pauses.

Why it holds: to look empty, an upstream must have lost or refused connections, and whoever saw that knows before the others learn of the room.

A test of the balancer starts 4 s later, since a gateway that has just started sends nothing to what may be cold.

--- a/bench/cold_gateway.py
+++ b/bench/cold_gateway.py
@@ -9,6 +9,7 @@
 from bench.cold_views import ColdViews
 from bench.event_clock import EventClock
 from nutmegshore.balancing import Balancer
+from nutmegshore.gateway.cold_gossip import ColdGossip
 from nutmegshore.gateway.state import FleetState
 
 __all__ = ('ModelGateway', 'ReportExchange')
@@ -28,10 +29,24 @@
     state: FleetState
     balancer: Balancer
     lateness: float
+    gossip: ColdGossip
+
+    def report(self) -> '_Report':
+        """Return what this gateway tells the others."""
+        load = self.balancer.candidate_builder.load
+        return _Report(load.own_counts(), self.gossip.own())
+
+
+@attrs.frozen
+class _Report:
+    """Requests in flight by upstream, and what `ColdGossip` packs."""
+
+    in_flight: _Counts
+    cold: Mapping[str, list[float]]
 
 
 class ReportExchange:
-    """Passes the requests in flight on between gateways that see each other."""
+    """Passes reports on between gateways that see each other."""
 
     def __init__(
         self,
@@ -47,25 +62,26 @@
     def exchange(self) -> None:
         """Send a report of each gateway."""
         reports = {
-            name: gateway.balancer.candidate_builder.load.own_counts()
-            for name, gateway in self._gateways.items()
+            name: gateway.report() for name, gateway in self._gateways.items()
         }
         self._clock.after(_TRANSIT_S, functools.partial(self._deliver, reports))
 
-    def _deliver(self, reports: Mapping[str, _Counts]) -> None:
+    def _deliver(self, reports: Mapping[str, _Report]) -> None:
         totals: dict[tuple[str, ...], _Counts] = {}
         for name, gateway in self._gateways.items():
             seen = tuple(self._views.names(name, ''))
             if seen not in totals:
                 totals[seen] = _sum_counts(reports, seen)
             load = gateway.balancer.candidate_builder.load
-            load.handle_all(totals[seen], reports[name])
+            load.handle_all(totals[seen], reports[name].in_flight)
+            for sender in seen:
+                gateway.gossip.adopt(reports[sender].cold)
 
 
 def _sum_counts(
-    reports: Mapping[str, _Counts], names: tuple[str, ...]
+    reports: Mapping[str, _Report], names: tuple[str, ...]
 ) -> _Counts:
     total: collections.Counter[str] = collections.Counter()
     for name in names:
-        total.update(reports[name])
+        total.update(reports[name].in_flight)
     return total
--- a/bench/cold_load.py
+++ b/bench/cold_load.py
@@ -35,6 +35,7 @@
 )
 from nutmegshore.balancing.balancer import InFlightRequest
 from nutmegshore.errors import RefusedError
+from nutmegshore.gateway.cold_gossip import ColdGossip
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.route import (
     Configuration,
@@ -231,7 +232,8 @@
         )
         balancer = Balancer(state, dependencies)
         lateness = self._rng.random()
-        return ModelGateway(name, region, state, balancer, lateness)
+        gossip = ColdGossip(state, self._clock)
+        return ModelGateway(name, region, state, balancer, lateness, gossip)
 
     def _boot(self, name: str) -> None:
         """Replace a gateway by one that knows no other gateways."""
--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -1,6 +1,7 @@
 """Selection of an upstream for each request."""
 
 from collections.abc import Iterator
+from types import MappingProxyType
 
 import attrs
 
@@ -20,6 +21,7 @@
 from nutmegshore.balancing.refusals import Refusals
 from nutmegshore.balancing.region_choice import RegionChoice, RegionChooser
 from nutmegshore.errors import Offer, RemoteOffer
+from nutmegshore.gateway.cold_starts import ColdSource
 from nutmegshore.gateway.route import Configuration
 from nutmegshore.gateway.state import FleetState
 
@@ -33,6 +35,15 @@
         AttemptOutcome.UNREACHABLE,
     )
 )
+#: Outcomes after which an upstream may have started again.
+_FAILURES = MappingProxyType(
+    {
+        AttemptOutcome.UNREACHABLE: ColdSource.UNREACHABLE,
+        AttemptOutcome.LOST: ColdSource.LOST,
+    }
+)
+#: Outcomes that only a running upstream brings about.
+_ANSWERS = frozenset((AttemptOutcome.ANSWERED, AttemptOutcome.REFUSED))
 #: Logged as the fraction of moved requests while it is unknown.
 _UNKNOWN = -1
 #: Decimal places of fractions in logs.
@@ -78,6 +89,7 @@
             state, self.candidate_builder, self._admission, dependencies
         )
         self._region = dependencies.region
+        self._clock = dependencies.clock
         self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
         self._state = state
 
@@ -149,6 +161,7 @@
             # The upstream was removed while the request ran.
             self.candidate_builder.forget(name)
             return 0
+        self._record_contact(sent, result)
         outcome = self._judge(sent, result.outcome)
         if outcome is AttemptOutcome.ANSWERED:
             self._record_answer(sent, result)
@@ -161,6 +174,19 @@
             )
         return self.candidate_builder.health.record(name, outcome)
 
+    def _record_contact(
+        self, sent: InFlightRequest, result: AttemptResult
+    ) -> None:
+        """Note whether an attempt has reached its upstream."""
+        upstream = sent.choice.upstream
+        cold_starts = self._state.cold_starts
+        failure = _FAILURES.get(result.outcome)
+        if failure is not None:
+            cold_starts.handle_failure(upstream, failure)
+        elif result.outcome in _ANSWERS:
+            sent_at = self._clock.now() - result.took_s
+            cold_starts.handle_answer(upstream, sent_at)
+
     def _judge(
         self, sent: InFlightRequest, outcome: AttemptOutcome
     ) -> AttemptOutcome:
--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -85,7 +85,7 @@
         self.load = LoadTable(clock)
         self.latency = LatencyTable(clock)
         self._dependencies = dependencies
-        self._state = state
+        self.state = state
 
     def candidates(self, request: RoutingRequest) -> Candidates:
         """Return candidates at home and in other regions, in ranking order."""
@@ -116,11 +116,19 @@
 
     def cold_rate(self, service: str) -> float:
         """Return the requests per second that a cold upstream accepts."""
-        return self._state.configuration.rules(service).cold_per_s
+        return self.state.configuration.rules(service).cold_per_s
 
     def is_registered(self, instance: str) -> bool:
         """Return whether an upstream is registered."""
-        return instance in self._state.by_id
+        return instance in self.state.by_id
+
+    def is_cold_sender(self, upstream: RegisteredUpstream) -> bool:
+        """Return whether this gateway may send to an upstream while cold."""
+        if self.members.is_joining:
+            return False
+        region = self.members.sender_region(upstream.region)
+        gateways = self.members.recent_names(region)
+        return self.cold_start.is_sender(upstream.instance, gateways)
 
     def describe(self, candidate: Candidate) -> Offer:
         """Return a candidate's expected times and load for the log."""
@@ -196,7 +204,7 @@
     def _ranked(
         self, request: RoutingRequest
     ) -> tuple[RegisteredUpstream, ...]:
-        usable = self._state.usable(request.service)
+        usable = self.state.usable(request.service)
         if request.key:
             return self.affinity.ranking(request.service, request.key, usable)
         shuffled = list(usable)
@@ -210,20 +218,12 @@
         if name in request.tried or self.health.is_avoided(name):
             return False
         rate = self.cold_rate(request.service)
-        if not (rate and self._state.is_cold(name)):
+        if not (rate and self.state.is_cold(name)):
             return True
-        return self._is_cold_sender(upstream) and self.cold_start.has_token(
+        return self.is_cold_sender(upstream) and self.cold_start.has_token(
             name, rate
         )
 
-    def _is_cold_sender(self, upstream: RegisteredUpstream) -> bool:
-        """Return whether this gateway may send to an upstream while cold."""
-        if self.members.is_joining:
-            return False
-        region = self.members.sender_region(upstream.region)
-        gateways = self.members.recent_names(region)
-        return self.cold_start.is_sender(upstream.instance, gateways)
-
     def _evaluate(
         self,
         request: RoutingRequest,
@@ -265,4 +265,4 @@
             return False
         if self.affinity.has_handled(name, request.key):
             return True
-        return is_owner and not self._state.is_cold(name)
+        return is_owner and not self.state.is_cold(name)
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -12,6 +12,7 @@
 )
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
+from nutmegshore.gateway.cold_checks import ColdChecks
 from nutmegshore.gateway.cold_reports import ColdReports
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.crashes import (
@@ -92,6 +93,7 @@
             dependencies.counters,
         ).follow()
         self.context = self._make_context()
+        self.cold_checks = self._make_cold_checks()
 
     def gateway_names(self, region: str) -> list[str]:
         """Gateways serving in a region, or in all if `region` is empty."""
@@ -199,6 +201,15 @@
             count_gateways=self._count_gateways,
         )
 
+    def _make_cold_checks(self) -> ColdChecks:
+        dependencies = self.dependencies
+        return ColdChecks(
+            self.balancer.candidate_builder,
+            CurlUpstreams(dependencies.clock, self.context.dialect),
+            dependencies.clock,
+            dependencies.counters,
+        )
+
     def _count_gateways(self) -> int:
         """Return how many gateways may share an allowance of the fleet."""
         members = self.balancer.candidate_builder.members
--- a/nutmegshore/gateway/cold_reports.py
+++ b/nutmegshore/gateway/cold_reports.py
@@ -1,4 +1,4 @@
-"""The log of upstreams that turn cold."""
+"""The log of upstreams that turn cold, or may have done so."""
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
@@ -9,6 +9,8 @@
 
 __all__ = ('ColdReports',)
 
+#: Logged as the time that an upstream stays cold while it is unknown.
+_UNKNOWN = -1
 #: Decimal places of seconds in logs.
 _DIGITS = 3
 
@@ -50,7 +52,7 @@
                 upstream.service,
                 upstream.born_ms,
                 source,
-                round(left_s, _DIGITS),
+                _UNKNOWN if statement.is_open else round(left_s, _DIGITS),
                 round(self._clock.now() - statement.stated_at, _DIGITS),
                 sent,
             )
--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -1,8 +1,9 @@
-"""What a gateway knows of upstreams that are cold."""
+"""What a gateway knows of upstreams that are cold, or may be."""
 
 import collections
 import enum
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -11,6 +12,11 @@
 
 __all__ = ('ColdSource', 'ColdStarts', 'ColdStatement')
 
+#: Seconds by which a statement of a peer may look newer than it is.
+_MAX_TRANSIT_S = 1
+#: Seconds for which a statement is kept once its upstream is warm, so that an
+#: older one of a peer does not take its place.
+_KEPT_S = 10
 #: Seconds over which sent requests are counted, and the most that are.
 _COUNTED_S = 1
 _MAX_COUNTED = 32
@@ -20,34 +26,63 @@
     """What a statement is based on."""
 
     REGISTRATION = 'registration'
+    UNREACHABLE = 'unreachable'
+    LOST = 'lost'
+    ANSWER = 'answer'
+    SURVIVED = 'survived'
+    HEALTH = 'health'
+    PEER = 'peer'
 
 
 @attrs.frozen
 class ColdStatement:
     """The latest that is known about the start of an upstream.
 
-    `stated_at` and `warm_at` are readings of the gateway's clock.
+    `stated_at` and `warm_at` are readings of the gateway's clock. `warm_at` is
+    infinite while the upstream may have started again and nothing has been
+    heard of it since; `fallback_at` is then the time at which it is warm if it
+    has not started again.
     """
 
     upstream: RegisteredUpstream
     stated_at: float
     warm_at: float
     source: ColdSource
+    fallback_at: float = float('-inf')
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this gateway found it out itself."""
+        return self.source is not ColdSource.PEER
+
+    @property
+    def is_open(self) -> bool:
+        """Whether nothing tells yet how long the upstream stays cold."""
+        return math.isinf(self.warm_at)
 
 
 class ColdStarts:
-    """Tells which upstreams are cold.
+    """Tells which upstreams are cold, or may be.
 
-        cold_starts.register(upstream)
+    An upstream may start again under its id, and its registration may say so
+    seconds later. One that could not be reached, or broke off, therefore counts
+    as cold until something newer is heard of it: its new registration, its
+    health page, an answer, or a peer that has heard of it.
+
+        cold_starts.handle_failure(upstream, ColdSource.UNREACHABLE)
+        cold_starts.left_s('u1')  # infinite
+        cold_starts.handle_health(upstream, cold_left_s=1.5, asked_at=now)
         cold_starts.left_s('u1')  # 1.5
 
-    `on_change` is called with each statement that makes an upstream cold.
+    `on_change` is called with each statement that makes an upstream cold, or
+    that says when a cold one is warm.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Start without statements."""
+    def __init__(self, clock: Clock, cold_s: Callable[[str], float]) -> None:
+        """Start without statements; `cold_s` is the cold time of a service."""
         self.on_change: Callable[[ColdStatement], None] | None = None
         self._clock = clock
+        self._cold_s = cold_s
         self._by_id: dict[str, ColdStatement] = {}
         self._sent: dict[str, collections.deque[float]] = {}
 
@@ -58,6 +93,19 @@
             return 0
         return max(statement.warm_at - self._clock.now(), 0)
 
+    def statements(self) -> Iterator[ColdStatement]:
+        """Yield what is known and not out of date."""
+        oldest = self._clock.now() - _KEPT_S
+        for statement in self._by_id.values():
+            if max(statement.stated_at, statement.warm_at) >= oldest:
+                yield statement
+
+    def iter_unsettled(self) -> Iterator[ColdStatement]:
+        """Yield the statements that the upstream itself can settle."""
+        for statement in self._by_id.values():
+            if statement.is_open:
+                yield statement
+
     def forget(self, instance: str) -> None:
         """Drop a removed upstream."""
         self._by_id.pop(instance, None)
@@ -78,22 +126,103 @@
 
     def register(self, upstream: RegisteredUpstream) -> None:
         """Handle the registration of an upstream."""
+        known = self._by_id.get(upstream.instance)
+        is_same = known is not None and _is_same(known.upstream, upstream)
+        if not is_same:
+            self._by_id.pop(upstream.instance, None)
         if not upstream.cold_left_s:
             return
-        now = self._clock.now()
+        if is_same and known.is_open:
+            # It may have started again since it wrote this.
+            return
+        left_s = upstream.cold_left_s
+        self._settle(upstream, left_s, ColdSource.REGISTRATION)
+
+    def handle_failure(
+        self, upstream: RegisteredUpstream, source: ColdSource
+    ) -> None:
+        """Handle an attempt that could not reach an upstream, or broke off."""
+        if not self._cold_s(upstream.service):
+            return
+        known = self._known(upstream)
+        fallback_at = float('-inf')
+        if known is not None:
+            fallback_at = known.fallback_at if known.is_open else known.warm_at
         self._put(
             ColdStatement(
                 upstream,
-                now,
-                now + upstream.cold_left_s,
-                ColdSource.REGISTRATION,
+                self._clock.now(),
+                math.inf,
+                source,
+                fallback_at,
             )
         )
 
+    def handle_answer(
+        self, upstream: RegisteredUpstream, sent_at: float
+    ) -> None:
+        """Handle an answer to a request that was sent at `sent_at`.
+
+        An upstream that answers what it got before it was unreachable has not
+        started again. Any other answer limits the time of its start.
+        """
+        known = self._known(upstream)
+        if known is None or not known.is_open:
+            return
+        if sent_at > known.stated_at:
+            left_s = self._cold_s(upstream.service)
+            self._settle(upstream, left_s, ColdSource.ANSWER)
+            return
+        margin_s = 0 if known.is_own else _MAX_TRANSIT_S
+        if sent_at <= known.stated_at - margin_s:
+            left_s = max(known.fallback_at - self._clock.now(), 0)
+            self._settle(upstream, left_s, ColdSource.SURVIVED)
+
+    def handle_health(
+        self, upstream: RegisteredUpstream, cold_left_s: float, asked_at: float
+    ) -> None:
+        """Handle what the health page of an upstream said.
+
+        It was asked at `asked_at`, and may have been unreachable since.
+        """
+        known = self._known(upstream)
+        if known is None or asked_at >= known.stated_at:
+            self._settle(upstream, cold_left_s, ColdSource.HEALTH)
+
+    def handle_peer(self, statement: ColdStatement) -> None:
+        """Handle what a peer knows of a registered upstream."""
+        known = self._known(statement.upstream)
+        if known is None:
+            self._put(statement)
+            return
+        newer_s = statement.stated_at - known.stated_at
+        is_settled = known.is_open and not statement.is_open and newer_s > 0
+        if is_settled or newer_s > _MAX_TRANSIT_S:
+            self._put(statement)
+
+    def _known(self, upstream: RegisteredUpstream) -> ColdStatement | None:
+        known = self._by_id.get(upstream.instance)
+        if known is not None and _is_same(known.upstream, upstream):
+            return known
+        return None
+
+    def _settle(
+        self, upstream: RegisteredUpstream, left_s: float, source: ColdSource
+    ) -> None:
+        now = self._clock.now()
+        self._put(ColdStatement(upstream, now, now + left_s, source))
+
     def _put(self, statement: ColdStatement) -> None:
         instance = statement.upstream.instance
+        known = self._by_id.get(instance)
         was_cold = self.left_s(instance) > 0
+        was_open = known is not None and known.is_open
         self._by_id[instance] = statement
         is_cold = self.left_s(instance) > 0
-        if was_cold != is_cold and self.on_change is not None:
+        is_changed = was_cold != is_cold or was_open != statement.is_open
+        if is_changed and self.on_change is not None:
             self.on_change(statement)
+
+
+def _is_same(one: RegisteredUpstream, other: RegisteredUpstream) -> bool:
+    return one.identity == other.identity
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -185,6 +185,7 @@
         )
         self._tasks.keep('report', self._peering.run)
         self._tasks.keep('expire', self._expire_missing)
+        self._tasks.keep('check cold', assembly.cold_checks.run)
 
     async def _drain_callers(self, ends_at: float) -> None:
         remaining_s = max(ends_at - self._dependencies.clock.now(), 0)
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -35,9 +35,9 @@
     because they crash upstreams. `shift_counts` holds two counts of requests
     in the last 2 s: those sent within the region, and those sent elsewhere.
     `traffic` holds, by service, the fields of `ServiceTraffic`, `limits` what
-    `LimitGossip` packs, and `leaving` what `LeavingGossip` packs. `eras` holds,
-    by key prefix, the era of the store that the position in `replicas` belongs
-    to.
+    `LimitGossip` packs, `leaving` what `LeavingGossip` packs, and `cold` what
+    `ColdGossip` packs. `eras` holds, by key prefix, the era of the store that
+    the position in `replicas` belongs to.
     """
 
     is_ready: bool
@@ -49,6 +49,7 @@
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
+    cold: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -94,8 +95,9 @@
     `ready` names the gateways of the region that accept requests.
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
-    `shift_counts` and `traffic` are summed over the region, `limits` and
-    `leaving` are what the aggregator knows, and `eras` are as in `LoadReport`.
+    `shift_counts` and `traffic` are summed over the region, `limits`,
+    `leaving` and `cold` are what the aggregator knows, and `eras` are as in
+    `LoadReport`.
     """
 
     ready: list
@@ -107,6 +109,7 @@
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
+    cold: dict = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -115,8 +118,8 @@
     """Load of a region, sent to the aggregators of other regions.
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
-    `limits` and `leaving` are what `LimitGossip` and `LeavingGossip` pack, and
-    `eras` are as in `LoadReport`.
+    `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
+    `ColdGossip` pack, and `eras` are as in `LoadReport`.
     """
 
     region: str
@@ -126,3 +129,4 @@
     limits: dict = attrs.field(factory=dict)
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
+    cold: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from nutmegshore.gateway.cold_gossip import ColdGossip
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.leaving_gossip import LeavingGossip
 from nutmegshore.gateway.limit_gossip import LimitGossip
@@ -53,6 +54,7 @@
         self._members = candidate_builder.members
         self._limits = LimitGossip(candidate_builder, dependencies.clock)
         self._leaving = LeavingGossip(dependencies.leaving)
+        self._cold = ColdGossip(candidate_builder.state, dependencies.clock)
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
@@ -106,6 +108,7 @@
             self._limits.own(),
             self._state_sync.eras(),
             self._leaving.known(),
+            self._cold.own(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -130,6 +133,7 @@
             self._limits.known(),
             self._state_sync.eras(),
             self._leaving.known(),
+            self._cold.known(),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -147,6 +151,7 @@
             self._limits.known(),
             self._state_sync.eras(),
             self._leaving.known(),
+            self._cold.known(),
         )
         for other in regions:
             peers.send_each(peers.aggregators(other), body)
@@ -196,6 +201,7 @@
         """Compare what a peer knows with the local state."""
         self._limits.adopt(report.limits)
         self._leaving.adopt(report.leaving)
+        self._cold.adopt(report.cold)
         self._state_sync.compare(sender, report.replicas, report.eras)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -20,6 +20,8 @@
 _MIN_REPLICA_FIELDS = 3
 #: Rate and age of a limit; more may follow.
 _MIN_LIMIT_FIELDS = 2
+#: Start, age and rest of a cold start; more may follow.
+_MIN_COLD_FIELDS = 3
 _TRAFFIC_FIELDS = len(attrs.fields(ServiceTraffic))
 #: Integers in messages have at most this many bits.
 _NUMBER_BITS = 64
@@ -34,6 +36,7 @@
     _check_counts(report.in_flight)
     _check_lists(report.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
     _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
+    _check_lists(report.cold, _MIN_COLD_FIELDS, _MIN_COLD_FIELDS)
     if isinstance(report, RegionLoadReport):
         return
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
--- a/nutmegshore/gateway/route.py
+++ b/nutmegshore/gateway/route.py
@@ -71,11 +71,13 @@
 
     An upstream is cold for `cold_s` after its start and meanwhile takes
     `cold_per_s` requests per second from all gateways; 0 means no bound.
+    `health_path` is the target of its health page.
     """
 
     max_connections: int = 0
     cold_s: float = 0
     cold_per_s: float = 0
+    health_path: str = '/health'
 
 
 @attrs.frozen
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -35,7 +35,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.by_id: dict[str, RegisteredUpstream] = {}
         self._clock = clock
-        self.cold_starts = ColdStarts(clock)
+        self.cold_starts = ColdStarts(clock, self._cold_s)
         self._missing_since: dict[str, float] = {}
         self._usable: dict[str, tuple[RegisteredUpstream, ...]] = {}
         self._moved: dict[str, RegisteredUpstream] = {}
@@ -146,13 +146,21 @@
         return not (is_leaving or is_evacuated or is_moved)
 
     def is_cold(self, instance: str) -> bool:
-        """Whether an upstream is still in its cold-start period."""
+        """Whether an upstream is cold, or may be."""
         return self.cold_left_s(instance) > 0
 
     def cold_left_s(self, instance: str) -> float:
-        """Seconds for which an upstream stays cold, or 0."""
+        """Seconds for which an upstream stays cold, or 0.
+
+        Infinite if it may have started again, and nothing was heard since.
+        """
         return self.cold_starts.left_s(instance)
 
+    def _cold_s(self, service: str) -> float:
+        if self.configuration is None:
+            return 0
+        return self.configuration.rules(service).cold_s
+
     def _forget(self, instance: str) -> None:
         self._missing_since.pop(instance, None)
         gone = self.by_id.pop(instance, None)
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -34,11 +34,11 @@
 
 @attrs.frozen
 class UpstreamColdChanged:
-    """This gateway learned that an upstream is cold.
+    """This gateway learned that an upstream is or may be cold, or is warm.
 
-    It stays cold for `cold_left_s`. `source` is what says so, `age_s` how old
-    that is. `sent_lately` counts the requests that this gateway sent to it in
-    the last second.
+    It stays cold for `cold_left_s` (-1: unknown, since it may have started
+    again). `source` is what says so, `age_s` how old that is. `sent_lately`
+    counts the requests that this gateway sent to it in the last second.
     """
 
     severity = Severity.CHANGE
--- a/nutmegshore/platform/configuration.py
+++ b/nutmegshore/platform/configuration.py
@@ -21,6 +21,8 @@
 CONFIGURATION_PREFIX = 'config/'
 CONFIGURATION_KEY = 'config/main'
 
+_HEALTH_PATH = 'HealthPath'
+_DEFAULT_HEALTH_PATH = '/health'
 _VERSION_BASE = 16
 #: Versions fit into 64 bits.
 _VERSION = re.compile('[0-9a-fA-F]{1,16}')
@@ -101,6 +103,9 @@
         max_connections=fields.read_integer(raw, 'MaxConns', 0),
         cold_s=fields.read_number(raw, 'ColdS', 0),
         cold_per_s=fields.read_number(raw, 'ColdPerS', 0),
+        health_path=fields.read_string(
+            {_HEALTH_PATH: _DEFAULT_HEALTH_PATH, **raw}, _HEALTH_PATH
+        ),
     )
 
 
--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -17,8 +17,10 @@
 __all__ = (
     'RETRY_AFTER',
     'CallerFields',
+    'HealthAnswer',
     'PlatformDialect',
     'read_caller_fields',
+    'read_health',
     'read_load',
     'write_caller_headers',
     'write_expected_instance',
@@ -30,6 +32,8 @@
 _AFFINITY = 'affinity-key'
 _DEADLINE = 'deadline-ms'
 _EXPECTED_INSTANCE = 'Expect-Instance'
+_INSTANCE = 'instance-id'
+_COLD_LEFT = 'cold-ms'
 _SERVER_STAMP = 'server-stamp'
 _NOT_RUN = 'not-run'
 _LOAD = 'server-load'
@@ -39,6 +43,9 @@
 _MISDIRECTED_REQUEST = 421
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
+_OK = 200
+_MS_PER_S = 1000
+#: Digits of the largest number of milliseconds that is read.
 _MAX_DEADLINE_DIGITS = 9
 _LOAD_FIELDS = 3
 _IS_LEAVING = '1'
@@ -46,6 +53,8 @@
 _LEAVING_TEXTS = frozenset((_IS_STAYING, _IS_LEAVING))
 #: A limit in requests per second, without sign or exponent.
 _RATE = re.compile(r'\d{1,15}(\.\d{1,15})?', re.ASCII)
+#: Milliseconds, without sign or exponent.
+_MILLISECONDS = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 #: Seconds of a pause, without sign or exponent.
 _SECONDS = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 #: Request headers that the gateway sets itself and strips from callers.
@@ -104,6 +113,28 @@
     return int(counts[0]) + int(counts[1])
 
 
+@attrs.frozen
+class HealthAnswer:
+    """What a health page says.
+
+    `instance` is the upstream that answered, or empty if it is not healthy or
+    did not say. It stays cold for `cold_left_s` seconds.
+    """
+
+    instance: str = ''
+    cold_left_s: float = 0
+
+
+def read_health(head: AnswerHead) -> HealthAnswer:
+    """Read a health page; one that cannot be read names no instance."""
+    raw = head.fields.get(_COLD_LEFT, '0').strip()
+    is_time = _MILLISECONDS.fullmatch(raw) is not None
+    if head.status != _OK or not is_time:
+        return HealthAnswer()
+    instance = head.fields.get(_INSTANCE, '')
+    return HealthAnswer(instance, float(raw) / _MS_PER_S)
+
+
 class PlatformDialect(Dialect):
     """Header conventions between the gateway and the users' upstreams."""
 
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -109,6 +109,8 @@
 ):
     """Guards against more requests to an upstream that cannot be reached."""
     balancer = make_balancer(make_state(*_fleet(upstream)))
+    # A gateway that has just started sends nothing to what may be cold.
+    clock.advance(4)
     request = make_request('7')
     owner = balancer.choose(request)
     gone = AttemptResult(AttemptOutcome.UNREACHABLE, 0.1)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -5,8 +5,10 @@
 from nutmegshore.errors import ErrorKind
 from nutmegshore.listener.headers import parse_head
 from nutmegshore.platform.dialect import (
+    HealthAnswer,
     PlatformDialect,
     read_caller_fields,
+    read_health,
     read_load,
     write_caller_headers,
 )
@@ -14,6 +16,7 @@
 
 _STAMP = ('Server-Stamp', '3e1b')
 _ID = ('Request-Id', 'r1')
+_INSTANCE = ('Instance-Id', 'u1')
 _MALFORMED = ('', '-1', 'x', '9' * 12)
 
 
@@ -53,6 +56,26 @@
     assert PlatformDialect().read_refusal(head) is kind
 
 
+@pytest.mark.parametrize(
+    ('head', 'answer'),
+    [
+        (_answer(200, _INSTANCE), HealthAnswer('u1', 0)),
+        (_answer(200, _INSTANCE, ('Cold-Ms', '1500')), HealthAnswer('u1', 1.5)),
+        (
+            _answer(200, _INSTANCE, ('Cold-Ms', '12.5')),
+            HealthAnswer('u1', 0.0125),
+        ),
+        (_answer(200, _INSTANCE, ('Cold-Ms', '-1')), HealthAnswer()),
+        (_answer(200, _INSTANCE, ('Cold-Ms', '1e3')), HealthAnswer()),
+        (_answer(200, ('Cold-Ms', '1500')), HealthAnswer('', 1.5)),
+        (_answer(503, _INSTANCE), HealthAnswer()),
+    ],
+)
+def test_a_health_page_tells_how_long_an_upstream_is_cold(head, answer):
+    """Guards against FAILBACK: an odd health page made an upstream warm."""
+    assert read_health(head) == answer
+
+
 def test_reserved_headers_of_callers_are_removed():
     """Guards against a caller that sets the instance or the deadline of the
     request to the upstream."""
