Let a gateway whose own path is broken hold nobody back

Change: a gateway passes on its first failure only, until it has reached the upstream itself; what it could not reach, the word of peers does not settle. One that hears no more for 10 s asks the health page itself. Settled matters are passed on for 3 s.

In the model, gateways now ask health pages as they do live.

--- a/bench/cold_gateway.py
+++ b/bench/cold_gateway.py
@@ -6,9 +6,11 @@
 
 import attrs
 
+from bench.cold_upstreams import UpstreamFleet
 from bench.cold_views import ColdViews
 from bench.event_clock import EventClock
 from nutmegshore.balancing import Balancer
+from nutmegshore.gateway.cold_checks import iter_doubtful
 from nutmegshore.gateway.cold_gossip import ColdGossip
 from nutmegshore.gateway.state import FleetState
 
@@ -36,6 +38,15 @@
         load = self.balancer.candidate_builder.load
         return _Report(load.own_counts(), self.gossip.own())
 
+    def check_health(self, upstreams: UpstreamFleet, now: float) -> None:
+        """Ask the health pages that a gateway asks live."""
+        builder = self.balancer.candidate_builder
+        for statement in tuple(iter_doubtful(builder, now)):
+            upstream = statement.upstream
+            left_s = upstreams.cold_left_s(upstream.instance)
+            if left_s is not None:
+                self.state.cold_starts.handle_health(upstream, left_s, now)
+
 
 @attrs.frozen
 class _Report:
--- a/bench/cold_load.py
+++ b/bench/cold_load.py
@@ -246,6 +246,7 @@
             members = gateway.balancer.candidate_builder.members
             for region in ('', *self._fleet.regions):
                 members.observe(region)
+            gateway.check_health(self._upstreams, self._clock.now())
         self._reports.exchange()
         if self._clock.now() < self._fleet.seconds:
             self._clock.after(_OBSERVE_INTERVAL_S, self._observe)
--- a/bench/cold_upstreams.py
+++ b/bench/cold_upstreams.py
@@ -148,6 +148,13 @@
         factor = _COLD_FACTOR if is_cold else 1
         return factor * max(upstream.in_flight / SLOTS, 1) * _WORK_S
 
+    def cold_left_s(self, instance: str) -> float | None:
+        """Return what a health page says, or None without an answer."""
+        upstream = self.get(instance)
+        if upstream is None or not upstream.is_up:
+            return None
+        return self.entry_of(upstream).cold_left_s
+
     def is_alive(self, upstream: ModelUpstream) -> bool:
         """Return whether a process has neither ended nor started again."""
         return upstream.is_up and self.get(upstream.entry.instance) is upstream
--- a/nutmegshore/gateway/cold_checks.py
+++ b/nutmegshore/gateway/cold_checks.py
@@ -24,7 +24,7 @@
     UpstreamRequest,
 )
 
-__all__ = ('ColdChecks',)
+__all__ = ('ColdChecks', 'iter_doubtful')
 
 #: Seconds between two looks for upstreams to check.
 _INTERVAL_S = 0.1
@@ -36,6 +36,9 @@
 _TIMEOUT_S = 1
 #: Seconds until a connection counts as failed, to any region.
 _CONNECT_TIMEOUT_S = 0.5
+#: Seconds after which each gateway asks by itself, since those that should
+#: have asked may be gone.
+_STALE_S = 10
 #: Checks that one gateway runs at the same time.
 _MAX_RUNNING = 16
 
@@ -88,7 +91,10 @@
 
     def _start_due(self) -> None:
         now = self._clock.now()
-        wanted = {one.upstream.instance: one for one in self._iter_wanted()}
+        wanted = {
+            statement.upstream.instance: statement
+            for statement in iter_doubtful(self._candidate_builder, now)
+        }
         for gone in self._schedules.keys() - wanted.keys():
             self._schedules.pop(gone)
         running = sum(one.is_running for one in self._schedules.values())
@@ -102,14 +108,6 @@
                 schedule.is_running = True
                 self._tasks.spawn(self._check(statement.upstream, schedule))
 
-    def _iter_wanted(self) -> Iterator[ColdStatement]:
-        """Yield what is not settled and is for this gateway to find out."""
-        for statement in self._state.cold_starts.iter_unsettled():
-            if statement.is_own or self._candidate_builder.is_cold_sender(
-                statement.upstream
-            ):
-                yield statement
-
     async def _check(
         self, upstream: RegisteredUpstream, schedule: _Schedule
     ) -> None:
@@ -178,6 +176,21 @@
         """Drop a chunk."""
 
 
+def iter_doubtful(
+    candidate_builder: CandidateBuilder, now: float
+) -> Iterator[ColdStatement]:
+    """Yield what is not settled and is for this gateway to find out.
+
+    Those are the upstreams that it could not reach, those that it may send to
+    while they are cold, and those of which its peers have told nothing lately.
+    """
+    for statement in candidate_builder.state.cold_starts.iter_unsettled():
+        is_stale = now - statement.stated_at > _STALE_S
+        is_own = statement.is_own_failure or is_stale
+        if is_own or candidate_builder.is_cold_sender(statement.upstream):
+            yield statement
+
+
 def _first_pause_s(statement: ColdStatement) -> float:
     """Return the seconds until the first check of an upstream.
 
--- a/nutmegshore/gateway/cold_gossip.py
+++ b/nutmegshore/gateway/cold_gossip.py
@@ -36,13 +36,13 @@
         """Return what this gateway found itself."""
         return self._pack(
             statement
-            for statement in self._state.cold_starts.statements()
+            for statement in self._state.cold_starts.iter_news()
             if statement.is_own
         )
 
     def known(self) -> _Packed:
         """Return what any gateway found."""
-        return self._pack(self._state.cold_starts.statements())
+        return self._pack(self._state.cold_starts.iter_news())
 
     def adopt(self, packed: Mapping[str, list[float]]) -> None:
         """Apply what a peer knows of registered upstreams.
--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -14,9 +14,8 @@
 
 #: Seconds by which a statement of a peer may look newer than it is.
 _MAX_TRANSIT_S = 1
-#: Seconds for which a statement is kept once its upstream is warm, so that an
-#: older one of a peer does not take its place.
-_KEPT_S = 10
+#: Seconds for which a statement is passed on, once it is settled.
+_TOLD_S = 3
 #: Seconds over which sent requests are counted, and the most that are.
 _COUNTED_S = 1
 _MAX_COUNTED = 32
@@ -55,6 +54,11 @@
         """Whether this gateway found it out itself."""
         return self.source is not ColdSource.PEER
 
+    @property
+    def is_own_failure(self) -> bool:
+        """Whether this gateway has failed to reach it, and not again since."""
+        return self.is_open and self.is_own
+
     @property
     def is_open(self) -> bool:
         """Whether nothing tells yet how long the upstream stays cold."""
@@ -93,11 +97,11 @@
             return 0
         return max(statement.warm_at - self._clock.now(), 0)
 
-    def statements(self) -> Iterator[ColdStatement]:
-        """Yield what is known and not out of date."""
-        oldest = self._clock.now() - _KEPT_S
+    def iter_news(self) -> Iterator[ColdStatement]:
+        """Yield what other gateways may not know yet."""
+        oldest = self._clock.now() - _TOLD_S
         for statement in self._by_id.values():
-            if max(statement.stated_at, statement.warm_at) >= oldest:
+            if statement.is_open or statement.stated_at >= oldest:
                 yield statement
 
     def iter_unsettled(self) -> Iterator[ColdStatement]:
@@ -141,10 +145,16 @@
     def handle_failure(
         self, upstream: RegisteredUpstream, source: ColdSource
     ) -> None:
-        """Handle an attempt that could not reach an upstream, or broke off."""
+        """Handle an attempt that could not reach an upstream, or broke off.
+
+        Only the first of several is passed on: a gateway whose own path is
+        broken must not hold an upstream back that others reach.
+        """
+        known = self._known(upstream)
+        if known is not None and known.is_own_failure:
+            return
         if not self._cold_s(upstream.service):
             return
-        known = self._known(upstream)
         fallback_at = float('-inf')
         if known is not None:
             fallback_at = known.fallback_at if known.is_open else known.warm_at
@@ -190,11 +200,16 @@
             self._settle(upstream, cold_left_s, ColdSource.HEALTH)
 
     def handle_peer(self, statement: ColdStatement) -> None:
-        """Handle what a peer knows of a registered upstream."""
+        """Handle what a peer knows of a registered upstream.
+
+        What this gateway could not reach itself, it has to reach itself.
+        """
         known = self._known(statement.upstream)
         if known is None:
             self._put(statement)
             return
+        if known.is_own_failure:
+            return
         newer_s = statement.stated_at - known.stated_at
         is_settled = known.is_open and not statement.is_open and newer_s > 0
         if is_settled or newer_s > _MAX_TRANSIT_S:
--- a/tests/gateway/test_cold_checks.py
+++ b/tests/gateway/test_cold_checks.py
@@ -109,6 +109,20 @@
     assert 4 <= len(client.sent) <= 6
 
 
+def test_each_gateway_asks_when_nobody_tells_it_more(play, scripted, step):
+    """Guards against an upstream that stays cold for ever at a gateway that
+    missed the word of the others."""
+    client = scripted(_health(step))
+
+    async def session(clock, state, one):
+        ColdGossip(state, clock).adopt({'u1': [0, 0, -1]})
+        await clock.sleep(11)
+        assert not state.is_cold('u1')
+
+    for local in _NAMES:
+        play(client, session, local)
+
+
 def test_only_those_who_may_send_ask_on_the_word_of_a_peer(
     play, scripted, step
 ):
