Count a zone that is taken back as cold until it is heard

Callers were sent to the upstreams of a zone that had just been taken back and had become cold with it: all gateways let the whole zone in at once.

Cause: the end of an evacuation said nothing about its upstreams, and counted them as warm until their registrations arrived, up to some seconds later. They were empty, so that each gateway preferred them.

Change: the upstreams of a returned zone count as cold for the cold time of their service, or until their registration, their health page or a peer that read it says how long they really are.

Why it holds: each gateway knows of the return by itself, so that there is no moment in which it is unaware.

--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -25,6 +25,7 @@
     """What a statement is based on."""
 
     REGISTRATION = 'registration'
+    EVACUATION = 'evacuation'
     UNREACHABLE = 'unreachable'
     LOST = 'lost'
     ANSWER = 'answer'
@@ -59,6 +60,11 @@
         """Whether this gateway has failed to reach it, and not again since."""
         return self.is_open and self.is_own
 
+    @property
+    def is_presumed(self) -> bool:
+        """Whether the upstream itself has not been heard."""
+        return self.is_open or self.source is ColdSource.EVACUATION
+
     @property
     def is_open(self) -> bool:
         """Whether nothing tells yet how long the upstream stays cold."""
@@ -101,13 +107,15 @@
         """Yield what other gateways may not know yet."""
         oldest = self._clock.now() - _TOLD_S
         for statement in self._by_id.values():
-            if statement.is_open or statement.stated_at >= oldest:
+            is_new = not statement.is_presumed and statement.stated_at >= oldest
+            if statement.is_open or is_new:
                 yield statement
 
     def iter_unsettled(self) -> Iterator[ColdStatement]:
         """Yield the statements that the upstream itself can settle."""
+        now = self._clock.now()
         for statement in self._by_id.values():
-            if statement.is_open:
+            if statement.is_presumed and statement.warm_at > now:
                 yield statement
 
     def forget(self, instance: str) -> None:
@@ -142,6 +150,16 @@
         left_s = upstream.cold_left_s
         self._settle(upstream, left_s, ColdSource.REGISTRATION)
 
+    def handle_return(self, upstream: RegisteredUpstream) -> None:
+        """Handle that the zone of an upstream is taken back.
+
+        Its upstreams may have become cold shortly before, and all gateways
+        send to them again at the same moment.
+        """
+        left_s = self._cold_s(upstream.service)
+        if left_s > self.left_s(upstream.instance):
+            self._settle(upstream, left_s, ColdSource.EVACUATION)
+
     def handle_failure(
         self, upstream: RegisteredUpstream, source: ColdSource
     ) -> None:
@@ -211,8 +229,8 @@
         if known.is_own_failure:
             return
         newer_s = statement.stated_at - known.stated_at
-        is_settled = known.is_open and not statement.is_open and newer_s > 0
-        if is_settled or newer_s > _MAX_TRANSIT_S:
+        is_settled = known.is_presumed and not statement.is_open
+        if (is_settled and newer_s > 0) or newer_s > _MAX_TRANSIT_S:
             self._put(statement)
 
     def _known(self, upstream: RegisteredUpstream) -> ColdStatement | None:
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -69,10 +69,14 @@
     def replace_evacuated(self, zones: Iterable[str]) -> bool:
         """Replace the evacuated zones; True if they changed."""
         found = frozenset(zones)
+        returned = self.evacuated - found
         is_new = found != self.evacuated
         self.evacuated = found
         self.zones_known = True
         self._usable.clear()
+        for upstream in self.by_id.values():
+            if upstream.availability_zone in returned:
+                self.cold_starts.handle_return(upstream)
         return is_new
 
     def replace_upstreams(
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -194,6 +194,46 @@
     play(session)
 
 
+def test_a_zone_that_is_taken_back_counts_as_cold(play, upstream):
+    """Guards against FAILBACK: all gateways sent to the upstreams of a zone
+    that was taken back as to warm ones, before these said that they are cold.
+    """
+
+    async def session(clock, state, one):
+        state.put(upstream('u2', availability_zone='other'))
+        state.replace_evacuated((one.availability_zone,))
+        await clock.sleep(1)
+        state.replace_evacuated(())
+        assert state.cold_left_s('u1') == pytest.approx(_COLD_S)
+        assert not state.is_cold('u2')
+        assert not ColdGossip(state, clock).own()
+        state.replace_evacuated(())
+        await clock.sleep(_COLD_S)
+        assert not state.is_cold('u1')
+
+    play(session)
+
+
+def test_a_zone_that_is_taken_back_warm_is_used_at_once(play):
+    """Guards against a zone that is used little although one of its upstreams
+    has said that it is warm; a registration says how cold it really is."""
+
+    async def session(clock, state, one):
+        other = _make_state(clock, one)
+        for each in (state, other):
+            each.replace_evacuated((one.availability_zone,))
+            each.replace_evacuated(())
+        await clock.sleep(0.2)
+        state.cold_starts.handle_health(one, 0, asked_at=clock.now())
+        assert not state.is_cold('u1')
+        _tell(clock, state, other)
+        assert not other.is_cold('u1')
+        other.put(attrs.evolve(one, cold_left_s=2))
+        assert other.cold_left_s('u1') == pytest.approx(2)
+
+    play(session)
+
+
 def test_a_message_is_bounded_and_holds_the_latest(play, upstream):
     """Guards against reports that grow with a fleet that is down."""
 
