Settle doubts of upstreams that run, and rank senders once

Change: whether a gateway is a sender is kept until the recent gateways change. A refusal of the health page shows that the upstream runs; a page may wait for a slot for 4 s. Peers settle what this gateway could not reach; if it fails again soon after, it keeps that to itself, so that a broken path still holds nobody back. An answer to a request of the very moment of a failure no longer counts as one to a request from before.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -129,7 +129,7 @@
         )
         candidate_builder.limit_shares.acquire(choice.upstream)
         candidate_builder.load.get(name).in_flight += 1
-        self._state.cold_starts.record_sent(name)
+        self._state.cold_starts.sends.record(name)
         is_away = choice.upstream.region != self._region
         self.region_chooser.record(request.service, is_away=is_away)
         token = candidate_builder.latency.begin(
--- a/nutmegshore/balancing/cold_start.py
+++ b/nutmegshore/balancing/cold_start.py
@@ -1,7 +1,8 @@
 """Rate limit for upstreams that have just started."""
 
 import math
-from collections.abc import Collection
+
+import attrs
 
 from nutmegshore.balancing.affinity import rank_by_hash
 from nutmegshore.balancing.token_bucket import TokenBucket
@@ -19,6 +20,17 @@
 _UNUSED_S = 5
 
 
+@attrs.frozen
+class _Role:
+    """Whether this gateway is a sender of an upstream, among `gateways`.
+
+    Ranking all gateways for each request would cost more than the request.
+    """
+
+    gateways: frozenset[str]
+    is_sender: bool
+
+
 class ColdStartLimiter:
     """Keeps the total rate of all gateways at a cold upstream within its limit.
 
@@ -38,14 +50,20 @@
         self._local = local
         self._buckets: dict[str, TokenBucket] = {}
         self._used_at: dict[str, float] = {}
+        self._roles: dict[str, _Role] = {}
 
-    def is_sender(self, instance: str, gateways: Collection[str]) -> bool:
+    def is_sender(self, instance: str, gateways: frozenset[str]) -> bool:
         """Return whether this gateway may send to the upstream while cold.
 
         `gateways` are those that were seen lately, whether or not they are
         visible now.
         """
-        return self._local in rank_by_hash(instance, gateways)[:_MAX_SENDERS]
+        role = self._roles.get(instance)
+        if role is None or role.gateways is not gateways:
+            senders = rank_by_hash(instance, gateways)[:_MAX_SENDERS]
+            role = _Role(gateways, self._local in senders)
+            self._roles[instance] = role
+        return role.is_sender
 
     def has_token(self, instance: str, rate: float) -> bool:
         """Return whether one more request may be sent now."""
@@ -66,6 +84,7 @@
         """Drop a removed upstream."""
         self._buckets.pop(instance, None)
         self._used_at.pop(instance, None)
+        self._roles.pop(instance, None)
 
     def _refill(self, instance: str, rate: float) -> TokenBucket:
         now = self._clock.now()
--- a/nutmegshore/balancing/recent_members.py
+++ b/nutmegshore/balancing/recent_members.py
@@ -23,6 +23,7 @@
     names: tuple[str, ...]
     read_at: float
     last_seen: dict[str, float]
+    recent: frozenset[str]
 
 
 class RecentMembers:
@@ -58,13 +59,13 @@
         """Return the gateways of a region, as seen at most 0.25 s ago."""
         return self._read(region).names
 
-    def recent_names(self, region: str) -> Collection[str]:
+    def recent_names(self, region: str) -> frozenset[str]:
         """Return the gateways of a region that were seen in the last 30 s.
 
         Both sides of a partition return the same ones, but for those that one
-        of them has not met before.
+        of them has not met before. The set is the same object until it changes.
         """
-        return self._read(region).last_seen.keys()
+        return self._read(region).recent
 
     def count(self, region: str) -> int:
         """Return how many gateways were seen in the last 30 s."""
@@ -91,7 +92,13 @@
         names = tuple(self._gateways(region))
         last_seen = found.last_seen if found else {}
         last_seen.update(dict.fromkeys(names, now))
-        oldest = now - _REMEMBERED_S
-        kept = {name: at for name, at in last_seen.items() if at >= oldest}
-        self._by_region[region] = _Region(names, now, kept)
+        kept = _drop_old(last_seen, now - _REMEMBERED_S)
+        recent = found.recent if found else frozenset()
+        if recent != kept.keys():
+            recent = frozenset(kept)
+        self._by_region[region] = _Region(names, now, kept, recent)
         return self._by_region[region]
+
+
+def _drop_old(last_seen: dict[str, float], oldest: float) -> dict[str, float]:
+    return {name: at for name, at in last_seen.items() if at >= oldest}
--- a/nutmegshore/gateway/cold_checks.py
+++ b/nutmegshore/gateway/cold_checks.py
@@ -32,8 +32,9 @@
 #: pause doubles with each check that tells nothing.
 _MIN_PAUSE_S = 0.4
 _MAX_PAUSE_S = 4
-#: Seconds after which a check without an answer ends.
-_TIMEOUT_S = 1
+#: Seconds after which a check without an answer ends. A health page waits for
+#: a slot like any other request.
+_TIMEOUT_S = 4
 #: Seconds until a connection counts as failed, to any region.
 _CONNECT_TIMEOUT_S = 0.5
 #: Seconds after which each gateway asks by itself, since those that should
@@ -116,10 +117,9 @@
             health = await self._ask(upstream)
         except RequestError as failure:
             self._count(upstream, failure.kind.value)
-            if failure.kind is ErrorKind.UPSTREAM_UNREACHABLE:
-                self._state.cold_starts.handle_failure(
-                    upstream, ColdSource.UNREACHABLE
-                )
+            if failure.kind is ErrorKind.UPSTREAM_REFUSED:
+                # It is too busy for its health page, and runs.
+                self._state.cold_starts.handle_answer(upstream, sent_at)
         else:
             self._apply(upstream, health, sent_at)
         schedule.next_at = self._clock.now() + schedule.pause_s
--- a/nutmegshore/gateway/cold_reports.py
+++ b/nutmegshore/gateway/cold_reports.py
@@ -41,7 +41,7 @@
     def _record(self, statement: ColdStatement) -> None:
         upstream = statement.upstream
         left_s = self._cold_starts.left_s(upstream.instance)
-        sent = self._cold_starts.sent_lately(upstream.instance)
+        sent = self._cold_starts.sends.count(upstream.instance)
         source = statement.source.value
         self._counters.add(
             'cold_changes', service=upstream.service, source=source
--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -1,6 +1,5 @@
 """What a gateway knows of upstreams that are cold, or may be."""
 
-import collections
 import enum
 import math
 from collections.abc import Callable, Iterator
@@ -8,17 +7,17 @@
 import attrs
 
 from nutmegshore.clock import Clock
+from nutmegshore.gateway.recent_sends import RecentSends
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 
 __all__ = ('ColdSource', 'ColdStarts', 'ColdStatement')
 
 #: Seconds by which a statement of a peer may look newer than it is.
 _MAX_TRANSIT_S = 1
+#: Seconds for which an upstream that a peer has reached counts as reachable.
+_REACHED_S = 5
 #: Seconds for which a statement is passed on, once it is settled.
 _TOLD_S = 3
-#: Seconds over which sent requests are counted, and the most that are.
-_COUNTED_S = 1
-_MAX_COUNTED = 32
 
 
 class ColdSource(enum.Enum):
@@ -41,7 +40,7 @@
     `stated_at` and `warm_at` are readings of the gateway's clock. `warm_at` is
     infinite while the upstream may have started again and nothing has been
     heard of it since; `fallback_at` is then the time at which it is warm if it
-    has not started again.
+    has not started again. A private one is not passed on.
     """
 
     upstream: RegisteredUpstream
@@ -49,6 +48,7 @@
     warm_at: float
     source: ColdSource
     fallback_at: float = float('-inf')
+    is_private: bool = False
 
     @property
     def is_own(self) -> bool:
@@ -91,10 +91,10 @@
     def __init__(self, clock: Clock, cold_s: Callable[[str], float]) -> None:
         """Start without statements; `cold_s` is the cold time of a service."""
         self.on_change: Callable[[ColdStatement], None] | None = None
+        self.sends = RecentSends(clock)
         self._clock = clock
         self._cold_s = cold_s
         self._by_id: dict[str, ColdStatement] = {}
-        self._sent: dict[str, collections.deque[float]] = {}
 
     def left_s(self, instance: str) -> float:
         """Return the seconds for which an upstream stays cold, or 0."""
@@ -108,7 +108,7 @@
         oldest = self._clock.now() - _TOLD_S
         for statement in self._by_id.values():
             is_new = not statement.is_presumed and statement.stated_at >= oldest
-            if statement.is_open or is_new:
+            if (statement.is_open or is_new) and not statement.is_private:
                 yield statement
 
     def iter_unsettled(self) -> Iterator[ColdStatement]:
@@ -121,20 +121,7 @@
     def forget(self, instance: str) -> None:
         """Drop a removed upstream."""
         self._by_id.pop(instance, None)
-        self._sent.pop(instance, None)
-
-    def record_sent(self, instance: str) -> None:
-        """Note that a request is sent to an upstream."""
-        times = self._sent.get(instance)
-        if times is None:
-            times = collections.deque(maxlen=_MAX_COUNTED)
-            self._sent[instance] = times
-        times.append(self._clock.now())
-
-    def sent_lately(self, instance: str) -> int:
-        """Return the requests sent to an upstream in the last second."""
-        since = self._clock.now() - _COUNTED_S
-        return sum(at > since for at in self._sent.get(instance, ()))
+        self.sends.forget(instance)
 
     def register(self, upstream: RegisteredUpstream) -> None:
         """Handle the registration of an upstream."""
@@ -165,8 +152,9 @@
     ) -> None:
         """Handle an attempt that could not reach an upstream, or broke off.
 
-        Only the first of several is passed on: a gateway whose own path is
-        broken must not hold an upstream back that others reach.
+        Only the first of several counts, and it is not passed on if a peer has
+        reached the upstream lately: a gateway whose own path is broken must not
+        hold an upstream back that others reach.
         """
         known = self._known(upstream)
         if known is not None and known.is_own_failure:
@@ -183,6 +171,7 @@
                 math.inf,
                 source,
                 fallback_at,
+                is_private=self._was_reached(known),
             )
         )
 
@@ -197,12 +186,12 @@
         known = self._known(upstream)
         if known is None or not known.is_open:
             return
-        if sent_at > known.stated_at:
+        if sent_at >= known.stated_at:
             left_s = self._cold_s(upstream.service)
             self._settle(upstream, left_s, ColdSource.ANSWER)
             return
         margin_s = 0 if known.is_own else _MAX_TRANSIT_S
-        if sent_at <= known.stated_at - margin_s:
+        if sent_at < known.stated_at - margin_s:
             left_s = max(known.fallback_at - self._clock.now(), 0)
             self._settle(upstream, left_s, ColdSource.SURVIVED)
 
@@ -218,21 +207,23 @@
             self._settle(upstream, cold_left_s, ColdSource.HEALTH)
 
     def handle_peer(self, statement: ColdStatement) -> None:
-        """Handle what a peer knows of a registered upstream.
-
-        What this gateway could not reach itself, it has to reach itself.
-        """
+        """Handle what a peer knows of a registered upstream."""
         known = self._known(statement.upstream)
         if known is None:
             self._put(statement)
             return
-        if known.is_own_failure:
-            return
         newer_s = statement.stated_at - known.stated_at
         is_settled = known.is_presumed and not statement.is_open
-        if (is_settled and newer_s > 0) or newer_s > _MAX_TRANSIT_S:
+        is_later = newer_s > _MAX_TRANSIT_S and not known.is_own_failure
+        if is_later or (is_settled and newer_s > 0):
             self._put(statement)
 
+    def _was_reached(self, known: ColdStatement | None) -> bool:
+        """Return whether a peer has reached an upstream lately."""
+        if known is None or known.is_own or known.is_open:
+            return False
+        return self._clock.now() - known.stated_at < _REACHED_S
+
     def _known(self, upstream: RegisteredUpstream) -> ColdStatement | None:
         known = self._by_id.get(upstream.instance)
         if known is not None and _is_same(known.upstream, upstream):
--- a/tests/balancing/test_recent_members.py
+++ b/tests/balancing/test_recent_members.py
@@ -17,6 +17,19 @@
     return RecentMembers(clock, lambda region: list(seen))
 
 
+def test_the_recent_names_are_one_object_until_they_change(
+    members, clock, seen
+):
+    """Guards against a ranking of all gateways for each request, which is kept
+    for as long as the names are the same object."""
+    first = members.recent_names('west')
+    clock.advance(1)
+    assert members.recent_names('west') is first
+    seen.append('g5')
+    clock.advance(1)
+    assert members.recent_names('west') == first | {'g5'}
+
+
 def test_gateways_that_vanish_count_for_a_while(members, clock, seen):
     """Guards against an allowance that both sides of a partition use."""
     members.observe('west')
