Spend no extra retries before the others are known

Cause: the class of the incident FAILBACK, looked for elsewhere: a gateway that has just started and sees only itself had all of the extra retries of the fleet. 8 that start together could send 384 of 60 in 10 s.

Change: a gateway has no part of the extra retries in its first 3 s, as it sends nothing to cold upstreams then. Retries in proportion to its own requests stay.

Measured: the new test counts 384 extra retries where each divides by the gateways that it sees, 0 now (60 allowed); tests of the budget pass.

--- a/nutmegshore/balancing/budget.py
+++ b/nutmegshore/balancing/budget.py
@@ -17,8 +17,8 @@
 
     A gateway may spend the ratio of its own requests to the service in the
     window, plus its share of the extra retries, which are divided by the
-    number of gateways. The sum over all gateways stays within the budget
-    without any messages between them.
+    number of gateways; an infinite number leaves none of them. The sum over all
+    gateways stays within the budget without any messages between them.
 
         if budget.may_retry('orders', members=9):
             budget.record_retry('orders')
@@ -51,14 +51,14 @@
         """Count an attempt beyond the first of a request."""
         self._append(self._retries, service)
 
-    def remaining(self, service: str, members: int) -> float:
+    def remaining(self, service: str, members: float) -> float:
         """Return how many retries this gateway may still send now."""
         requests = self._count(self._requests, service)
         retries = self._count(self._retries, service)
         extra = self._extra / max(members, 1)
         return _USED_FRACTION * (self._ratio * requests + extra) - retries
 
-    def may_retry(self, service: str, members: int) -> bool:
+    def may_retry(self, service: str, members: float) -> bool:
         """Return whether another attempt fits into the budget."""
         return self.remaining(service, members) >= 1
 
--- a/nutmegshore/balancing/recent_members.py
+++ b/nutmegshore/balancing/recent_members.py
@@ -1,5 +1,6 @@
 """The gateways that share an allowance, with those that vanished lately."""
 
+import math
 from collections.abc import Callable, Collection
 
 import attrs
@@ -71,6 +72,14 @@
         """Return how many gateways were seen in the last 30 s."""
         return len(self._read(region).last_seen)
 
+    def count_sharers(self) -> float:
+        """Return how many gateways may share an allowance of the fleet.
+
+        It is infinite while this gateway may not know the others: they may all
+        have started together, and each would take the whole.
+        """
+        return math.inf if self.is_joining else self.count('')
+
     def sender_region(self, region: str) -> str:
         """Return the region whose gateways send to upstreams in a region.
 
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -210,10 +210,10 @@
             dependencies.counters,
         )
 
-    def _count_gateways(self) -> int:
+    def _count_gateways(self) -> float:
         """Return how many gateways may share an allowance of the fleet."""
         members = self.balancer.candidate_builder.members
-        return max(len(self.peers.live()), members.count(''))
+        return max(len(self.peers.live()), members.count_sharers())
 
 
 def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -21,7 +21,8 @@
 class GatewayContext:
     """Objects that all requests of one gateway share.
 
-    `count_gateways` returns the least number of gateways that share a budget.
+    `count_gateways` returns the least number of gateways that share a budget,
+    infinite while this one may not know the others.
     """
 
     state: FleetState
@@ -34,5 +35,5 @@
     counters: Counters
     log: EventLog
     crashes: CrashGuard
-    count_gateways: Callable[[], int]
+    count_gateways: Callable[[], float]
     attempt_timeout: AttemptTimeout = attrs.field(factory=AttemptTimeout)
--- a/tests/balancing/test_budget.py
+++ b/tests/balancing/test_budget.py
@@ -48,6 +48,25 @@
     assert retries <= 60
 
 
+def test_gateways_that_restart_together_stay_within_the_budget(clock):
+    """Guards against the class of FAILBACK in the retry budget: gateways that
+    had just started saw only themselves, and each took all extra retries."""
+    fleet = []
+    for number in range(8):
+        budget = _make(clock)
+        names = (f'g{number}',)
+        fleet.append((budget, RecentMembers(clock, lambda _, own=names: own)))
+    retries = 0
+    for budget, members in fleet:
+        while budget.may_retry('orders', members.count_sharers()):
+            budget.record_retry('orders')
+            retries += 1
+    assert retries <= 60
+    for _ in range(10):
+        budget.record_request('orders')
+    assert budget.may_retry('orders', members.count_sharers())
+
+
 def test_a_retry_counts_for_the_window(clock):
     """Guards against a budget that does not recover after the window."""
     budget = FleetRetryBudget(clock, ratio=0, window_s=10, extra=2.5)
