Keep failures private while the own path is suspect

From second 12.7 on one overloaded gateway could not reach ten upstreams of several zones within 2 s, and told of each; others did the same later. In three seconds each of the other gateways counted some fifty upstreams as cold that were well, until the senders had asked them.

Change: a gateway does not pass on a failure if, in the last 2 s, it failed more often than once for each two answers (two are presumed). It still counts the upstream as cold for itself and asks its health page.

--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from nutmegshore.clock import Clock
+from nutmegshore.gateway.recent_contacts import RecentContacts
 from nutmegshore.gateway.recent_sends import RecentSends
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 
@@ -92,6 +93,7 @@
         """Start without statements; `cold_s` is the cold time of a service."""
         self.on_change: Callable[[ColdStatement], None] | None = None
         self.sends = RecentSends(clock)
+        self._contacts = RecentContacts(clock)
         self._clock = clock
         self._cold_s = cold_s
         self._by_id: dict[str, ColdStatement] = {}
@@ -152,10 +154,11 @@
     ) -> None:
         """Handle an attempt that could not reach an upstream, or broke off.
 
-        Only the first of several counts, and it is not passed on if a peer has
-        reached the upstream lately: a gateway whose own path is broken must not
-        hold an upstream back that others reach.
+        Only the first of several counts. It is not passed on if a peer has
+        reached the upstream lately, or if much else fails: a gateway whose own
+        path is broken must not hold upstreams back that others reach.
         """
+        self._contacts.record_failure()
         known = self._known(upstream)
         if known is not None and known.is_own_failure:
             return
@@ -171,7 +174,8 @@
                 math.inf,
                 source,
                 fallback_at,
-                is_private=self._was_reached(known),
+                is_private=self._contacts.is_path_suspect
+                or self._was_reached(known),
             )
         )
 
@@ -183,6 +187,7 @@
         An upstream that answers what it got before it was unreachable has not
         started again. Any other answer limits the time of its start.
         """
+        self._contacts.record_answer()
         known = self._known(upstream)
         if known is None or not known.is_open:
             return
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -248,6 +248,32 @@
     play(session)
 
 
+def test_a_gateway_that_reaches_hardly_any_upstream_keeps_it_to_itself(
+    play, upstream
+):
+    """Guards against one overloaded gateway that makes all others hold back
+    each upstream which it could not reach in time."""
+
+    async def session(clock, state, one):
+        others = [upstream(f'v{number}') for number in range(10)]
+        for other in others:
+            state.put(other)
+            state.cold_starts.handle_failure(other, ColdSource.UNREACHABLE)
+            await clock.sleep(0.1)
+        assert len(ColdGossip(state, clock).own()) == 1
+        assert all(state.is_cold(other.instance) for other in others)
+        await clock.sleep(2)
+        for _ in range(10):
+            state.cold_starts.handle_answer(one, clock.now())
+        for number in range(4):
+            lost = upstream(f'w{number}')
+            state.put(lost)
+            state.cold_starts.handle_failure(lost, ColdSource.LOST)
+        assert len(ColdGossip(state, clock).own()) == 5
+
+    play(session)
+
+
 def test_a_message_is_bounded_and_holds_the_latest(play, upstream):
     """Guards against reports that grow with a fleet that is down."""
 
@@ -255,6 +281,8 @@
         for number in range(MAX_TOLD + 5):
             gone = upstream(f'v{number}')
             state.put(gone)
+            state.cold_starts.handle_answer(one, clock.now())
+            state.cold_starts.handle_answer(one, clock.now())
             state.cold_starts.handle_failure(gone, ColdSource.UNREACHABLE)
             await clock.sleep(0.01)
         packed = ColdGossip(state, clock).own()
