Keep no word of an upstream that is removed during a check

Cause: found in the last read of the diff: a health page that arrived after its upstream was removed left a record that nothing forgets; and a check that ended by an unexpected error was never repeated.

Change: such a page is counted and dropped; the schedule goes on however a check ends.

--- a/nutmegshore/gateway/cold_checks.py
+++ b/nutmegshore/gateway/cold_checks.py
@@ -52,6 +52,12 @@
     pause_s: float = _MIN_PAUSE_S
     is_running: bool = False
 
+    def end(self, clock: Clock) -> None:
+        """Handle the end of a check, however it ended."""
+        self.next_at = clock.now() + self.pause_s
+        self.pause_s = min(2 * self.pause_s, _MAX_PAUSE_S)
+        self.is_running = False
+
 
 class ColdChecks:
     """Asks upstreams that may be cold whether they are, and for how long.
@@ -112,6 +118,11 @@
     async def _check(
         self, upstream: RegisteredUpstream, schedule: _Schedule
     ) -> None:
+        with contextlib.ExitStack() as stack:
+            stack.callback(schedule.end, self._clock)
+            await self._ask_and_apply(upstream)
+
+    async def _ask_and_apply(self, upstream: RegisteredUpstream) -> None:
         sent_at = self._clock.now()
         try:
             health = await self._ask(upstream)
@@ -122,9 +133,6 @@
                 self._state.cold_starts.handle_answer(upstream, sent_at)
         else:
             self._apply(upstream, health, sent_at)
-        schedule.next_at = self._clock.now() + schedule.pause_s
-        schedule.pause_s = min(2 * schedule.pause_s, _MAX_PAUSE_S)
-        schedule.is_running = False
 
     def _apply(
         self,
@@ -136,6 +144,9 @@
             self._count(upstream, 'unhealthy')
             return
         self._count(upstream, 'cold' if health.cold_left_s else 'warm')
+        if upstream.instance not in self._state.by_id:
+            # It was removed meanwhile.
+            return
         self._state.cold_starts.handle_health(
             upstream, health.cold_left_s, sent_at
         )
--- a/nutmegshore/gateway/cold_starts.py
+++ b/nutmegshore/gateway/cold_starts.py
@@ -58,7 +58,7 @@
 
     @property
     def is_own_failure(self) -> bool:
-        """Whether this gateway has failed to reach it, and not again since."""
+        """Whether this gateway failed to reach it, and has not since."""
         return self.is_open and self.is_own
 
     @property
--- a/tests/gateway/test_cold_checks.py
+++ b/tests/gateway/test_cold_checks.py
@@ -139,6 +139,24 @@
         play(client, session, local)
 
 
+def test_an_upstream_that_is_removed_meanwhile_is_not_kept(
+    play, scripted, step
+):
+    """Guards against records of upstreams that are long gone."""
+    client = scripted(_health(step))
+    client.steps[0].after_s = 1
+
+    async def session(clock, state, one):
+        state.cold_starts.handle_failure(one, ColdSource.LOST)
+        await clock.sleep(0.5)
+        state.drop('u1', is_after_outage=False)
+        await clock.sleep(1)
+        assert len(client.sent) == 1
+        assert not ColdGossip(state, clock).own()
+
+    play(client, session)
+
+
 def test_only_those_who_may_send_ask_on_the_word_of_a_peer(
     play, scripted, step
 ):
