Use what stands, and drop what nothing calls, in the checks of cold upstreams

Cause: read in the whole change: a look into the state where the candidate builder has a question for it, a method of the model's record that only a script outside the project called, and a name that said own for what is also stale.

Change: is_registered is asked, ColdResult.unaware goes, the name says needed. No behaviour changes.

Measured: make style; the 35 tests of cold checks, cold starts, cold reports and of restarts behind a cut pass.

--- a/bench/cold_record.py
+++ b/bench/cold_record.py
@@ -44,14 +44,6 @@
         """Return the requests as a fraction of what the rate allows."""
         return self.count() / (len(self.arrivals) * cold_s * rate)
 
-    def unaware(self) -> int:
-        """Return the requests of gateways that did not know."""
-        return sum(
-            not one.is_known
-            for found in self.arrivals.values()
-            for one in found
-        )
-
     def senders(self) -> int:
         """Return the most gateways that sent to one cold upstream."""
         return max(
--- a/nutmegshore/gateway/cold_checks.py
+++ b/nutmegshore/gateway/cold_checks.py
@@ -144,7 +144,7 @@
             self._count(upstream, 'unhealthy')
             return
         self._count(upstream, 'cold' if health.cold_left_s else 'warm')
-        if upstream.instance not in self._state.by_id:
+        if not self._candidate_builder.is_registered(upstream.instance):
             # It was removed meanwhile.
             return
         self._state.cold_starts.handle_health(
@@ -197,8 +197,8 @@
     """
     for statement in candidate_builder.state.cold_starts.iter_unsettled():
         is_stale = now - statement.stated_at > _STALE_S
-        is_own = statement.is_own_failure or is_stale
-        if is_own or candidate_builder.is_cold_sender(statement.upstream):
+        is_needed = statement.is_own_failure or is_stale
+        if is_needed or candidate_builder.is_cold_sender(statement.upstream):
             yield statement
 
 
