--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -49,10 +49,13 @@
         await asyncio.sleep(0.05)
 
 
-def main(case, folder):
-    """Run `case(record, has_trouble, temporary folder)`; it returns a code."""
+def main(case, path):
+    """Run `case(record, has_trouble, temporary folder)`; it returns a code.
+
+    The record is written to `path`.
+    """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(pathlib.Path(folder) / 'record.txt')
+    record = Record(path)
     record.write(f'TROUBLE={int(has_trouble)}')
     try:
         with tempfile.TemporaryDirectory() as temporary:
