Show how a change of the store reaches a gateway

On-call could not tell from logs whether a late removal was kept as possibly missing, came late over the hops, or was read late by a busy process: a removal had no revision and no line told where a change came from.

replica_changed tells source, revisions and whether entries may be missing; report_delayed tells that a process was late.

--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -13,6 +13,7 @@
 from nutmegshore.gateway.severity import Severity
 from nutmegshore.gateway.store_events import (
     ListingOutdated,
+    ReplicaChanged,
     StoreEraRejected,
     StoreLost,
     StoreRegained,
@@ -39,6 +40,7 @@
     'EvacuationChanged',
     'LinesDropped',
     'PeerChanged',
+    'ReportDelayed',
     'RequestAbandoned',
     'RequestFailed',
     'RequestJudged',
@@ -297,6 +299,18 @@
     cut: int
 
 
+@attrs.frozen
+class ReportDelayed:
+    """A report to the other gateways left `late_s` after it was due.
+
+    The process was busy or stopped for as long, and read messages late.
+    """
+
+    severity = Severity.CHANGE
+
+    late_s: float
+
+
 @attrs.frozen
 class SettingsReloaded:
     """The settings were reloaded; `fault` is empty if they took effect."""
@@ -356,6 +370,8 @@
         StoreRestored: 'store_restored',
         StoreEraRejected: 'store_era_rejected',
         ListingOutdated: 'listing_outdated',
+        ReplicaChanged: 'replica_changed',
+        ReportDelayed: 'report_delayed',
         Starting: 'starting',
         Started: 'started',
         Stopping: 'stopping',
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -16,6 +16,7 @@
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.replica import Replica, ReplicaFeed
+from nutmegshore.gateway.store_events import ReplicaChanged
 from nutmegshore.gateway.store_health import StoreHealth
 from nutmegshore.store import Changes, Listing, Platform
 from nutmegshore.store.base import WATCH_WAIT_S
@@ -174,6 +175,7 @@
         self,
         found: Listing | Changes,
         *,
+        sender: str = '',
         is_after_outage: bool = False,
     ) -> bool:
         """Apply a peer's listing or changes; False if they are too old.
@@ -192,7 +194,7 @@
             return False
         if self._context.store.eras is not None:
             self._context.store.eras.observe(found.era)
-        self._apply(found, is_after_outage=is_after_outage)
+        self._apply(found, sender, is_after_outage=is_after_outage)
         return True
 
     @property
@@ -214,7 +216,7 @@
             return
         self._health.record_current()
         before = (self.known.position.era, self.known.digest)
-        self._apply(listing)
+        self._apply(listing, 'listing')
         if (self.known.position.era, self.known.digest) != before:
             self._restart.set()
 
@@ -243,20 +245,39 @@
         _check_era(self.prefix, changes.era, self.known)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
-            self._apply(changes)
+            self._apply(changes, 'watch')
         waited_s = self._context.clock.now() - started_at
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
     def _apply(
-        self, found: Listing | Changes, *, is_after_outage: bool = False
+        self,
+        found: Listing | Changes,
+        source: str,
+        *,
+        is_after_outage: bool = False,
     ) -> None:
         is_recent = is_after_outage or self.is_after_outage
+        before = (self.known.position.revision, self.known.digest)
         if isinstance(found, Changes):
             self.feed.apply_changes(found, is_after_outage=is_recent)
-            return
-        self.feed.apply_listing(found, is_after_outage=is_recent)
-        self.is_listed = True
-        self._needs_listing = False
+        else:
+            self.feed.apply_listing(found, is_after_outage=is_recent)
+            self.is_listed = True
+            self._needs_listing = False
+        if self.known.digest != before[-1]:
+            self._log_change(source, before[0], may_lack_entries=is_recent)
+
+    def _log_change(
+        self, source: str, previous: int, *, may_lack_entries: bool
+    ) -> None:
+        event = ReplicaChanged(
+            self.prefix,
+            source,
+            previous,
+            self.known.position.revision,
+            may_lack_entries,
+        )
+        self._context.log.write(event)
 
     async def _pace_losses(self) -> None:
         """Pause if the history was lost lately: listing again did not help."""
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmegshore.gateway.cold_gossip import ColdGossip
+from nutmegshore.gateway.events import ReportDelayed
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.leaving_gossip import LeavingGossip
 from nutmegshore.gateway.limit_gossip import LimitGossip
@@ -24,6 +25,9 @@
 
 #: Aggregators of a region among which reports alternate.
 _AGGREGATOR_TURNS = 2
+#: Seconds by which a report must be late to be logged.
+_LOGGED_DELAY_S = 0.2
+_DIGITS = 3
 
 
 class Peering:
@@ -68,7 +72,7 @@
             self.report()
             self._drop_silent()
             self._state_sync.run_round()
-            await self._dependencies.clock.sleep(REPORT_INTERVAL_S)
+            await self._pause()
 
     def report(self) -> None:
         """Send one report now, to all peers or to an aggregator."""
@@ -96,6 +100,16 @@
         """Seconds since the last contact with each peer, by name."""
         return self.roster.ages()
 
+    async def _pause(self) -> None:
+        """Wait for the next report; log if the process is late for it."""
+        clock = self._dependencies.clock
+        due_at = clock.now() + REPORT_INTERVAL_S
+        await clock.sleep(REPORT_INTERVAL_S)
+        late_s = clock.now() - due_at
+        if late_s > _LOGGED_DELAY_S:
+            event = ReportDelayed(round(late_s, _DIGITS))
+            self._dependencies.log.write(event)
+
     def _make_report(self, *, is_summed: bool) -> LoadReport:
         """Return a report; only aggregators use the traffic by service."""
         return LoadReport(
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -307,7 +307,7 @@
             return
         found = _read_reply(reply, _locate(follower, reply))
         if follower.apply_from_peer(
-            found, is_after_outage=reply.is_after_outage
+            found, sender=sender, is_after_outage=reply.is_after_outage
         ):
             self._dependencies.counters.add('state_adopted', kind=reply.prefix)
 
--- a/nutmegshore/gateway/store_events.py
+++ b/nutmegshore/gateway/store_events.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'ListingOutdated',
+    'ReplicaChanged',
     'StoreEraRejected',
     'StoreLost',
     'StoreRegained',
@@ -13,6 +14,24 @@
 )
 
 
+@attrs.frozen
+class ReplicaChanged:
+    """Changes of one kind reached this gateway.
+
+    `source` is `watch` or `listing`, or the gateway that passed them on. The
+    replica went from revision `previous` to `revision`. `may_lack_entries` says
+    whether entries that are gone may have expired in an outage.
+    """
+
+    severity = Severity.CHANGE
+
+    kind: str
+    source: str
+    previous: int
+    revision: int
+    may_lack_entries: bool
+
+
 @attrs.frozen
 class StoreLost:
     """The store stopped answering for one kind of objects."""
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -64,7 +64,7 @@
         if self.is_store_reachable:
             self.listed_at = self.clock.now()
 
-    def apply_from_peer(self, listing, *, is_after_outage=False):
+    def apply_from_peer(self, listing, *, sender='', is_after_outage=False):
         self.applied.append(listing)
         return True
 
