Count the return of entries from the store's return, once

Callers' requests reached an upstream after its bound (DRAIN): for 2.2 s after this gateway, or the aggregator that it follows, got an answer again, each removal was kept for 2.3 s more, counted anew by each gateway that heard it.

The class: a permission to go on whose time runs from when somebody noticed. StoreOutages counts the answers to all gateways, which reports already name: the store was away if none got an answer for as long as entries take to expire (two intervals of 1.5 s). Entries may be missing for 2.3 s after the first word of an answer; later removals and further hops begin nothing anew. An aggregator's flag is not applied by others any more.

tests/gateway/test_change_bounds.py: removals after a broken answer and after an outage took 2.42 s of 2 before, within the bound now; live upstreams outlast outages of 5 and 9 s and a cut of their region as before.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -18,13 +18,12 @@
 from nutmegshore.gateway.replica import Replica, ReplicaFeed
 from nutmegshore.gateway.store_events import ReplicaChanged
 from nutmegshore.gateway.store_health import StoreHealth
+from nutmegshore.gateway.store_outages import REWRITE_S
 from nutmegshore.store import Changes, Listing, Platform
 from nutmegshore.store.base import WATCH_WAIT_S
 
-__all__ = ('REWRITE_S', 'FollowerContext', 'KindFollower', 'Replica')
+__all__ = ('FollowerContext', 'KindFollower', 'Replica')
 
-#: Seconds after a restore of the store within which upstreams register again.
-REWRITE_S = 2.3
 #: Seconds to wait after a failed check before the next one.
 _CHECK_RETRY_S = 0.15
 #: Least seconds from one watch to the next, so that a burst of changes costs
@@ -81,6 +80,7 @@
         self.feed = ReplicaFeed(replica, context.clock, rewrite_s)
         self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
+        self.outages = self._health.outages
         self._context = context
         self._check_requested = asyncio.Event()
         self._restart = asyncio.Event()
@@ -174,9 +174,7 @@
     def apply_from_peer(
         self,
         found: Listing | Changes,
-        *,
         sender: str = '',
-        is_after_outage: bool = False,
     ) -> bool:
         """Apply a peer's listing or changes; False if they are too old.
 
@@ -194,13 +192,12 @@
             return False
         if self._context.store.eras is not None:
             self._context.store.eras.observe(found.era)
-        self._apply(found, sender, is_after_outage=is_after_outage)
+        self._apply(found, sender)
         return True
 
-    @property
-    def is_after_outage(self) -> bool:
-        """Whether entries may be missing because of a recent outage."""
-        return self._health.is_after_outage
+    def expire(self) -> None:
+        """End what is kept since an outage or a restore for long enough."""
+        self.feed.expire(is_after_outage=self.outages.may_lack_entries)
 
     async def _list(self) -> None:
         listing = await self._context.store.read_listing(self.prefix)
@@ -241,22 +238,16 @@
             return
         changes = watch.result()
         self._context.counters.add('store_watches', kind=self.prefix)
-        self._health.record_answer()
+        waited_s = self._context.clock.now() - started_at
+        self._health.record_answer(waited_s)
         _check_era(self.prefix, changes.era, self.known)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
             self._apply(changes, 'watch')
-        waited_s = self._context.clock.now() - started_at
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
-    def _apply(
-        self,
-        found: Listing | Changes,
-        source: str,
-        *,
-        is_after_outage: bool = False,
-    ) -> None:
-        is_recent = is_after_outage or self.is_after_outage
+    def _apply(self, found: Listing | Changes, source: str) -> None:
+        is_recent = self.outages.may_lack_entries
         before = (self.known.position.revision, self.known.digest)
         if isinstance(found, Changes):
             self.feed.apply_changes(found, is_after_outage=is_recent)
@@ -265,19 +256,14 @@
             self.is_listed = True
             self._needs_listing = False
         if self.known.digest != before[-1]:
-            self._log_change(source, before[0], may_lack_entries=is_recent)
-
-    def _log_change(
-        self, source: str, previous: int, *, may_lack_entries: bool
-    ) -> None:
-        event = ReplicaChanged(
-            self.prefix,
-            source,
-            previous,
-            self.known.position.revision,
-            may_lack_entries,
-        )
-        self._context.log.write(event)
+            event = ReplicaChanged(
+                self.prefix,
+                source,
+                before[0],
+                self.known.position.revision,
+                may_lack_entries=is_recent,
+            )
+            self._context.log.write(event)
 
     async def _pace_losses(self) -> None:
         """Pause if the history was lost lately: listing again did not help."""
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -74,7 +74,8 @@
 
     Unless `is_full`, only the objects that changed are listed, and `removed`
     holds the keys of removed ones. `is_after_outage` means that entries may
-    still be missing from the store after an outage. `era` is that of the
+    still be missing from the store after an outage; only earlier versions read
+    it. `era` is that of the
     position, or `UNKNOWN_ERA`.
     """
 
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -27,6 +27,9 @@
     def change(self, change: Change, *, is_after_outage: bool) -> None:
         """Apply one change."""
 
+    def expire(self) -> None:
+        """Remove what was kept because it might have come back."""
+
     def find_start(self, stored: StoredObject) -> int | None:
         """Return a number that grows with each start of an object's owner.
 
@@ -44,7 +47,7 @@
 
         feed = ReplicaFeed(replica, clock, rewrite_s=2.3)
         feed.apply_listing(listing, is_after_outage=False)
-        feed.expire()  # often
+        feed.expire(is_after_outage=False)  # often
     """
 
     def __init__(
@@ -83,10 +86,12 @@
             self._guard.accept(change)
             self._replica.change(change, is_after_outage=is_after_outage)
 
-    def expire(self) -> None:
-        """Let go of what is kept or ignored since a restore for too long."""
+    def expire(self, *, is_after_outage: bool) -> None:
+        """Let go of what is kept or ignored for too long."""
         for change in self._guard.end_overdue():
             self._replica.change(change, is_after_outage=False)
+        if not is_after_outage:
+            self._replica.expire()
 
     def _is_restored(self, era: int) -> bool:
         """Whether an era follows the known one; the first one does not."""
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -219,7 +219,7 @@
         return found.born_ms or None
 
     def expire(self) -> None:
-        """Remove upstreams that stay missing too long after an outage."""
+        """Remove upstreams that are still missing some time after an outage."""
         before = dict(self._state.by_id)
         for instance in self._state.expire_missing():
             self._report_gone(before[instance])
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -10,16 +10,12 @@
 
 __all__ = ('FleetState',)
 
-#: Seconds for which an entry that disappears in a store outage is kept: live
-#: upstreams register again about 2 s after the store recovers.
-MISSING_TTL_S = 2.3
-
 
 class FleetState:
     """The operator's configuration and the upstreams that accept requests.
 
     The configuration version never decreases. An upstream whose entry is
-    missing after a store outage is kept for `MISSING_TTL_S`, since entries
+    missing after a store outage is kept until `expire_missing`, since entries
     expire while their owners cannot reach the store.
 
         state.replace_upstreams(found, is_after_outage=True)
@@ -36,7 +32,7 @@
         self.by_id: dict[str, RegisteredUpstream] = {}
         self._clock = clock
         self.cold_starts = ColdStarts(clock, self._cold_s)
-        self._missing_since: dict[str, float] = {}
+        self._missing: set[str] = set()
         self._usable: dict[str, tuple[RegisteredUpstream, ...]] = {}
         self._moved: dict[str, RegisteredUpstream] = {}
         self.departures = Departures(self.by_id, self._usable.clear)
@@ -96,7 +92,7 @@
     def put(self, upstream: RegisteredUpstream) -> None:
         """Add an upstream or replace its entry."""
         name = upstream.instance
-        self._missing_since.pop(name, None)
+        self._missing.discard(name)
         self.by_id[name] = upstream
         moved = self._moved.get(name)
         if moved is not None and moved.identity != upstream.identity:
@@ -105,22 +101,19 @@
         self._usable.clear()
 
     def drop(self, instance: str, *, is_after_outage: bool) -> None:
-        """Remove an upstream, with a delay if its entry may reappear."""
+        """Remove an upstream, or keep it as missing if it may reappear."""
         upstream = self.by_id.get(instance)
         if upstream is None:
             return
         is_leaving = self.departures.is_leaving(upstream)
         if is_after_outage and not is_leaving:
-            self._missing_since.setdefault(instance, self._clock.now())
+            self._missing.add(instance)
             return
         self._forget(instance)
 
     def expire_missing(self) -> list[str]:
-        """Remove upstreams missing past the limit; return their names."""
-        limit = self._clock.now() - MISSING_TTL_S
-        gone = [
-            name for name, since in self._missing_since.items() if since < limit
-        ]
+        """Remove the upstreams that are missing; return their names."""
+        gone = sorted(self._missing)
         for name in gone:
             self._forget(name)
         return gone
@@ -166,7 +159,7 @@
         return self.configuration.rules(service).cold_s
 
     def _forget(self, instance: str) -> None:
-        self._missing_since.pop(instance, None)
+        self._missing.discard(instance)
         gone = self.by_id.pop(instance, None)
         if gone is not None:
             self.departures.end(gone)
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -47,6 +47,8 @@
 #: check becomes known with the report after it.
 _TURN_S = 2 * REPORT_INTERVAL_S
 _MAX_TURNS = 4
+#: Time of a listing that never was; ages in messages are finite.
+_NEVER_S = -1_000_000
 #: Seconds between state requests to peers while the store is unreachable.
 _REQUEST_INTERVAL_S = 0.4
 #: Seconds after its last message for which an aggregator replaces the store.
@@ -138,7 +140,7 @@
             revision, digest, age_s, *source_flags = known[prefix]
             follower = self._followers[prefix]
             position = follower.known.locate(revision, eras.get(prefix))
-            self._record_check(prefix, age_s)
+            self._record_check(follower, age_s)
             if is_aggregator and any(source_flags):
                 self._record_source(follower, position)
             if not follower.is_relayed:
@@ -160,11 +162,12 @@
             if difference[0] in known
         }
 
-    def _record_check(self, prefix: str, age_s: float) -> None:
+    def _record_check(self, follower: KindFollower, age_s: float) -> None:
         """Record when some gateway listed a kind."""
         checked_at = self._dependencies.clock.now() - age_s
-        before = self._checked_at.get(prefix, checked_at)
-        self._checked_at[prefix] = max(before, checked_at)
+        before = self._checked_at.get(follower.prefix, checked_at)
+        self._checked_at[follower.prefix] = max(before, checked_at)
+        follower.outages.record_answer(age_s)
 
     def _record_source(
         self, follower: KindFollower, position: StorePosition
@@ -260,7 +263,7 @@
     def _last_check(self, follower: KindFollower) -> float:
         """Time of the last known listing of a kind by any gateway."""
         listed_at = self._dependencies.clock.now() - follower.age_s
-        return max(listed_at, self._checked_at.get(follower.prefix, 0))
+        return max(listed_at, self._checked_at.get(follower.prefix, _NEVER_S))
 
     def _request_from_peer(self) -> None:
         """Request the kinds whose store is unreachable, each from a peer."""
@@ -306,9 +309,7 @@
         if follower is None:
             return
         found = _read_reply(reply, _locate(follower, reply))
-        if follower.apply_from_peer(
-            found, sender=sender, is_after_outage=reply.is_after_outage
-        ):
+        if follower.apply_from_peer(found, sender):
             self._dependencies.counters.add('state_adopted', kind=reply.prefix)
 
 
@@ -356,7 +357,7 @@
         follower.prefix,
         follower.known.position.revision,
         [_to_fields(stored) for stored in follower.known.by_key.values()],
-        is_after_outage=follower.is_after_outage,
+        is_after_outage=follower.outages.may_lack_entries,
         era=follower.known.position.era,
     )
 
@@ -369,7 +370,7 @@
         [_to_fields(stored) for stored in present],
         is_full=False,
         removed=[one.key for one in changes.changes if one.stored is None],
-        is_after_outage=follower.is_after_outage,
+        is_after_outage=follower.outages.may_lack_entries,
         era=changes.era,
     )
 
--- a/nutmegshore/gateway/store_health.py
+++ b/nutmegshore/gateway/store_health.py
@@ -10,6 +10,7 @@
     StoreLost,
     StoreRegained,
 )
+from nutmegshore.gateway.store_outages import StoreOutages
 from nutmegshore.store import StorePosition
 
 __all__ = ('StoreHealth',)
@@ -18,14 +19,14 @@
 _MIN_BACKOFF_S = 0.15
 _MAX_BACKOFF_S = 0.8
 _MAX_DOUBLINGS = 8
-#: Seconds after an outage during which entries may still be missing.
-_AFTER_OUTAGE_S = 2.2
 _DIGITS = 3
 
 
 class StoreHealth:
     """Counts consecutive failed calls and logs when outages begin and end.
 
+    `outages` knows of the answers to other gateways as well.
+
     health.record_failure(failure)
     await clock.sleep(health.backoff_s(rng))
     """
@@ -34,20 +35,13 @@
         """Start unreachable, before the first call."""
         self.is_store_reachable = False
         self.has_failed_check = False
+        self.outages = StoreOutages(clock)
         self._kind = kind
         self._clock = clock
         self._log = log
         self._failures = 0
         self._is_outdated = False
         self._lost_at: float | None = None
-        self._regained_at = float('-inf')
-
-    @property
-    def is_after_outage(self) -> bool:
-        """Whether entries may be missing because of a recent outage."""
-        if self._lost_at is not None:
-            return True
-        return self._clock.now() - self._regained_at < _AFTER_OUTAGE_S
 
     def backoff_s(self, rng: random.Random) -> float:
         """Seconds to wait before the next call, with jitter."""
@@ -55,11 +49,12 @@
         backoff_s = min(_MIN_BACKOFF_S * 2**doublings, _MAX_BACKOFF_S)
         return backoff_s * (0.5 + rng.random())
 
-    def record_answer(self) -> None:
-        """Record a successful call."""
+    def record_answer(self, waited_s: float = 0) -> None:
+        """Record a successful call, whose answer took `waited_s`."""
         self.is_store_reachable = True
         self.has_failed_check = False
         self._failures = 0
+        self.outages.record_answer(waited_s=waited_s)
         self.end_outage()
 
     def record_failure(self, failure: PlatformError) -> None:
@@ -94,8 +89,6 @@
         """End the outage: the store or an aggregator is the source again."""
         if self._lost_at is None:
             return
-        now = self._clock.now()
-        outage_s = now - self._lost_at
+        outage_s = self._clock.now() - self._lost_at
         self._lost_at = None
-        self._regained_at = now
         self._log.write(StoreRegained(self._kind, round(outage_s, _DIGITS)))
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -2,11 +2,7 @@
 
 from collections.abc import Callable
 
-from nutmegshore.gateway.follower import (
-    REWRITE_S,
-    FollowerContext,
-    KindFollower,
-)
+from nutmegshore.gateway.follower import FollowerContext, KindFollower
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
     EvacuationReplica,
@@ -15,6 +11,7 @@
 )
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.gateway.store_outages import REWRITE_S
 from nutmegshore.gateway.store_restores import StoreRestores
 from nutmegshore.platform.configuration import CONFIGURATION_PREFIX
 from nutmegshore.platform.registration import (
@@ -80,8 +77,7 @@
     def expire(self) -> None:
         """End what is kept since an outage or a restore; call this often."""
         for follower in self.followers:
-            follower.feed.expire()
-        self.upstreams.expire()
+            follower.expire()
 
     def _check_all(self) -> None:
         """List what this gateway reads from the store itself."""
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -61,20 +61,22 @@
 
     async def watch(self, prefix, after, wait_s=30):
         await self._connect()
-        resets = self.resets
-        silent_s = 0
         waiting = asyncio.ensure_future(super().watch(prefix, after))
         with contextlib.ExitStack() as stack:
             stack.callback(waiting.cancel)
-            while silent_s < _SILENT_S:
-                is_held = self.is_cut or self.is_deaf
-                if waiting.done() and not is_held:
-                    return waiting.result()
-                await asyncio.sleep(_STEP_S)
-                if self.resets > resets:
-                    raise PlatformUnavailable('reset')
-                silent_s = silent_s + _STEP_S if self.is_cut else 0
-        raise PlatformUnavailable('silent')
+            await self._wait_deliverable(waiting)
+            return waiting.result()
+
+    async def _wait_deliverable(self, waiting):
+        resets = self.resets
+        silent_s = 0
+        while self.is_cut or self.is_deaf or not waiting.done():
+            await asyncio.sleep(_STEP_S)
+            if self.resets > resets:
+                raise PlatformUnavailable('reset')
+            silent_s = silent_s + _STEP_S if self.is_cut else 0
+            if silent_s > _SILENT_S:
+                raise PlatformUnavailable('silent')
 
     async def _connect(self):
         if self.is_cut:
@@ -119,15 +121,18 @@
         self._make_log = make_log
         self._stack = stack
         self._operator = MemoryPlatform(self.store, VirtualClock())
-        for one, other in (_REGIONS[:2], _REGIONS[1:], _REGIONS[::2]):
-            self.network.set_delay(one, other, _REGION_DELAY_S)
+        west, north, south = _REGIONS
+        self.network.set_delay(west, north, _REGION_DELAY_S)
+        self.network.set_delay(west, south, _REGION_DELAY_S)
+        self.network.set_delay(north, south, _REGION_DELAY_S)
         for index in range(count):
             self.start('g{0:02}'.format(index))
 
     def start(self, name):
         """Start a gateway, or start it again without what it knew."""
-        if name in self.by_name:
-            self.by_name[name].stop()
+        before = self.by_name.get(name)
+        if before is not None:
+            before.stop()
         region = _REGIONS[int(name[1:]) % len(_REGIONS)]
         gateway = self._build(name, region)
         self.by_name[name] = gateway
@@ -222,8 +227,7 @@
 
         async def expire():
             while True:
-                follower.feed.expire()
-                upstreams.expire()
+                follower.expire()
                 await clock.sleep(_EXPIRY_S)
 
         works = [peering.run, follower.run, follower.run_checks, expire]
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -50,7 +50,8 @@
     applied: list = attrs.field(factory=list)
     is_relayed: bool = False
     is_current: bool = True
-    is_after_outage: bool = False
+    may_lack_entries: bool = False
+    answers: int = 0
 
     def set_relayed(self, *, is_relayed):
         self.is_relayed = is_relayed
@@ -59,12 +60,19 @@
     def age_s(self):
         return self.clock.now() - self.listed_at
 
+    @property
+    def outages(self):
+        return self
+
+    def record_answer(self, age_s=0):
+        self.answers += 1
+
     def check(self):
         self.checks += 1
         if self.is_store_reachable:
             self.listed_at = self.clock.now()
 
-    def apply_from_peer(self, listing, *, sender='', is_after_outage=False):
+    def apply_from_peer(self, listing, sender=''):
         self.applied.append(listing)
         return True
 
--- /dev/null
+++ b/tests/gateway/test_store_outages.py
@@ -0,0 +1,78 @@
+"""Tests of how outages of the store are found."""
+
+import pytest
+
+from nutmegshore.clock import VirtualClock, run_virtual
+from nutmegshore.gateway.store_outages import StoreOutages
+
+
+@pytest.fixture
+def run_outages():
+    """Run a session with a clock and the outages that one gateway sees."""
+
+    def run(session):
+        async def running():
+            clock = VirtualClock()
+            await session(clock, StoreOutages(clock))
+
+        run_virtual(running)
+
+    return run
+
+
+def test_a_gateway_that_is_cut_off_alone_sees_no_outage(run_outages):
+    """Guards against DRAIN: a cut of one gateway was taken for an outage of
+    the store, after which a removal may be an entry that expired."""
+
+    async def session(clock, outages):
+        for _ in range(10):
+            outages.record_answer(age_s=1.5)
+            await clock.sleep(1)
+            assert not outages.may_lack_entries
+        outages.record_answer()
+        assert not outages.may_lack_entries
+
+    run_outages(session)
+
+
+def test_entries_may_be_missing_until_they_can_be_back(run_outages):
+    """Guards against live upstreams that are dropped after an outage, and
+    against a time that begins anew with each word of the same return."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(6)
+        assert outages.may_lack_entries
+        outages.record_answer()
+        for age_s in (1, 2):
+            await clock.sleep(1)
+            assert outages.may_lack_entries
+            outages.record_answer(age_s=age_s)
+        await clock.sleep(0.5)
+        assert not outages.may_lack_entries
+
+    run_outages(session)
+
+
+def test_a_watch_without_changes_is_no_outage(run_outages):
+    """Guards against a quiet store that is taken for one that is away."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(10)
+        outages.record_answer(waited_s=9.5)
+        assert not outages.may_lack_entries
+
+    run_outages(session)
+
+
+def test_a_peer_that_knows_of_no_answer_tells_nothing(run_outages):
+    """Guards against a gateway that has just started and whose peers take it
+    for one that heard of the store long ago."""
+
+    async def session(clock, outages):
+        outages.record_answer(age_s=1_000_000)
+        outages.record_answer()
+        assert not outages.may_lack_entries
+
+    run_outages(session)
