Let no two changes cancel each other in a replica's digest

Callers' requests went on to upstreams that had said they leave (DRAIN), at gateways that follow an aggregator; smaller fleets, where each gateway watches the store, don't compare digests for this. A gateway asks its aggregator for changes only if the digests differ. The digest was the XOR of CRC-32, which is linear: two entries that go from revisions 100 and 101 to 436 and 437 leave it as it was, and so do four removals of alike names. Gateways that had missed both took themselves for up to date until the next change of the kind.

The digest of each object is BLAKE2b now, as in configuration/table.py. The quarantine's digest is CRC-32 over random fingerprints and stays. Beside gateways of the older version the digests never agree: these ask for all objects with each summary until the update is through.

--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -1,6 +1,6 @@
 """Local copy of the objects of one kind, with their change history."""
 
-import zlib
+import hashlib
 
 from nutmegshore.store import (
     Change,
@@ -12,6 +12,7 @@
 
 __all__ = ('KnownObjects',)
 
+_DIGEST_BYTES = 8
 #: Tombstones kept in addition to one for each present object.
 _EXTRA_TOMBSTONES = 512
 _START = StorePosition()
@@ -144,7 +145,13 @@
 
 
 def _digest(stored: StoredObject | None) -> int:
-    """Digest of one object; digests of several are combined by XOR."""
+    """Digest of one object; digests of several are combined by XOR.
+
+    A checksum that is linear would let changes cancel each other: two objects
+    that go from revisions 100 and 101 to 436 and 437.
+    """
     if stored is None:
         return 0
-    return zlib.crc32(f'{stored.key} {stored.version}'.encode())
+    text = f'{stored.key} {stored.version}'
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -340,6 +340,29 @@
     assert worst_s + _REQUEST_S <= drain_s
 
 
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+@pytest.mark.parametrize('leaving', [2, 4])
+def test_upstreams_that_leave_together_are_left_alone_in_time(
+    run_fleet, leaving, how
+):
+    """Guards against DRAIN: the changes of two upstreams cancelled each other
+    in the digest by which a gateway sees that an aggregator is ahead."""
+
+    async def session(fleet):
+        names = [f'u{index}' for index in range(leaving)]
+        # Watches pause between changes, and deliver the next ones together.
+        for other in ('u8', 'u9'):
+            await fleet.register(other)
+            await asyncio.sleep(0.1)
+        for name in names:
+            await fleet.leave(name, how)
+        in_use = [fleet.seconds_in_use(name) for name in names]
+        return max(await asyncio.gather(*in_use))
+
+    worst_s = run_fleet(session, _LARGE)
+    assert worst_s + _REQUEST_S <= _DRAIN_S[_LARGE]
+
+
 @pytest.mark.parametrize('phase_s', [0, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8])
 def test_a_removal_after_a_cut_is_a_removal(run_fleet, phase_s):
     """Guards against DRAIN: for some seconds after a cut from the store a
--- a/tests/gateway/test_objects.py
+++ b/tests/gateway/test_objects.py
@@ -136,3 +136,14 @@
     known.replace(Listing(41, (new,), 2))
     changes = known.changes_since(StorePosition(2, 40))
     assert changes is None or changes.changes == (Change(new.key, new),)
+
+
+def test_changes_of_two_objects_do_not_cancel(known):
+    """Guards against DRAIN: two upstreams said that they leave, and gateways
+    that had missed both took themselves for up to date."""
+    known.apply(_put('x', 100))
+    known.apply(_put('y', 101))
+    before = known.digest
+    known.apply(_put('x', 436))
+    known.apply(_put('y', 437))
+    assert known.digest != before
