Tell no peer what changed before the first listing

An upstream that had left stayed in use at a gateway that learned of the change from one that had just started (DRAIN, "after a restart a server that had left was in use again"): the latter's history began at position 0, though it had not seen what was removed before its first listing, so that its changes lacked the removal, and the former's position passed it for good.

--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -59,6 +59,9 @@
     def replace(self, listing: Listing) -> None:
         """Replace all objects by those of a listing."""
         before = self.by_key
+        if self.position == _START:
+            # What was removed before the first listing is not known here.
+            self._history_start = listing.read_at
         self.by_key = {stored.key: stored for stored in listing.listed}
         self.digest = 0
         for stored in listing.listed:
--- a/tests/gateway/test_objects.py
+++ b/tests/gateway/test_objects.py
@@ -147,3 +147,12 @@
     known.apply(_put('x', 436))
     known.apply(_put('y', 437))
     assert known.digest != before
+
+
+def test_changes_from_before_the_first_listing_are_not_known():
+    """Guards against DRAIN: a gateway that had just started told another what
+    changed, without an upstream that was removed before it started."""
+    started = KnownObjects()
+    started.replace(Listing(12, (_stored('a', 3),)))
+    assert started.changes_since(StorePosition(0, 11)) is None
+    assert started.changes_since(StorePosition(0, 12)) is not None
