Bound the whole way of a change, over all its hops

A change that no watch delivered came too late (DRAIN): listings 0.75 of the bound apart, then 0.25 to 0.5 s for a report, 0.9 s until another watcher lists as well, and a report and a request more. Each hop kept its own bound; the sum was 2.70 s of 2 with 9 gateways and 3.90 s of 3 with 90.

- The kind is listed after half of its bound.
- A gateway that hears of a newer position asks the gateway that has it at once, also if it watches the store itself (state_requests.py).
- Nobody relies on aggregators while no gateway is known to have had an answer for 0.8 of the bound.

Worst case with bound B: B/2 + 0.25 (round) + 0.1 (store) + 2 x 0.1 (notices) + 2 round trips: 2.0 s of 3, 1.5 s of 2; without any aggregator that reaches the store 0.8 B + 0.25 + one call: 2.7 s of 3. A gateway that dies as its turn to list comes, while watches are deaf, adds 1 s (0.5 s before).

--- a/bench/gateway_fleet.py
+++ b/bench/gateway_fleet.py
@@ -14,7 +14,7 @@
 from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.log import EventLog, LineWriter
 from nutmegshore.gateway.peering import Peering
-from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import (
     LinkNetwork,
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -22,7 +22,7 @@
 from nutmegshore.gateway.kept_tasks import KeptTasks
 from nutmegshore.gateway.log import EventLog, LineWriter
 from nutmegshore.gateway.peering import Peering
-from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.status_pages import StatusPages
 from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -22,7 +23,17 @@
 from nutmegshore.store import Changes, Listing, Platform
 from nutmegshore.store.base import WATCH_WAIT_S
 
-__all__ = ('FollowerContext', 'KindFollower', 'Replica')
+__all__ = (
+    'LISTING',
+    'WATCH',
+    'FollowerContext',
+    'KindFollower',
+    'Replica',
+)
+
+#: Sources of what is known of the store, beside other gateways.
+LISTING = 'listing'
+WATCH = 'watch'
 
 #: Seconds to wait after a failed check before the next one.
 _CHECK_RETRY_S = 0.15
@@ -51,7 +62,8 @@
     the digests of two gateways differ, the one with the lower position is
     behind. `bound_s` is the time within which a change must take effect.
     After a failure, and after a restore of the store, the follower lists all
-    objects again.
+    objects again. `on_news` is called after each listing, and when the known
+    objects change, with the source: `watch`, `listing`, or another gateway.
 
     A relayed follower applies the changes that an aggregator sends and does
     not call the store. When relaying ends, the watch continues from the
@@ -77,6 +89,7 @@
         self.prefix = prefix
         self.bound_s = bound_s
         self.is_listed = False
+        self.on_news: Callable[[str], None] | None = None
         self.feed = ReplicaFeed(replica, context.clock, rewrite_s)
         self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
@@ -178,21 +191,22 @@
     ) -> bool:
         """Apply a peer's listing or changes; False if they are too old.
 
-        Changes must start at this follower's position. Unless relayed, the
-        follower accepts them only while it cannot reach the store.
+        Changes must start at this follower's position. A follower that gets
+        answers of the store itself accepts no later era from a peer.
         """
+        known_at = self.known.position
+        is_believed = not self.is_store_reachable or found.era == known_at.era
         if self.is_relayed:
-            is_newer = found.read_at >= self.known.position
+            is_newer = found.read_at >= known_at
         else:
-            is_newer = (
-                found.read_at > self.known.position
-                and not self.is_store_reachable
-            )
+            is_newer = is_believed and found.read_at > known_at
         if not is_newer:
             return False
         if self._context.store.eras is not None:
             self._context.store.eras.observe(found.era)
         self._apply(found, sender)
+        # A watch from before would deliver the same changes again.
+        self._restart.set()
         return True
 
     def expire(self) -> None:
@@ -213,7 +227,7 @@
             return
         self._health.record_current()
         before = (self.known.position.era, self.known.digest)
-        self._apply(listing, 'listing')
+        self._apply(listing, LISTING)
         if (self.known.position.era, self.known.digest) != before:
             self._restart.set()
 
@@ -243,7 +257,7 @@
         _check_era(self.prefix, changes.era, self.known)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
-            self._apply(changes, 'watch')
+            self._apply(changes, WATCH)
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
     def _apply(self, found: Listing | Changes, source: str) -> None:
@@ -264,6 +278,9 @@
                 may_lack_entries=is_recent,
             )
             self._context.log.write(event)
+        is_news = source == LISTING or self.known.digest != before[-1]
+        if is_news and self.on_news is not None:
+            self.on_news(source)
 
     async def _pace_losses(self) -> None:
         """Pause if the history was lost lately: listing again did not help."""
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -9,6 +9,7 @@
     'LoadReport',
     'LoadSummary',
     'RegionLoadReport',
+    'StateNotice',
     'StateRequest',
     'StateReply',
 )
@@ -21,6 +22,7 @@
 _STATE_REPLY_NUMBER = 82
 _LOAD_SUMMARY_NUMBER = 83
 _REGION_LOAD_NUMBER = 84
+_STATE_NOTICE_NUMBER = 85
 
 
 @message(_LOAD_REPORT_NUMBER)
@@ -131,3 +133,15 @@
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
     cold: dict = attrs.field(factory=dict)
+
+
+@message(_STATE_NOTICE_NUMBER)
+@attrs.frozen
+class StateNotice:
+    """What a gateway knows of the store, sent ahead of its next report.
+
+    `replicas` and `eras` are as in `LoadReport`.
+    """
+
+    replicas: dict
+    eras: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -15,11 +15,9 @@
 from nutmegshore.gateway.region_traffic import RegionTraffic
 from nutmegshore.gateway.report_checks import check_report
 from nutmegshore.gateway.roster import Roster
-from nutmegshore.gateway.state_sync import (
-    REPORT_INTERVAL_S,
-    PeeringDependencies,
-    StateSync,
-)
+from nutmegshore.gateway.state_notices import StateNotices
+from nutmegshore.gateway.state_sync import REPORT_INTERVAL_S, StateSync
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 
 __all__ = ('Peering',)
 
@@ -40,6 +38,8 @@
     per gateway do not grow with the fleet. All aggregators of a region do the
     same work: nothing is handed over when one dies, and if views differ on
     which gateways aggregate, a summary is merely sent twice.
+
+    What a gateway learns of the store's objects goes out at once, in notices.
     """
 
     def __init__(
@@ -62,6 +62,9 @@
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
+        self._notices = StateNotices(
+            peers, dependencies.clock, self._state_sync, followers
+        )
         peers.subscribe(LoadReport, self._handle_report)
         peers.subscribe(LoadSummary, self._handle_summary)
         peers.subscribe(RegionLoadReport, self._handle_region)
@@ -101,10 +104,10 @@
         return self.roster.ages()
 
     async def _pause(self) -> None:
-        """Wait for the next report; log if the process is late for it."""
+        """Send notices until the next report; log if that is late."""
         clock = self._dependencies.clock
         due_at = clock.now() + REPORT_INTERVAL_S
-        await clock.sleep(REPORT_INTERVAL_S)
+        await self._notices.send_until(due_at)
         late_s = clock.now() - due_at
         if late_s > _LOGGED_DELAY_S:
             event = ReportDelayed(round(late_s, _DIGITS))
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -12,9 +12,10 @@
     LoadReport,
     LoadSummary,
     RegionLoadReport,
+    StateNotice,
 )
 
-__all__ = ('check_report',)
+__all__ = ('check_notice', 'check_report')
 
 #: Position, digest and age of a replica; more may follow.
 _MIN_REPLICA_FIELDS = 3
@@ -45,6 +46,11 @@
         _check(all(isinstance(name, str) for name in report.ready), 'ready')
 
 
+def check_notice(notice: StateNotice) -> None:
+    """Raise `LinkError` if a replica's fields are of another type."""
+    _check_lists(notice.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
+
+
 def _check_counts(by_name: Mapping[Any, Any]) -> None:
     _check_names(by_name)
     for count in by_name.values():
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -1,26 +1,18 @@
 """Synchronizes the store replicas of gateways with each other."""
 
 import bisect
-import random
 from collections.abc import Iterable
 from types import MappingProxyType
 
-import attrs
-
-from nutmegshore.balancing import Balancer
-from nutmegshore.clock import Clock
-from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import KindFollower
-from nutmegshore.gateway.leaving import LeavingUpstreams
-from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.messages import (
     UNKNOWN_ERA,
     StateReply,
     StateRequest,
 )
 from nutmegshore.gateway.roster import Roster
-from nutmegshore.peers import Peers
-from nutmegshore.quarantine import Quarantine
+from nutmegshore.gateway.state_requests import StateRequests
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.store import (
     Change,
     Changes,
@@ -29,48 +21,34 @@
     StorePosition,
 )
 
-__all__ = ('REPORT_INTERVAL_S', 'PeeringDependencies', 'StateSync')
+__all__ = ('REPORT_INTERVAL_S', 'StateSync')
 
 #: Seconds between two reports of a gateway.
 REPORT_INTERVAL_S = 0.25
 #: Seconds that a message may be in transit; added to each relayed age, so that
 #: a listing does not appear more recent with each hop.
 _TRANSIT_S = 0.1
-#: Seconds for which a peer may be ahead before this gateway lists the store; a
-#: watch and a report deliver a change within 0.8 s.
+#: Seconds for which a peer may be ahead before this gateway lists the store,
+#: since the peer did not send what it is ahead by.
 _MAX_LAG_S = 0.9
 #: Fraction of a kind's bound after which some gateway lists it again, to find
-#: changes that no watch delivers and pass them on. The rest of the bound is for
-#: gateways that do not receive these.
-_CHECK_FRACTION = 0.75
+#: changes that no watch delivers. The rest is for their way to all gateways.
+_CHECK_FRACTION = 0.5
+#: Fraction of a kind's bound for which the store may have answered no gateway
+#: before a gateway stops to rely on aggregators: they may be cut off.
+_ANSWERED_FRACTION = 0.8
 #: Seconds after which the next gateway checks in place of one that did not; a
 #: check becomes known with the report after it.
-_TURN_S = 2 * REPORT_INTERVAL_S
+_TURN_S = 4 * REPORT_INTERVAL_S
 _MAX_TURNS = 4
 #: Time of a listing that never was; ages in messages are finite.
 _NEVER_S = -1_000_000
-#: Seconds between state requests to peers while the store is unreachable.
-_REQUEST_INTERVAL_S = 0.4
 #: Seconds after its last message for which an aggregator replaces the store.
 #: Aggregators send twice a second; the bounds on changes are 2 s and more, and
 #: a watch of the gateway's own delivers missed changes at once.
 _SOURCE_TIMEOUT_S = 1.2
 
 
-@attrs.frozen
-class PeeringDependencies:
-    """Dependencies of the peering of one gateway."""
-
-    peers: Peers
-    balancer: Balancer
-    quarantine: Quarantine
-    clock: Clock
-    rng: random.Random
-    counters: Counters
-    log: EventLog
-    leaving: LeavingUpstreams
-
-
 class StateSync:
     """Compares the replicas of gateways and passes changes on.
 
@@ -100,7 +78,7 @@
         self._differs_since: dict[tuple[str, str], float] = {}
         self._checked_at: dict[str, float] = {}
         self._source_seen_at: dict[str, float] = {}
-        self._requested_at = float('-inf')
+        self._requests = StateRequests(dependencies, roster)
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
 
@@ -154,7 +132,7 @@
         """Choose sources, check the store, and request unreachable state."""
         self._choose_sources()
         self._check_store()
-        self._request_from_peer()
+        self._requests.send_unreachable(self._followers.values())
         known = self._dependencies.peers.live()
         self._differs_since = {
             difference: since
@@ -187,7 +165,7 @@
         position: StorePosition,
         digest: int,
     ) -> None:
-        """Check the store if a peer has been ahead for too long."""
+        """Catch up with a peer, or list if it has been ahead for too long."""
         now = self._dependencies.clock.now()
         difference = (sender, follower.prefix)
         if (
@@ -196,6 +174,7 @@
         ):
             self._differs_since.pop(difference, None)
             return
+        self._requests.catch_up(sender, follower, position)
         since = self._differs_since.setdefault(difference, now)
         if now - since > _MAX_LAG_S:
             follower.check()
@@ -214,9 +193,7 @@
             return
         # Equal positions with different digests: changes cannot repair this.
         is_full = position == follower.known.position or not follower.is_listed
-        request = _make_request(follower, is_full=is_full)
-        self._dependencies.peers.send(aggregator, request)
-        self._dependencies.counters.add('state_questions', kind=follower.prefix)
+        self._requests.send(aggregator, follower, is_full=is_full)
 
     def _choose_sources(self) -> None:
         """Relay through the aggregators while one of them has the store."""
@@ -226,7 +203,13 @@
         limit = self._dependencies.clock.now() - _SOURCE_TIMEOUT_S
         for prefix, follower in self._followers.items():
             has_source = self._source_seen_at.get(prefix, 0) > limit
-            follower.set_relayed(is_relayed=may_relay and has_source)
+            is_answered = (
+                follower.outages.silent_s
+                < _ANSWERED_FRACTION * follower.bound_s
+            )
+            follower.set_relayed(
+                is_relayed=may_relay and has_source and is_answered
+            )
 
     def _check_store(self) -> None:
         """List the kinds that no gateway has listed recently.
@@ -265,30 +248,6 @@
         listed_at = self._dependencies.clock.now() - follower.age_s
         return max(listed_at, self._checked_at.get(follower.prefix, _NEVER_S))
 
-    def _request_from_peer(self) -> None:
-        """Request the kinds whose store is unreachable, each from a peer."""
-        now = self._dependencies.clock.now()
-        unreachable = [
-            one
-            for one in self._followers.values()
-            if not (one.is_store_reachable or one.is_relayed)
-        ]
-        names = self._roster.in_contact()
-        if (
-            not unreachable
-            or not names
-            or now - self._requested_at < _REQUEST_INTERVAL_S
-        ):
-            return
-        self._requested_at = now
-        for follower in unreachable:
-            name = self._dependencies.rng.choice(names)
-            request = _make_request(follower)
-            self._dependencies.peers.send(name, request)
-            self._dependencies.counters.add(
-                'state_questions', kind=follower.prefix
-            )
-
     def _handle_request(self, sender: str, request: StateRequest) -> None:
         follower = self._followers.get(request.prefix)
         if follower is None or not follower.is_listed:
@@ -343,15 +302,6 @@
     return Changes(read_at.revision, tuple(changes), read_at.era)
 
 
-def _make_request(
-    follower: KindFollower, *, is_full: bool = True
-) -> StateRequest:
-    position = follower.known.position
-    return StateRequest(
-        follower.prefix, position.revision, is_full, position.era
-    )
-
-
 def _make_full_reply(follower: KindFollower) -> StateReply:
     return StateReply(
         follower.prefix,
--- a/nutmegshore/gateway/store_outages.py
+++ b/nutmegshore/gateway/store_outages.py
@@ -33,12 +33,16 @@
         self._answered_at = float('-inf')
         self._returned_at = float('-inf')
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the last known answer to any gateway."""
+        return self._clock.now() - self._answered_at
+
     @property
     def may_lack_entries(self) -> bool:
         """Whether live upstreams may still be about to register again."""
-        now = self._clock.now()
-        is_away = now - self._answered_at >= _EXPIRING_S
-        return is_away or now - self._returned_at < REWRITE_S
+        since_return_s = self._clock.now() - self._returned_at
+        return self.silent_s >= _EXPIRING_S or since_return_s < REWRITE_S
 
     def record_answer(self, age_s: float = 0, waited_s: float = 0) -> None:
         """Record that the store answered some gateway `age_s` seconds ago.
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -16,7 +16,7 @@
 from nutmegshore.gateway.messages import LoadReport, LoadSummary
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
-from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine, fingerprint
@@ -52,6 +52,8 @@
     is_current: bool = True
     may_lack_entries: bool = False
     answers: int = 0
+    silent_s: float = 0
+    on_news: object = None
 
     def set_relayed(self, *, is_relayed):
         self.is_relayed = is_relayed
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -19,7 +19,7 @@
 from nutmegshore.gateway.messages import UNKNOWN_ERA
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.settings import GatewaySettings
-from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.peers import MemoryNetwork
 from nutmegshore.platform.standin import (
     StandinStore,
--- a/tests/gateway/test_state_sync.py
+++ b/tests/gateway/test_state_sync.py
@@ -15,7 +15,7 @@
 from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.state import FleetState
-from nutmegshore.gateway.state_sync import PeeringDependencies
+from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine
 from nutmegshore.store import Expected, MemoryPlatform, MemoryStore
