--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -16,7 +16,11 @@
 #: Bytes that libcurl reads from a socket in one call.
 READ_BYTES = 65_536
 
+#: Bytes of an answer's heads and trailers together, interim heads included.
+_MAX_HEAD_BYTES = 131_072
 _FIRST_FINAL_STATUS = 200
+#: What a header callback returns to end the transfer.
+_ABORT = 0
 
 
 class Transfer:
@@ -37,6 +41,7 @@
         self._curl = curl
         self._changed = asyncio.Event()
         self._lines: list[str] = []
+        self._head_bytes = 0
         self._incoming = _Buffer()
         self._outgoing = _Buffer()
         curl.setopt(pycurl.PREREQFUNCTION, self._mark_sent)
@@ -106,10 +111,16 @@
         self.is_sent = True
         return pycurl.PREREQFUNC_OK
 
-    def _receive_header_line(self, raw: bytes) -> None:
-        if self.head is not None:
-            # Trailers of a chunked answer are not passed on.
-            return
+    def _receive_header_line(self, raw: bytes) -> int | None:
+        self._head_bytes += len(raw)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            return _ABORT
+        # Trailers of a chunked answer are not passed on.
+        if self.head is None:
+            self._add_line(raw)
+        return None
+
+    def _add_line(self, raw: bytes) -> None:
         if not raw.endswith(b'\n'):
             # libcurl takes a head for complete that breaks off in its last line
             # end. Without a length, the answer would be an empty success.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,26 @@
 """Fixtures shared by many test modules."""
 
+import contextlib
+import random
+from types import MappingProxyType
+
 import attrs
 import hypothesis
 import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
 
+from nutmegshore.clock import SystemClock
 from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.counters import Counters
+from nutmegshore.gateway.assembly import GatewayDependencies
+from nutmegshore.gateway.daemon import GatewayDaemon
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.route import Route, RouteKind, ServiceShare
+from nutmegshore.gateway.settings import GatewaySettings
+from nutmegshore.platform.bounds import Bounds
+from nutmegshore.platform.standin import StandinStore, make_store_application
+from nutmegshore.platform.store import PlatformStore
 from nutmegshore.resources import Envelope, parse_spec
 
 # The same examples on every run and no deadline, so that the result depends
@@ -83,3 +97,52 @@
         return attrs.evolve(made, **changes)
 
     return build
+
+
+def _settings(store_port):
+    anywhere = '127.0.0.1:0'
+    return GatewaySettings(
+        name='g1',
+        ip='127.0.0.1',
+        region='west',
+        availability_zone='west-a',
+        callers=anywhere,
+        ready=anywhere,
+        lookup=anywhere,
+        peer_port=0,
+        metrics_port=0,
+        store=f'127.0.0.1:{store_port}',
+        cluster='test',
+        key='a key of a test cluster',
+        regions_by_zone=MappingProxyType({'west-a': 'west'}),
+        bounds=Bounds(grace_s=2),
+    )
+
+
+@pytest.fixture
+def open_gateway(make_log):
+    """Context manager that opens a gateway and a store, filled by `fill`."""
+
+    @contextlib.asynccontextmanager
+    async def opened(fill):
+        store = StandinStore()
+        listening, store_port = bind_unused_port()
+        store_server = HTTPServer(make_store_application(store))
+        store_server.add_socket(listening)
+        fill(store)
+        settings = _settings(store_port)
+        clock = SystemClock()
+        counters = Counters()
+        dependencies = GatewayDependencies(
+            PlatformStore(settings.store),
+            clock,
+            random.Random(7),
+            counters,
+            make_log(clock, counters),
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(store_server.close_all_connections)
+            stack.callback(store_server.stop)
+            yield GatewayDaemon(settings, dependencies), store
+
+    return opened
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -2,20 +2,10 @@
 
 import asyncio
 import contextlib
-import random
 from types import MappingProxyType
 
 import pytest
-from tornado.httpserver import HTTPServer
-from tornado.testing import bind_unused_port
-
-from nutmegshore.clock import SystemClock
-from nutmegshore.counters import Counters
-from nutmegshore.gateway.assembly import GatewayDependencies
-from nutmegshore.gateway.daemon import GatewayDaemon
-from nutmegshore.gateway.settings import GatewaySettings
-from nutmegshore.platform.bounds import Bounds
-from nutmegshore.platform.standin import StandinStore, make_store_application
+
 from nutmegshore.platform.store import PlatformStore
 
 _ANSWER = (
@@ -84,26 +74,6 @@
     )
 
 
-def _settings(store_port):
-    anywhere = '127.0.0.1:0'
-    return GatewaySettings(
-        name='g1',
-        ip='127.0.0.1',
-        region='west',
-        availability_zone='west-a',
-        callers=anywhere,
-        ready=anywhere,
-        lookup=anywhere,
-        peer_port=0,
-        metrics_port=0,
-        store=f'127.0.0.1:{store_port}',
-        cluster='test',
-        key='a key of a test cluster',
-        regions_by_zone=MappingProxyType({'west-a': 'west'}),
-        bounds=Bounds(grace_s=2),
-    )
-
-
 async def _talk(port, sent):
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(sent)
@@ -113,32 +83,16 @@
 
 
 @pytest.fixture
-def run_gateway(make_log):
+def run_gateway(open_gateway):
     """Context manager that runs a gateway, its store and an upstream."""
 
     @contextlib.asynccontextmanager
     async def running():
-        store = StandinStore()
-        listening, store_port = bind_unused_port()
-        store_server = HTTPServer(make_store_application(store))
-        store_server.add_socket(listening)
         upstream = await asyncio.start_server(_answer, '127.0.0.1', 0)
-        _fill(store, upstream.sockets[0].getsockname()[1])
-        settings = _settings(store_port)
-        clock = SystemClock()
-        counters = Counters()
-        dependencies = GatewayDependencies(
-            PlatformStore(settings.store),
-            clock,
-            random.Random(7),
-            counters,
-            make_log(clock, counters),
-        )
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(store_server.close_all_connections)
-            stack.callback(store_server.stop)
-            stack.callback(upstream.close)
-            yield GatewayDaemon(settings, dependencies), store
+        port = upstream.sockets[0].getsockname()[1]
+        async with open_gateway(lambda store: _fill(store, port)) as opened:
+            with contextlib.closing(upstream):
+                yield opened
 
     return running
 
