--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -13,8 +13,9 @@
 
 __all__ = ('StateNotices',)
 
-#: Least seconds between two notices.
-_INTERVAL_S = 0.1
+#: Least seconds between two notices, since each one that tells of a change is
+#: followed by a request of each gateway that relies on it.
+_INTERVAL_S = 0.25
 #: Seconds that are too short to wait for.
 _MIN_WAIT_S = 0.001
 
--- a/nutmegshore/gateway/state_requests.py
+++ b/nutmegshore/gateway/state_requests.py
@@ -48,14 +48,19 @@
         self, name: str, follower: KindFollower, position: StorePosition
     ) -> None:
         """Request what a peer is ahead by; the own watch may not deliver it."""
+        is_comparable = position.era == follower.known.position.era
+        if is_comparable and follower.is_listed:
+            self.send_paced(name, follower, is_full=False)
+
+    def send_paced(
+        self, name: str, follower: KindFollower, *, is_full: bool
+    ) -> None:
+        """Send a request unless one for the kind has left a moment ago."""
         now = self._dependencies.clock.now()
         last_at = self._caught_up_at.get(follower.prefix, float('-inf'))
-        is_comparable = position.era == follower.known.position.era
-        if not (is_comparable and follower.is_listed):
-            return
         if now - last_at >= _CATCH_UP_INTERVAL_S:
             self._caught_up_at[follower.prefix] = now
-            self.send(name, follower, is_full=False)
+            self.send(name, follower, is_full=is_full)
 
     def send_unreachable(self, followers: Iterable[KindFollower]) -> None:
         """Request the kinds whose store is unreachable, each from a peer."""
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -32,7 +32,9 @@
 #: since the peer did not send what it is ahead by.
 _MAX_LAG_S = 0.9
 #: Fraction of a kind's bound after which some gateway lists it again, to find
-#: changes that no watch delivers. The rest is for their way to all gateways.
+#: changes that no watch delivers. The rest is for their way to all gateways:
+#: 0.25 s to the round, 0.1 s for the call, and for each of two hops a notice
+#: (0.25 s), a request and an answer. docs/platform.md has the sums.
 _CHECK_FRACTION = 0.5
 #: Fraction of a kind's bound for which the store may have answered no gateway
 #: before a gateway stops to rely on aggregators: they may be cut off.
@@ -193,7 +195,7 @@
             return
         # Equal positions with different digests: changes cannot repair this.
         is_full = position == follower.known.position or not follower.is_listed
-        self._requests.send(aggregator, follower, is_full=is_full)
+        self._requests.send_paced(aggregator, follower, is_full=is_full)
 
     def _choose_sources(self) -> None:
         """Relay through the aggregators while one of them has the store."""
