--- a/nutmegshore/gateway/answer.py
+++ b/nutmegshore/gateway/answer.py
@@ -8,14 +8,15 @@
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver
 
-__all__ = ('BufferedAnswer',)
+__all__ = ('NOT_RUN_STATUSES', 'BufferedAnswer')
 
 #: Longest answer, in bytes, that is buffered until it is complete. A failure up
 #: to then can still lead to a retry or an error status; a longer answer is
 #: streamed to the caller.
 MAX_BUFFERED_BYTES = 262_144
-#: Statuses by which a gateway promises that a request has not run.
-_NOT_RUN_STATUSES = frozenset(
+#: Statuses by which a gateway promises that a request has not run and never
+#: will.
+NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
         HTTPStatus.MISDIRECTED_REQUEST,
@@ -57,7 +58,7 @@
         self.head = None
         if not self._dialect.is_answer_to(head, self._request_id):
             raise RequestError(ErrorKind.UPSTREAM_SPOILED, self._request_id)
-        if head.status in _NOT_RUN_STATUSES and not self._is_safe:
+        if head.status in NOT_RUN_STATUSES and not self._is_safe:
             raise RequestError(ErrorKind.UPSTREAM_LOST, f'status {head.status}')
         self.head = head
 
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -13,7 +13,7 @@
     Outcome,
     RefusedError,
 )
-from nutmegshore.gateway.answer import BufferedAnswer
+from nutmegshore.gateway.answer import NOT_RUN_STATUSES, BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.events import (
     RequestAbandoned,
@@ -41,20 +41,19 @@
 def status_of(error: NutmegshoreError) -> int:
     """HTTP status for an error.
 
-    503 promises that a request has not run and never will. Server errors with
-    that outcome, and all refusals with a Retry-After, are answered with 503,
-    and errors with another outcome never are.
+    408, 421, 429 and 503 promise that a request has not run and never will.
+    Server errors with that outcome, and all refusals with a Retry-After, are
+    answered with 503, and errors with another outcome with none of the four.
     """
     if isinstance(error, RefusedError):
         return HTTPStatus.SERVICE_UNAVAILABLE
     status = error.answer.status
+    if error.answer.outcome is not Outcome.NOT_RUN:
+        is_promise = status in NOT_RUN_STATUSES
+        return HTTPStatus.BAD_GATEWAY if is_promise else status
     if status < _SERVER_ERROR:
         return status
-    if error.answer.outcome is Outcome.NOT_RUN:
-        return HTTPStatus.SERVICE_UNAVAILABLE
-    if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        return HTTPStatus.BAD_GATEWAY
-    return status
+    return HTTPStatus.SERVICE_UNAVAILABLE
 
 
 class GatewayResponder(Responder):
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -6,9 +6,9 @@
 import attrs
 import pytest
 
-from nutmegshore.errors import ErrorKind
+from nutmegshore.errors import ErrorKind, Outcome, RequestError
 from nutmegshore.gateway.forward import GatewayForwarder
-from nutmegshore.gateway.responder import GatewayResponder
+from nutmegshore.gateway.responder import GatewayResponder, status_of
 from nutmegshore.gateway.route import RouteKind
 from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
 
@@ -436,3 +436,12 @@
     assert received.startswith(b'HTTP/1.1 503 ')
     assert b'Retry-After: ' in received
     assert not upstreams.sent
+
+
+@pytest.mark.parametrize('kind', ErrorKind)
+def test_no_promise_is_made_for_what_may_have_run(kind):
+    """Guards against REFUSED: an upload whose caller stalled after an upstream
+    had begun its work was answered 408, and the caller sent it again."""
+    error = RequestError(kind, 'r1')
+    if error.answer.outcome is not Outcome.NOT_RUN:
+        assert status_of(error) not in {408, 421, 429, 503}
