Lift the limit of an attempt whose answer is passed on

An answer that is longer than the buffer has begun to reach the caller, so that there is nothing left to retry.

The time-out ends as the answer becomes too long to buffer; the route's time-out and the deadline stay.

--- a/nutmegshore/gateway/answer.py
+++ b/nutmegshore/gateway/answer.py
@@ -1,5 +1,6 @@
 """Buffering of an upstream's answer before it goes to the caller."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from nutmegshore.errors import ErrorKind, RequestError
@@ -51,6 +52,14 @@
         self._request_id = request_id
         self._is_safe = is_safe
         self._buffer = bytearray()
+        self._on_streaming = _do_nothing
+
+    def call_on_streaming(self, handle_streaming: Callable[[], None]) -> None:
+        """Call a function when the answer becomes too long to buffer.
+
+        From then on its speed is that of the caller.
+        """
+        self._on_streaming = handle_streaming
 
     async def begin(self, head: AnswerHead) -> None:
         """Check and store the head."""
@@ -70,6 +79,7 @@
         self._buffer += chunk
         if len(self._buffer) > MAX_BUFFERED_BYTES:
             self.has_begun = True
+            self._on_streaming()
             await self._writer.begin(self.head)
             await self._writer.receive(bytes(self._buffer))
             self._buffer.clear()
@@ -83,3 +93,7 @@
         headers = answer_headers(self.head.headers)
         status = self.head.status
         await self._writer.write_own(status, headers, bytes(self._buffer))
+
+
+def _do_nothing() -> None:
+    """Stand in for a handler that is not set."""
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -106,7 +106,10 @@
         timeout_s = self._timeout_s(is_last=is_last)
         upstream = self._choice.upstream
         try:
-            async with self._context.attempt_timeout.limit(timeout_s):
+            limit = self._context.attempt_timeout.limit(timeout_s)
+            async with limit as time_limit:
+                # A long answer takes as long as its caller does to read it.
+                answer.call_on_streaming(lambda: time_limit.reschedule(None))
                 return await self._context.upstreams.send(
                     upstream.instance,
                     upstream,
--- a/nutmegshore/gateway/attempt_timeout.py
+++ b/nutmegshore/gateway/attempt_timeout.py
@@ -30,13 +30,18 @@
             timeout.reschedule(None)
 
     @contextlib.asynccontextmanager
-    async def limit(self, seconds: float | None) -> AsyncIterator[None]:
-        """Raise `TimeoutError` in the body after the seconds; None: never."""
+    async def limit(
+        self, seconds: float | None
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """Raise `TimeoutError` in the body after the seconds; None: never.
+
+        The body may reschedule the timeout that it gets.
+        """
         async with asyncio.timeout(
             None if self._is_lifted else seconds
         ) as time_limit:
             self._active.add(time_limit)
             try:
-                yield
+                yield time_limit
             finally:
                 self._active.discard(time_limit)
--- a/tests/gateway/test_attempt_timeout.py
+++ b/tests/gateway/test_attempt_timeout.py
@@ -5,7 +5,10 @@
 import pytest
 
 from nutmegshore.clock import run_virtual
+from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.attempt_timeout import AttemptTimeout
+from nutmegshore.platform.dialect import PlatformDialect
+from nutmegshore.upstreams import AnswerHead
 
 
 def test_a_silent_upstream_is_given_up():
@@ -34,3 +37,33 @@
             await asyncio.sleep(1)
 
     run_virtual(session)
+
+
+class SlowWriter:
+    """A caller that takes a second to read each piece."""
+
+    async def begin(self, head):
+        """Take the head at once."""
+
+    async def receive(self, chunk):
+        await asyncio.sleep(1)
+
+
+def test_a_long_answer_to_a_slow_caller_is_not_given_up():
+    """Guards against LOST: the time that a caller takes to read a long answer
+    counted as the silence of its upstream, and the answer was cut."""
+
+    async def session():
+        answer = BufferedAnswer(
+            SlowWriter(), PlatformDialect(), 'r1', is_safe=True
+        )
+        await answer.begin(
+            AnswerHead(200, (('Request-Id', 'r1'), ('Server-Stamp', 's')))
+        )
+        async with AttemptTimeout().limit(0.5) as time_limit:
+            answer.call_on_streaming(lambda: time_limit.reschedule(None))
+            for _ in range(6):
+                await answer.receive(bytes(100_000))
+        assert answer.has_begun
+
+    run_virtual(session)
