--- a/nutmegshore/gateway/start.py
+++ b/nutmegshore/gateway/start.py
@@ -1,4 +1,4 @@
-"""Entry point of `python -m nutmegshore.gateway`."""
+"""Start of a gateway process."""
 
 import os
 import sys
@@ -7,6 +7,8 @@
 from nutmegshore.gateway.run import SETTINGS_VARIABLE, run_gateway
 from nutmegshore.logs import configure_logs
 
+__all__ = ('main',)
+
 _INVALID_SETTINGS = 2
 
 
@@ -19,7 +21,3 @@
         sys.stderr.write(f'{error}\n')
         return _INVALID_SETTINGS
     return 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
