Check that the gateways of a test use upstreams at first

A gateway that never used an upstream passes every test that it is left alone: with the old digest the case of cut aggregators passed so. Each session of test_change_bounds.py begins with a check that all gateways use all of them.

--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -250,6 +250,9 @@
                     region = _REGIONS[index % len(_REGIONS)]
                     await fleet.register(f'u{index}', region=region)
                 await asyncio.sleep(6)
+                # A gateway that never used an upstream would pass each test.
+                for gateway in fleet.by_name.values():
+                    assert len(gateway.state.usable('orders')) == upstreams
                 return await session(fleet)
 
         return run_virtual(running)
