Show how old each view of the store is, and over which hops

Cause: a line of replica_changed named its source and revision, but not how old the store's answer was; nothing counted what a gateway sends. Three hypotheses of the incident (full links, late processors, late word of the store) could not be told apart.

Change, no decision depends on it: ReplicaView counts the age of a replica from the store's answer; messages carry it with the hops and with the sender's clock, and TransitTimes adds what a message waited beyond the fastest of its sender. replica_changed has age_s and hops, lines of requests upstreams_age_s and upstreams_from, metrics store_view_age_seconds, peer_message_wait_seconds, peer_messages_sent and peer_bytes_sent by message. Turns to list moved to store_checks.py, what messages say of replicas to replica_summary.py, the fleet of test_change_bounds.py to bench/change_fleet.py; MemoryNetwork has links with a rate.

--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -65,9 +65,11 @@
     requests it had, whether the object was assumed to be warm there, the
     expected and the actual seconds, and the result. `key` names the object
     that the request concerns. `configuration_age_s` is the time since this
-    gateway adopted the configuration. `limited` names the upstreams at home
-    that had no room within their rate limit, `paused` those that had asked for
-    a pause.
+    gateway adopted the configuration. `upstreams_age_s` is the age of the list
+    of upstreams at the last choice, counted from the store's answer (-1: no
+    choice), `upstreams_from` the source of its last change. `limited` names the
+    upstreams at home that had no room within their rate limit, `paused` those
+    that had asked for a pause.
     """
 
     severity = Severity.ROUTINE
@@ -78,6 +80,8 @@
     key: str
     configuration: int
     configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
     status: int
     took_s: float
     attempts: list
@@ -122,6 +126,8 @@
     key: str
     configuration: int
     configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
     status: int
     reason: str
     detail: str
@@ -160,6 +166,8 @@
     key: str
     configuration: int
     configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
     took_s: float
     attempts: list
 
@@ -179,6 +187,8 @@
     key: str
     configuration: int
     configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
     status: int
     reason: str
     detail: str
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -17,6 +17,7 @@
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.replica import Replica, ReplicaFeed
+from nutmegshore.gateway.replica_view import ReplicaView, ToldView
 from nutmegshore.gateway.store_events import ReplicaChanged
 from nutmegshore.gateway.store_health import StoreHealth
 from nutmegshore.gateway.store_outages import REWRITE_S
@@ -42,6 +43,7 @@
 _MIN_WATCH_S = 0.5
 #: Seconds past its wait time after which an unanswered watch is cancelled.
 _WATCH_GRACE_S = 1
+_DIGITS = 3
 
 
 @attrs.frozen
@@ -64,6 +66,7 @@
     After a failure, and after a restore of the store, the follower lists all
     objects again. `on_news` is called after each listing, and when the known
     objects change, with the source: `watch`, `listing`, or another gateway.
+    `view` tells how old the known objects are.
 
     A relayed follower applies the changes that an aggregator sends and does
     not call the store. When relaying ends, the watch continues from the
@@ -92,6 +95,7 @@
         self.on_news: Callable[[str], None] | None = None
         self.feed = ReplicaFeed(replica, context.clock, rewrite_s)
         self.known = self.feed.known
+        self.view = ReplicaView(context.clock)
         self._health = StoreHealth(prefix, context.clock, context.log)
         self.outages = self._health.outages
         self._context = context
@@ -188,6 +192,7 @@
         self,
         found: Listing | Changes,
         sender: str = '',
+        told: ToldView | None = None,
     ) -> bool:
         """Apply a peer's listing or changes; False if they are too old.
 
@@ -204,6 +209,7 @@
             return False
         if self._context.store.eras is not None:
             self._context.store.eras.observe(found.era)
+        self.view.record_peer(sender, told or ToldView())
         self._apply(found, sender)
         # A watch from before would deliver the same changes again.
         self._restart.set()
@@ -226,6 +232,7 @@
             _check_era(self.prefix, listing.era, self.known)
             return
         self._health.record_current()
+        self.view.record_answer(LISTING)
         before = (self.known.position.era, self.known.digest)
         self._apply(listing, LISTING)
         if (self.known.position.era, self.known.digest) != before:
@@ -257,6 +264,7 @@
         _check_era(self.prefix, changes.era, self.known)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
+            self.view.record_answer(WATCH)
             self._apply(changes, WATCH)
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
@@ -276,6 +284,8 @@
                 before[0],
                 self.known.position.revision,
                 may_lack_entries=is_recent,
+                age_s=round(self.view.age_s, _DIGITS),
+                hops=self.view.hops,
             )
             self._context.log.write(event)
         is_news = source == LISTING or self.known.digest != before[-1]
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -20,6 +20,7 @@
 
 __all__ = ('GatewayForwarder',)
 
+_DIGITS = 3
 _MS_PER_S = 1000
 #: Attempts end this many seconds before the caller's deadline, so that the
 #: gateway's error reaches the caller in time; at most this fraction of the
@@ -154,6 +155,9 @@
             routed.limited = refusal.limited
             routed.paused = refusal.paused
             raise self._final_error(routed, refusal) from refusal
+        view = self._context.state.upstreams_view
+        routed.upstreams_age_s = round(view.age_s, _DIGITS)
+        routed.upstreams_from = view.source
         routed.limited = choice.limited
         routed.paused = choice.paused
         routed.tried.add(choice.upstream.instance)
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -20,6 +20,7 @@
 #: Gauges whose series change with upstreams, peers and evacuations.
 _DYNAMIC_GAUGES = (
     'entries_rejected_now',
+    'peer_message_wait_seconds',
     'peer_report_age_seconds',
     'region_away_fraction',
     'region_room',
@@ -100,6 +101,9 @@
                 'store_revision', follower.known.position.revision, kind=kind
             )
             if follower.is_listed:
+                self._counters.set_gauge(
+                    'store_view_age_seconds', follower.view.age_s, kind=kind
+                )
                 self._counters.set_gauge(
                     'store_listing_age_seconds',
                     follower.age_s,
@@ -117,6 +121,11 @@
                 peer=peer,
             )
 
+        for peer, wait_s in self._sources.peering.transit_times.waits().items():
+            self._counters.set_gauge(
+                'peer_message_wait_seconds', wait_s, peer=peer
+            )
+
     def _set_moves(self) -> None:
         """Set what should run in other regions, and what did."""
         chooser = self._sources.chooser
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -5,6 +5,7 @@
 from nutmegshore.peers import message
 
 __all__ = (
+    'UNKNOWN_AGE',
     'UNKNOWN_ERA',
     'LoadReport',
     'LoadSummary',
@@ -16,6 +17,8 @@
 
 #: In place of an era, from gateways that read none in the store's answers.
 UNKNOWN_ERA = -1
+#: In place of an age, from gateways that do not tell it.
+UNKNOWN_AGE = -1
 
 _LOAD_REPORT_NUMBER = 80
 _STATE_REQUEST_NUMBER = 81
@@ -39,7 +42,9 @@
     `traffic` holds, by service, the fields of `ServiceTraffic`, `limits` what
     `LimitGossip` packs, `leaving` what `LeavingGossip` packs, and `cold` what
     `ColdGossip` packs. `eras` holds, by key prefix, the era of the store that
-    the position in `replicas` belongs to.
+    the position in `replicas` belongs to, and `ages` the seconds since the
+    store's answer that the objects come from. `sent_at` is the sender's clock
+    as it sent the message, 0 if it does not tell.
     """
 
     is_ready: bool
@@ -52,6 +57,8 @@
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
     cold: dict = attrs.field(factory=dict)
+    ages: dict = attrs.field(factory=dict)
+    sent_at: float = 0
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -77,8 +84,10 @@
     Unless `is_full`, only the objects that changed are listed, and `removed`
     holds the keys of removed ones. `is_after_outage` means that entries may
     still be missing from the store after an outage; only earlier versions read
-    it. `era` is that of the
-    position, or `UNKNOWN_ERA`.
+    it. `era` is that of the position, or `UNKNOWN_ERA`. `age_s` are the seconds
+    since the store's answer that the objects come from, -1 if the sender does
+    not tell; `hops` are those of its `ReplicaView`, and `sent_at` is as in
+    `LoadReport`.
     """
 
     prefix: str
@@ -88,6 +97,9 @@
     removed: list = attrs.field(factory=list)
     is_after_outage: bool = False
     era: int = UNKNOWN_ERA
+    age_s: float = UNKNOWN_AGE
+    hops: list = attrs.field(factory=list)
+    sent_at: float = 0
 
 
 @message(_LOAD_SUMMARY_NUMBER)
@@ -99,8 +111,8 @@
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
     `shift_counts` and `traffic` are summed over the region, `limits`,
-    `leaving` and `cold` are what the aggregator knows, and `eras` are as in
-    `LoadReport`.
+    `leaving` and `cold` are what the aggregator knows, and `eras`, `ages` and
+    `sent_at` are as in `LoadReport`.
     """
 
     ready: list
@@ -113,6 +125,8 @@
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
     cold: dict = attrs.field(factory=dict)
+    ages: dict = attrs.field(factory=dict)
+    sent_at: float = 0
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -122,7 +136,7 @@
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
     `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
-    `ColdGossip` pack, and `eras` are as in `LoadReport`.
+    `ColdGossip` pack, and `eras`, `ages` and `sent_at` are as in `LoadReport`.
     """
 
     region: str
@@ -133,6 +147,8 @@
     eras: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
     cold: dict = attrs.field(factory=dict)
+    ages: dict = attrs.field(factory=dict)
+    sent_at: float = 0
 
 
 @message(_STATE_NOTICE_NUMBER)
@@ -140,8 +156,10 @@
 class StateNotice:
     """What a gateway knows of the store, sent ahead of its next report.
 
-    `replicas` and `eras` are as in `LoadReport`.
+    `replicas`, `eras`, `ages` and `sent_at` are as in `LoadReport`.
     """
 
     replicas: dict
     eras: dict = attrs.field(factory=dict)
+    ages: dict = attrs.field(factory=dict)
+    sent_at: float = 0
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -16,7 +16,8 @@
 from nutmegshore.gateway.report_checks import check_report
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.state_notices import StateNotices
-from nutmegshore.gateway.state_sync import REPORT_INTERVAL_S, StateSync
+from nutmegshore.gateway.state_sync import StateSync
+from nutmegshore.gateway.store_checks import REPORT_INTERVAL_S
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 
 __all__ = ('Peering',)
@@ -52,6 +53,7 @@
         self._dependencies = dependencies
         self.roster = Roster(dependencies.clock, dependencies.log)
         self._state_sync = StateSync(dependencies, followers, self.roster)
+        self.transit_times = self._state_sync.transit_times
         self._traffic = RegionTraffic(dependencies.balancer.region_chooser)
         candidate_builder = dependencies.balancer.candidate_builder
         self._load = candidate_builder.load
@@ -126,6 +128,8 @@
             self._state_sync.eras(),
             self._leaving.known(),
             self._cold.own(),
+            self._state_sync.ages(),
+            self._dependencies.clock.now(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -151,6 +155,8 @@
             self._state_sync.eras(),
             self._leaving.known(),
             self._cold.known(),
+            self._state_sync.ages(),
+            self._dependencies.clock.now(),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -169,6 +175,8 @@
             self._state_sync.eras(),
             self._leaving.known(),
             self._cold.known(),
+            self._state_sync.ages(),
+            self._dependencies.clock.now(),
         )
         for other in regions:
             peers.send_each(peers.aggregators(other), body)
@@ -219,7 +227,7 @@
         self._limits.adopt(report.limits)
         self._leaving.adopt(report.leaving)
         self._cold.adopt(report.cold)
-        self._state_sync.compare(sender, report.replicas, report.eras)
+        self._state_sync.compare(sender, report)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
             self._dependencies.quarantine.send_verdicts(sender)
@@ -232,6 +240,7 @@
         for gone in self._sent_counts.keys() - known.keys():
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
+        self.transit_times.retain(set(known))
         # Gateways that vanish in a partition must have been seen before.
         for region in ('', *self._dependencies.peers.regions()):
             self._members.observe(region)
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -38,6 +38,7 @@
     _check_lists(report.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
     _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
     _check_lists(report.cold, _MIN_COLD_FIELDS, _MIN_COLD_FIELDS)
+    _check_ages(report.ages, report.sent_at)
     if isinstance(report, RegionLoadReport):
         return
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
@@ -49,6 +50,12 @@
 def check_notice(notice: StateNotice) -> None:
     """Raise `LinkError` if a replica's fields are of another type."""
     _check_lists(notice.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
+    _check_ages(notice.ages, notice.sent_at)
+
+
+def _check_ages(ages: Mapping[Any, Any], sent_at: float) -> None:
+    _check_names(ages)
+    _check_numbers([*ages.values(), sent_at])
 
 
 def _check_counts(by_name: Mapping[Any, Any]) -> None:
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -56,7 +56,9 @@
     `tried` are the instances used so far. `last_region` is the region of the
     last upstream, `no_retry` the reason why the last attempt is not retried,
     `limited` the upstreams passed over lately because of their rate limit,
-    `paused` those that had asked for a pause.
+    `paused` those that had asked for a pause. `upstreams_age_s` and
+    `upstreams_from` say how old the list of upstreams was at the last choice,
+    and where it came from.
     """
 
     incoming: IncomingRequest
@@ -74,6 +76,8 @@
     no_retry: str = ''
     limited: list[str] = attrs.field(factory=list)
     paused: list[str] = attrs.field(factory=list)
+    upstreams_age_s: float = -1
+    upstreams_from: str = ''
 
     @property
     def request_id(self) -> str:
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -215,6 +215,8 @@
             'key': routed.incoming.fields.affinity_key if routed else '',
             'configuration': adopted.version if adopted else 0,
             'configuration_age_s': round(age_s, 3),
+            'upstreams_age_s': routed.upstreams_age_s if routed else -1,
+            'upstreams_from': routed.upstreams_from if routed else '',
             'took_s': round(now - self._arrived_at, 4),
         }
 
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -6,6 +6,7 @@
 from nutmegshore.gateway.cold_starts import ColdStarts
 from nutmegshore.gateway.departures import Departures
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
+from nutmegshore.gateway.replica_view import ReplicaView
 from nutmegshore.gateway.route import Configuration
 
 __all__ = ('FleetState',)
@@ -16,7 +17,8 @@
 
     The configuration version never decreases. An upstream whose entry is
     missing after a store outage is kept until `expire_missing`, since entries
-    expire while their owners cannot reach the store.
+    expire while their owners cannot reach the store. `upstreams_view` tells how
+    old the upstreams are.
 
         state.replace_upstreams(found, is_after_outage=True)
         state.usable('orders')
@@ -30,6 +32,7 @@
         self.zones_known = False
         self.evacuated: frozenset[str] = frozenset()
         self.by_id: dict[str, RegisteredUpstream] = {}
+        self.upstreams_view = ReplicaView(clock)
         self._clock = clock
         self.cold_starts = ColdStarts(clock, self._cold_s)
         self._missing: set[str] = set()
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -75,12 +75,17 @@
 
     def _handle_notice(self, sender: str, notice: StateNotice) -> None:
         check_notice(notice)
-        self._state_sync.compare(sender, notice.replicas, notice.eras)
+        self._state_sync.compare(sender, notice)
         if self._is_aggregator() and sender not in self._region_members():
             self._has_news.set()
 
     def _send(self) -> None:
-        notice = StateNotice(self._state_sync.known(), self._state_sync.eras())
+        notice = StateNotice(
+            self._state_sync.known(),
+            self._state_sync.eras(),
+            self._state_sync.ages(),
+            self._clock.now(),
+        )
         if not self._peers.aggregators():
             self._peers.broadcast(notice)
         elif self._is_aggregator():
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -1,18 +1,28 @@
 """Synchronizes the store replicas of gateways with each other."""
 
-import bisect
 from collections.abc import Iterable
 from types import MappingProxyType
 
+import attrs
+
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.messages import (
+    UNKNOWN_AGE,
     UNKNOWN_ERA,
     StateReply,
     StateRequest,
 )
+from nutmegshore.gateway.replica_summary import (
+    ReplicaSummary,
+    ToldReplica,
+    read_replica,
+)
+from nutmegshore.gateway.replica_view import ToldView
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.state_requests import StateRequests
+from nutmegshore.gateway.store_checks import StoreChecks
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
+from nutmegshore.gateway.transit_times import TransitTimes
 from nutmegshore.store import (
     Change,
     Changes,
@@ -21,30 +31,14 @@
     StorePosition,
 )
 
-__all__ = ('REPORT_INTERVAL_S', 'StateSync')
+__all__ = ('StateSync',)
 
-#: Seconds between two reports of a gateway.
-REPORT_INTERVAL_S = 0.25
-#: Seconds that a message may be in transit; added to each relayed age, so that
-#: a listing does not appear more recent with each hop.
-_TRANSIT_S = 0.1
 #: Seconds for which a peer may be ahead before this gateway lists the store,
 #: since the peer did not send what it is ahead by.
 _MAX_LAG_S = 0.9
-#: Fraction of a kind's bound after which some gateway lists it again, to find
-#: changes that no watch delivers. The rest is for their way to all gateways:
-#: 0.25 s to the round, 0.1 s for the call, and for each of two hops a notice
-#: (0.25 s), a request and an answer. docs/platform.md has the sums.
-_CHECK_FRACTION = 0.5
 #: Fraction of a kind's bound for which the store may have answered no gateway
 #: before a gateway stops to rely on aggregators: they may be cut off.
 _ANSWERED_FRACTION = 0.8
-#: Seconds after which the next gateway checks in place of one that did not; a
-#: check becomes known with the report after it.
-_TURN_S = 4 * REPORT_INTERVAL_S
-_MAX_TURNS = 4
-#: Time of a listing that never was; ages in messages are finite.
-_NEVER_S = -1_000_000
 #: Seconds after its last message for which an aggregator replaces the store.
 #: Aggregators send twice a second; the bounds on changes are 2 s and more, and
 #: a watch of the gateway's own delivers missed changes at once.
@@ -73,13 +67,13 @@
     ) -> None:
         """Subscribe to the state requests and replies of peers."""
         self._dependencies = dependencies
-        self._roster = roster
         self._followers = MappingProxyType(
             {follower.prefix: follower for follower in followers},
         )
         self._differs_since: dict[tuple[str, str], float] = {}
-        self._checked_at: dict[str, float] = {}
         self._source_seen_at: dict[str, float] = {}
+        self.transit_times = TransitTimes(dependencies.clock)
+        self._checks = StoreChecks(dependencies, roster)
         self._requests = StateRequests(dependencies, roster)
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
@@ -90,12 +84,11 @@
         By prefix: the revision, the digest, the seconds since any gateway
         listed the kind, and whether peers may use it as a source.
         """
-        now = self._dependencies.clock.now()
         return {
             prefix: [
                 follower.known.position.revision,
                 follower.known.digest,
-                now - self._last_check(follower) + _TRANSIT_S,
+                self._checks.age_s(follower),
                 follower.is_current and not follower.is_relayed,
             ]
             for prefix, follower in self._followers.items()
@@ -108,32 +101,28 @@
             for prefix, follower in self._followers.items()
         }
 
-    def compare(
-        self,
-        sender: str,
-        known: dict[str, list],
-        eras: dict[str, int],
-    ) -> None:
+    def ages(self) -> dict[str, float]:
+        """Return the age of each replica in seconds, by prefix."""
+        return {
+            prefix: follower.view.age_s
+            for prefix, follower in self._followers.items()
+        }
+
+    def compare(self, sender: str, summary: ReplicaSummary) -> None:
         """Compare the replica summaries of a peer with the local replicas."""
-        is_aggregator = sender in self._dependencies.peers.aggregators()
-        for prefix in known.keys() & self._followers.keys():
-            revision, digest, age_s, *source_flags = known[prefix]
+        transit_s = self.transit_times.record(sender, summary.sent_at)
+        for prefix in summary.replicas.keys() & self._followers.keys():
             follower = self._followers[prefix]
-            position = follower.known.locate(revision, eras.get(prefix))
-            self._record_check(follower, age_s)
-            if is_aggregator and any(source_flags):
-                self._record_source(follower, position)
-            if not follower.is_relayed:
-                self._compare_one(sender, follower, position, digest)
-            elif is_aggregator:
-                self._request_from_aggregator(
-                    sender, follower, position, digest
-                )
+            told = read_replica(summary, follower, transit_s)
+            self._checks.record(follower, told.listed_s)
+            if told.is_same_as(follower):
+                follower.view.confirm(told.age_s)
+            self._compare_one(sender, follower, told)
 
     def run_round(self) -> None:
         """Choose sources, check the store, and request unreachable state."""
         self._choose_sources()
-        self._check_store()
+        self._checks.check_due(self._followers.values())
         self._requests.send_unreachable(self._followers.values())
         known = self._dependencies.peers.live()
         self._differs_since = {
@@ -142,13 +131,6 @@
             if difference[0] in known
         }
 
-    def _record_check(self, follower: KindFollower, age_s: float) -> None:
-        """Record when some gateway listed a kind."""
-        checked_at = self._dependencies.clock.now() - age_s
-        before = self._checked_at.get(follower.prefix, checked_at)
-        self._checked_at[follower.prefix] = max(before, checked_at)
-        follower.outages.record_answer(age_s)
-
     def _record_source(
         self, follower: KindFollower, position: StorePosition
     ) -> None:
@@ -161,40 +143,43 @@
             self._source_seen_at[follower.prefix] = now
 
     def _compare_one(
-        self,
-        sender: str,
-        follower: KindFollower,
-        position: StorePosition,
-        digest: int,
+        self, sender: str, follower: KindFollower, told: ToldReplica
+    ) -> None:
+        """Request what a peer is ahead by."""
+        is_aggregator = sender in self._dependencies.peers.aggregators()
+        if is_aggregator and told.is_source:
+            self._record_source(follower, told.position)
+        if not follower.is_relayed:
+            self._catch_up(sender, follower, told)
+        elif is_aggregator:
+            self._request_from_aggregator(sender, follower, told)
+
+    def _catch_up(
+        self, sender: str, follower: KindFollower, told: ToldReplica
     ) -> None:
         """Catch up with a peer, or list if it has been ahead for too long."""
         now = self._dependencies.clock.now()
         difference = (sender, follower.prefix)
         if (
-            _is_same_state(follower, position, digest)
-            or position <= follower.known.position
+            told.is_same_as(follower)
+            or told.position <= follower.known.position
         ):
             self._differs_since.pop(difference, None)
             return
-        self._requests.catch_up(sender, follower, position)
+        self._requests.catch_up(sender, follower, told.position)
         since = self._differs_since.setdefault(difference, now)
         if now - since > _MAX_LAG_S:
             follower.check()
 
     def _request_from_aggregator(
-        self,
-        aggregator: str,
-        follower: KindFollower,
-        position: StorePosition,
-        digest: int,
+        self, aggregator: str, follower: KindFollower, told: ToldReplica
     ) -> None:
         """Request the changes that an aggregator is ahead by."""
-        if position < follower.known.position or _is_same_state(
-            follower, position, digest
-        ):
+        known_at = follower.known.position
+        if told.position < known_at or told.is_same_as(follower):
             return
         # Equal positions with different digests: changes cannot repair this.
-        is_full = position == follower.known.position or not follower.is_listed
+        is_full = told.position == known_at or not follower.is_listed
         self._requests.send_paced(aggregator, follower, is_full=is_full)
 
     def _choose_sources(self) -> None:
@@ -213,43 +198,6 @@
                 is_relayed=may_relay and has_source and is_answered
             )
 
-    def _check_store(self) -> None:
-        """List the kinds that no gateway has listed recently.
-
-        Gateways take turns in the order of their names, so that usually the
-        first one that reaches the store checks for all.
-        """
-        now = self._dependencies.clock.now()
-        turn_s = self._check_turn() * _TURN_S
-        for follower in self._followers.values():
-            wait_s = _CHECK_FRACTION * follower.bound_s + turn_s
-            if now - self._last_check(follower) > wait_s:
-                follower.check()
-
-    def _check_turn(self) -> int:
-        """Position of this gateway in the order of checks.
-
-        In a large fleet the aggregators come first, since they learn of each
-        other's checks before the other gateways.
-        """
-        peers = self._dependencies.peers
-        checking = [
-            name
-            for region in peers.regions()
-            for name in peers.aggregators(region)
-        ]
-        if not checking:
-            in_contact = self._roster.in_contact()
-            return min(bisect.bisect(in_contact, peers.local.name), _MAX_TURNS)
-        if peers.local.name not in checking:
-            return _MAX_TURNS
-        return min(checking.index(peers.local.name), _MAX_TURNS)
-
-    def _last_check(self, follower: KindFollower) -> float:
-        """Time of the last known listing of a kind by any gateway."""
-        listed_at = self._dependencies.clock.now() - follower.age_s
-        return max(listed_at, self._checked_at.get(follower.prefix, _NEVER_S))
-
     def _handle_request(self, sender: str, request: StateRequest) -> None:
         follower = self._followers.get(request.prefix)
         if follower is None or not follower.is_listed:
@@ -263,28 +211,25 @@
         reply = _make_full_reply(follower)
         if changes is not None:
             reply = _make_changes_reply(follower, changes)
+        reply = attrs.evolve(
+            reply,
+            age_s=follower.view.age_s,
+            hops=follower.view.hops,
+            sent_at=self._dependencies.clock.now(),
+        )
         self._dependencies.peers.send(sender, reply)
 
     def _handle_reply(self, sender: str, reply: StateReply) -> None:
         follower = self._followers.get(reply.prefix)
         if follower is None:
             return
+        transit_s = self.transit_times.record(sender, reply.sent_at)
         found = _read_reply(reply, _locate(follower, reply))
-        if follower.apply_from_peer(found, sender):
+        told = _read_view(reply, transit_s)
+        if follower.apply_from_peer(found, sender, told):
             self._dependencies.counters.add('state_adopted', kind=reply.prefix)
 
 
-def _is_same_state(
-    follower: KindFollower, position: StorePosition, digest: int
-) -> bool:
-    """Whether a peer has the same objects.
-
-    Digests are made of versions, which another era gives out again.
-    """
-    is_same_era = position.era == follower.known.position.era
-    return is_same_era and digest == follower.known.digest
-
-
 def _locate(
     follower: KindFollower, body: StateRequest | StateReply
 ) -> StorePosition:
@@ -304,6 +249,12 @@
     return Changes(read_at.revision, tuple(changes), read_at.era)
 
 
+def _read_view(reply: StateReply, transit_s: float) -> ToldView:
+    if reply.age_s == UNKNOWN_AGE:
+        return ToldView(hops=reply.hops)
+    return ToldView(reply.age_s + transit_s, reply.hops)
+
+
 def _make_full_reply(follower: KindFollower) -> StateReply:
     return StateReply(
         follower.prefix,
--- a/nutmegshore/gateway/store_events.py
+++ b/nutmegshore/gateway/store_events.py
@@ -20,7 +20,9 @@
 
     `source` is `watch` or `listing`, or the gateway that passed them on. The
     replica went from revision `previous` to `revision`. `may_lack_entries` says
-    whether entries that are gone may have expired in an outage.
+    whether entries that are gone may have expired in an outage. `age_s` are the
+    seconds since the store's answer; `hops` lists the gateways that passed it
+    on, each with the age at which it arrived from there.
     """
 
     severity = Severity.CHANGE
@@ -30,6 +32,8 @@
     previous: int
     revision: int
     may_lack_entries: bool
+    age_s: float
+    hops: list
 
 
 @attrs.frozen
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -63,6 +63,8 @@
             )
             for prefix, replica in replicas
         )
+        by_prefix = {follower.prefix: follower for follower in self.followers}
+        state.upstreams_view = by_prefix[UPSTREAM_PREFIX].view
         self.restores = StoreRestores(log, context.counters)
         self.restores.on_restore.append(self._check_all)
         if context.store.eras is not None:
--- a/nutmegshore/peers/memory.py
+++ b/nutmegshore/peers/memory.py
@@ -16,7 +16,8 @@
     """Carries encoded messages between `MemoryPeers` on virtual time.
 
     Messages to a paused member are delivered when it resumes; those to a
-    member that left are lost.
+    member that left are lost. Those that a member sends share its link, one
+    after the other.
     """
 
     def __init__(self, full_mesh: int = FULL_MESH_MEMBERS) -> None:
@@ -25,29 +26,61 @@
         Above `full_mesh` members the regions have aggregators.
         """
         super().__init__()
-        self.full_mesh = full_mesh
         self.by_name: dict[str, 'MemoryPeers'] = {}
+        self._full_mesh = full_mesh
+        self._topology: Topology | None = None
+        self._rates: dict[str, float] = {}
+        self._free_at_s: dict[str, float] = {}
 
     def join(self, local: Member, clock: VirtualClock) -> 'MemoryPeers':
         """Add a member, in place of an earlier one of the same name."""
         peers = MemoryPeers(self, local, clock)
         self.by_name[local.name] = peers
+        self._topology = None
         return peers
 
     def leave(self, name: str) -> None:
         """Remove a member; messages in flight to it are lost."""
         self.by_name.pop(name, None)
+        self._topology = None
+
+    @property
+    def topology(self) -> Topology:
+        """Topology of the members."""
+        if self._topology is None:
+            members = [peers.local for peers in self.by_name.values()]
+            self._topology = Topology(members, self._full_mesh)
+        return self._topology
+
+    def set_rate(self, name: str, bytes_per_s: float) -> None:
+        """Set the rate of a member's link; by default it is unlimited."""
+        self._rates[name] = bytes_per_s
+
+    def queue_s(self, name: str) -> float:
+        """Seconds for which what a member sends now waits at its link."""
+        free_at_s = self._free_at_s.get(name, 0)
+        return max(free_at_s - asyncio.get_running_loop().time(), 0)
 
     def carry(self, source: Member, name: str, frame: bytes) -> None:
-        """Deliver a frame after the delay between the two regions."""
+        """Deliver a frame after its link and the delay between the regions."""
         self.count(source.name, len(frame))
         target = self.by_name.get(name)
         if target is None or self.is_cut(source, target.local):
             return
         delay = self.delay_from(source, target.local)
+        delay += self._pass_link(source.name, len(frame))
         loop = asyncio.get_running_loop()
         loop.call_later(delay, self._arrive, source, target, frame)
 
+    def _pass_link(self, name: str, size: int) -> float:
+        """Return the seconds until a frame has left its sender's link."""
+        if name not in self._rates:
+            return 0
+        left_s = self.queue_s(name) + size / self._rates[name]
+        now = asyncio.get_running_loop().time()
+        self._free_at_s[name] = now + left_s
+        return left_s
+
     def _arrive(
         self,
         source: Member,
@@ -85,7 +118,7 @@
 
     def aggregators(self, region: str = '') -> tuple[str, ...]:
         """Members that collect a region's reports, by default the local one."""
-        topology = Topology(self.live().values(), self._network.full_mesh)
+        topology = self._network.topology
         return topology.aggregators(region or self.local.region)
 
     def send(self, name: str, body: Any) -> bool:
--- a/nutmegshore/peers/message_router.py
+++ b/nutmegshore/peers/message_router.py
@@ -41,12 +41,15 @@
 
     def send(self, name: str, body: Any) -> bool:
         """Send to one member, directly or by the next hop."""
-        return self._send_frame(name, encode(body))
+        frame = encode(body)
+        self._count(body, len(frame))
+        return self._send_frame(name, frame)
 
     def send_each(self, names: Iterable[str], body: Any) -> None:
         """Send to several members, encoded once."""
         frame = encode(body)
         for name in names:
+            self._count(body, len(frame))
             self._send_frame(name, frame)
 
     def send_direct(self, body: Any) -> None:
@@ -85,6 +88,11 @@
             self._flood(encode(_next_hop(relay)), sender, relay.region)
         return relay.region in {'', self._region}
 
+    def _count(self, body: Any, size: int) -> None:
+        kind = type(body).__name__
+        self._counters.add('peer_messages_sent', message=kind)
+        self._counters.add('peer_bytes_sent', size, message=kind)
+
     def _send_frame(self, name: str, frame: bytes) -> bool:
         link = self.links.get(name)
         if link is not None and link.send_frame(frame):
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -3,30 +3,14 @@
 
 import asyncio
 import contextlib
-import json
-import random
 from types import MappingProxyType
 
-import attrs
 import pytest
 
-from nutmegshore.balancing import Balancer, BalancerDependencies
-from nutmegshore.clock import VirtualClock, run_virtual
-from nutmegshore.counters import Counters
-from nutmegshore.errors import PlatformUnavailable
-from nutmegshore.gateway.follower import FollowerContext, KindFollower
-from nutmegshore.gateway.leaving import LeavingUpstreams
-from nutmegshore.gateway.peering import Peering
-from nutmegshore.gateway.replicas import ReplicaContext, UpstreamReplica
-from nutmegshore.gateway.state import FleetState
-from nutmegshore.gateway.sync_dependencies import PeeringDependencies
-from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.quarantine import Quarantine
-from nutmegshore.store import Expected, MemoryPlatform, MemoryStore
-
-_PREFIX = 'servers/'
-_REGIONS = ('west', 'north', 'south')
-_REGION_DELAY_S = 0.055
+from bench.change_fleet import ChangeFleet
+from bench.following_gateway import REGIONS
+from nutmegshore.clock import run_virtual
+
 _LARGE = 90
 _SMALL = 9
 #: Seconds within which the users want a leaving upstream left alone, on their
@@ -37,201 +21,7 @@
 _STABLE_S = 3
 #: Seconds after the return of the store in which live upstreams register again.
 _WRITTEN_AGAIN_S = 2
-_EXPIRY_S = 0.1
 _POLL_S = 0.02
-#: Seconds within which a client notices what happens to its watch.
-_STEP_S = 0.02
-_CONNECT_TIMEOUT_S = 1
-#: Seconds after which the kernel closes a connection without acknowledgements.
-_SILENT_S = 3
-
-
-class CutPlatform(MemoryPlatform):
-    """A client whose path to the store is cut, or whose watches are deaf."""
-
-    def __init__(self, store, clock):
-        super().__init__(store, clock)
-        self.is_cut = False
-        self.is_deaf = False
-        self.resets = 0
-
-    async def read_listing(self, prefix):
-        await self._connect()
-        return await super().read_listing(prefix)
-
-    async def watch(self, prefix, after, wait_s=30):
-        await self._connect()
-        waiting = asyncio.ensure_future(super().watch(prefix, after))
-        with contextlib.ExitStack() as stack:
-            stack.callback(waiting.cancel)
-            await self._wait_deliverable(waiting)
-            return waiting.result()
-
-    async def _wait_deliverable(self, waiting):
-        resets = self.resets
-        silent_s = 0
-        while self.is_cut or self.is_deaf or not waiting.done():
-            await asyncio.sleep(_STEP_S)
-            if self.resets > resets:
-                raise PlatformUnavailable('reset')
-            silent_s = silent_s + _STEP_S if self.is_cut else 0
-            if silent_s > _SILENT_S:
-                raise PlatformUnavailable('silent')
-
-    async def _connect(self):
-        if self.is_cut:
-            await self._clock.sleep(_CONNECT_TIMEOUT_S)
-            raise PlatformUnavailable('no answer')
-
-
-@attrs.define(eq=False)
-class Gateway:
-    """One gateway that follows the store, without callers."""
-
-    name: str
-    clock: VirtualClock
-    platform: CutPlatform
-    state: FleetState
-    peers: object
-    works: list
-    tasks: list = attrs.field(factory=list)
-
-    def start(self):
-        """Run what the daemon runs, but for listeners."""
-        self.tasks = [asyncio.ensure_future(work()) for work in self.works]
-
-    def stop(self):
-        """Stop without notice."""
-        for task in self.tasks:
-            task.cancel()
-
-    def uses(self, upstream):
-        """Whether new requests may go to an upstream."""
-        return upstream in {one.instance for one in self.state.usable('orders')}
-
-
-class Fleet:
-    """A store, its upstreams, and gateways in three regions."""
-
-    def __init__(self, make_log, count, stack):
-        self.store = MemoryStore()
-        self.drain_s = _DRAIN_S[count]
-        self.network = MemoryNetwork()
-        self.by_name = {}
-        self._make_log = make_log
-        self._stack = stack
-        self._operator = MemoryPlatform(self.store, VirtualClock())
-        west, north, south = _REGIONS
-        self.network.set_delay(west, north, _REGION_DELAY_S)
-        self.network.set_delay(west, south, _REGION_DELAY_S)
-        self.network.set_delay(north, south, _REGION_DELAY_S)
-        for index in range(count):
-            self.start('g{0:02}'.format(index))
-
-    def start(self, name):
-        """Start a gateway, or start it again without what it knew."""
-        before = self.by_name.get(name)
-        if before is not None:
-            before.stop()
-        region = _REGIONS[int(name[1:]) % len(_REGIONS)]
-        gateway = self._build(name, region)
-        self.by_name[name] = gateway
-        self._stack.callback(gateway.stop)
-        gateway.start()
-
-    def aggregators(self, *regions):
-        """Gateways that collect the reports of regions."""
-        peers = self.by_name['g00'].peers
-        return [
-            self.by_name[name]
-            for region in regions
-            for name in peers.aggregators(region)
-        ]
-
-    def gateways(self, region):
-        """Gateways of a region."""
-        return [
-            one
-            for one in self.by_name.values()
-            if one.peers.local.region == region
-        ]
-
-    async def register(self, name, state='ready', region='west'):
-        """Write an entry as an upstream does."""
-        spec = {
-            'Addr': '10.0.0.9:80',
-            'born': 1,
-            'Info': {'Service': 'orders', 'Zone': f'{region}-a', 'Slots': 3},
-            'Status': {'State': state, 'Sequence': 1, 'ColdLeftS': 0},
-        }
-        present = self.store.by_key.get(_PREFIX + name)
-        expected = Expected.of(present) if present else None
-        body = json.dumps({'Spec': spec}).encode()
-        await self._operator.write(_PREFIX + name, body, expected, state)
-
-    def remove(self, name):
-        """Remove an entry, which a store that is away may do as well."""
-        present = self.store.by_key[_PREFIX + name]
-        self.store.discard(present.key, Expected.of(present))
-
-    async def leave(self, name, how):
-        """Let an upstream leave in one of the two ways."""
-        if how == 'removed':
-            self.remove(name)
-        else:
-            await self.register(name, 'draining')
-
-    async def seconds_in_use(self, name, except_for=()):
-        """Seconds from now until no other gateway uses an upstream."""
-        began_at = _now()
-        bound = [one for one in self.by_name.values() if one not in except_for]
-        while any(one.uses(name) for one in bound):
-            assert _now() - began_at < 30
-            await asyncio.sleep(_POLL_S)
-        return _now() - began_at
-
-    def _build(self, name, region):
-        clock = VirtualClock()
-        peers = self.network.join(Member(name, region, f'{region}-a'), clock)
-        rng = random.Random(name)
-        counters = Counters()
-        log = self._make_log(clock)
-        state = FleetState(clock)
-        balancer = Balancer(
-            state,
-            BalancerDependencies(clock, rng, name, region, lambda _: [], 0.15),
-        )
-        upstreams = UpstreamReplica(
-            ReplicaContext(state, log, counters, clock),
-            {f'{one}-a': one for one in _REGIONS},
-            balancer.candidate_builder.forget,
-        )
-        platform = CutPlatform(self.store, clock)
-        follower = KindFollower(
-            _PREFIX,
-            upstreams,
-            FollowerContext(platform, clock, rng, counters, log),
-            self.drain_s,
-        )
-        quarantine = Quarantine(
-            peers, clock, counters, lambda _: set(), lambda _: False
-        )
-        leaving = LeavingUpstreams(state, log, counters)
-        peering = Peering(
-            PeeringDependencies(
-                peers, balancer, quarantine, clock, rng, counters, log, leaving
-            ),
-            [follower],
-        )
-        peering.is_ready = True
-
-        async def expire():
-            while True:
-                follower.expire()
-                await clock.sleep(_EXPIRY_S)
-
-        works = [peering.run, follower.run, follower.run_checks, expire]
-        return Gateway(name, clock, platform, state, peers, works)
 
 
 def _now():
@@ -242,12 +32,14 @@
 def run_fleet(make_log):
     """Run a session with a fleet that knows some upstreams."""
 
-    def run(session, count, upstreams=8):
+    def run(session, count, upstreams=8, drain_s=None):
+        drain_s = drain_s or _DRAIN_S[count]
+
         async def running():
             with contextlib.ExitStack() as stack:
-                fleet = Fleet(make_log, count, stack)
+                fleet = ChangeFleet(make_log, count, drain_s, stack)
                 for index in range(upstreams):
-                    region = _REGIONS[index % len(_REGIONS)]
+                    region = REGIONS[index % len(REGIONS)]
                     await fleet.register(f'u{index}', region=region)
                 await asyncio.sleep(6)
                 # A gateway that never used an upstream would pass each test.
@@ -262,7 +54,7 @@
 
 async def _blip(fleet):
     """The store's answers to aggregators break off once, while it is up."""
-    for gateway in fleet.aggregators(*_REGIONS) or fleet.by_name.values():
+    for gateway in fleet.aggregators(*REGIONS) or fleet.by_name.values():
         gateway.platform.resets += 1
     await asyncio.sleep(0.5)
     return []
@@ -278,7 +70,7 @@
 
 async def _cut_all_aggregators(fleet):
     """All aggregators lose the store, with no sign of it."""
-    cut = fleet.aggregators(*_REGIONS) or fleet.gateways('west')
+    cut = fleet.aggregators(*REGIONS) or fleet.gateways('west')
     for gateway in cut:
         gateway.platform.is_cut = True
     return cut
@@ -410,7 +202,7 @@
         gateway.platform.is_cut = True
     await asyncio.sleep(away_s)
     for key in tuple(fleet.store.by_key):
-        fleet.remove(key.removeprefix(_PREFIX))
+        fleet.remove(key.partition('/')[2])
     for gateway in fleet.by_name.values():
         gateway.platform.is_cut = False
 
@@ -466,7 +258,7 @@
 
     async def session(fleet):
         await asyncio.sleep(phase_s)
-        for other in _REGIONS[1:]:
+        for other in REGIONS[1:]:
             fleet.network.partition('west', other)
         west = fleet.gateways('west')
         for gateway in west:
--- a/tests/gateway/test_gauges.py
+++ b/tests/gateway/test_gauges.py
@@ -46,9 +46,13 @@
         is_store_reachable=True,
         is_listed=True,
         age_s=1.5,
+        view=types.SimpleNamespace(age_s=0.7),
         known=types.SimpleNamespace(position=StorePosition(2, 41)),
     )
-    peering = types.SimpleNamespace(report_ages=lambda: {'g2': 0.2})
+    peering = types.SimpleNamespace(
+        report_ages=lambda: {'g2': 0.2},
+        transit_times=types.SimpleNamespace(waits=lambda: {'g2': 0.4}),
+    )
     dependencies = BalancerDependencies(
         clock, random.Random(7), 'g1', 'west', lambda _: [], 0.15
     )
@@ -90,6 +94,8 @@
         'nutmegshore_store_in_touch{kind="servers/"} 1',
         'nutmegshore_store_listing_age_seconds{kind="servers/"} 1.5',
         'nutmegshore_store_revision{kind="servers/"} 41',
+        'nutmegshore_store_view_age_seconds{kind="servers/"} 0.7',
+        'nutmegshore_peer_message_wait_seconds{peer="g2"} 0.4',
         f'nutmegshore_upstream_report_age_seconds{{{upstream}}} 0.5',
         f'nutmegshore_upstream_room{{{upstream}}} 1',
     }
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -16,12 +16,12 @@
 
 
 def _served(number):
-    return RequestServed(f'r{number}', 'r', 's', '', 1, 0, 200, 0.1, [])
+    return RequestServed(f'r{number}', 'r', 's', '', 1, 0, 0, '', 200, 0.1, [])
 
 
 def _failed(number):
     return RequestFailed(
-        f'f{number}', 'r', 's', '', 1, 0, 502, 'lost', '', '', 0.1, []
+        f'f{number}', 'r', 's', '', 1, 0, 0, '', 502, 'lost', '', '', 0.1, []
     )
 
 
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -54,6 +54,7 @@
     answers: int = 0
     silent_s: float = 0
     on_news: object = None
+    view: object = attrs.field(factory=lambda: PlainView(0))
 
     def set_relayed(self, *, is_relayed):
         self.is_relayed = is_relayed
@@ -74,11 +75,22 @@
         if self.is_store_reachable:
             self.listed_at = self.clock.now()
 
-    def apply_from_peer(self, listing, sender=''):
+    def apply_from_peer(self, listing, sender='', told=None):
         self.applied.append(listing)
         return True
 
 
+@attrs.define
+class PlainView:
+    """What the peering sees of the age of a replica."""
+
+    age_s: float
+    hops: list = attrs.field(factory=list)
+
+    def confirm(self, age_s):
+        self.age_s = min(self.age_s, age_s)
+
+
 @attrs.define(eq=False)
 class Gateway:
     """One gateway's peering and its dependencies."""
