--- a/bench/following_gateway.py
+++ b/bench/following_gateway.py
@@ -65,7 +65,8 @@
 
     def uses(self, upstream: str) -> bool:
         """Whether new requests may go to an upstream."""
-        return upstream in {one.instance for one in self.state.usable('orders')}
+        found = self.state.by_id.get(upstream)
+        return found is not None and self.state.is_usable(found)
 
     async def _expire(self) -> None:
         while True:
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 from types import MappingProxyType
 
 import pytest
@@ -278,3 +280,172 @@
         assert all(one.uses('u0') for one in west)
 
     run_fleet(session, _LARGE)
+
+
+#: Seconds between two entries of a cold upstream.
+_HEARTBEAT_S = 1.5
+#: Bytes a second of a link of 10 Mbit/s.
+_NARROW_LINK = 1_250_000
+
+
+async def _keep_cold(fleet, names):
+    """Write the entries of cold upstreams again and again."""
+    for sequence in itertools.count():
+        name = names[sequence % len(names)]
+        await fleet.register(name, cold_s=sequence)
+        await asyncio.sleep(_HEARTBEAT_S / len(names))
+
+
+@pytest.mark.parametrize(
+    ('how', 'link_share'), [('removed', 0.5), ('draining', 0.3)]
+)
+def test_a_narrow_link_of_aggregators_delays_no_change(
+    run_fleet, how, link_share
+):
+    """Guards against DRAIN and CONFIG: aggregators whose links of 10 Mbit/s
+    callers share sent the same changes again and again, so that what they sent
+    waited for seconds."""
+
+    async def session(fleet):
+        for gateway in fleet.aggregators('south', 'north'):
+            fleet.network.set_rate(gateway.name, link_share * _NARROW_LINK)
+        # What callers have in flight makes the summaries large.
+        for gateway in fleet.by_name.values():
+            for index in range(0, 600, 2):
+                load = gateway.balancer.candidate_builder.load
+                load.get(f'u{index}').in_flight = 1
+        cold = [f'u{index}' for index in range(100, 250)]
+        writing = asyncio.ensure_future(_keep_cold(fleet, cold))
+        worst_s = 0
+        for index in range(3):
+            await asyncio.sleep(1)
+            await fleet.leave(f'u{index}', how)
+            in_use_s = await fleet.seconds_in_use(f'u{index}')
+            worst_s = max(worst_s, in_use_s)
+        writing.cancel()
+        return worst_s
+
+    worst_s = run_fleet(session, _LARGE, upstreams=600)
+    assert worst_s + _REQUEST_S <= _DRAIN_S[_LARGE]
+
+
+@pytest.mark.parametrize('call_s', [0, 0.1, 0.3, 0.5, 0.8])
+@pytest.mark.parametrize('phase_s', [0, 0.6, 1.2])
+@pytest.mark.parametrize('drain_s', [3, 4])
+def test_the_death_of_an_aggregator_is_no_outage_of_the_store(
+    run_fleet, drain_s, phase_s, call_s
+):
+    """Guards against DRAIN: after the death of the gateway whose turn it was
+    to list, others took the store for away and kept what was removed."""
+
+    async def session(fleet):
+        for gateway in fleet.by_name.values():
+            gateway.platform.call_s = call_s
+        await asyncio.sleep(5 + phase_s)
+        fleet.kill(fleet.aggregators(*REGIONS)[0].name)
+        doubtful = set()
+        for _ in range(200):
+            await asyncio.sleep(_POLL_S)
+            doubtful.update(
+                one.name
+                for one in fleet.by_name.values()
+                if one.follower.outages.may_lack_entries
+            )
+        fleet.remove('u1')
+        return doubtful, await fleet.seconds_in_use('u1')
+
+    doubtful, in_use_s = run_fleet(session, _LARGE, drain_s=drain_s)
+    assert not doubtful
+    assert in_use_s + _REQUEST_S <= drain_s
+
+
+@pytest.mark.parametrize('count', [_SMALL, _LARGE])
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+@pytest.mark.parametrize('phase_s', [0, 0.3, 0.6, 0.9, 1.2])
+def test_a_gateway_may_die_as_its_turn_to_list_comes(
+    run_fleet, phase_s, how, count
+):
+    """Guards against DRAIN: while no watch hears anything, the gateway whose
+    turn it is to list dies, and the next one took too long to notice."""
+
+    async def session(fleet):
+        await _deafen(fleet)
+        await asyncio.sleep(phase_s)
+        first = fleet.aggregators(*REGIONS) or [fleet.by_name['g00']]
+        fleet.kill(first[0].name)
+        await fleet.leave('u1', how)
+        return await fleet.seconds_in_use('u1')
+
+    in_use_s = run_fleet(session, count)
+    assert in_use_s + _REQUEST_S <= _DRAIN_S[count]
+
+
+@pytest.mark.parametrize('region', REGIONS)
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+@pytest.mark.parametrize('drain_s', [3, 4])
+def test_the_aggregators_of_a_region_may_die_while_watches_are_deaf(
+    run_fleet, drain_s, how, region
+):
+    """Guards against DRAIN: gateways whose aggregators had died watched the
+    store, heard nothing and did not list it: a removal was in use for 8.5 s."""
+
+    async def session(fleet):
+        await _deafen(fleet)
+        for gateway in fleet.aggregators(region):
+            fleet.kill(gateway.name)
+            await asyncio.sleep(0.4)
+        await fleet.leave('u1', how)
+        return await fleet.seconds_in_use('u1')
+
+    in_use_s = run_fleet(session, _LARGE, drain_s=drain_s)
+    assert in_use_s + _REQUEST_S <= drain_s
+
+
+@pytest.mark.parametrize('seed', range(12))
+@pytest.mark.parametrize('drain_s', [3, 4])
+def test_two_aggregators_may_die_while_watches_are_deaf(
+    run_fleet, drain_s, seed
+):
+    """Guards against DRAIN: a removal was in use for 8.5 s after two
+    aggregators had died within a second while no watch heard anything."""
+    rng = random.Random(seed)
+
+    async def session(fleet):
+        await _deafen(fleet)
+        await asyncio.sleep(rng.random())
+        for gateway in rng.sample(fleet.aggregators(*REGIONS), 2):
+            fleet.kill(gateway.name)
+            await asyncio.sleep(rng.random())
+        await fleet.leave('u1', rng.choice(['removed', 'draining']))
+        return await fleet.seconds_in_use('u1')
+
+    in_use_s = run_fleet(session, _LARGE, drain_s=drain_s)
+    assert in_use_s + _REQUEST_S <= drain_s
+
+
+@pytest.mark.parametrize('count', [_SMALL, _LARGE])
+@pytest.mark.parametrize('phase_s', [0, 0.3, 0.6, 0.9, 1.2, 1.5, 1.8])
+def test_a_cut_from_everything_is_no_outage_of_the_store(
+    run_fleet, phase_s, count
+):
+    """Guards against DRAIN: a gateway that hears of its peers only some time
+    after a cut took the cut for an outage of the store."""
+
+    async def session(fleet):
+        cut = fleet.by_name['g04']
+        others = [name for name in fleet.by_name if name != cut.name]
+        await asyncio.sleep(phase_s)
+        cut.platform.is_cut = True
+        for other in others:
+            fleet.network.partition(cut.name, other)
+        await asyncio.sleep(4)
+        fleet.remove('u1')
+        await asyncio.sleep(2.5)
+        cut.platform.is_cut = False
+        # Links to peers are opened again some time after the path is there.
+        await asyncio.sleep(1.7)
+        fleet.network.heal()
+        return 1.7 + await fleet.seconds_in_use('u1')
+
+    in_use_s = run_fleet(session, count)
+    assert in_use_s + _REQUEST_S <= _STABLE_S
