Send each change to a gateway once

Cause: a gateway that was behind asked an aggregator every 0.2 s, whichever of the two told of news, whether or not an answer was on its way; the answer to the second request holds all that the first one's does. The further behind, the larger and the more the answers: it feeds itself, and all waits in the link.

Change: aggregators send changes unasked with the notice (StateChanges), each one to half of its region; what no watch told goes to all. Choosing sources and packing objects have modules of their own.

--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -10,6 +10,7 @@
     'LoadReport',
     'LoadSummary',
     'RegionLoadReport',
+    'StateChanges',
     'StateNotice',
     'StateRequest',
     'StateReply',
@@ -26,6 +27,7 @@
 _LOAD_SUMMARY_NUMBER = 83
 _REGION_LOAD_NUMBER = 84
 _STATE_NOTICE_NUMBER = 85
+_STATE_CHANGES_NUMBER = 86
 
 
 @message(_LOAD_REPORT_NUMBER)
@@ -102,6 +104,26 @@
     sent_at: float = 0
 
 
+@message(_STATE_CHANGES_NUMBER)
+@attrs.frozen
+class StateChanges:
+    """Changes below a prefix from the position `base` on, sent unasked.
+
+    Only a replica that is at `base` or later in the era may apply them. The
+    other fields are those of `StateReply`.
+    """
+
+    prefix: str
+    base: int
+    position: int
+    listed: list
+    removed: list = attrs.field(factory=list)
+    era: int = UNKNOWN_ERA
+    age_s: float = UNKNOWN_AGE
+    hops: list = attrs.field(factory=list)
+    sent_at: float = 0
+
+
 @message(_LOAD_SUMMARY_NUMBER)
 @attrs.frozen
 class LoadSummary:
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -8,6 +8,7 @@
 from nutmegshore.gateway.follower import LISTING, WATCH, KindFollower
 from nutmegshore.gateway.messages import StateNotice
 from nutmegshore.gateway.report_checks import check_notice
+from nutmegshore.gateway.state_pushes import StatePushes
 from nutmegshore.gateway.state_sync import StateSync
 from nutmegshore.peers import Peers
 
@@ -44,8 +45,10 @@
         self._peers = peers
         self._clock = clock
         self._state_sync = state_sync
+        self._pushes = StatePushes(peers, clock, followers)
         self._has_news = asyncio.Event()
         self._is_first_hand = False
+        self._is_watched = True
         for follower in followers:
             follower.on_news = self._handle_news
         peers.subscribe(StateNotice, self._handle_notice)
@@ -72,6 +75,8 @@
             self._has_news.set()
         if source in {LISTING, WATCH}:
             self._is_first_hand = True
+        if source != WATCH:
+            self._is_watched = False
 
     def _handle_notice(self, sender: str, notice: StateNotice) -> None:
         check_notice(notice)
@@ -86,15 +91,22 @@
             self._state_sync.ages(),
             self._clock.now(),
         )
+        if self._is_aggregator():
+            self._send_as_aggregator(notice)
+        else:
+            self._pushes.stop()
         if not self._peers.aggregators():
             self._peers.broadcast(notice)
-        elif self._is_aggregator():
-            self._peers.send_each(self._region_members(), notice)
-            if self._is_first_hand:
-                self._send_other_regions(notice)
         self._is_first_hand = False
+        self._is_watched = True
         self._has_news.clear()
 
+    def _send_as_aggregator(self, notice: StateNotice) -> None:
+        self._pushes.send(is_watched=self._is_watched)
+        self._peers.send_each(self._region_members(), notice)
+        if self._is_first_hand:
+            self._send_other_regions(notice)
+
     def _send_other_regions(self, notice: StateNotice) -> None:
         for region in self._peers.regions():
             if region != self._peers.local.region:
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -7,8 +7,7 @@
 
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.messages import (
-    UNKNOWN_AGE,
-    UNKNOWN_ERA,
+    StateChanges,
     StateReply,
     StateRequest,
 )
@@ -19,30 +18,38 @@
 )
 from nutmegshore.gateway.replica_view import ToldView
 from nutmegshore.gateway.roster import Roster
+from nutmegshore.gateway.state_objects import (
+    locate,
+    make_reply,
+    read_changes,
+    read_reply,
+    read_view,
+)
+from nutmegshore.gateway.state_pushes import pusher_of
 from nutmegshore.gateway.state_requests import StateRequests
 from nutmegshore.gateway.store_checks import StoreChecks
+from nutmegshore.gateway.store_sources import StoreSources
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.transit_times import TransitTimes
-from nutmegshore.store import (
-    Change,
-    Changes,
-    Listing,
-    StoredObject,
-    StorePosition,
-)
+from nutmegshore.store import Changes, Listing
 
 __all__ = ('StateSync',)
 
 #: Seconds for which a peer may be ahead before this gateway lists the store,
 #: since the peer did not send what it is ahead by.
 _MAX_LAG_S = 0.9
-#: Fraction of a kind's bound for which the store may have answered no gateway
-#: before a gateway stops to rely on aggregators: they may be cut off.
-_ANSWERED_FRACTION = 0.8
-#: Seconds after its last message for which an aggregator replaces the store.
-#: Aggregators send twice a second; the bounds on changes are 2 s and more, and
-#: a watch of the gateway's own delivers missed changes at once.
-_SOURCE_TIMEOUT_S = 1.2
+#: Seconds within which changes come unasked after another aggregator has told
+#: of them: two notices, since the aggregators watch apart from each other.
+_PUSH_WAIT_S = 0.5
+
+
+@attrs.frozen
+class _Ahead:
+    """An aggregator that is ahead, and since when one is known to be."""
+
+    aggregator: str
+    told: ToldReplica
+    since: float
 
 
 class StateSync:
@@ -71,12 +78,14 @@
             {follower.prefix: follower for follower in followers},
         )
         self._differs_since: dict[tuple[str, str], float] = {}
-        self._source_seen_at: dict[str, float] = {}
+        self._ahead: dict[str, _Ahead] = {}
         self.transit_times = TransitTimes(dependencies.clock)
         self._checks = StoreChecks(dependencies, roster)
+        self._sources = StoreSources(dependencies)
         self._requests = StateRequests(dependencies, roster)
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
+        dependencies.peers.subscribe(StateChanges, self._handle_changes)
 
     def known(self) -> dict[str, list]:
         """Summary of each replica, as sent in reports.
@@ -121,7 +130,8 @@
 
     def run_round(self) -> None:
         """Choose sources, check the store, and request unreachable state."""
-        self._choose_sources()
+        self._sources.choose(self._followers.values())
+        self._request_overdue()
         self._checks.check_due(self._followers.values())
         self._requests.send_unreachable(self._followers.values())
         known = self._dependencies.peers.live()
@@ -131,24 +141,13 @@
             if difference[0] in known
         }
 
-    def _record_source(
-        self, follower: KindFollower, position: StorePosition
-    ) -> None:
-        """Record that an aggregator follows the store.
-
-        One that has not noticed the last restore is no source.
-        """
-        if position.era >= follower.known.position.era:
-            now = self._dependencies.clock.now()
-            self._source_seen_at[follower.prefix] = now
-
     def _compare_one(
         self, sender: str, follower: KindFollower, told: ToldReplica
     ) -> None:
         """Request what a peer is ahead by."""
         is_aggregator = sender in self._dependencies.peers.aggregators()
         if is_aggregator and told.is_source:
-            self._record_source(follower, told.position)
+            self._sources.record(follower, told.position)
         if not follower.is_relayed:
             self._catch_up(sender, follower, told)
         elif is_aggregator:
@@ -174,109 +173,92 @@
     def _request_from_aggregator(
         self, aggregator: str, follower: KindFollower, told: ToldReplica
     ) -> None:
-        """Request the changes that an aggregator is ahead by."""
-        known_at = follower.known.position
-        if told.position < known_at or told.is_same_as(follower):
+        """Request the changes that an aggregator is ahead by.
+
+        The aggregator that sends changes unasked has sent them before it tells
+        of them. If the other one tells first, they are about to come.
+        """
+        if not _is_ahead(told, follower):
+            self._ahead.pop(follower.prefix, None)
             return
+        peers = self._dependencies.peers
+        pusher = pusher_of(peers.local.name, peers.aggregators())
+        now = self._dependencies.clock.now()
+        ahead = self._ahead.setdefault(
+            follower.prefix, _Ahead(aggregator, told, now)
+        )
+        if aggregator == pusher or now - ahead.since > _PUSH_WAIT_S:
+            self._request_changes(aggregator, follower, told)
+
+    def _request_overdue(self) -> None:
+        """Request what was told of and has not come unasked."""
+        now = self._dependencies.clock.now()
+        for prefix, ahead in list(self._ahead.items()):
+            follower = self._followers[prefix]
+            if not (follower.is_relayed and _is_ahead(ahead.told, follower)):
+                self._ahead.pop(prefix)
+            elif now - ahead.since > _PUSH_WAIT_S:
+                self._request_changes(ahead.aggregator, follower, ahead.told)
+
+    def _request_changes(
+        self, aggregator: str, follower: KindFollower, told: ToldReplica
+    ) -> None:
         # Equal positions with different digests: changes cannot repair this.
-        is_full = told.position == known_at or not follower.is_listed
+        is_same_position = told.position == follower.known.position
+        is_full = is_same_position or not follower.is_listed
         self._requests.send_paced(aggregator, follower, is_full=is_full)
 
-    def _choose_sources(self) -> None:
-        """Relay through the aggregators while one of them has the store."""
-        peers = self._dependencies.peers
-        aggregators = peers.aggregators()
-        may_relay = bool(aggregators) and peers.local.name not in aggregators
-        limit = self._dependencies.clock.now() - _SOURCE_TIMEOUT_S
-        for prefix, follower in self._followers.items():
-            has_source = self._source_seen_at.get(prefix, 0) > limit
-            is_answered = (
-                follower.outages.silent_s
-                < _ANSWERED_FRACTION * follower.bound_s
-            )
-            follower.set_relayed(
-                is_relayed=may_relay and has_source and is_answered
-            )
-
     def _handle_request(self, sender: str, request: StateRequest) -> None:
         follower = self._followers.get(request.prefix)
         if follower is None or not follower.is_listed:
             return
-        position = _locate(follower, request)
+        position = locate(follower, request)
         if follower.known.position < position:
             return
         changes = None
         if not request.is_full:
             changes = follower.known.changes_since(position)
-        reply = _make_full_reply(follower)
-        if changes is not None:
-            reply = _make_changes_reply(follower, changes)
-        reply = attrs.evolve(
-            reply,
-            age_s=follower.view.age_s,
-            hops=follower.view.hops,
-            sent_at=self._dependencies.clock.now(),
-        )
+        now = self._dependencies.clock.now()
+        reply = make_reply(follower, changes, now)
         self._dependencies.peers.send(sender, reply)
 
     def _handle_reply(self, sender: str, reply: StateReply) -> None:
+        transit_s = self.transit_times.record(sender, reply.sent_at)
+        self._requests.record_answer(sender, reply.prefix)
         follower = self._followers.get(reply.prefix)
         if follower is None:
             return
-        transit_s = self.transit_times.record(sender, reply.sent_at)
-        found = _read_reply(reply, _locate(follower, reply))
-        told = _read_view(reply, transit_s)
-        if follower.apply_from_peer(found, sender, told):
-            self._dependencies.counters.add('state_adopted', kind=reply.prefix)
-
-
-def _locate(
-    follower: KindFollower, body: StateRequest | StateReply
-) -> StorePosition:
-    era = None if body.era == UNKNOWN_ERA else body.era
-    return follower.known.locate(body.position, era)
-
-
-def _read_reply(reply: StateReply, read_at: StorePosition) -> Listing | Changes:
-    listed = tuple(
-        StoredObject(key, body, uid, version, '')
-        for key, body, uid, version in reply.listed
-    )
-    if reply.is_full:
-        return Listing(read_at.revision, listed, read_at.era)
-    changes = [Change(stored.key, stored) for stored in listed]
-    changes.extend(Change(key, None) for key in reply.removed)
-    return Changes(read_at.revision, tuple(changes), read_at.era)
-
-
-def _read_view(reply: StateReply, transit_s: float) -> ToldView:
-    if reply.age_s == UNKNOWN_AGE:
-        return ToldView(hops=reply.hops)
-    return ToldView(reply.age_s + transit_s, reply.hops)
-
-
-def _make_full_reply(follower: KindFollower) -> StateReply:
-    return StateReply(
-        follower.prefix,
-        follower.known.position.revision,
-        [_to_fields(stored) for stored in follower.known.by_key.values()],
-        is_after_outage=follower.outages.may_lack_entries,
-        era=follower.known.position.era,
-    )
+        found = read_reply(reply, follower)
+        self._adopt(sender, follower, found, read_view(reply, transit_s))
 
+    def _handle_changes(self, sender: str, pushed: StateChanges) -> None:
+        """Apply changes that were sent unasked, or request what is missing."""
+        transit_s = self.transit_times.record(sender, pushed.sent_at)
+        follower = self._followers.get(pushed.prefix)
+        if follower is None or not follower.is_listed:
+            return
+        known_at = follower.known.position
+        changes = read_changes(pushed)
+        if changes.era != known_at.era or changes.read_at <= known_at:
+            return
+        if known_at.revision < pushed.base:
+            self._requests.send_paced(sender, follower, is_full=False)
+            return
+        self._adopt(sender, follower, changes, read_view(pushed, transit_s))
 
-def _make_changes_reply(follower: KindFollower, changes: Changes) -> StateReply:
-    present = [one.stored for one in changes.changes if one.stored is not None]
-    return StateReply(
-        follower.prefix,
-        changes.position,
-        [_to_fields(stored) for stored in present],
-        is_full=False,
-        removed=[one.key for one in changes.changes if one.stored is None],
-        is_after_outage=follower.outages.may_lack_entries,
-        era=changes.era,
-    )
+    def _adopt(
+        self,
+        sender: str,
+        follower: KindFollower,
+        found: Listing | Changes,
+        told: ToldView,
+    ) -> None:
+        if follower.apply_from_peer(found, sender, told):
+            self._dependencies.counters.add(
+                'state_adopted', kind=follower.prefix
+            )
 
 
-def _to_fields(stored: StoredObject) -> list[object]:
-    return [stored.key, stored.body, stored.uid, stored.version]
+def _is_ahead(told: ToldReplica, follower: KindFollower) -> bool:
+    is_older = told.position < follower.known.position
+    return not (is_older or told.is_same_as(follower))
