Rely on a view of the store by its age, not by who talks

A gateway believed an aggregator while anything arrived from it, however old; one whose aggregators had died watched the store, and listed nothing if its watch was deaf.

Change: an aggregator is a source for 1.2 s after it sent its last message, by the receiver's clock and with what the message waited; one whose own view is old is none. Whatever is older than 0.75 of its bound is listed, by whoever holds it.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -172,10 +172,16 @@
             return False
         return self.is_listed and self.is_store_reachable
 
-    def set_relayed(self, *, is_relayed: bool) -> None:
-        """Switch between following an aggregator and watching the store."""
+    def set_relayed(
+        self, *, is_relayed: bool, needs_listing: bool = False
+    ) -> None:
+        """Switch between following an aggregator and watching the store.
+
+        If what is known is too old, the watch begins with a listing.
+        """
         if is_relayed == self.is_relayed:
             return
+        self._needs_listing = self._needs_listing or needs_listing
         self._context.counters.add(
             'store_followed_by',
             kind=self.prefix,
--- a/nutmegshore/gateway/replica_summary.py
+++ b/nutmegshore/gateway/replica_summary.py
@@ -22,15 +22,16 @@
     """What a peer tells of its replica of one kind.
 
     `listed_s` are the seconds since some gateway listed the kind, `age_s` those
-    since the store's answer that its objects come from, infinite if it does not
-    tell. Both include the time that the message took. `is_source` says whether
-    others may rely on the replica instead of the store.
+    since the store's answer that its objects come from, the same if it does not
+    tell. Both include `transit_s`, the time that the message took. `is_source`
+    says whether others may rely on the replica instead of the store.
     """
 
     position: StorePosition
     digest: int
     listed_s: float
     age_s: float
+    transit_s: float
     is_source: bool
 
     def is_same_as(self, follower: KindFollower) -> bool:
@@ -52,11 +53,12 @@
     """
     prefix = follower.prefix
     revision, digest, listed_s, *flags = summary.replicas[prefix]
-    age_s = summary.ages.get(prefix, float('inf'))
+    age_s = summary.ages.get(prefix, listed_s)
     return ToldReplica(
         follower.known.locate(revision, summary.eras.get(prefix)),
         digest,
         listed_s + transit_s,
         age_s + transit_s,
+        transit_s,
         any(flags),
     )
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -147,7 +147,7 @@
         """Request what a peer is ahead by."""
         is_aggregator = sender in self._dependencies.peers.aggregators()
         if is_aggregator and told.is_source:
-            self._sources.record(follower, told.position)
+            self._sources.record(follower, told)
         if not follower.is_relayed:
             self._catch_up(sender, follower, told)
         elif is_aggregator:
--- a/nutmegshore/gateway/store_sources.py
+++ b/nutmegshore/gateway/store_sources.py
@@ -3,53 +3,68 @@
 from collections.abc import Iterable
 
 from nutmegshore.gateway.follower import KindFollower
+from nutmegshore.gateway.replica_summary import ToldReplica
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
-from nutmegshore.store import StorePosition
 
 __all__ = ('StoreSources',)
 
-#: Fraction of a kind's bound for which the store may have answered no gateway
-#: before a gateway stops to rely on aggregators: they may be cut off.
-_ANSWERED_FRACTION = 0.8
-#: Seconds after its last message for which an aggregator replaces the store.
-#: Aggregators send twice a second; the bounds on changes are 2 s and more, and
-#: a watch of the gateway's own delivers missed changes at once.
+#: Fraction of a kind's bound after which a view of it is too old to rely on,
+#: whoever it came from: 0.25 s to the next round, the call of the store and the
+#: request's own way fit into the rest.
+_STALE_FRACTION = 0.75
+#: Seconds after an aggregator sent its last message for which it replaces the
+#: store. Aggregators send twice a second, and the bounds are 2 s and more.
 _SOURCE_TIMEOUT_S = 1.2
 
 
 class StoreSources:
     """Has followers rely on aggregators while one of these has the store.
 
-    sources.record(follower, position)  # an aggregator follows the store
+    sources.record(follower, told)  # an aggregator follows the store
     sources.choose(followers)  # with each report
     """
 
     def __init__(self, dependencies: PeeringDependencies) -> None:
         """Choose for one gateway."""
         self._dependencies = dependencies
-        self._seen_at: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
 
-    def record(self, follower: KindFollower, position: StorePosition) -> None:
+    def record(self, follower: KindFollower, told: ToldReplica) -> None:
         """Record that an aggregator follows the store.
 
-        One that has not noticed the last restore is no source.
+        It counts from when it said so. One that has not noticed the last
+        restore, or that is itself behind the store, is no source.
         """
-        if position.era >= follower.known.position.era:
-            now = self._dependencies.clock.now()
-            self._seen_at[follower.prefix] = now
+        is_same_era = told.position.era >= follower.known.position.era
+        if is_same_era and not _is_stale(follower, told.age_s):
+            sent_at = self._dependencies.clock.now() - told.transit_s
+            before = self._sent_at.get(follower.prefix, sent_at)
+            self._sent_at[follower.prefix] = max(before, sent_at)
 
     def choose(self, followers: Iterable[KindFollower]) -> None:
-        """Relay through the aggregators while one of them has the store."""
+        """Relay through the aggregators while one of them has the store.
+
+        What has become too old is listed, whoever was to tell of changes.
+        """
         peers = self._dependencies.peers
         aggregators = peers.aggregators()
         may_relay = bool(aggregators) and peers.local.name not in aggregators
         limit = self._dependencies.clock.now() - _SOURCE_TIMEOUT_S
         for follower in followers:
-            has_source = self._seen_at.get(follower.prefix, 0) > limit
-            is_answered = (
-                follower.outages.silent_s
-                < _ANSWERED_FRACTION * follower.bound_s
-            )
-            follower.set_relayed(
-                is_relayed=may_relay and has_source and is_answered
-            )
+            has_source = self._sent_at.get(follower.prefix, limit) > limit
+            if _is_stale(follower, follower.view.age_s):
+                _list(follower)
+            else:
+                follower.set_relayed(is_relayed=may_relay and has_source)
+
+
+def _list(follower: KindFollower) -> None:
+    """Have all objects of a kind read from the store."""
+    if follower.is_relayed:
+        follower.set_relayed(is_relayed=False, needs_listing=True)
+    else:
+        follower.check()
+
+
+def _is_stale(follower: KindFollower, age_s: float) -> bool:
+    return age_s > _STALE_FRACTION * follower.bound_s
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -56,7 +56,7 @@
     on_news: object = None
     view: object = attrs.field(factory=lambda: PlainView(0))
 
-    def set_relayed(self, *, is_relayed):
+    def set_relayed(self, *, is_relayed, needs_listing=False):
         self.is_relayed = is_relayed
 
     @property
