Choose aggregators by the rate of their links

Cause: aggregators were chosen by a hash of their names.

Change: members tell the rate of their link (setting link_mbps, a field at the end of the membership record, which earlier versions ignore); those with the greatest one collect reports, in the order of the ring among equals. A record with a known rate outlasts the same record from a version that drops it.

Result: test_members_with_the_most_room_are_aggregators and test_the_capacity_outlasts_records_of_earlier_versions; the latter calls a field that did not exist before.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -139,6 +139,7 @@
             settings.region,
             settings.availability_zone,
             first_incarnation(dependencies.rng),
+            int(settings.link_mbps),
         )
         return MeshPeers(
             local,
--- a/nutmegshore/gateway/settings.py
+++ b/nutmegshore/gateway/settings.py
@@ -23,7 +23,8 @@
 
     Addresses are IP:port. `regions_by_zone` has all availability zones of
     the deployment; `seeds` are instances used to discover the others.
-    `log_bytes_per_s` limits the log; 0 switches it off.
+    `log_bytes_per_s` limits the log; 0 switches it off. `link_mbps` is the rate
+    of the instance's link in Mbit/s, 0 if it is not known.
     """
 
     name: str
@@ -41,6 +42,7 @@
     regions_by_zone: MappingProxyType[str, str]
     seeds: tuple[str, ...] = ()
     log_bytes_per_s: float = 400_000
+    link_mbps: float = 0
     bounds: Bounds = Bounds()
 
 
@@ -79,6 +81,10 @@
     return amount
 
 
+def _read_optional_amount(raw: str) -> float:
+    return _read_amount(raw) if raw else 0
+
+
 @attrs.frozen
 class _Setting:
     """Section, key, parser and expected form of a setting."""
@@ -114,6 +120,12 @@
         'key': _Setting(_PEERS, 'key', _read_text, _TEXT),
         'seeds': _Setting(_PEERS, 'seeds', _read_addresses, 'IP:port,...'),
         'store': _Setting('store', 'address', _read_address, _ADDRESS),
+        'link_mbps': _Setting(
+            _INSTANCE,
+            'link_mbps',
+            _read_optional_amount,
+            'a number, 0 or more, or nothing',
+        ),
         'log_bytes_per_s': _Setting(
             'log', 'bytes_per_s', _read_amount, 'a number, 0 or more'
         ),
--- a/nutmegshore/peers/base.py
+++ b/nutmegshore/peers/base.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from nutmegshore.peers.codec import decode
+from nutmegshore.peers.compression import CompressedFrame, expand_frame
+
 __all__ = ('PROCESS_BITS', 'Handler', 'Member', 'Peers', 'process_of')
 
 #: Called with the sender's name and the decoded message.
@@ -29,13 +32,15 @@
     """An entry of the cluster.
 
     `incarnation` rises with each start under the same name, and whenever the
-    member refutes a suspicion.
+    member refutes a suspicion. `capacity` is the rate of its link in Mbit/s, or
+    0 if it is not known.
     """
 
     name: str
     region: str
     availability_zone: str
     incarnation: int = 1
+    capacity: int = 0
 
 
 class Peers(abc.ABC):
@@ -113,6 +118,11 @@
                 self.send(name, body)
 
     def deliver(self, sender: str, body: Any) -> None:
-        """Call the handlers of a received message."""
+        """Call the handlers of a received message.
+
+        Raises `LinkError` for a compressed message that is malformed.
+        """
+        if isinstance(body, CompressedFrame):
+            body = decode(expand_frame(body))
         for handler in self._handlers.get(type(body), ()):
             handler(sender, body)
--- a/nutmegshore/peers/gossip.py
+++ b/nutmegshore/peers/gossip.py
@@ -35,11 +35,13 @@
 
     def send_full_state(self, link: Link, hello: Hello) -> None:
         """Merge the member of a new link's hello, and send all records."""
+        known = self._membership.by_name.get(hello.name)
         member = Member(
             hello.name,
             hello.region,
             hello.availability_zone,
             hello.incarnation,
+            known.member.capacity if known else 0,
         )
         self._merge(MemberRecord(member, hello.address))
         records = self._membership.by_name.values()
--- a/nutmegshore/peers/membership.py
+++ b/nutmegshore/peers/membership.py
@@ -36,13 +36,18 @@
     state: State = State.ALIVE
 
     @property
-    def rank(self) -> tuple[int, int]:
-        """Merge order: every member keeps the record of the higher rank."""
-        return (self.member.incarnation, self.state)
+    def rank(self) -> tuple[int, int, int]:
+        """Merge order: every member keeps the record of the higher rank.
+
+        Earlier versions pass records on without the capacity.
+        """
+        member = self.member
+        return (member.incarnation, self.state, member.capacity)
 
     def to_fields(self) -> list[object]:
         """Fields in the order in which they are sent."""
-        return [*attrs.astuple(self.member), self.address, int(self.state)]
+        *place, capacity = attrs.astuple(self.member)
+        return [*place, self.address, int(self.state), capacity]
 
     @classmethod
     def from_fields(cls, fields: list[object]) -> 'MemberRecord':
@@ -52,12 +57,21 @@
         if not all(isinstance(field, expected) for field, expected in pairs):
             raise ValueError('malformed membership record')
         *place, address, state = known
-        return cls(Member(*place), address, State(state))
+        capacity = _read_capacity(fields)
+        return cls(Member(*place, capacity), address, State(state))
 
 
 _FIELD_TYPES = (str, str, str, int, str, int)
 
 
+def _read_capacity(fields: list[object]) -> int:
+    """Return the capacity, which earlier versions do not send."""
+    index = len(_FIELD_TYPES)
+    if len(fields) > index and isinstance(fields[index], int):
+        return fields[index]
+    return 0
+
+
 def first_incarnation(rng: random.Random) -> int:
     """Incarnation of a process without a record of earlier ones.
 
--- a/nutmegshore/peers/topology.py
+++ b/nutmegshore/peers/topology.py
@@ -62,6 +62,7 @@
         self._zone_of = {
             name: one.availability_zone for name, one in known.items()
         }
+        self._capacity_of = {name: one.capacity for name, one in known.items()}
         by_region: dict[str, list[str]] = {}
         for name, home_region in self._region_of.items():
             by_region.setdefault(home_region, []).append(name)
@@ -79,7 +80,9 @@
     def aggregators(self, region: str) -> tuple[str, ...]:
         """Members that collect a region's reports; none in a full mesh.
 
-        The second one is in another availability zone if there is one.
+        They are those with the greatest capacity, since what they send grows
+        with the region. The second one is in another availability zone if there
+        is one.
         """
         return self._aggregators.get(region, ())
 
@@ -119,7 +122,9 @@
                 yield from others
 
     def _choose_aggregators(self, ring: _Ring) -> tuple[str, ...]:
-        first, *others = ring.names
+        first, *others = sorted(
+            ring.names, key=lambda name: -self._capacity_of[name]
+        )
         in_other_zones = [
             name
             for name in others
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -21,6 +21,7 @@
         'ListenAddrs.Directory': '10.1.0.15:8644',
         'InternalPorts.0': '7620',
         'SeedAddrs': '10.1.0.15:8649,10.2.0.42:8649',
+        'Limits.LinkMbps': '10.0',
         'Platform.Addr': '10.200.1.7:8642',
     }
 )
@@ -41,10 +42,10 @@
     )
 
 
-def _fill(template):
+def _fill(template, fields=_FIELDS):
     """Fill a template in as the platform does."""
     flat = _SECTION.sub(_fill_section, template)
-    return _PLACEHOLDER.sub(lambda found: _FIELDS[found[1]], flat)
+    return _PLACEHOLDER.sub(lambda found: fields[found[1]], flat)
 
 
 def test_the_template_gives_whole_settings():
@@ -53,12 +54,19 @@
     assert settings.name == 'edge-west-a-1'
     assert settings.callers == '10.1.0.15:8641'
     assert settings.peer_port == 7620
+    assert settings.link_mbps == pytest.approx(10)
     assert settings.seeds == ('10.1.0.15:8649', '10.2.0.42:8649')
     assert settings.regions_by_zone == {'west-a': 'west', 'east-a': 'east'}
     assert settings.bounds.grace_s == 7
     assert settings.bounds.extra_retries == 58
 
 
+def test_a_link_of_unknown_rate_is_no_fault():
+    fields = _FIELDS | {'Limits.LinkMbps': ''}
+    settings = read_settings(_fill(_TEMPLATE, fields))
+    assert settings.link_mbps == 0
+
+
 def test_all_faults_are_reported_at_once():
     """Guards against settings that are mended one fault at a time."""
     broken = _fill(_TEMPLATE)
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -84,3 +84,16 @@
     newer = [*record.to_fields(), 'field of a newer version']
     assert MemberRecord.from_fields(newer) == record
     assert attrs.asdict(record)['address'] == 'b'
+
+
+def test_the_capacity_outlasts_records_of_earlier_versions():
+    """Guards against aggregators that change with each record of a member that
+    does not know capacities."""
+    roomy = MemberRecord(Member('b', 'west', 'a', 1, 200), 'b')
+    earlier = MemberRecord.from_fields(roomy.to_fields()[:6])
+    assert earlier.member.capacity == 0
+    for order in itertools.permutations((roomy, earlier)):
+        membership = Membership(_record('a'))
+        for record in order:
+            membership.merge(record)
+        assert membership.by_name['b'] == roomy
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -1,5 +1,7 @@
 """Tests of the wanted links."""
 
+import attrs
+
 from nutmegshore.peers import Member
 from nutmegshore.peers.topology import Topology
 
@@ -94,6 +96,20 @@
     assert zone_of[first] != zone_of[second]
 
 
+def test_members_with_the_most_room_are_aggregators():
+    """Guards against DRAIN: members with narrow links were chosen by a hash of
+    their names, and what they sent waited for seconds."""
+    members = [
+        attrs.evolve(member, capacity=200 if index % 9 == 0 else 10)
+        for index, member in enumerate(_spread_members(60))
+    ]
+    roomy = {member.name for member in members if member.capacity == 200}
+    chosen = Topology(members).aggregators('w')
+    assert set(chosen) < roomy
+    without = [member for member in members if member.name != chosen[0]]
+    assert chosen[1] in Topology(without).aggregators('w')
+
+
 def test_a_small_cluster_has_no_aggregators():
     """Guards against a hop where all members are linked."""
     assert not Topology(_members(16)).aggregators('w')
