Take no cut of one gateway for an outage of the store

A gateway that was cut off from everything for 3 s or more took its own silence for an outage of the store, and kept what was removed for 2.3 s from when it heard anybody: 4.5 s after the cut, where it is bound after 3.

Change: messages tell since when the store has answered without such a gap. An answer to any call counts, not listings alone.

Trials that did not do: the time from the middle of the last failed call, and the word of any region; both let a region drop its own upstreams.

--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -46,7 +46,8 @@
     `ColdGossip` packs. `eras` holds, by key prefix, the era of the store that
     the position in `replicas` belongs to, and `ages` the seconds since the
     store's answer that the objects come from. `sent_at` is the sender's clock
-    as it sent the message, 0 if it does not tell.
+    as it sent the message, 0 if it does not tell. `answers` holds, by key
+    prefix, the fields of `ToldAnswers`.
     """
 
     is_ready: bool
@@ -61,6 +62,7 @@
     cold: dict = attrs.field(factory=dict)
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
+    answers: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -133,8 +135,8 @@
     `in_flight` counts the requests of all gateways by upstream. `replicas`
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
     `shift_counts` and `traffic` are summed over the region, `limits`,
-    `leaving` and `cold` are what the aggregator knows, and `eras`, `ages` and
-    `sent_at` are as in `LoadReport`.
+    `leaving` and `cold` are what the aggregator knows, and `eras`, `ages`,
+    `sent_at` and `answers` are as in `LoadReport`.
     """
 
     ready: list
@@ -149,6 +151,7 @@
     cold: dict = attrs.field(factory=dict)
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
+    answers: dict = attrs.field(factory=dict)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -158,7 +161,8 @@
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
     `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
-    `ColdGossip` pack, and `eras`, `ages` and `sent_at` are as in `LoadReport`.
+    `ColdGossip` pack, and `eras`, `ages`, `sent_at` and `answers` are as in
+    `LoadReport`.
     """
 
     region: str
@@ -171,6 +175,7 @@
     cold: dict = attrs.field(factory=dict)
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
+    answers: dict = attrs.field(factory=dict)
 
 
 @message(_STATE_NOTICE_NUMBER)
@@ -178,10 +183,11 @@
 class StateNotice:
     """What a gateway knows of the store, sent ahead of its next report.
 
-    `replicas`, `eras`, `ages` and `sent_at` are as in `LoadReport`.
+    `replicas`, `eras`, `ages`, `sent_at` and `answers` are as in `LoadReport`.
     """
 
     replicas: dict
     eras: dict = attrs.field(factory=dict)
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
+    answers: dict = attrs.field(factory=dict)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -130,6 +130,7 @@
             self._cold.own(),
             self._state_sync.ages(),
             self._dependencies.clock.now(),
+            self._state_sync.answers(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -157,6 +158,7 @@
             self._cold.known(),
             self._state_sync.ages(),
             self._dependencies.clock.now(),
+            self._state_sync.answers(),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -177,6 +179,7 @@
             self._cold.known(),
             self._state_sync.ages(),
             self._dependencies.clock.now(),
+            self._state_sync.answers(),
         )
         for other in regions:
             peers.send_each(peers.aggregators(other), body)
--- a/nutmegshore/gateway/replica_summary.py
+++ b/nutmegshore/gateway/replica_summary.py
@@ -9,6 +9,7 @@
     RegionLoadReport,
     StateNotice,
 )
+from nutmegshore.gateway.store_outages import ToldAnswers
 from nutmegshore.store import StorePosition
 
 __all__ = ('ReplicaSummary', 'ToldReplica', 'read_replica')
@@ -24,7 +25,8 @@
     `listed_s` are the seconds since some gateway listed the kind, `age_s` those
     since the store's answer that its objects come from, the same if it does not
     tell. Both include `transit_s`, the time that the message took. `is_source`
-    says whether others may rely on the replica instead of the store.
+    says whether others may rely on the replica instead of the store. `answers`
+    are those of the store that the peer knows of.
     """
 
     position: StorePosition
@@ -33,6 +35,7 @@
     age_s: float
     transit_s: float
     is_source: bool
+    answers: ToldAnswers
 
     def is_same_as(self, follower: KindFollower) -> bool:
         """Whether the replica has the same objects.
@@ -45,15 +48,21 @@
 
 
 def read_replica(
-    summary: ReplicaSummary, follower: KindFollower, transit_s: float
+    summary: ReplicaSummary,
+    follower: KindFollower,
+    transit_s: float,
+    *,
+    is_near: bool,
 ) -> ToldReplica:
     """Return what a message says of the kind that a follower replicates.
 
-    The message was on its way for `transit_s` seconds.
+    The message was on its way for `transit_s` seconds. `is_near` says whether
+    its sender is in the same region.
     """
     prefix = follower.prefix
     revision, digest, listed_s, *flags = summary.replicas[prefix]
     age_s = summary.ages.get(prefix, listed_s)
+    silent_s, steady_s, *_ = summary.answers.get(prefix, (listed_s, 0))
     return ToldReplica(
         follower.known.locate(revision, summary.eras.get(prefix)),
         digest,
@@ -61,4 +70,5 @@
         age_s + transit_s,
         transit_s,
         any(flags),
+        ToldAnswers(silent_s + transit_s, steady_s if is_near else 0),
     )
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -14,6 +14,7 @@
     RegionLoadReport,
     StateNotice,
 )
+from nutmegshore.gateway.store_outages import ToldAnswers
 
 __all__ = ('check_notice', 'check_report')
 
@@ -23,6 +24,7 @@
 _MIN_LIMIT_FIELDS = 2
 #: Start, age and rest of a cold start; more may follow.
 _MIN_COLD_FIELDS = 3
+_ANSWERS_FIELDS = len(attrs.fields(ToldAnswers))
 _TRAFFIC_FIELDS = len(attrs.fields(ServiceTraffic))
 #: Integers in messages have at most this many bits.
 _NUMBER_BITS = 64
@@ -39,6 +41,7 @@
     _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
     _check_lists(report.cold, _MIN_COLD_FIELDS, _MIN_COLD_FIELDS)
     _check_ages(report.ages, report.sent_at)
+    _check_lists(report.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
     if isinstance(report, RegionLoadReport):
         return
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
@@ -51,6 +54,7 @@
     """Raise `LinkError` if a replica's fields are of another type."""
     _check_lists(notice.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
     _check_ages(notice.ages, notice.sent_at)
+    _check_lists(notice.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
 
 
 def _check_ages(ages: Mapping[Any, Any], sent_at: float) -> None:
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -90,6 +90,7 @@
             self._state_sync.eras(),
             self._state_sync.ages(),
             self._clock.now(),
+            self._state_sync.answers(),
         )
         if self._is_aggregator():
             self._send_as_aggregator(notice)
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -117,13 +117,24 @@
             for prefix, follower in self._followers.items()
         }
 
+    def answers(self) -> dict[str, list[float]]:
+        """Return what is known of the store's answers, by prefix."""
+        return {
+            prefix: list(attrs.astuple(follower.outages.told()))
+            for prefix, follower in self._followers.items()
+        }
+
     def compare(self, sender: str, summary: ReplicaSummary) -> None:
         """Compare the replica summaries of a peer with the local replicas."""
         transit_s = self.transit_times.record(sender, summary.sent_at)
+        peers = self._dependencies.peers
+        member = peers.live().get(sender)
+        is_near = member is not None and member.region == peers.local.region
         for prefix in summary.replicas.keys() & self._followers.keys():
             follower = self._followers[prefix]
-            told = read_replica(summary, follower, transit_s)
+            told = read_replica(summary, follower, transit_s, is_near=is_near)
             self._checks.record(follower, told.listed_s)
+            follower.outages.record_told(told.answers)
             if told.is_same_as(follower):
                 follower.view.confirm(told.age_s)
             self._compare_one(sender, follower, told)
--- a/nutmegshore/gateway/store_checks.py
+++ b/nutmegshore/gateway/store_checks.py
@@ -47,7 +47,6 @@
         checked_at = self._dependencies.clock.now() - age_s
         before = self._checked_at.get(follower.prefix, checked_at)
         self._checked_at[follower.prefix] = max(before, checked_at)
-        follower.outages.record_answer(age_s)
 
     def age_s(self, follower: KindFollower) -> float:
         """Seconds since the last known listing of a kind by any gateway."""
--- a/nutmegshore/gateway/store_outages.py
+++ b/nutmegshore/gateway/store_outages.py
@@ -1,8 +1,10 @@
 """Outages of the store, found from its answers to all gateways."""
 
+import attrs
+
 from nutmegshore.clock import Clock
 
-__all__ = ('REWRITE_S', 'StoreOutages')
+__all__ = ('REWRITE_S', 'StoreOutages', 'ToldAnswers')
 
 #: Seconds after the return of the store within which live upstreams have
 #: registered again.
@@ -14,16 +16,30 @@
 _MAX_AGE_S = 3600
 
 
+@attrs.frozen
+class ToldAnswers:
+    """Answers of the store to any gateway, in seconds before now.
+
+    The last one was `age_s` ago. Since `steady_s` ago there was no time without
+    answers in which entries could expire.
+    """
+
+    age_s: float = 0
+    steady_s: float = 0
+
+
 class StoreOutages:
     """Tells whether entries may be missing because the store was away.
 
     The store is away while it answers no gateway. It is not away if this
-    gateway alone is cut off: entries that disappear then were removed. The time
-    for which entries may be missing runs from the first word of an answer after
-    an outage, so that no later removal and no further hop begins it anew.
+    gateway alone is cut off, from the store or from all others: the gateways of
+    its region then tell of answers meanwhile, and entries that disappeared were
+    removed. The time for which entries may be missing runs from the first word
+    of an answer after an outage, so that no later removal and no further hop
+    begins it anew.
 
         outages.record_answer()  # to this gateway
-        outages.record_answer(age_s=1.5)  # to another, as it reports
+        outages.record_told(ToldAnswers(age_s=1.5, steady_s=60))
         outages.may_lack_entries
     """
 
@@ -32,6 +48,7 @@
         self._clock = clock
         self._answered_at = float('-inf')
         self._returned_at = float('-inf')
+        self._steady_since = float('inf')
 
     @property
     def silent_s(self) -> float:
@@ -44,17 +61,45 @@
         since_return_s = self._clock.now() - self._returned_at
         return self.silent_s >= _EXPIRING_S or since_return_s < REWRITE_S
 
-    def record_answer(self, age_s: float = 0, waited_s: float = 0) -> None:
-        """Record that the store answered some gateway `age_s` seconds ago.
+    def told(self) -> ToldAnswers:
+        """Return what is known of the answers, for other gateways."""
+        steady_s = self._clock.now() - self._steady_since
+        return ToldAnswers(
+            min(self.silent_s, _MAX_AGE_S),
+            max(min(steady_s, _MAX_AGE_S), 0),
+        )
 
-        `waited_s` is how long that gateway waited for it on a connection whose
-        other end the kernel probes: the store was there all the while.
+    def record_answer(self, waited_s: float = 0) -> None:
+        """Record an answer to this gateway.
+
+        `waited_s` is how long it waited on a connection whose other end the
+        kernel probes: the store was there all the while.
+        """
+        self.record_told(ToldAnswers(0, waited_s))
+
+    def record_told(self, told: ToldAnswers) -> None:
+        """Record the answers that another gateway knows of.
+
+        `steady_s` is 0 for a gateway of another region: a path that all of this
+        one share may have been away, and its upstreams with it.
         """
-        if age_s > _MAX_AGE_S:
+        if told.age_s >= _MAX_AGE_S:
             return
         now = self._clock.now()
-        silent_s = now - age_s - waited_s - self._answered_at
-        is_first = self._answered_at == float('-inf')
-        if silent_s >= _EXPIRING_S and not is_first:
-            self._returned_at = now
-        self._answered_at = max(self._answered_at, now - age_s)
+        last_at = now - told.age_s
+        since = min(now - told.steady_s, last_at)
+        if since - self._answered_at >= _EXPIRING_S:
+            self._begin(since)
+        elif told.steady_s and last_at > self._steady_since - _EXPIRING_S:
+            # Both know answers of one time, and this gateway missed some.
+            self._steady_since = min(self._steady_since, since)
+            self._returned_at = min(self._returned_at, since)
+        self._answered_at = max(self._answered_at, last_at)
+
+    def _begin(self, since: float) -> None:
+        """Begin a time of answers, with the first one or after an outage."""
+        if self._answered_at == float('-inf'):
+            self._steady_since = since
+            return
+        self._steady_since = self._clock.now()
+        self._returned_at = self._clock.now()
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -50,12 +50,11 @@
     applied: list = attrs.field(factory=list)
     is_relayed: bool = False
     is_current: bool = True
-    may_lack_entries: bool = False
-    answers: int = 0
-    silent_s: float = 0
     on_news: object = None
     view: object = attrs.field(factory=lambda: PlainView(0))
 
+    may_lack_entries = False
+
     def set_relayed(self, *, is_relayed, needs_listing=False):
         self.is_relayed = is_relayed
 
@@ -67,8 +66,11 @@
     def outages(self):
         return self
 
-    def record_answer(self, age_s=0):
-        self.answers += 1
+    def told(self):
+        return PlainAnswers()
+
+    def record_told(self, told):
+        """Count nothing: outages have tests of their own."""
 
     def check(self):
         self.checks += 1
@@ -81,6 +83,14 @@
         return True
 
 
+@attrs.frozen
+class PlainAnswers:
+    """What a follower tells of the store's answers."""
+
+    age_s: float = 0
+    steady_s: float = 0
+
+
 @attrs.define
 class PlainView:
     """What the peering sees of the age of a replica."""
--- a/tests/gateway/test_store_outages.py
+++ b/tests/gateway/test_store_outages.py
@@ -3,7 +3,7 @@
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
-from nutmegshore.gateway.store_outages import StoreOutages
+from nutmegshore.gateway.store_outages import StoreOutages, ToldAnswers
 
 
 @pytest.fixture
@@ -26,7 +26,7 @@
 
     async def session(clock, outages):
         for _ in range(10):
-            outages.record_answer(age_s=1.5)
+            outages.record_told(ToldAnswers(age_s=1.5))
             await clock.sleep(1)
             assert not outages.may_lack_entries
         outages.record_answer()
@@ -47,7 +47,7 @@
         for age_s in (1, 2):
             await clock.sleep(1)
             assert outages.may_lack_entries
-            outages.record_answer(age_s=age_s)
+            outages.record_told(ToldAnswers(age_s=age_s))
         await clock.sleep(0.5)
         assert not outages.may_lack_entries
 
@@ -71,8 +71,57 @@
     for one that heard of the store long ago."""
 
     async def session(clock, outages):
-        outages.record_answer(age_s=1_000_000)
+        outages.record_told(ToldAnswers(age_s=1_000_000))
         outages.record_answer()
         assert not outages.may_lack_entries
 
     run_outages(session)
+
+
+def test_answers_to_others_show_that_a_silence_was_no_outage(run_outages):
+    """Guards against DRAIN: a gateway that was cut off from everything kept
+    what was removed meanwhile for seconds after it heard of the others."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(6)
+        outages.record_answer()
+        assert outages.may_lack_entries
+        outages.record_told(ToldAnswers(age_s=1, steady_s=60))
+        assert not outages.may_lack_entries
+
+    run_outages(session)
+
+
+def test_answers_to_another_region_show_nothing(run_outages):
+    """Guards against a region that stops using its own upstreams, whose entries
+    expired while it was cut off from the store and from all others."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(6)
+        outages.record_told(ToldAnswers(age_s=1))
+        await clock.sleep(0.5)
+        outages.record_told(ToldAnswers(age_s=1.5))
+        await clock.sleep(1.7)
+        assert outages.may_lack_entries
+
+    run_outages(session)
+
+
+def test_a_gateway_that_knows_no_more_ends_no_doubt(run_outages):
+    """Guards against live upstreams that are dropped after an outage, since a
+    gateway that started after it knows of none."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(6)
+        outages.record_answer()
+        await clock.sleep(1)
+        started = StoreOutages(clock)
+        started.record_answer()
+        await clock.sleep(0.5)
+        outages.record_told(started.told())
+        assert outages.may_lack_entries
+
+    run_outages(session)
