Count the way of a message in the ages that it tells

Limits of upstreams and what is known of cold ones are passed on with ages that began anew as a message arrived, however long it had waited.

Change: what a message waited is added, as for views of the store.

Leaving has no age, it is for good. Look-ups still count from the arrival of a summary.

--- a/nutmegshore/gateway/cold_gossip.py
+++ b/nutmegshore/gateway/cold_gossip.py
@@ -44,21 +44,23 @@
         """Return what any gateway found."""
         return self._pack(self._state.cold_starts.iter_news())
 
-    def adopt(self, packed: Mapping[str, list[float]]) -> None:
-        """Apply what a peer knows of registered upstreams.
+    def adopt(
+        self, packed: Mapping[str, list[float]], transit_s: float = 0
+    ) -> None:
+        """Apply what a peer knew of registered upstreams `transit_s` ago.
 
         A later start than the registered one is that of an incarnation whose
         registration has not arrived yet; an earlier one is over.
         """
-        now = self._clock.now()
+        sent_at = self._clock.now() - transit_s
         for instance, (born_ms, age_s, left_s, *_) in packed.items():
             upstream = self._state.by_id.get(instance)
             if upstream is None or born_ms < upstream.born_ms:
                 continue
             statement = ColdStatement(
                 upstream,
-                now - max(age_s, 0),
-                float('inf') if left_s == _UNKNOWN else now + left_s,
+                sent_at - max(age_s, 0),
+                float('inf') if left_s == _UNKNOWN else sent_at + left_s,
                 ColdSource.PEER,
             )
             self._state.cold_starts.handle_peer(statement)
--- a/nutmegshore/gateway/limit_gossip.py
+++ b/nutmegshore/gateway/limit_gossip.py
@@ -47,12 +47,16 @@
             for instance, statement in self._limits.statements()
         }
 
-    def adopt(self, packed: Mapping[str, list[float]]) -> None:
-        """Apply what a peer knows of registered upstreams."""
+    def adopt(
+        self, packed: Mapping[str, list[float]], transit_s: float = 0
+    ) -> None:
+        """Apply what a peer knew of registered upstreams `transit_s` ago."""
         for instance, (max_rate, age_s, *_) in packed.items():
             if self._candidate_builder.is_registered(instance):
                 known_rate = None if max_rate == _NO_LIMIT else max_rate
-                self._limits.handle_peer(instance, known_rate, age_s)
+                self._limits.handle_peer(
+                    instance, known_rate, age_s + transit_s
+                )
 
     def _pack(self, statement: LimitStatement) -> list[float]:
         age_s = self._clock.now() - statement.stated_at
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -227,10 +227,11 @@
         report: LoadReport | LoadSummary | RegionLoadReport,
     ) -> None:
         """Compare what a peer knows with the local state."""
-        self._limits.adopt(report.limits)
+        transit_s = self.transit_times.record(sender, report.sent_at)
+        self._limits.adopt(report.limits, transit_s)
         self._leaving.adopt(report.leaving)
-        self._cold.adopt(report.cold)
-        self._state_sync.compare(sender, report)
+        self._cold.adopt(report.cold, transit_s)
+        self._state_sync.compare(sender, report, transit_s)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
             self._dependencies.quarantine.send_verdicts(sender)
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -80,7 +80,10 @@
 
     def _handle_notice(self, sender: str, notice: StateNotice) -> None:
         check_notice(notice)
-        self._state_sync.compare(sender, notice)
+        transit_s = self._state_sync.transit_times.record(
+            sender, notice.sent_at
+        )
+        self._state_sync.compare(sender, notice, transit_s)
         if self._is_aggregator() and sender not in self._region_members():
             self._has_news.set()
 
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -124,9 +124,13 @@
             for prefix, follower in self._followers.items()
         }
 
-    def compare(self, sender: str, summary: ReplicaSummary) -> None:
-        """Compare the replica summaries of a peer with the local replicas."""
-        transit_s = self.transit_times.record(sender, summary.sent_at)
+    def compare(
+        self, sender: str, summary: ReplicaSummary, transit_s: float
+    ) -> None:
+        """Compare the replica summaries of a peer with the local replicas.
+
+        The message was on its way for `transit_s` seconds.
+        """
         peers = self._dependencies.peers
         member = peers.live().get(sender)
         is_near = member is not None and member.region == peers.local.region
