Ask a peer only for changes while the store is out of reach

A gateway that the store refuses asked some peer for all objects of each kind every 0.4 s: on a site of 600 upstreams the answers of one such gateway fill a good part of a narrow link.

The test gives the peer its object by a change, so that its history has it, and demands exactly that change.

Bytes were not measured.

--- a/nutmegshore/gateway/state_requests.py
+++ b/nutmegshore/gateway/state_requests.py
@@ -108,7 +108,7 @@
         self._unreachable_at = now
         for follower in unreachable:
             name = self._dependencies.rng.choice(names)
-            self.send_paced(name, follower, is_full=True)
+            self.send_paced(name, follower, is_full=not follower.is_listed)
 
     def _is_due(self, prefix: str, now: float) -> bool:
         """Whether an answer may still arrive."""
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -20,7 +20,7 @@
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine, fingerprint
-from nutmegshore.store import StoredObject, StorePosition
+from nutmegshore.store import Change, Changes, StoredObject, StorePosition
 from nutmegshore.upstreams import UpstreamReport
 
 _PREFIX = 'servers/'
@@ -302,13 +302,12 @@
     async def session():
         async with run_fleet('g1', 'g2') as fleet:
             stored = StoredObject('servers/a', b'{}', 'uid', 11, '')
-            fleet['g1'].follower.known.by_key = {stored.key: stored}
-            fleet['g1'].follower.known.position = StorePosition(1, 12)
+            changes = Changes(12, (Change(stored.key, stored),), 1)
+            fleet['g1'].follower.known.apply(changes)
             fleet['g2'].follower.is_store_reachable = False
             await asyncio.sleep(2)
             applied = fleet['g2'].follower.applied
-            assert applied[0].position == 12
-            assert applied[0].listed == (stored,)
+            assert applied[0] == changes
 
     run_virtual(session)
 
