--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -93,9 +93,9 @@
         self.bound_s = bound_s
         self.is_listed = False
         self.on_news: Callable[[str], None] | None = None
-        self.feed = ReplicaFeed(replica, context.clock, rewrite_s)
-        self.known = self.feed.known
         self.view = ReplicaView(context.clock)
+        self.feed = ReplicaFeed(replica, context.clock, rewrite_s, self.view)
+        self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
         self.outages = self._health.outages
         self._context = context
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -5,6 +5,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.objects import KnownObjects
+from nutmegshore.gateway.replica_view import ReplicaView
 from nutmegshore.gateway.restore_guard import RestoreGuard
 from nutmegshore.store import Change, Changes, Listing, StoredObject
 
@@ -45,15 +46,20 @@
     restore took away or brought back reaches the replica only after its
     owners could have written it again.
 
-        feed = ReplicaFeed(replica, clock, rewrite_s=2.3)
+        feed = ReplicaFeed(replica, clock, 2.3, ReplicaView(clock))
         feed.apply_listing(listing, is_after_outage=False)
         feed.expire(is_after_outage=False)  # often
     """
 
     def __init__(
-        self, replica: Replica, clock: Clock, rewrite_s: float
+        self,
+        replica: Replica,
+        clock: Clock,
+        rewrite_s: float,
+        view: ReplicaView,
     ) -> None:
-        """Start without objects."""
+        """Start without objects; `view` tells how old the known ones are."""
+        self._view = view
         self.known = KnownObjects()
         self._replica = replica
         self._guard = RestoreGuard(clock, rewrite_s, replica.find_start)
@@ -101,7 +107,7 @@
         self, before: list[StoredObject] | None, *, is_after_outage: bool
     ) -> None:
         if before is not None:
-            self._guard.begin(before, self.known)
+            self._guard.begin(before, self.known, self._view.known_age_s)
         self._replica.replace(
             self._guard.visible(self.known.by_key),
             is_after_outage=is_after_outage,
--- a/nutmegshore/gateway/replica_view.py
+++ b/nutmegshore/gateway/replica_view.py
@@ -51,6 +51,11 @@
         """Seconds since the answer, at most an hour."""
         return min(self._clock.now() - self._answered_at, _MAX_AGE_S)
 
+    @property
+    def known_age_s(self) -> float:
+        """The age, or 0 if nobody told it."""
+        return self.age_s if self.age_s < _MAX_AGE_S else 0
+
     def record_answer(self, source: str) -> None:
         """Record an answer of the store to this gateway."""
         self.source = source
--- a/nutmegshore/gateway/restore_guard.py
+++ b/nutmegshore/gateway/restore_guard.py
@@ -22,7 +22,7 @@
     object was replaced by a later one since the copy, the later one is kept in
     its place. A change to an object is its owner's word and ends both for it.
 
-        guard.begin(before, known)
+        guard.begin(before, known, age_s=0.4)
         replica.replace(guard.visible(known.by_key))
         guard.end_overdue()  # often
     """
@@ -46,11 +46,15 @@
         self._revived: dict[str, StoredObject] = {}
 
     def begin(
-        self, before: Iterable[StoredObject], known: KnownObjects
+        self, before: Iterable[StoredObject], known: KnownObjects, age_s: float
     ) -> None:
-        """Compare the objects in use before a restore with those after it."""
+        """Compare the objects in use before a restore with those after it.
+
+        The answer that showed the restore is `age_s` seconds old: owners have
+        had that time already.
+        """
         in_use = {stored.key: stored for stored in before}
-        self._begun_at = self._clock.now()
+        self._begun_at = self._clock.now() - age_s
         self._revived = {
             key: stored
             for key, stored in known.by_key.items()
