Check the ages and times that peers tell

Cause: reports were checked, but not the ages of replies and of changes sent unasked: one that is no number makes a view that is never old. Found on reading the diff; two new odd messages of test_peering.py were let through before.

The report interval stands with the reports again, and the replicas of reports and notices have one check.

--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -17,11 +17,12 @@
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.state_notices import StateNotices
 from nutmegshore.gateway.state_sync import StateSync
-from nutmegshore.gateway.store_checks import REPORT_INTERVAL_S
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 
 __all__ = ('Peering',)
 
+#: Seconds between two reports of a gateway.
+_REPORT_INTERVAL_S = 0.25
 #: Aggregators of a region among which reports alternate.
 _AGGREGATOR_TURNS = 2
 #: Seconds by which a report must be late to be logged.
@@ -108,7 +109,7 @@
     async def _pause(self) -> None:
         """Send notices until the next report; log if that is late."""
         clock = self._dependencies.clock
-        due_at = clock.now() + REPORT_INTERVAL_S
+        due_at = clock.now() + _REPORT_INTERVAL_S
         await self._notices.send_until(due_at)
         late_s = clock.now() - due_at
         if late_s > _LOGGED_DELAY_S:
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -12,11 +12,13 @@
     LoadReport,
     LoadSummary,
     RegionLoadReport,
+    StateChanges,
     StateNotice,
+    StateReply,
 )
 from nutmegshore.gateway.store_outages import ToldAnswers
 
-__all__ = ('check_notice', 'check_report')
+__all__ = ('check_notice', 'check_objects', 'check_report')
 
 #: Position, digest and age of a replica; more may follow.
 _MIN_REPLICA_FIELDS = 3
@@ -37,11 +39,9 @@
     Fields that later versions add to a list are not looked at.
     """
     _check_counts(report.in_flight)
-    _check_lists(report.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
+    _check_replicas(report)
     _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
     _check_lists(report.cold, _MIN_COLD_FIELDS, _MIN_COLD_FIELDS)
-    _check_ages(report.ages, report.sent_at)
-    _check_lists(report.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
     if isinstance(report, RegionLoadReport):
         return
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
@@ -52,14 +52,21 @@
 
 def check_notice(notice: StateNotice) -> None:
     """Raise `LinkError` if a replica's fields are of another type."""
-    _check_lists(notice.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
-    _check_ages(notice.ages, notice.sent_at)
-    _check_lists(notice.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
+    _check_replicas(notice)
 
 
-def _check_ages(ages: Mapping[Any, Any], sent_at: float) -> None:
-    _check_names(ages)
-    _check_numbers([*ages.values(), sent_at])
+def check_objects(objects: StateReply | StateChanges) -> None:
+    """Raise `LinkError` if an age or a time is no finite number."""
+    _check_numbers([objects.age_s, objects.sent_at])
+
+
+def _check_replicas(
+    summary: LoadReport | LoadSummary | RegionLoadReport | StateNotice,
+) -> None:
+    _check_lists(summary.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
+    _check_lists(summary.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
+    _check_names(summary.ages)
+    _check_numbers([*summary.ages.values(), summary.sent_at])
 
 
 def _check_counts(by_name: Mapping[Any, Any]) -> None:
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -17,6 +17,7 @@
     read_replica,
 )
 from nutmegshore.gateway.replica_view import ToldView
+from nutmegshore.gateway.report_checks import check_objects
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.state_objects import (
     locate,
@@ -56,11 +57,12 @@
     """Compares the replicas of gateways and passes changes on.
 
     In a small fleet each gateway watches the store. In a larger one only the
-    aggregators do and the others request changes from them, so that calls to
-    the store do not grow with the fleet. A gateway without messages from an
+    aggregators do and the others get changes from them, so that calls to the
+    store do not grow with the fleet. A gateway without recent messages from an
     aggregator that reaches the store watches the store itself; one that
     cannot reach the store requests state from any peer. Since a watch may
-    miss changes, some gateway lists each kind within its bound.
+    miss changes, some gateway lists each kind within its bound, and each one
+    what it has not heard of for most of it.
 
         state_sync = StateSync(dependencies, followers, roster)
         state_sync.run_round()  # with each report
@@ -238,6 +240,7 @@
         self._dependencies.peers.send(sender, reply)
 
     def _handle_reply(self, sender: str, reply: StateReply) -> None:
+        check_objects(reply)
         transit_s = self.transit_times.record(sender, reply.sent_at)
         self._requests.record_answer(sender, reply.prefix)
         follower = self._followers.get(reply.prefix)
@@ -248,6 +251,7 @@
 
     def _handle_changes(self, sender: str, pushed: StateChanges) -> None:
         """Apply changes that were sent unasked, or request what is missing."""
+        check_objects(pushed)
         transit_s = self.transit_times.record(sender, pushed.sent_at)
         follower = self._followers.get(pushed.prefix)
         if follower is None or not follower.is_listed:
--- a/nutmegshore/gateway/store_checks.py
+++ b/nutmegshore/gateway/store_checks.py
@@ -7,10 +7,8 @@
 from nutmegshore.gateway.roster import Roster
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 
-__all__ = ('REPORT_INTERVAL_S', 'StoreChecks')
+__all__ = ('StoreChecks',)
 
-#: Seconds between two reports of a gateway.
-REPORT_INTERVAL_S = 0.25
 #: Fraction of a kind's bound after which some gateway lists it again, to find
 #: changes that no watch delivers. The rest is for their way to all gateways:
 #: 0.25 s to the round, 0.1 s for the call, and for each of two hops a notice
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -13,7 +13,12 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, LinkError
 from nutmegshore.gateway.leaving import LeavingUpstreams
-from nutmegshore.gateway.messages import LoadReport, LoadSummary
+from nutmegshore.gateway.messages import (
+    LoadReport,
+    LoadSummary,
+    StateChanges,
+    StateReply,
+)
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
@@ -247,6 +252,11 @@
         LoadReport(True, {}, {}, 0, [], {}, {'u1': [float('nan'), 1]}),
         LoadSummary([{}], {}, {}),
         LoadSummary(['g2'], {'u1': None}, {}),
+        LoadReport(True, {}, {}, ages={_PREFIX: 'x'}),
+        LoadReport(True, {}, {}, answers={_PREFIX: [1]}),
+        LoadReport(True, {}, {}, sent_at=float('nan')),
+        StateReply(_PREFIX, 11, [], age_s=float('nan')),
+        StateChanges(_PREFIX, 10, 11, [], sent_at=float('inf')),
     ],
     ids=str,
 )
