--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -55,9 +55,9 @@
     _check_replicas(notice)
 
 
-def check_objects(objects: StateReply | StateChanges) -> None:
+def check_objects(told: StateReply | StateChanges) -> None:
     """Raise `LinkError` if an age or a time is no finite number."""
-    _check_numbers([objects.age_s, objects.sent_at])
+    _check_numbers([told.age_s, told.sent_at])
 
 
 def _check_replicas(
