Report faults of our own code with request id and stack

Change: `Faults` counts `internal_faults` by part and logs each fault with its request, its error and the end of its stack; in a gateway as the event `internal_fault` of level error. The listeners report through it. A fixture fails every test that causes one, unless the test is marked as expecting it, and a test so marked if none comes. No logic of requests changes.

--- a/nutmegshore/callers/application.py
+++ b/nutmegshore/callers/application.py
@@ -31,7 +31,7 @@
         self._listener = ListenerContext(
             self._make_responder,
             responder_context.counters,
-            limits or ListenerLimits(),
+            limits=limits or ListenerLimits(),
         )
 
     def listen(
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -94,7 +94,9 @@
         self._peering = self._make_peering()
         self._forwarder = GatewayForwarder(self._assembly.context)
         self._listener = ListenerContext(
-            self._make_responder, dependencies.counters
+            self._make_responder,
+            dependencies.counters,
+            dependencies.log.faults,
         )
         self._tasks = KeptTasks(
             dependencies.clock, dependencies.counters, dependencies.log
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -38,6 +38,7 @@
     'ConfigurationRejected',
     'EntryRejected',
     'EvacuationChanged',
+    'InternalFault',
     'LinesDropped',
     'PeerChanged',
     'ReportDelayed',
@@ -341,6 +342,23 @@
     pause_s: float
 
 
+@attrs.frozen
+class InternalFault:
+    """Code of the gateway raised an unexpected exception.
+
+    `request` is the request that it worked on, or empty; `stack` the end of the
+    traceback.
+    """
+
+    severity = Severity.CHANGE
+
+    request: str
+    part: str
+    error: str
+    stack: str
+    level: str = 'error'
+
+
 @attrs.frozen
 class LinesDropped:
     """Numbers of lines dropped since the last such event."""
@@ -388,6 +406,7 @@
         Stopped: 'stopped',
         SettingsReloaded: 'settings_reloaded',
         TaskRestarted: 'task_restarted',
+        InternalFault: 'internal_fault',
         LinesDropped: 'lines_dropped',
     },
 )
--- a/nutmegshore/gateway/log.py
+++ b/nutmegshore/gateway/log.py
@@ -13,8 +13,10 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
+from nutmegshore.faults import Fault, Faults
 from nutmegshore.gateway.events import (
     EVENT_NAMES,
+    InternalFault,
     LinesDropped,
     fields_of,
 )
@@ -90,7 +92,7 @@
     Routine lines may use half of the byte budget, retries a little more, and
     refusals and failures almost all of it, so that failed requests are still
     logged under overload. Dropped lines are counted and reported by a
-    `LinesDropped` event.
+    `LinesDropped` event. `faults` reports faults of the gateway's own code.
 
         log = EventLog(LineWriter(1), 'entry-3', clock, counters, 200_000)
         log.write(Stopped(cut=0))
@@ -111,6 +113,7 @@
         self._budget = _ByteBudget(bytes_per_s, clock.now)
         self._dropped: collections.Counter[Severity] = collections.Counter()
         self._is_on = bytes_per_s > 0
+        self.faults = Faults(counters, self._write_fault)
         wrapped = structlog.wrap_logger(
             writer,
             processors=[_render],
@@ -131,6 +134,12 @@
             self._report_dropped()
         self._write(event)
 
+    def _write_fault(self, fault: Fault) -> None:
+        event = InternalFault(
+            fault.request, fault.part, fault.error, fault.stack
+        )
+        self.write(event)
+
     def _is_over_limit(self, severity: Severity) -> bool:
         share = _SHARE_BY_SEVERITY[severity]
         if self._writer.queued_bytes > _MAX_QUEUED_BYTES * share:
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -10,6 +10,7 @@
 
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
+from nutmegshore.faults import Faults
 from nutmegshore.listener import (
     AnswerWriter,
     CallerServer,
@@ -86,10 +87,11 @@
     address: str,
     pages: Mapping[str, MakePage],
     counters: Counters,
+    faults: Faults,
 ) -> CallerServer:
     """Serve pages by path at IP:port."""
     make_responder = functools.partial(PageResponder, pages=pages)
-    server = CallerServer(ListenerContext(make_responder, counters))
+    server = CallerServer(ListenerContext(make_responder, counters, faults))
     host, _, port = address.rpartition(':')
     server.open(int(port), host)
     return server
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -13,6 +13,7 @@
     Outcome,
     RefusedError,
 )
+from nutmegshore.faults import CURRENT_REQUEST
 from nutmegshore.gateway.answer import NOT_RUN_STATUSES, BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.events import (
@@ -74,8 +75,15 @@
         self._arrived_at = context.clock.now()
         self._routed: RoutedRequest | None = None
 
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request, empty before its head is read."""
+        head = self.writer.request
+        return read_caller_fields(head).request_id if head else ''
+
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
+        CURRENT_REQUEST.set(self.request_id)
         try:
             status = await self._forward()
         except asyncio.CancelledError:
@@ -205,11 +213,10 @@
         now = self._context.clock.now()
         routed = self._routed
         state = self._context.state
-        head = self.writer.request
         adopted = state.configuration
         age_s = now - state.configured_at if adopted else 0
         return {
-            'request': read_caller_fields(head).request_id if head else '',
+            'request': self.request_id,
             'route': routed.route.name if routed else '',
             'service': routed.service if routed else '',
             'key': routed.incoming.fields.affinity_key if routed else '',
--- a/nutmegshore/gateway/status_pages.py
+++ b/nutmegshore/gateway/status_pages.py
@@ -56,8 +56,9 @@
             (settings.lookup, {LOOKUP_PATH: self._look_up}),
             (metrics, {_METRICS_PATH: self._show_metrics}),
         )
+        faults = self._assembly.dependencies.log.faults
         return [
-            open_pages(address, pages, self._counters)
+            open_pages(address, pages, self._counters, faults)
             for address, pages in pages_by_address
         ]
 
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -17,7 +17,6 @@
 )
 from nutmegshore.listener.reader import CallerReader
 from nutmegshore.listener.responder import Responder
-from nutmegshore.logs import get_logger
 
 __all__ = ('CallerConnection',)
 
@@ -36,7 +35,6 @@
         self._context = context
         self._reader = CallerReader(stream)
         self._writer: AnswerWriter | None = None
-        self._log = get_logger('callers')
 
     async def run(self) -> None:
         """Serve until the caller or `close_when_idle` ends it."""
@@ -127,16 +125,16 @@
         if self._stream.closed():
             self._context.counters.add('caller_disconnects')
         elif failure is not None:
-            self._abort(failure)
+            self._abort(failure, responder.request_id)
 
-    def _abort(self, failure: BaseException) -> None:
+    def _abort(self, failure: BaseException, request_id: str) -> None:
         """End a connection whose answer cannot be made whole."""
         abort_stream(self._stream)
         reason = 'internal_fault'
         if isinstance(failure, NutmegshoreError):
             reason = failure.kind.value
         else:
-            self._log.error('answer failed', exc_info=failure)
+            self._context.faults.report('listener', failure, request_id)
         self._context.counters.add('answers_aborted', reason=reason)
 
     async def _linger(self) -> None:
--- a/nutmegshore/listener/context.py
+++ b/nutmegshore/listener/context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from nutmegshore.counters import Counters
+from nutmegshore.faults import Faults
 from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.responder import Responder
 
@@ -30,14 +31,22 @@
     body_bytes: int = 0
 
 
+def _make_faults(context: 'ListenerContext') -> Faults:
+    return Faults(context.counters)
+
+
 @attrs.define
 class ListenerContext:
     """What the connections of one listener share.
 
-    `make_responder` builds the responder that answers one request. `limits` may
-    be replaced while connections are open; each looks it up when it needs it.
+    `make_responder` builds the responder that answers one request. `faults`
+    reports unexpected exceptions. `limits` may be replaced while connections
+    are open; each looks it up when it needs it.
     """
 
     make_responder: Callable[[AnswerWriter], Responder]
     counters: Counters
+    faults: Faults = attrs.field(
+        default=attrs.Factory(_make_faults, takes_self=True)
+    )
     limits: ListenerLimits = ListenerLimits()
--- a/nutmegshore/listener/responder.py
+++ b/nutmegshore/listener/responder.py
@@ -22,6 +22,11 @@
         self.writer = writer
         self.body: CallerBody | None = None
 
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request, empty if it has none."""
+        return ''
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import random
-from types import MappingProxyType
 
 import attrs
 import hypothesis
@@ -13,6 +12,7 @@
 from nutmegshore.clock import SystemClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
+from nutmegshore.faults import Faults
 from nutmegshore.gateway.assembly import GatewayDependencies
 from nutmegshore.gateway.daemon import GatewayDaemon
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
@@ -34,6 +34,25 @@
 hypothesis.settings.load_profile('repeatable')
 
 
+@pytest.fixture(autouse=True)
+def reported_faults(monkeypatch, request):
+    """Faults that a test's code reports; unexpected ones fail the test."""
+    found = []
+    report = Faults.report
+
+    def record(self, part, failure, *options):
+        found.append((part, failure))
+        report(self, part, failure, *options)
+
+    monkeypatch.setattr(Faults, 'report', record)
+    yield found
+    is_expected = request.node.get_closest_marker('expects_faults')
+    if not is_expected and found:
+        pytest.fail(f'faults of our own code: {found}')
+    if is_expected and not found:
+        pytest.fail('the test expects a fault, and none was reported')
+
+
 @pytest.fixture
 def declare():
     """Factory of envelopes; the generation defaults to 1."""
@@ -114,7 +133,7 @@
         store=f'127.0.0.1:{store_port}',
         cluster='test',
         key='a key of a test cluster',
-        regions_by_zone=MappingProxyType({'west-a': 'west'}),
+        regions_by_zone={'west-a': 'west'},
         bounds=Bounds(grace_s=2),
     )
 
