Answer requests that a fault of our own code interrupts

Cause: for any exception that is not one of ours the listener reset the connection, although nothing had been written to the caller and the gateway knew whether anything had been sent to an upstream. The class: a fault of our own code, wherever it comes up, costs the caller its answer. Change: the connection answers every request it has begun to read. The responder says whether an upstream may have received the request: 502 then, which promises nothing, else 503 with a time to come back. A fault in that answer, or before there is a responder, ends in a plain answer; only an answer that has begun is still cut, as nothing else is honest. A head counts as begun once it is encoded. An attempt sets `may_have_run` as it is sent. Why it works: one place ends requests, and it needs nothing that may fail but the writer.

--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -64,6 +64,12 @@
         super().__init__(writer)
         self.context = context
         self._listener = listener
+        self._is_forwarded = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have received the request."""
+        return self._is_forwarded
 
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
@@ -86,6 +92,7 @@
             await self._answer_lookup()
             return
         incoming = self._incoming(self.writer.request)
+        self._is_forwarded = True
         await self.context.forwarder.forward(incoming, self.writer)
         await self._write_in_time(self.writer.finish())
         self.context.counters.add('requests', service=incoming.service)
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -86,6 +86,8 @@
     FRAME_TOO_LARGE = 'frame_too_large'
     MALFORMED_FRAME = 'malformed_frame'
     LINK_CLOSED = 'link_closed'
+    FAULT_BEFORE_SEND = 'fault_before_send'
+    FAULT_AFTER_SEND = 'fault_after_send'
 
 
 @attrs.frozen
@@ -104,6 +106,8 @@
     return Answer(status, Outcome.UNKNOWN)
 
 
+_UNAVAILABLE = _not_run(HTTPStatus.SERVICE_UNAVAILABLE)
+
 #: Every error kind has exactly one answer. Kinds that close a peer link also
 #: have a status, because the operator listener reports the last link error.
 ANSWERS = MappingProxyType(
@@ -117,17 +121,17 @@
         ErrorKind.SLOW_SENDER: _not_run(HTTPStatus.REQUEST_TIMEOUT),
         ErrorKind.CALLER_STALLED: _unknown(HTTPStatus.REQUEST_TIMEOUT),
         ErrorKind.UNKNOWN_SERVICE: _not_run(HTTPStatus.NOT_FOUND),
-        ErrorKind.OVERLOADED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.RATE_LIMITED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.UPSTREAM_PAUSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.NO_UPSTREAM: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.CAP_REACHED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.STOPPING: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
-        ErrorKind.NOT_READY: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.OVERLOADED: _UNAVAILABLE,
+        ErrorKind.RATE_LIMITED: _UNAVAILABLE,
+        ErrorKind.UPSTREAM_PAUSED: _UNAVAILABLE,
+        ErrorKind.NO_UPSTREAM: _UNAVAILABLE,
+        ErrorKind.CAP_REACHED: _UNAVAILABLE,
+        ErrorKind.STOPPING: _UNAVAILABLE,
+        ErrorKind.NOT_READY: _UNAVAILABLE,
         ErrorKind.QUARANTINED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.KEY_REUSED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.UPSTREAM_UNREACHABLE: _not_run(HTTPStatus.BAD_GATEWAY),
-        ErrorKind.UPSTREAM_REFUSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.UPSTREAM_REFUSED: _UNAVAILABLE,
         ErrorKind.DEADLINE_BEFORE_SEND: _not_run(HTTPStatus.GATEWAY_TIMEOUT),
         ErrorKind.DEADLINE_AFTER_SEND: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
         ErrorKind.UPSTREAM_LOST: _unknown(HTTPStatus.BAD_GATEWAY),
@@ -143,23 +147,23 @@
         ErrorKind.UNAUTHORIZED: _not_run(HTTPStatus.UNAUTHORIZED),
         ErrorKind.FORBIDDEN: _not_run(HTTPStatus.FORBIDDEN),
         ErrorKind.INVALID_SETTINGS: _not_run(HTTPStatus.INTERNAL_SERVER_ERROR),
-        ErrorKind.PLATFORM_UNAVAILABLE: _not_run(
-            HTTPStatus.SERVICE_UNAVAILABLE
-        ),
+        ErrorKind.PLATFORM_UNAVAILABLE: _UNAVAILABLE,
         ErrorKind.PLATFORM_ANSWER_LOST: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
         ErrorKind.PLATFORM_FORMAT: _not_run(HTTPStatus.BAD_GATEWAY),
-        ErrorKind.HISTORY_LOST: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.HISTORY_LOST: _UNAVAILABLE,
         ErrorKind.BODY_TOO_LARGE: _not_run(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
         ErrorKind.NO_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
         ErrorKind.UPSTREAM_SPOILED: _unknown(HTTPStatus.BAD_GATEWAY),
-        ErrorKind.UPSTREAM_MOVED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.UPSTREAM_MOVED: _UNAVAILABLE,
         ErrorKind.UPSTREAM_SILENT: _unknown(HTTPStatus.GATEWAY_TIMEOUT),
         ErrorKind.PEER_WRONG_CLUSTER: _not_run(HTTPStatus.FORBIDDEN),
         ErrorKind.PEER_WRONG_KEY: _not_run(HTTPStatus.FORBIDDEN),
         ErrorKind.PEER_INCOMPATIBLE_VERSION: _not_run(HTTPStatus.BAD_REQUEST),
         ErrorKind.FRAME_TOO_LARGE: _not_run(HTTPStatus.BAD_REQUEST),
         ErrorKind.MALFORMED_FRAME: _not_run(HTTPStatus.BAD_REQUEST),
-        ErrorKind.LINK_CLOSED: _not_run(HTTPStatus.SERVICE_UNAVAILABLE),
+        ErrorKind.LINK_CLOSED: _UNAVAILABLE,
+        ErrorKind.FAULT_BEFORE_SEND: _UNAVAILABLE,
+        ErrorKind.FAULT_AFTER_SEND: _unknown(HTTPStatus.BAD_GATEWAY),
     }
 )
 
--- a/nutmegshore/faults.py
+++ b/nutmegshore/faults.py
@@ -74,7 +74,6 @@
 
         Without a request, it concerns the current task's one.
         """
-        self._counters.add('internal_faults', part=part)
         fault = Fault(
             part,
             request or CURRENT_REQUEST.get(),
@@ -82,7 +81,7 @@
             _stack(failure)[-_MAX_STACK_CHARS:],
         )
         try:
-            self._write(fault)
+            self._record(fault)
         except Exception:
             log_fault(fault)
 
@@ -94,6 +93,10 @@
         except Exception as failure:
             self.report(part, failure)
 
+    def _record(self, fault: Fault) -> None:
+        self._counters.add('internal_faults', part=fault.part)
+        self._write(fault)
+
 
 def _stack(failure: BaseException) -> str:
     return ''.join(traceback.format_exception(failure))
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -9,7 +9,7 @@
     RoutingRequest,
 )
 from nutmegshore.balancing.balancer import InFlightRequest
-from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.errors import ErrorKind, Outcome, RequestError
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.request import AttemptRecord, RoutedRequest
@@ -74,9 +74,12 @@
         )
         if in_flight.is_cold:
             self._record_cold(is_first=in_flight.is_first_cold)
+        may_have_run = self._routed.may_have_run
         try:
             head = await self._send(answer, is_last=is_last)
         except RequestError as failure:
+            if failure.answer.outcome is Outcome.NOT_RUN:
+                self._routed.may_have_run = may_have_run
             outcome = _OUTCOME_BY_KIND.get(
                 failure.kind, AttemptOutcome.ABANDONED
             )
@@ -93,10 +96,12 @@
         self, in_flight: InFlightRequest, outcome: AttemptOutcome, result: str
     ) -> None:
         took_s = self._context.clock.now() - self._started_at
+        attempt = AttemptRecord.of(self._choice, took_s, result)
+        self._routed.attempts.append(attempt)
+        self._record(result)
         avoided_s = self._context.balancer.end(
             in_flight, AttemptResult(outcome, took_s)
         )
-        self._record(took_s, result)
         if avoided_s:
             self._log_avoided(avoided_s)
 
@@ -110,6 +115,7 @@
             async with limit as time_limit:
                 # A long answer takes as long as its caller does to read it.
                 answer.call_on_streaming(lambda: time_limit.reschedule(None))
+                self._routed.may_have_run = True
                 return await self._context.upstreams.send(
                     upstream.instance,
                     upstream,
@@ -156,9 +162,7 @@
             + _CONNECT_ROUND_TRIPS * self._choice.candidate.delay_s,
         )
 
-    def _record(self, took_s: float, result: str) -> None:
-        attempt = AttemptRecord.of(self._choice, took_s, result)
-        self._routed.attempts.append(attempt)
+    def _record(self, result: str) -> None:
         self._context.counters.add(
             'attempts',
             service=self._routing_request.service,
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -172,10 +172,7 @@
         answer: BufferedAnswer,
     ) -> None:
         """Return if the request may be retried, else raise the final error."""
-        is_unknown = failure.answer.outcome is not Outcome.NOT_RUN
-        if is_unknown:
-            routed.may_have_run = True
-        else:
+        if failure.answer.outcome is Outcome.NOT_RUN:
             routed.runs -= 1
         self._record_upstream_failure(routed, failure)
         obstacle = self._retries.obstacle(
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -51,7 +51,8 @@
 class RoutedRequest:
     """A request with its route, deadline and the attempts so far.
 
-    `may_have_run` is true after an attempt whose outcome is unknown. `runs`
+    `may_have_run` is true once an attempt is sent, unless it certainly did not
+    run the request. `runs`
     counts the attempts except those that certainly did not run the request,
     `tried` are the instances used so far. `last_region` is the region of the
     last upstream, `no_retry` the reason why the last attempt is not retried,
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -81,6 +81,11 @@
         head = self.writer.request
         return read_caller_fields(head).request_id if head else ''
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have received the request."""
+        return self._routed is not None and self._routed.may_have_run
+
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -28,7 +28,8 @@
     """Writes one answer, framed by a length, by chunks or by the close.
 
     `keeps_alive` says whether the connection is to serve another request; an
-    answer that neither a length nor chunks can frame turns it off. Writes wait
+    answer that neither a length nor chunks can frame turns it off. `has_begun`
+    and `is_complete` say how much of the answer was written. Writes wait
     until the connection has taken the bytes, which slows the upstream to the
     caller's speed.
     """
@@ -37,6 +38,7 @@
     request: RequestHead | None = None
     keeps_alive: bool = True
     has_begun: bool = False
+    is_complete: bool = False
     _is_chunked: bool = False
     _has_body: bool = True
 
@@ -68,6 +70,7 @@
         """Mark the answer as whole."""
         if self._is_chunked and self._has_body:
             await self.stream.write(_LAST_CHUNK)
+        self.is_complete = True
 
     async def write_own(
         self,
@@ -77,6 +80,7 @@
     ) -> None:
         """Write an answer of our own as a whole."""
         await self._write_head(status, headers, str(len(body)), body)
+        self.is_complete = True
 
     async def write_error(self, error: NutmegshoreError) -> None:
         """Write the answer that the kind of an error has."""
@@ -105,8 +109,8 @@
             lines.append(f'{_LENGTH}: {length}')
         if not self.keeps_alive:
             lines.append('Connection: close')
-        self.has_begun = True
         head = '\r\n'.join((*lines, '\r\n')).encode('latin-1')
+        self.has_begun = True
         await self.stream.write(head + body if self._has_body else head)
 
     def _choose_framing(self, status: int, length: str | None) -> None:
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -10,6 +10,7 @@
 from nutmegshore.listener.answer import AnswerWriter, abort_stream
 from nutmegshore.listener.body import CallerBody
 from nutmegshore.listener.context import ListenerContext
+from nutmegshore.listener.fault_answer import FaultAnswer
 from nutmegshore.listener.headers import (
     RequestHead,
     parse_head,
@@ -35,11 +36,13 @@
         self._context = context
         self._reader = CallerReader(stream)
         self._writer: AnswerWriter | None = None
+        self._responder: Responder | None = None
 
     async def run(self) -> None:
         """Serve until the caller or `close_when_idle` ends it."""
         with contextlib.ExitStack() as stack:
             stack.callback(self._close)
+            stack.enter_context(self._context.faults.contain('listener'))
             stack.enter_context(contextlib.suppress(StreamClosedError))
             while await self._has_next():
                 await self._serve_one()
@@ -79,7 +82,21 @@
     async def _serve_one(self) -> None:
         writer = AnswerWriter(self._stream, keeps_alive=not self.is_leaving)
         self._writer = writer
+        self._responder = None
+        try:
+            await self._answer(writer)
+        except StreamClosedError:
+            raise
+        except Exception as fault:
+            faults = self._context.faults
+            await FaultAnswer(faults, writer, self._responder).send(fault)
+        is_kept = writer.keeps_alive and self._has_whole_request()
+        if not is_kept and not self._stream.closed():
+            await self._linger()
+
+    async def _answer(self, writer: AnswerWriter) -> None:
         responder = self._context.make_responder(writer)
+        self._responder = responder
         try:
             await self._read_request(responder)
         except RequestError as error:
@@ -87,9 +104,12 @@
             await responder.refuse(error)
         else:
             await self._while_connected(responder)
-        is_whole = responder.body is not None and responder.body.is_whole
-        if not (writer.keeps_alive and is_whole) and not self._stream.closed():
-            await self._linger()
+
+    def _has_whole_request(self) -> bool:
+        responder = self._responder
+        if responder is None or responder.body is None:
+            return False
+        return responder.body.is_whole
 
     async def _read_request(self, responder: Responder) -> None:
         head = await self._read_head()
@@ -124,18 +144,17 @@
         failure = None if work.cancelled() else work.exception()
         if self._stream.closed():
             self._context.counters.add('caller_disconnects')
+        if isinstance(failure, NutmegshoreError):
+            self._abort(failure)
         elif failure is not None:
-            self._abort(failure, responder.request_id)
+            raise failure
 
-    def _abort(self, failure: BaseException, request_id: str) -> None:
+    def _abort(self, failure: NutmegshoreError) -> None:
         """End a connection whose answer cannot be made whole."""
+        if self._stream.closed():
+            return
         abort_stream(self._stream)
-        reason = 'internal_fault'
-        if isinstance(failure, NutmegshoreError):
-            reason = failure.kind.value
-        else:
-            self._context.faults.report('listener', failure, request_id)
-        self._context.counters.add('answers_aborted', reason=reason)
+        self._context.counters.add('answers_aborted', reason=failure.kind.value)
 
     async def _linger(self) -> None:
         """Close so that the caller can still read the last answer.
--- a/nutmegshore/listener/responder.py
+++ b/nutmegshore/listener/responder.py
@@ -14,7 +14,9 @@
 
     The connection sets `body` once the head is known, then calls `run`. It
     calls `refuse` instead where the head itself was not acceptable. An error
-    that `run` raises aborts the connection, because the answer has begun.
+    that `run` raises aborts the connection, because the answer has begun. After
+    any other exception the connection calls `refuse`, unless the answer has
+    begun.
     """
 
     def __init__(self, writer: AnswerWriter) -> None:
@@ -27,6 +29,11 @@
         """The caller's id of the request, empty if it has none."""
         return ''
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have received the request."""
+        return False
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
