Lose no answer to a fault in what is recorded about it

Callers could lose a whole answer that an upstream had given, or a refusal, to a fault in our statistics or in our log: both are written on the way. Cause: recording the end of an attempt, a report of an upstream, the end of a request or a line of the log ran unguarded between the upstream's answer and the caller. Change: these are contained: a fault in them is reported, and the request goes on. The record of an attempt that a retry needs is made first.

--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -31,6 +31,8 @@
 #: expected time, as long as another upstream could still answer it.
 _TIMEOUT_FACTOR = 2.5
 _MIN_TIMEOUT_S = 0.3
+#: Name of this part in reports of faults.
+_PART = 'attempt'
 
 _OUTCOME_BY_KIND = MappingProxyType(
     {
@@ -73,7 +75,8 @@
             self._routing_request, self._choice
         )
         if in_flight.is_cold:
-            self._record_cold(is_first=in_flight.is_first_cold)
+            with self._context.log.faults.contain(_PART):
+                self._record_cold(is_first=in_flight.is_first_cold)
         may_have_run = self._routed.may_have_run
         try:
             head = await self._send(answer, is_last=is_last)
@@ -98,12 +101,13 @@
         took_s = self._context.clock.now() - self._started_at
         attempt = AttemptRecord.of(self._choice, took_s, result)
         self._routed.attempts.append(attempt)
-        self._record(result)
-        avoided_s = self._context.balancer.end(
-            in_flight, AttemptResult(outcome, took_s)
-        )
-        if avoided_s:
-            self._log_avoided(avoided_s)
+        with self._context.log.faults.contain(_PART):
+            self._record(result)
+            avoided_s = self._context.balancer.end(
+                in_flight, AttemptResult(outcome, took_s)
+            )
+            if avoided_s:
+                self._log_avoided(avoided_s)
 
     async def _send(
         self, answer: BufferedAnswer, *, is_last: bool
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -33,6 +33,8 @@
 #: Bytes of a body that are read before the first attempt. A slow body thus
 #: occupies no slot, and a refused request can be retried elsewhere.
 _MAX_KEPT_BODY_BYTES = 1_048_576
+#: Name of this part in reports of faults.
+_PART = 'forward'
 
 
 class GatewayForwarder:
@@ -134,7 +136,8 @@
             except RequestError as failure:
                 self._record_failure(routed, failure, answer)
             else:
-                self._crashes.record_answer(routed)
+                with self._context.log.faults.contain(_PART):
+                    self._crashes.record_answer(routed)
                 return
 
     def _next_attempt(self, routed: RoutedRequest) -> Attempt:
@@ -174,7 +177,8 @@
         """Return if the request may be retried, else raise the final error."""
         if failure.answer.outcome is Outcome.NOT_RUN:
             routed.runs -= 1
-        self._record_upstream_failure(routed, failure)
+        with self._context.log.faults.contain(_PART):
+            self._record_upstream_failure(routed, failure)
         obstacle = self._retries.obstacle(
             routed,
             failure,
@@ -192,6 +196,10 @@
             raise self._final_error(routed, failure)
         self._context.counters.add('retries', reason=reason)
         self._retries.spend(routed, failure)
+        with self._context.log.faults.contain(_PART):
+            self._log_retry(routed, reason)
+
+    def _log_retry(self, routed: RoutedRequest, reason: str) -> None:
         self._context.log.write(
             RequestRetried(
                 routed.request_id,
--- a/nutmegshore/gateway/log.py
+++ b/nutmegshore/gateway/log.py
@@ -123,7 +123,14 @@
         self._log = wrapped.bind(instance=instance)
 
     def write(self, event: Any) -> None:
-        """Write an event, or count it as dropped."""
+        """Write an event, or count it as dropped.
+
+        A fault on the way costs the line only; it is reported.
+        """
+        with self.faults.contain('log'):
+            self._write_or_drop(event)
+
+    def _write_or_drop(self, event: Any) -> None:
         if not self._is_on:
             return
         severity = event.severity
@@ -138,7 +145,7 @@
         event = InternalFault(
             fault.request, fault.part, fault.error, fault.stack
         )
-        self.write(event)
+        self._write_or_drop(event)
 
     def _is_over_limit(self, severity: Severity) -> bool:
         share = _SHARE_BY_SEVERITY[severity]
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -1,8 +1,9 @@
 """Answering and logging of one caller's request."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from typing import Any
 
 import attrs
 from tornado.iostream import StreamClosedError
@@ -92,16 +93,16 @@
         try:
             status = await self._forward()
         except asyncio.CancelledError:
-            self._log_abandoned()
+            self._record(self._log_abandoned)
             raise
         except NutmegshoreError as error:
             if self.writer.has_begun:
-                self._log_failure(error, 0)
+                self._record(self._log_failure, error, 0)
                 raise
             self.writer.keeps_alive &= self.body.is_whole
             await self.refuse(error)
         else:
-            self._log_served(status)
+            self._record(self._log_served, status)
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with the status of an error and log the failure."""
@@ -110,13 +111,18 @@
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             wait_s = round(_retry_after_s(error), 3)
             headers.append((RETRY_AFTER, str(wait_s)))
-        self._log_failure(error, status)
+        self._record(self._log_failure, error, status)
         kind = error.kind.value
         text = f'{kind}: {error}\n'.encode()
         await self._write_with_timeout(
             self.writer.write_own(status, tuple(headers), text),
         )
 
+    def _record(self, record: Callable[..., None], *details: Any) -> None:
+        """Log the end of the request, without risk for its answer."""
+        with self._context.log.faults.contain('responder'):
+            record(*details)
+
     async def _write_with_timeout(self, write: Awaitable[None]) -> None:
         """Abort the connection of a caller that does not read its answer."""
         try:
--- a/nutmegshore/gateway/upstream_reports.py
+++ b/nutmegshore/gateway/upstream_reports.py
@@ -20,6 +20,8 @@
 _NO_LIMIT = -1
 #: Characters of a malformed limit that are logged.
 _MAX_LOGGED_TEXT = 60
+#: Name of this part in reports of faults.
+_PART = 'upstream_reports'
 
 
 class UpstreamReports:
@@ -50,6 +52,19 @@
 
     def record(self, instance: str, report: UpstreamReport) -> None:
         """Record the load and the limit that an answer reports."""
+        with self._log.faults.contain(_PART):
+            self._record(instance, report)
+
+    def record_destination(
+        self, upstream: RegisteredUpstream, report: UpstreamReport
+    ) -> None:
+        """Record what an answer says of the incarnation it was asked of."""
+        with self._log.faults.contain(_PART):
+            self._pauses.record(upstream, report)
+        with self._log.faults.contain(_PART):
+            self.leaving.record(upstream, report)
+
+    def _record(self, instance: str, report: UpstreamReport) -> None:
         if report.busy is not None:
             self._load.handle_report(instance, report.busy)
         if report.malformed_limit is None:
@@ -58,13 +73,6 @@
             self._reject(instance, report.malformed_limit)
         self._limits.handle_report(instance, report)
 
-    def record_destination(
-        self, upstream: RegisteredUpstream, report: UpstreamReport
-    ) -> None:
-        """Record what an answer says of the incarnation it was asked of."""
-        self._pauses.record(upstream, report)
-        self.leaving.record(upstream, report)
-
     def _reject(self, instance: str, text: str) -> None:
         """Count a malformed limit, and log it once while it stays the same."""
         service = self._service(instance)
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -167,6 +167,56 @@
     assert _send(context, _POST).startswith(b'HTTP/1.1 502 ')
 
 
+@pytest.mark.parametrize(
+    ('part', 'method'),
+    [
+        ('balancer', 'end'),
+        ('crashes', 'record_answer'),
+        ('counters', 'record_s'),
+    ],
+)
+def test_a_fault_in_statistics_costs_no_answer(
+    make_context, scripted, step, break_at, part, method
+):
+    """Guards against losing an upstream's whole answer to what is recorded
+    about it (issue 44)."""
+    context = make_context(scripted(step(body=b'whole')))
+    failing = break_at(getattr(context, part), method)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert received.endswith(b'whole')
+    assert failing.calls
+
+
+def test_a_fault_in_the_log_costs_no_refusal(
+    make_context, scripted, break_at, route, lines
+):
+    """Guards against a refusal that is lost to the line about it."""
+    context = make_context(scripted(), routes=[route(host='b.example')])
+    break_at(lines, 'info')
+    assert _send(context).startswith(b'HTTP/1.1 404 ')
+
+
+def test_a_connection_serves_on_after_a_fault_in_statistics(
+    make_context, scripted, break_at
+):
+    """Guards against closing a kept connection whose answers are whole."""
+    context = make_context(scripted())
+    break_at(context.balancer, 'end')
+
+    async def twice():
+        async with _listening(context) as port:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(_GET + _GET)
+            async with asyncio.timeout(_PATIENCE_S):
+                answers = [await _read_answer(reader) for _ in range(2)]
+            writer.close()
+        return answers
+
+    answers = asyncio.run(twice())
+    assert {answer[:13] for answer in answers} == {b'HTTP/1.1 200 '}
+
+
 def test_a_fault_before_there_is_a_responder_is_answered(
     make_context, scripted
 ):
