Refuse a request even if the time of return cannot be worked out

Callers of a request that was refused as overloaded were reset: working out when they should return divided by 0. Cause: what a refusal only advises or logs (the time of return, the best candidate, the offer of other regions) was worked out before there was a refusal, so that a fault in it took the refusal with it. Change: the refusal with its reason and a default time comes first; the rest is added to it and contained.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -90,6 +90,7 @@
         )
         self._region = dependencies.region
         self._clock = dependencies.clock
+        self._faults = dependencies.faults
         self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
         self._state = state
 
@@ -109,7 +110,8 @@
             raise self._refusals.no_upstream(request)
         if candidate is None or not self._is_admitted(request, candidate):
             refusal = self._refusals.refuse(request, found, candidate)
-            refusal.remote = self._describe_remote(request, chosen, away)
+            with self._faults.contain('balancer'):
+                refusal.remote = self._describe_remote(request, chosen, away)
             raise refusal
         return Choice(
             candidate,
--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -22,7 +22,9 @@
 from nutmegshore.balancing.pause_table import PauseTable
 from nutmegshore.balancing.recent_members import RecentMembers
 from nutmegshore.clock import Clock
+from nutmegshore.counters import Counters
 from nutmegshore.errors import Offer
+from nutmegshore.faults import Faults
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 
@@ -44,13 +46,18 @@
 _DIGITS = 3
 
 
+def _make_faults() -> Faults:
+    return Faults(Counters())
+
+
 @attrs.frozen
 class BalancerDependencies:
     """Dependencies of the balancer.
 
     `local` and `region` name this gateway and its region. `gateways` returns
     the names of the gateways of a region, or of all regions for an empty
-    name. `max_shift` is the limit of `ShiftBound`.
+    name. `max_shift` is the limit of `ShiftBound`. `faults` reports unexpected
+    exceptions.
     """
 
     clock: Clock
@@ -59,6 +66,7 @@
     region: str
     gateways: Callable[[str], Collection[str]]
     max_shift: float
+    faults: Faults = attrs.field(factory=_make_faults)
 
 
 class CandidateBuilder:
--- a/nutmegshore/balancing/refusals.py
+++ b/nutmegshore/balancing/refusals.py
@@ -18,11 +18,17 @@
 
 __all__ = ('Refusals',)
 
+#: Name of this part in reports of faults.
+_PART = 'refusals'
+
 
 class Refusals:
     """Says why a request is refused, and when its caller should return.
 
-    raise refusals.refuse(request, candidates, best)
+    A fault in the retry time or in what is logged costs neither the refusal nor
+    its reason.
+
+        raise refusals.refuse(request, candidates, best)
     """
 
     def __init__(
@@ -38,6 +44,7 @@
         self._admission = admission
         self._region = dependencies.region
         self._gateways = dependencies.gateways
+        self._faults = dependencies.faults
 
     def refuse(
         self,
@@ -50,14 +57,15 @@
         `candidate` is the best of those that could, or None if all are passed
         over.
         """
-        if candidate:
-            refusal = self._overloaded(request, candidate, found.count)
-        elif found.limited:
-            refusal = self._rate_limited(request, found)
-        else:
-            refusal = self._paused(request, found)
-        refusal.limited = found.limited_names
-        refusal.paused = found.paused_names
+        refusal = RefusedError(
+            _kind(found, candidate),
+            request.service,
+            self._admission.no_upstream_retry_s(),
+        )
+        with self._faults.contain(_PART):
+            refusal.retry_after_s = self._retry_s(request, found, candidate)
+        with self._faults.contain(_PART):
+            self._describe(refusal, found, candidate)
         return refusal
 
     def no_upstream(self, request: RoutingRequest) -> RefusedError:
@@ -65,10 +73,37 @@
         retry_s = self._admission.no_upstream_retry_s()
         return RefusedError(ErrorKind.NO_UPSTREAM, request.service, retry_s)
 
-    def _rate_limited(
+    def _retry_s(
+        self,
+        request: RoutingRequest,
+        found: Candidates,
+        candidate: Candidate | None,
+    ) -> float:
+        if candidate:
+            return self._admission.retry_after_s(
+                request, candidate, self._gap_s(request, candidate)
+            )
+        if found.limited:
+            return self._rate_limited_s(request, found)
+        return self._paused_s(request, found)
+
+    def _describe(
+        self,
+        refusal: RefusedError,
+        found: Candidates,
+        candidate: Candidate | None,
+    ) -> None:
+        """Add what is logged of the candidates."""
+        refusal.limited = found.limited_names
+        refusal.paused = found.paused_names
+        if candidate:
+            refusal.candidates = found.count
+            refusal.best = self._candidate_builder.describe(candidate)
+
+    def _rate_limited_s(
         self, request: RoutingRequest, found: Candidates
-    ) -> RefusedError:
-        """Return the refusal of a request that no limit leaves room for."""
+    ) -> float:
+        """Return the retry time if no limit leaves room for the request."""
         shares = self._candidate_builder.limit_shares
         rank = request.route.rank
         earliest_s = shares.next_room_s(found.limited, rank)
@@ -79,32 +114,15 @@
             request.service, earliest_s, shares.gap_s(found.limited)
         )
         shares.reservations.record_refusal(request.service, rank)
-        return RefusedError(ErrorKind.RATE_LIMITED, request.service, retry_s)
+        return retry_s
 
-    def _paused(
-        self, request: RoutingRequest, found: Candidates
-    ) -> RefusedError:
-        """Return the refusal of a request whose upstreams want no requests."""
-        retry_s = self._admission.paused_retry_s(
+    def _paused_s(self, request: RoutingRequest, found: Candidates) -> float:
+        """Return the retry time if the upstreams want no requests."""
+        return self._admission.paused_retry_s(
             request.service,
             self._first_opening_s(found.paused),
             self._pause_gap_s(request, found.paused),
         )
-        return RefusedError(ErrorKind.UPSTREAM_PAUSED, request.service, retry_s)
-
-    def _overloaded(
-        self,
-        request: RoutingRequest,
-        chosen: Candidate,
-        candidates: int,
-    ) -> RefusedError:
-        retry_s = self._admission.retry_after_s(
-            request, chosen, self._gap_s(request, chosen)
-        )
-        refusal = RefusedError(ErrorKind.OVERLOADED, request.service, retry_s)
-        refusal.candidates = candidates
-        refusal.best = self._candidate_builder.describe(chosen)
-        return refusal
 
     def _gap_s(self, request: RoutingRequest, chosen: Candidate) -> float:
         """Return the seconds between requests that this gateway may send.
@@ -136,3 +154,12 @@
 
     def _members(self, region: str) -> int:
         return max(len(self._gateways(region)), 1)
+
+
+def _kind(found: Candidates, candidate: Candidate | None) -> ErrorKind:
+    """Return why a request is refused."""
+    if candidate:
+        return ErrorKind.OVERLOADED
+    return (
+        ErrorKind.RATE_LIMITED if found.limited else ErrorKind.UPSTREAM_PAUSED
+    )
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -157,6 +157,7 @@
             self.settings.region,
             self.gateway_names,
             self.settings.bounds.max_shift,
+            self.dependencies.log.faults,
         )
         return Balancer(self.state, balancer_dependencies)
 
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -217,6 +217,21 @@
     assert {answer[:13] for answer in answers} == {b'HTTP/1.1 200 '}
 
 
+@pytest.mark.parametrize('method', ['_gap_s', '_describe'])
+def test_a_fault_in_advice_costs_no_refusal(
+    make_context, scripted, break_at, lines, method
+):
+    """Guards against losing a refusal and its reason to the time of return or
+    to what is logged (issue 44)."""
+    context = make_context(scripted())
+    break_at(context.balancer._refusals, method)
+    context.balancer._admission.allows = lambda *request: False
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 503 ')
+    assert _has_retry_time(received)
+    assert lines.named('request_refused')[0]['reason'] == 'overloaded'
+
+
 def test_a_fault_before_there_is_a_responder_is_answered(
     make_context, scripted
 ):
