Measure the round trip to other regions in place of assuming it

Cause: the work of an answer is its time less the round trip, which to any other region was a constant of 0.06 s. The class: an assumed constant that is taken out of a measured time, and a sample of 0 that is no measurement. Change: the round trip to a region is the least time in which a connection to it opened lately; an answer that comes sooner than what is assumed or measured corrects it and is no sample of work. Work times have a lower bound of 1 ms, so that a mean cannot reach 0 and stay there. The least of two windows, which the transit times of messages had as well, is a type of its own, and so are the dependencies of the balancer.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -6,16 +6,14 @@
 import attrs
 
 from nutmegshore.balancing.admission import Admission
-from nutmegshore.balancing.candidate_builder import (
-    BalancerDependencies,
-    CandidateBuilder,
-)
+from nutmegshore.balancing.candidate_builder import CandidateBuilder
 from nutmegshore.balancing.choice import (
     Candidate,
     Choice,
     RoutingRequest,
     best_of,
 )
+from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.balancing.outcome import AttemptOutcome, AttemptResult
 from nutmegshore.balancing.pause_table import Trial
 from nutmegshore.balancing.refusals import Refusals
@@ -222,7 +220,11 @@
         candidate = sent.choice.candidate
         upstream = candidate.upstream
         request = sent.request
-        work_s = max(result.took_s - candidate.delay_s, 0)
+        work_s = self.candidate_builder.delays.record_answer(
+            upstream.region, result.took_s
+        )
+        if not work_s:
+            return
         route_latency = self.candidate_builder.route_latency(request)
         expected_s = (
             route_latency.expect(is_warm=candidate.is_warm) + candidate.wait_s
--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -1,10 +1,7 @@
 """The candidate upstreams of a request, with their expected times."""
 
 import itertools
-import random
-from collections.abc import Callable, Collection, Iterable, Iterator
-
-import attrs
+from collections.abc import Iterable, Iterator
 
 from nutmegshore.balancing.affinity import Affinity
 from nutmegshore.balancing.choice import (
@@ -14,6 +11,7 @@
     RoutingRequest,
 )
 from nutmegshore.balancing.cold_start import ColdStartLimiter
+from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.balancing.health import HealthTable
 from nutmegshore.balancing.limit_shares import LimitShares
 from nutmegshore.balancing.limit_table import LimitTable
@@ -21,14 +19,12 @@
 from nutmegshore.balancing.latency import LatencyTable, RouteLatency
 from nutmegshore.balancing.pause_table import PauseTable
 from nutmegshore.balancing.recent_members import RecentMembers
-from nutmegshore.clock import Clock
-from nutmegshore.counters import Counters
+from nutmegshore.balancing.region_delays import RegionDelays
 from nutmegshore.errors import Offer
-from nutmegshore.faults import Faults
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 
-__all__ = ('BalancerDependencies', 'CandidateBuilder')
+__all__ = ('CandidateBuilder',)
 
 #: Upstreams at home that are compared for a request: the highest-ranked ones
 #: for its object, or random ones for a request without an object.
@@ -37,38 +33,12 @@
 #: object that goes to a different one each time is cold at all of them, and its
 #: work uses up the capacity of those regions.
 _MAX_COMPARED_AWAY = 2
-#: Round-trip time in seconds that is assumed to any other region. Current
-#: deployments have 0.024 and 0.11.
-_REMOTE_DELAY_S = 0.06
 #: Logged as the age of a report if there is none.
 _NO_REPORT = -1
 #: Decimal places of seconds in logs.
 _DIGITS = 3
 
 
-def _make_faults() -> Faults:
-    return Faults(Counters())
-
-
-@attrs.frozen
-class BalancerDependencies:
-    """Dependencies of the balancer.
-
-    `local` and `region` name this gateway and its region. `gateways` returns
-    the names of the gateways of a region, or of all regions for an empty
-    name. `max_shift` is the limit of `ShiftBound`. `faults` reports unexpected
-    exceptions.
-    """
-
-    clock: Clock
-    rng: random.Random
-    local: str
-    region: str
-    gateways: Callable[[str], Collection[str]]
-    max_shift: float
-    faults: Faults = attrs.field(factory=_make_faults)
-
-
 class CandidateBuilder:
     """Builds the candidates for a request from load, latency and health."""
 
@@ -92,6 +62,7 @@
         )
         self.load = LoadTable(clock)
         self.latency = LatencyTable(clock)
+        self.delays = RegionDelays(clock, dependencies.region)
         self._dependencies = dependencies
         self.state = state
 
@@ -254,9 +225,7 @@
         risk = self.health.refusal_share(name)
         return Candidate(
             upstream=upstream,
-            delay_s=0
-            if upstream.region == self._dependencies.region
-            else _REMOTE_DELAY_S,
+            delay_s=self.delays.round_trip_s(upstream.region),
             wait_s=max(busy + 1 - upstream.slots, 0) * queue_s,
             work_s=route_latency.expect(is_warm=is_warm) * slowness_factor,
             risk_s=risk * request.route.target_latency_s,
--- a/nutmegshore/balancing/latency.py
+++ b/nutmegshore/balancing/latency.py
@@ -25,16 +25,21 @@
 _MIN_EXPECTED_S = 0.001
 
 
+def _not_below_min(seconds: float) -> float:
+    return max(seconds, _MIN_EXPECTED_S)
+
+
 @attrs.define
 class RouteLatency:
     """Seconds that a route's work takes at a service, warm and cold.
 
     `warm_samples` and `cold_samples` count the measured answers. Until the
-    first one a time is a guess, which that answer replaces.
+    first one a time is a guess, which that answer replaces. Times are never
+    below 1 ms.
     """
 
-    warm_s: float
-    cold_s: float
+    warm_s: float = attrs.field(converter=_not_below_min)
+    cold_s: float = attrs.field(converter=_not_below_min)
     warm_samples: int = 0
     cold_samples: int = 0
 
--- a/nutmegshore/balancing/refusals.py
+++ b/nutmegshore/balancing/refusals.py
@@ -3,21 +3,21 @@
 from collections.abc import Iterable
 
 from nutmegshore.balancing.admission import Admission
-from nutmegshore.balancing.candidate_builder import (
-    BalancerDependencies,
-    CandidateBuilder,
-)
+from nutmegshore.balancing.candidate_builder import CandidateBuilder
 from nutmegshore.balancing.choice import (
     Candidate,
     Candidates,
     RoutingRequest,
 )
+from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.errors import ErrorKind, RefusedError
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 
 __all__ = ('Refusals',)
 
+#: Retry time in seconds if it cannot be worked out.
+_DEFAULT_RETRY_S = 0.4
 #: Name of this part in reports of faults.
 _PART = 'refusals'
 
@@ -60,7 +60,7 @@
         refusal = RefusedError(
             _kind(found, candidate),
             request.service,
-            self._admission.no_upstream_retry_s(),
+            _DEFAULT_RETRY_S,
         )
         with self._faults.contain(_PART):
             refusal.retry_after_s = self._retry_s(request, found, candidate)
--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from nutmegshore.balancing.candidate_builder import BalancerDependencies
+from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.balancing.choice import Candidate, RoutingRequest
 from nutmegshore.balancing.service_traffic import ServiceTraffic
 from nutmegshore.balancing.shift_bound import ShiftBound
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -183,6 +183,7 @@
         dialect = PlatformDialect()
         upstreams = CurlUpstreams(dependencies.clock, dialect)
         upstreams.on_report = self.reports.record
+        upstreams.on_connected = self.reports.record_connection
         upstreams.on_destination_report = self.reports.record_destination
         return GatewayContext(
             state=self.state,
--- a/nutmegshore/gateway/transit_times.py
+++ b/nutmegshore/gateway/transit_times.py
@@ -1,7 +1,6 @@
 """Time that messages of other gateways take on their way."""
 
-import attrs
-
+from nutmegshore.balancing.sliding_least import SlidingLeast
 from nutmegshore.clock import Clock
 
 __all__ = ('LEAST_TRANSIT_S', 'TransitTimes')
@@ -16,15 +15,6 @@
 _NEW_CLOCK_S = 10
 
 
-@attrs.define
-class _Offsets:
-    """Least differences of two clocks, in this window and the one before."""
-
-    began_at: float
-    least_s: float
-    before_s: float
-
-
 class TransitTimes:
     """Measures how much longer than its fastest one a peer's message took.
 
@@ -38,7 +28,7 @@
     def __init__(self, clock: Clock) -> None:
         """Start without messages."""
         self._clock = clock
-        self._by_peer: dict[str, _Offsets] = {}
+        self._by_peer: dict[str, SlidingLeast] = {}
         self._last_s: dict[str, float] = {}
 
     def record(self, peer: str, sent_at: float) -> float:
@@ -50,16 +40,12 @@
             return LEAST_TRANSIT_S
         now = self._clock.now()
         offset_s = now - sent_at
-        offsets = self._by_peer.get(peer)
-        if offsets is None or offset_s - _least(offsets) > _NEW_CLOCK_S:
-            offsets = _Offsets(now, offset_s, offset_s)
-            self._by_peer[peer] = offsets
-        elif now - offsets.began_at > _WINDOW_S:
-            offsets.began_at = now
-            offsets.before_s = offsets.least_s
-            offsets.least_s = offset_s
-        offsets.least_s = min(offsets.least_s, offset_s)
-        waited_s = offset_s - _least(offsets)
+        least = self._by_peer.get(peer)
+        if least is None or offset_s - least.value > _NEW_CLOCK_S:
+            least = SlidingLeast(_WINDOW_S, now, offset_s)
+            self._by_peer[peer] = least
+        least.add(offset_s, now)
+        waited_s = offset_s - least.value
         self._last_s[peer] = waited_s
         return LEAST_TRANSIT_S + waited_s
 
@@ -72,7 +58,3 @@
     def waits(self) -> dict[str, float]:
         """Seconds that the last message of each peer waited, by name."""
         return dict(self._last_s)
-
-
-def _least(offsets: _Offsets) -> float:
-    return min(offsets.least_s, offsets.before_s)
--- a/nutmegshore/gateway/upstream_reports.py
+++ b/nutmegshore/gateway/upstream_reports.py
@@ -41,6 +41,7 @@
     ) -> None:
         """Log each change of a limit once."""
         self._load = balancer.candidate_builder.load
+        self._delays = balancer.candidate_builder.delays
         self._limits = balancer.candidate_builder.limits
         self._limits.on_change = self._log_change
         self._state = state
@@ -64,6 +65,13 @@
         with self._log.faults.contain(_PART):
             self.leaving.record(upstream, report)
 
+    def record_connection(
+        self, upstream: RegisteredUpstream, seconds: float
+    ) -> None:
+        """Record the time in which a connection to an upstream opened."""
+        with self._log.faults.contain(_PART):
+            self._delays.record_connection(upstream.region, seconds)
+
     def _record(self, instance: str, report: UpstreamReport) -> None:
         if report.busy is not None:
             self._load.handle_report(instance, report.busy)
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -118,6 +118,10 @@
 #: reports.
 DestinationReportReceiver = Callable[[Destination, UpstreamReport], None]
 
+#: Called with the destination of a request and the seconds in which a new
+#: connection to it opened.
+ConnectionReceiver = Callable[[Destination, float], None]
+
 
 class Dialect(abc.ABC):
     """The headers that this system and its upstreams exchange.
@@ -179,10 +183,13 @@
 
     `on_destination_report` gets the same state with the destination that was
     passed to `send`. It tells the incarnations of an upstream apart.
+    `on_connected` is called with the destination and the seconds in which a new
+    connection to it opened, once a request on it is answered.
     """
 
     on_report: ReportReceiver | None = None
     on_destination_report: DestinationReportReceiver | None = None
+    on_connected: ConnectionReceiver | None = None
     dialect: Dialect
 
     def report(
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -68,10 +68,19 @@
             transfer.start()
             try:
                 async with asyncio.timeout(remaining_s):
-                    return await self._run(attempt, receiver)
+                    head = await self._run(attempt, receiver)
+                    self._report_connection(upstream, transfer)
+                    return head
             except TimeoutError as failure:
                 raise attempt.timeout_error() from failure
 
+    def _report_connection(
+        self, upstream: Destination, transfer: Transfer
+    ) -> None:
+        connect_s = transfer.connect_s
+        if self.on_connected is not None and connect_s is not None:
+            self.on_connected(upstream, connect_s)
+
     def _make_curl(
         self,
         address: str,
@@ -175,7 +184,7 @@
         if answered_id == self._request.request_id:
             return
         is_expected = self._dialect.always_echoes_id
-        is_doubtful = is_expected and self._transfer.is_on_kept_connection
+        is_doubtful = is_expected and self._transfer.connect_s is None
         if answered_id is not None or is_doubtful:
             raise RequestError(ErrorKind.UPSTREAM_SPOILED, self._name)
 
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -50,9 +50,14 @@
         curl.setopt(pycurl.READFUNCTION, self._provide_chunk)
 
     @property
-    def is_on_kept_connection(self) -> bool:
-        """Whether the connection had served another request before."""
-        return not self._curl.getinfo(pycurl.NUM_CONNECTS)
+    def connect_s(self) -> float | None:
+        """Seconds in which the connection opened.
+
+        None for a kept one, which had served another request before.
+        """
+        if self._curl.getinfo(pycurl.NUM_CONNECTS):
+            return self._curl.getinfo(pycurl.CONNECT_TIME)
+        return None
 
     def start(self) -> None:
         """Start the transfer."""
