Let an upstream fail without end

Callers would see: a cut connection, when the attempt that failed was the 1,025th or a later one in a row at its upstream (after 68 minutes at one trial each 4 s; sooner when several requests are in flight there).

Cause: the time for which an upstream is avoided was 0.4 s times 2 to the power of its failures, and only then bounded. Beyond 1,023 doublings the integer fits no float: Balancer.end raised, in the place of the retry.

Found by the search of tests/balancing/test_decisions_hold.py (shrunk: 1,200 failures of w1, UNREACHABLE). The new test failed before: health.py:89 "OverflowError: int too large to convert to float". Now the doublings are bounded, at the four that reach the longest time; the times stay the same.

--- a/nutmegshore/balancing/health.py
+++ b/nutmegshore/balancing/health.py
@@ -1,5 +1,7 @@
 """Health of upstreams: failures, refusals, and temporary avoidance."""
 
+import math
+
 import attrs
 
 from nutmegshore.balancing.outcome import AttemptOutcome
@@ -11,6 +13,9 @@
 #: doubles with each failed trial.
 _MIN_AVOIDED_S = 0.4
 _MAX_AVOIDED_S = 4
+#: Doublings that take the minimum to the maximum. An upstream may fail without
+#: end, and floats have no room for a power of two beyond 1023.
+_MAX_DOUBLINGS = math.ceil(math.log2(_MAX_AVOIDED_S / _MIN_AVOIDED_S))
 #: Consecutive lost answers after which an upstream is avoided. Healthy
 #: upstreams lose a single answer now and then.
 _AVOIDED_AFTER_FAILURES = 3
@@ -86,7 +91,8 @@
             excess -= _AVOIDED_AFTER_FAILURES - 1
         if excess < 1:
             return 0
-        seconds = min(_MIN_AVOIDED_S * 2 ** (excess - 1), _MAX_AVOIDED_S)
+        doublings = min(excess - 1, _MAX_DOUBLINGS)
+        seconds = min(_MIN_AVOIDED_S * 2**doublings, _MAX_AVOIDED_S)
         health.avoided_until = self._clock.now() + seconds
         return seconds
 
--- a/tests/balancing/test_health.py
+++ b/tests/balancing/test_health.py
@@ -41,3 +41,13 @@
     assert table.refusal_share('u1') > 3 / 4
     clock.advance(30)
     assert not round(table.refusal_share('u1'), 2)
+
+
+def test_an_upstream_may_fail_without_end(clock):
+    """Guards against LOST: after 1,025 failures the time overflowed, and each
+    caller whose attempt failed there was cut off."""
+    table = HealthTable(clock)
+    for _ in range(2000):
+        longest_s = table.record('u1', AttemptOutcome.UNREACHABLE)
+        clock.advance(longest_s)
+    assert longest_s == 4
