Read a gateway's share of a limit once per decision

Callers would see: a cut connection, when they were refused for a rate limit in the moment in which their gateway's share of it ended, as it does when the gateway leaves the list of its region's gateways or is no longer one of the senders.

Cause: _wait_s refilled the bucket at one reading of the share and divided by a second one. A share is computed anew after 0.25 s, so it could be 0 the second time.

Found by the search of tests/balancing/test_decisions_hold.py (shrunk: a limit of 0 told for w2, gateways that are seen and not seen in turn, a clock that moves by 0.05 s with each reading, one request). The new test failed before in the cases 0.24 and 0.245 s: "ZeroDivisionError: float division by zero" in _wait_s. Now the bucket is refilled and the wait computed from one reading, which is passed in, so no second one can differ.

--- a/nutmegshore/balancing/limit_shares.py
+++ b/nutmegshore/balancing/limit_shares.py
@@ -98,7 +98,7 @@
         """Return whether a request of a rank may be sent now."""
         if self._limits.max_rate(upstream.instance) is None:
             return True
-        bucket = self._refill(upstream)
+        bucket = self._refill(upstream.instance, self.rate(upstream))
         if bucket is None or bucket.tokens < 1:
             return False
         is_reserved = self.reservations.left_s(upstream.service, rank) > 0
@@ -108,7 +108,7 @@
         """Take the token of a request that is sent."""
         if self._limits.max_rate(upstream.instance) is None:
             return
-        bucket = self._refill(upstream)
+        bucket = self._refill(upstream.instance, self.rate(upstream))
         if bucket is not None:
             bucket.take()
 
@@ -181,10 +181,12 @@
 
         Infinite if only other gateways may send.
         """
-        bucket = self._refill(upstream)
+        # The share may be computed anew, and be 0, from one call to the next.
+        rate = self.rate(upstream)
+        bucket = self._refill(upstream.instance, rate)
         if bucket is None:
             return math.inf
-        return max(1 - bucket.tokens, 0) / self.rate(upstream)
+        return max(1 - bucket.tokens, 0) / rate
 
     def _sum_rates(self, upstreams: Iterable[RegisteredUpstream]) -> float:
         rates = (self.fleet_rate(upstream) for upstream in upstreams)
@@ -204,14 +206,15 @@
         self._positions[instance] = _Position(names, place)
         return place
 
-    def _refill(self, upstream: RegisteredUpstream) -> TokenBucket | None:
-        """Return the bucket, or None if only other gateways may send."""
-        name = upstream.instance
-        rate = self.rate(upstream)
+    def _refill(self, instance: str, rate: float) -> TokenBucket | None:
+        """Return the bucket, or None if only other gateways may send.
+
+        `rate` is that of this gateway's share.
+        """
         if not rate:
-            self._buckets.pop(name, None)
+            self._buckets.pop(instance, None)
             return None
         now = self._clock.now()
-        bucket = self._buckets.setdefault(name, TokenBucket(0, now))
+        bucket = self._buckets.setdefault(instance, TokenBucket(0, now))
         bucket.refill(now, rate, burst=max(1, rate * _BURST_S))
         return bucket
--- a/tests/balancing/conftest.py
+++ b/tests/balancing/conftest.py
@@ -16,12 +16,14 @@
 
 
 class ManualClock:
-    """A clock that advances only on request."""
+    """A clock that advances on request, and by `tick_s` as it is read."""
 
     def __init__(self):
         self.seconds = 100.0
+        self.tick_s = 0
 
     def now(self):
+        self.seconds += self.tick_s
         return self.seconds
 
     def wall(self):
--- a/tests/balancing/test_limit_shares.py
+++ b/tests/balancing/test_limit_shares.py
@@ -71,3 +71,18 @@
     assert not shares.rate(upstream('u1'))
     assert not shares.has_room(upstream('u1'), rank=0)
     assert math.isfinite(shares.next_room_s([upstream('u1')], rank=0))
+
+
+@pytest.mark.parametrize('passed_s', [0.23, 0.235, 0.24, 0.245])
+def test_a_share_may_end_between_two_readings(
+    make_shares, upstream, clock, passed_s
+):
+    """Guards against LOST: the share was read twice for one refusal, and was 0
+    the second time since the gateway had left; its caller was cut off."""
+    names = ['g1']
+    shares = make_shares('g1', names, max_rate=1)
+    assert not shares.has_room(upstream('u1'), rank=0)
+    names.clear()
+    clock.advance(passed_s)
+    clock.tick_s = 0.004
+    assert math.isfinite(shares.next_room_s([upstream('u1')], rank=0))
