Call no refused caller back at once

Callers would see: `Retry-After: 0.0` in refusals for a rate limit, an invitation to come back at once, all of them, and be refused again.

Cause: only the times of overloaded upstreams had a minimum of 0.05 s. Those of limited ones were as short as the gap between two requests (3 us at a limit of a million a second), or 0 when room appeared, or a pause ended, between the search for an upstream and the refusal.

Found by the search of tests/balancing/test_decisions_hold.py (shrunk: a limit of 1e6 told for w1, one request: retry_after_s 2.98e-06, written as 0.0). The new test failed before in its nine cases, as in "assert 9.99e-10 > 0.04". Now the schedule that all these times come from has the minimum, once.

--- a/nutmegshore/balancing/admission.py
+++ b/nutmegshore/balancing/admission.py
@@ -20,8 +20,7 @@
 #: Each rank below the most urgent route of a service shortens the permitted
 #: wait by this factor, so that less urgent requests are refused first.
 _RANK_FACTOR = 0.8
-#: Minimum `Retry-After` of a refused request, in seconds.
-_MIN_RETRY_S = 0.05
+#: Retry time in seconds without an upstream; it is up to twice as long.
 _NO_UPSTREAM_RETRY_S = 0.4
 
 
@@ -71,10 +70,9 @@
         `gap_s` is the interval between requests that this gateway may send.
         """
         late_s = _LATE_WAIT_FRACTION * request.route.target_latency_s
-        earliest_s = max(candidate.wait_s - late_s, _MIN_RETRY_S)
         spread_s = gap_s * (0.5 + self._rng.random())
         return self._retry_schedule.reserve(
-            request.service, earliest_s, spread_s
+            request.service, candidate.wait_s - late_s, spread_s
         )
 
     def rate_limited_retry_s(
--- a/nutmegshore/balancing/retry_schedule.py
+++ b/nutmegshore/balancing/retry_schedule.py
@@ -4,6 +4,9 @@
 
 __all__ = ('RetrySchedule',)
 
+#: Minimum retry time in seconds. Room that appears while a request is refused
+#: must not call its caller back at once, with all others.
+_MIN_RETRY_S = 0.05
 #: Maximum retry time in seconds, unless there is no capacity before. Requests
 #: have deadlines of a few seconds, so a later retry would be useless.
 _MAX_RETRY_S = 2
@@ -31,6 +34,7 @@
         the interval between requests that this gateway may send.
         """
         now = self._clock.now()
+        earliest_s = max(earliest_s, _MIN_RETRY_S)
         next_free = self._reserved_until.get(service, now) + gap_s
         retry_at = max(now + earliest_s, next_free)
         latest_s = max(_MAX_RETRY_S, earliest_s)
--- a/tests/balancing/test_retry_schedule.py
+++ b/tests/balancing/test_retry_schedule.py
@@ -44,3 +44,16 @@
     for _ in range(50):
         table.reserve('orders', 0.1, 0.02)
     assert table.reserve('scans', 0.1, 0.02) == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize('gap_s', [0, 1e-15, 1e-6])
+@pytest.mark.parametrize('earliest_s', [-1, 0, 1e-9])
+def test_no_caller_returns_at_once(clock, earliest_s, gap_s):
+    """Guards against `Retry-After: 0.0`: callers refused because of a large
+    rate limit, or as room appeared, came back at once."""
+    table = RetrySchedule(clock)
+    table.reserve('orders', 0.1, 0.02)
+    clock.advance(60)
+    first = pytest.approx(0.05)
+    assert table.reserve('orders', earliest_s, gap_s) == first
+    assert table.reserve('scans', earliest_s, gap_s) == first
