Route requests that have no time for waiting

Callers would see: every request of a route with TargetLatencyS 0 cut off, whenever its service had an upstream both at home and in another region.

Cause: the wait at home was divided by the time that the target leaves for it, which is at least a quarter of the target, and so 0 with it. The parser of the configuration accepts a target of 0.

Found by the search of tests/balancing/test_decisions_hold.py (shrunk: a route with target 0, one request). The new test failed before in its case 0: region_choice.py, _record_wait_ratio, "ZeroDivisionError: float division by zero". Now a request is assumed to have at least 1 ms, so that the ratio is finite and an empty queue still counts as empty.

--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -18,6 +18,8 @@
 _AWAY = 'away'
 #: Minimum fraction of its target that a request is assumed to have for waiting.
 _MIN_SPARE_FRACTION = 0.25
+#: The same in seconds, since a route may have a target of 0.
+_MIN_SPARE_S = 0.001
 #: Another region has spare capacity while its queue takes at most this fraction
 #: of the time that the request may wait.
 _SPARE_CAPACITY_FRACTION = 0.25
@@ -177,8 +179,11 @@
     ) -> None:
         """Record the length of the queue at home for the spillover."""
         target_s = request.route.target_latency_s
-        spare_s = target_s - home.work_s - home.delay_s
-        spare_s = max(spare_s, _MIN_SPARE_FRACTION * target_s)
+        spare_s = max(
+            target_s - home.work_s - home.delay_s,
+            _MIN_SPARE_FRACTION * target_s,
+            _MIN_SPARE_S,
+        )
         wait_ratio = home.wait_s / spare_s
         self.spillover.record(
             request.service,
