Read no load that an upstream cannot have

Callers would see: a cut connection in place of a whole answer whose load has more than 4,300 digits (int refuses them: ValueError in read_report); after one of 310 to 4,300 digits, cut connections of all requests for that upstream's service while the report is fresh (Balancer.choose: "OverflowError('int too large to convert to float')", seen for a load of 10**400).

Cause: the limit and the pause of an upstream are read by a pattern with a bounded number of digits, the load by str.isdecimal alone.

Now both dialects read up to nine digits, and a longer one is no report, as another malformed one is.

--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -48,6 +48,8 @@
 #: Digits of the largest number of milliseconds that is read.
 _MAX_DEADLINE_DIGITS = 9
 _LOAD_FIELDS = 3
+#: A number of requests; a longer one is no load that an upstream can have.
+_COUNT = re.compile('[0-9]{1,9}')
 _IS_LEAVING = '1'
 _IS_STAYING = '0'
 _LEAVING_TEXTS = frozenset((_IS_STAYING, _IS_LEAVING))
@@ -106,9 +108,9 @@
 
     None if the header is absent or malformed.
     """
-    counts = head.fields.get(_LOAD, '').split(',')
+    counts = [count.strip() for count in head.fields.get(_LOAD, '').split(',')]
     is_load = len(counts) == _LOAD_FIELDS
-    if not is_load or not all(count.strip().isdecimal() for count in counts):
+    if not is_load or not all(map(_COUNT.fullmatch, counts)):
         return None
     return int(counts[0]) + int(counts[1])
 
--- a/nutmegshore/upstreams/dialect.py
+++ b/nutmegshore/upstreams/dialect.py
@@ -1,5 +1,6 @@
 """The headers of upstreams that support this system natively."""
 
+import re
 from http import HTTPStatus
 
 from nutmegshore.errors import ErrorKind
@@ -19,6 +20,8 @@
 _LOAD = 'nutmegshore-load'
 _NOT_RUN = 'nutmegshore-not-run'
 _YES = '1'
+#: Busy slots; a longer number is none that an upstream can have.
+_COUNT = re.compile('[0-9]{1,9}')
 
 
 class OwnDialect(Dialect):
@@ -54,6 +57,6 @@
         """Leaving flag and busy slots that an answer reports, if any."""
         is_leaving = head.fields.get(_LEAVING) == _YES
         load = head.fields.get(_LOAD, '')
-        if load.isascii() and load.isdecimal():
+        if _COUNT.fullmatch(load) is not None:
             return UpstreamReport(is_leaving, int(load))
         return UpstreamReport(is_leaving) if is_leaving else None
