Read a request's target as a path, not as a URL

Callers would see: a cut connection instead of an answer for a target such as `//[` or `//` at the listeners for callers, look-ups and pages.

Cause: the path was taken by urlsplit, which reads what follows `//` as a host. It raises ValueError for a bracket there, and leaves an empty path, whose first segment does not exist. A head that names its service in a header failed too.

Found by the new search over targets (shrunk: `//[` and `//`). It failed before: headers.py:133 "ValueError: Invalid IPv6 URL" and headers.py:134 "IndexError: list index out of range" (run with the path that the test needs computed in the test). RequestHead now has the path and the query, split at the question mark as the routes are matched; both exist for any target that parse_head accepts.

--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -3,7 +3,7 @@
 import asyncio
 import uuid
 from collections.abc import Awaitable, Callable
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 import attrs
 from tornado.iostream import StreamClosedError
@@ -82,7 +82,7 @@
         await self._write_in_time(self.writer.write_error(error))
 
     async def _answer(self) -> None:
-        if urlsplit(self.writer.request.target).path == _LOOKUP_PATH:
+        if self.writer.request.path == _LOOKUP_PATH:
             await self._answer_lookup()
             return
         incoming = self._incoming(self.writer.request)
@@ -95,7 +95,7 @@
         if head.method not in _LOOKUP_METHODS:
             raise RequestError(ErrorKind.MALFORMED_REQUEST, head.method)
         self.writer.keeps_alive &= self.body.is_whole
-        query = parse_qs(urlsplit(head.target).query)
+        query = parse_qs(head.query)
         service = query.get('service', [''])[0]
         headers, text = write_lookup(self.context.lookup(service))
         await self._write_in_time(self.writer.write_own(_OK, headers, text))
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 from collections.abc import Callable, Mapping
-from urllib.parse import urlsplit
 
 import attrs
 from tornado.iostream import StreamClosedError
@@ -52,13 +51,13 @@
 
     async def run(self) -> None:
         """Answer the request whose head is set."""
-        target = self.writer.request.target
+        head = self.writer.request
         self.writer.keeps_alive &= self.body.is_whole
-        make_page = self._pages.get(urlsplit(target).path)
+        make_page = self._pages.get(head.path)
         if make_page is None:
-            await self.refuse(RequestError(ErrorKind.NO_ROUTE, target))
+            await self.refuse(RequestError(ErrorKind.NO_ROUTE, head.target))
             return
-        page = make_page(target)
+        page = make_page(head.target)
         headers = (('Content-Type', page.content_type),)
         await self._write(page.status, headers, page.body)
 
--- a/nutmegshore/listener/headers.py
+++ b/nutmegshore/listener/headers.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Iterable
-from urllib.parse import urlsplit
 
 import attrs
 
@@ -74,6 +73,19 @@
         """Texts of all headers with this lower-case name."""
         return [text for found, text in self.headers if found.lower() == name]
 
+    @property
+    def path(self) -> str:
+        """Target up to its query.
+
+        The target of a request is no URL: `//a` is a path, and names no host.
+        """
+        return self.target.partition('?')[0]
+
+    @property
+    def query(self) -> str:
+        """What follows the path in the target, without the question mark."""
+        return self.target.partition('?')[2]
+
     @property
     def keeps_alive(self) -> bool:
         """Whether the caller's connection may serve another request."""
@@ -130,7 +142,7 @@
 
 def named_service(head: RequestHead) -> str:
     """The service that the header names, or else the first path segment."""
-    segments = urlsplit(head.target).path.split('/', maxsplit=2)
+    segments = head.path.split('/', maxsplit=2)
     return head.get(SERVICE) or segments[1]
 
 
--- a/nutmegshore/platform/lookup.py
+++ b/nutmegshore/platform/lookup.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Sequence
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 import attrs
 
@@ -32,7 +32,7 @@
 
 def parse_lookup(target: str) -> LookupQuestion:
     """Parse the query of a lookup; an absent parameter is empty."""
-    query = parse_qs(urlsplit(target).query)
+    query = parse_qs(target.partition('?')[2])
     return LookupQuestion(
         query.get('Name', [''])[0],
         query.get('Region', [''])[0],
--- a/tests/listener/test_headers.py
+++ b/tests/listener/test_headers.py
@@ -13,6 +13,7 @@
     read_deadline_ms,
     upstream_headers,
 )
+from nutmegshore.platform.lookup import parse_lookup
 
 _NAMES = st.sampled_from(
     (
@@ -70,6 +71,18 @@
         assert error.answer.status in {400, 431}
 
 
+@given(target=st.text(st.characters(min_codepoint=33, max_codepoint=126)))
+def test_any_target_has_a_path(target):
+    """Guards against LOST: a target that is no URL, such as `//` or `//[`, cut
+    off the caller of a service, a look-up or a page of ours."""
+    head = parse_head(f'GET /{target} HTTP/1.1\r\nHost: a'.encode())
+    path = head.path
+    assert path.startswith('/')
+    assert head.target in {path, f'{path}?{head.query}'}
+    assert named_service(head) == path.split('/')[1]
+    assert parse_lookup(head.target).host is not None
+
+
 @given(headers=_HEADERS)
 def test_what_passes_can_be_read_again(headers):
     """Guards against a head that the next hop reads differently."""
