Keep the last byte of a header's text

Callers would see: a header of an upstream's answer without its last or first bytes, where these are 0x85 or 0xA0, as in "voilà" in UTF-8.

Cause: a head is decoded as Latin-1, in which these bytes are blanks, and str.strip without an argument removes all that Unicode calls blank.

Now only spaces and tabs are removed, which is all that may stand around a text.

--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -19,6 +19,9 @@
 #: Bytes of an answer's heads and trailers together, interim heads included.
 _MAX_HEAD_BYTES = 131_072
 _FIRST_FINAL_STATUS = 200
+#: Blanks around a header's text. Others, such as a no-break space, may be bytes
+#: of a longer character.
+_BLANKS = ' \t'
 #: What a header callback returns to end the transfer.
 _ABORT = 0
 
@@ -190,5 +193,8 @@
     pairs = (line.partition(':') for line in lines[1:])
     return AnswerHead(
         status,
-        tuple((name.strip(), text.strip()) for name, _, text in pairs),
+        tuple(
+            (name.strip(_BLANKS), text.strip(_BLANKS))
+            for name, _, text in pairs
+        ),
     )
