Take an answer without a status for a lost one

Callers would see: a status line with four digits, `HTTP/1.1 2000 Unknown`, which an upstream wrote and no caller can read. For `HTTP/1.1 200OK` they see a lost answer as before, but our callback raised (ValueError, printed to standard error only, by libcurl's binding).

Cause: libcurl passes such lines, and the status was read by int() from the second word, whatever it was.

The new test failed before in its case `2000`: "DID NOT RAISE RequestError". Now a pattern reads the status line, and a head without a status ends the transfer the way that one of too many bytes does.

--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import re
 
 import pycurl
 
@@ -19,6 +20,8 @@
 #: Bytes of an answer's heads and trailers together, interim heads included.
 _MAX_HEAD_BYTES = 131_072
 _FIRST_FINAL_STATUS = 200
+#: libcurl also takes lines whose status has more digits, or no end.
+_STATUS_LINE = re.compile('HTTP/[0-9.]+ ([1-9][0-9]{2})( .*)?')
 #: Blanks around a header's text. Others, such as a no-break space, may be bytes
 #: of a longer character.
 _BLANKS = ' \t'
@@ -119,24 +122,25 @@
         if self._head_bytes > _MAX_HEAD_BYTES:
             return _ABORT
         # Trailers of a chunked answer are not passed on.
-        if self.head is None:
-            self._add_line(raw)
-        return None
+        is_read = self.head is not None or self._add_line(raw)
+        return None if is_read else _ABORT
 
-    def _add_line(self, raw: bytes) -> None:
+    def _add_line(self, raw: bytes) -> bool:
+        """Add a line of a head; False if it ends one that cannot be read."""
         if not raw.endswith(b'\n'):
             # libcurl takes a head for complete that breaks off in its last line
             # end. Without a length, the answer would be an empty success.
-            return
+            return True
         line = raw.decode('latin-1').rstrip('\r\n')
         if line:
             self._lines.append(line)
-            return
+            return True
         head = _parse_head(self._lines)
         self._lines = []
-        if head.status >= _FIRST_FINAL_STATUS:
+        if head is not None and head.status >= _FIRST_FINAL_STATUS:
             self.head = head
             self._changed.set()
+        return head is not None
 
     def _receive_chunk(self, chunk: bytes) -> int | None:
         if self._incoming.is_full:
@@ -188,11 +192,14 @@
         return joined
 
 
-def _parse_head(lines: list[str]) -> AnswerHead:
-    status = int(lines[0].split(maxsplit=2)[1])
+def _parse_head(lines: list[str]) -> AnswerHead | None:
+    """Return a head, or None if its first line names no status."""
+    found = _STATUS_LINE.fullmatch(lines[0]) if lines else None
+    if found is None:
+        return None
     pairs = (line.partition(':') for line in lines[1:])
     return AnswerHead(
-        status,
+        int(found.group(1)),
         tuple(
             (name.strip(_BLANKS), text.strip(_BLANKS))
             for name, _, text in pairs
--- a/tests/upstreams/test_odd_heads.py
+++ b/tests/upstreams/test_odd_heads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmegshore.clock import SystemClock
+from nutmegshore.errors import ErrorKind
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
 
@@ -16,6 +17,24 @@
     return contextlib.closing(CurlUpstreams(SystemClock(), PlatformDialect()))
 
 
+@pytest.mark.parametrize(
+    'start', [b'HTTP/1.1 200OK', b'HTTP/1.1 2000 OK', b'HTTP/1.1 099 OK']
+)
+def test_an_answer_without_a_status_is_lost(
+    raw_upstream, collector, make_request, fail, start
+):
+    """Guards against a status that no caller can read, and against a fault in
+    libcurl's callback, which is told to nobody but standard error."""
+    answer = b'%b\r\n%b\r\nok' % (start, _LINES)
+
+    async def session():
+        raw = await raw_upstream(answer).start()
+        with _client() as client:
+            return await fail(client, raw, make_request(), collector())
+
+    assert asyncio.run(session()) is ErrorKind.UPSTREAM_LOST
+
+
 @pytest.mark.parametrize('text', ['voil\xe0', 'voil\xc3\xa0', '\x85a\xa0'])
 def test_the_bytes_of_a_text_are_kept(
     raw_upstream, collector, make_request, text
