Pass on only headers that a caller can read

Callers would see: a line such as `: a` or `A B: c` in the head of an answer, where the upstream wrote it; strict clients end the connection there. A text beyond Latin-1 would fail the writing of the whole head; none can come over a socket, since heads are decoded as Latin-1.

Cause: libcurl passes headers without a name, or with blanks or other bytes in it, and answer_headers only left out those of the hop.

Found by the new search over headers of answers (shrunk: ('', '') and ('Accept', '\u0100')). It failed before: headers.py:181 "RequestError: header line" as the head is read again, and "UnicodeEncodeError: 'latin-1' codec can't encode character".

--- a/nutmegshore/listener/headers.py
+++ b/nutmegshore/listener/headers.py
@@ -52,7 +52,10 @@
 
 _TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _START_LINE = re.compile(rf'({_TOKEN}) (/[!-~]*) HTTP/1\.([01])')
-_FIELD_LINE = re.compile(rf'({_TOKEN}):[ \t]*([\t -~\x80-\xff]*)')
+_TEXT_CHARS = r'[\t -~\x80-\xff]*'
+_FIELD_LINE = re.compile(rf'({_TOKEN}):[ \t]*({_TEXT_CHARS})')
+_NAME = re.compile(_TOKEN)
+_TEXT = re.compile(_TEXT_CHARS)
 _DIGITS = re.compile('[0-9]+')
 
 
@@ -152,8 +155,15 @@
 
 
 def answer_headers(headers: Headers) -> Headers:
-    """Headers of an upstream's answer that go to the caller."""
-    return _end_to_end(headers)
+    """Headers of an upstream's answer that go to the caller.
+
+    One that no caller could read, such as one without a name, is left out.
+    """
+    return tuple(
+        (name, text)
+        for name, text in _end_to_end(headers)
+        if _NAME.fullmatch(name) and _TEXT.fullmatch(text)
+    )
 
 
 def _end_to_end(headers: Headers) -> Headers:
--- a/tests/listener/test_headers.py
+++ b/tests/listener/test_headers.py
@@ -92,6 +92,30 @@
     assert parse_head(raw).headers[:-1] == kept
 
 
+@given(
+    headers=st.lists(
+        st.tuples(
+            st.one_of(_NAMES, st.text(st.characters(max_codepoint=300))),
+            st.text(st.characters(max_codepoint=300)).map(str.strip),
+        )
+    ).map(tuple)
+)
+def test_any_answer_can_be_written_and_read(headers):
+    """Guards against LOST: a header that cannot be encoded, or has no name,
+    costs the caller the whole answer."""
+    kept = answer_headers(headers)
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in kept)
+    raw = f'GET / HTTP/1.1\r\n{lines}Host: a'.encode('latin-1')
+    assert parse_head(raw).headers[:-1] == kept
+
+
+def test_a_name_that_no_caller_can_read_is_left_out():
+    """Guards against a line of an upstream's that ends a caller's reading, or
+    is read as another header."""
+    headers = (('', 'a'), ('A B', 'c'), ('A:B', 'c'), ('X-Kept', '2'))
+    assert answer_headers(headers) == (('X-Kept', '2'),)
+
+
 @pytest.mark.parametrize(
     ('lines', 'kind'),
     [
