--- a/tests/gateway/test_lookup.py
+++ b/tests/gateway/test_lookup.py
@@ -3,11 +3,22 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from nutmegshore.gateway.lookup import Directory, Gateway
-from nutmegshore.gateway.route import Configuration
+from nutmegshore.gateway.route import (
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
 from nutmegshore.peers import Member
-from nutmegshore.platform.lookup import LookupQuestion
+from nutmegshore.platform.lookup import (
+    LookupQuestion,
+    parse_lookup,
+    write_lookup,
+)
 
 
 def _gateway(name, region):
@@ -73,3 +84,53 @@
     """Guards against answers that grow with the fleet."""
     gateways = [_gateway(f'w{number}', 'west') for number in range(550)]
     assert len(find(_WEST, *gateways)) == 16
+
+
+_REGIONS = st.sampled_from(('west', 'east', 'south', ''))
+_QUERIES = st.one_of(
+    st.text(st.characters(min_codepoint=33, max_codepoint=126)),
+    st.builds(
+        'Name={0}&Region={1}&Zone={2}'.format,
+        st.sampled_from(('a.example', 'A.Example', '%FF%00', '')),
+        _REGIONS,
+        st.sampled_from(('west-a', 'east-a', 'south-a', '')),
+    ),
+)
+
+
+@given(
+    query=_QUERIES,
+    regions=st.lists(_REGIONS, max_size=40),
+    homes=st.one_of(st.none(), st.frozensets(_REGIONS)),
+)
+def test_any_look_up_is_answered(query, regions, homes):
+    """Guards against a look-up that is cut off, or an empty answer while any
+    gateway is ready."""
+    gateways = [
+        _gateway(f'g{number}', region) for number, region in enumerate(regions)
+    ]
+    zones = {'west-a': 'west', 'east-a': 'east'}
+    directory = Directory(lambda: gateways, random.Random(7), zones)
+    configuration = None
+    if homes is not None:
+        configuration = Configuration(1, (_homed(homes),), {})
+    found = directory.find(parse_lookup(f'/resolve?{query}'), configuration)
+    named = set(found)
+    assert named <= {gateway.address for gateway in gateways}
+    assert bool(found) is bool(gateways)
+    assert len(found) == len(named)
+    assert len(found) <= 16
+    assert write_lookup(found, 2)
+
+
+def _homed(homes):
+    return Route(
+        name='r1',
+        host='a.example',
+        prefix='/',
+        kind=RouteKind.SAFE,
+        timeout_s=2,
+        target_latency_s=0.4,
+        shares=(ServiceShare('orders'),),
+        homes=homes,
+    )
