--- a/nutmegshore/listener/headers.py
+++ b/nutmegshore/listener/headers.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Iterable
-from urllib.parse import urlsplit
 
 import attrs
 
@@ -53,7 +52,10 @@
 
 _TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _START_LINE = re.compile(rf'({_TOKEN}) (/[!-~]*) HTTP/1\.([01])')
-_FIELD_LINE = re.compile(rf'({_TOKEN}):[ \t]*([\t -~\x80-\xff]*)')
+_TEXT_CHARS = r'[\t -~\x80-\xff]*'
+_FIELD_LINE = re.compile(rf'({_TOKEN}):[ \t]*({_TEXT_CHARS})')
+_NAME = re.compile(_TOKEN)
+_TEXT = re.compile(_TEXT_CHARS)
 _DIGITS = re.compile('[0-9]+')
 
 
@@ -74,6 +76,19 @@
         """Texts of all headers with this lower-case name."""
         return [text for found, text in self.headers if found.lower() == name]
 
+    @property
+    def path(self) -> str:
+        """Target up to its query.
+
+        The target of a request is no URL: `//a` is a path, and names no host.
+        """
+        return self.target.partition('?')[0]
+
+    @property
+    def query(self) -> str:
+        """What follows the path in the target, without the question mark."""
+        return self.target.partition('?')[2]
+
     @property
     def keeps_alive(self) -> bool:
         """Whether the caller's connection may serve another request."""
@@ -130,7 +145,7 @@
 
 def named_service(head: RequestHead) -> str:
     """The service that the header names, or else the first path segment."""
-    segments = urlsplit(head.target).path.split('/', maxsplit=2)
+    segments = head.path.split('/', maxsplit=2)
     return head.get(SERVICE) or segments[1]
 
 
@@ -140,8 +155,15 @@
 
 
 def answer_headers(headers: Headers) -> Headers:
-    """Headers of an upstream's answer that go to the caller."""
-    return _end_to_end(headers)
+    """Headers of an upstream's answer that go to the caller.
+
+    One that no caller could read, such as one without a name, is left out.
+    """
+    return tuple(
+        (name, text)
+        for name, text in _end_to_end(headers)
+        if _NAME.fullmatch(name) and _TEXT.fullmatch(text)
+    )
 
 
 def _end_to_end(headers: Headers) -> Headers:
