Add a command that lists the faults in logs

Cause: a fault of our own code cut callers, and its line of level error was found by chance: trace and log-summary skip lines without an instance, and Python's tracebacks are no JSON at all. Change: nutmegshore faults FILE... lists each line of level error or critical, each traceback (also where lines of several machines alternate behind a time and a name), and each such line that was cut off; counts by part and error; exit code 1 if there is any. nutmegshore/tracing/faults.py reads, the command prints.

--- a/nutmegshore/commands/application.py
+++ b/nutmegshore/commands/application.py
@@ -22,7 +22,11 @@
     ObjectsCommand,
     TokenCommand,
 )
-from nutmegshore.commands.logs import SummaryCommand, TraceCommand
+from nutmegshore.commands.logs import (
+    FaultsCommand,
+    SummaryCommand,
+    TraceCommand,
+)
 from nutmegshore.commands.objects import (
     DeleteCommand,
     GetCommand,
@@ -41,6 +45,7 @@
     EntryCommand,
     ExampleCommand,
     ExplainCommand,
+    FaultsCommand,
     GatewayCommand,
     GetCommand,
     ObjectsCommand,
--- a/nutmegshore/commands/logs.py
+++ b/nutmegshore/commands/logs.py
@@ -12,15 +12,17 @@
 
 from nutmegshore.commands.base import BaseCommand, ExitCode, UsageError
 from nutmegshore.tracing import (
+    LoggedFault,
     LogRecord,
     Story,
     estimate_offsets,
     find_story,
+    read_faults,
     read_records,
     summarise,
 )
 
-__all__ = ('SummaryCommand', 'TraceCommand')
+__all__ = ('FaultsCommand', 'SummaryCommand', 'TraceCommand')
 
 _FILES = argument(
     'files',
@@ -29,6 +31,8 @@
     optional=True,
 )
 _MS_PER_S = 1000
+#: Stands for what a log does not tell.
+_UNKNOWN = '-'
 
 
 class TraceCommand(BaseCommand):
@@ -101,6 +105,55 @@
         return ExitCode.SUCCESS
 
 
+class FaultsCommand(BaseCommand):
+    """Names the faults that logs tell of."""
+
+    name = 'faults'
+    description = 'List lines of level error and tracebacks in logs.'
+    help = (
+        'Reads logs of gateways and entries, also with a time and a name'
+        ' before each line. The exit code is 1 if there is any fault.'
+    )
+    arguments: ClassVar[list[Argument]] = [_FILES]
+
+    def run_command(self) -> int:
+        """Print the faults, then how often each came; 1 if there is any."""
+        found = _read_faults(self.argument('files'))
+        for fault in found:
+            self._show_fault(fault)
+        counts = collections.Counter(map(_cause_of, found))
+        for cause, count in _top(counts):
+            shown = format(count, '8')
+            self.show(f'{shown} {cause}')
+        if found:
+            return ExitCode.FAILURE
+        self.show('no fault')
+        return ExitCode.SUCCESS
+
+    def _show_fault(self, fault: LoggedFault) -> None:
+        named = (fault.time, fault.instance, fault.part, fault.request)
+        place = ' '.join(name or _UNKNOWN for name in named)
+        self.show(f'{place} {fault.event}: {fault.error}')
+        for line in fault.stack:
+            self.show(f'    {line}')
+
+
+def _cause_of(fault: LoggedFault) -> str:
+    part = fault.part or _UNKNOWN
+    return f'{part} {fault.error}'
+
+
+def _read_faults(paths: list[str]) -> list[LoggedFault]:
+    """Faults of all files; a file's name stands for a missing instance."""
+    if not paths:
+        return list(read_faults(sys.stdin))
+    return [
+        fault
+        for path in paths
+        for fault in read_faults(_iter_lines([path]), pathlib.Path(path).stem)
+    ]
+
+
 def _read_all(paths: list[str]) -> list[LogRecord]:
     return list(read_records(_iter_lines(paths)))
 
--- a/nutmegshore/tracing/records.py
+++ b/nutmegshore/tracing/records.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ('LogRecord', 'read_records')
+__all__ = ('LogRecord', 'parse_fields', 'read_records')
 
 
 @attrs.frozen
@@ -38,7 +38,7 @@
     """
     numbers: dict[str, int] = {}
     for line in lines:
-        fields = _parse_line(line)
+        fields = _parse_event(line)
         if fields is None:
             continue
         instance = str(fields.pop('instance', ''))
@@ -52,13 +52,22 @@
         )
 
 
-def _parse_line(line: str) -> dict[str, Any] | None:
+def parse_fields(line: str) -> dict[str, Any] | None:
+    """Parse the JSON object that a line ends with, or None without one.
+
+    Text before the first brace is ignored.
+    """
     start = line.find('{')
     if start < 0:
         return None
     try:
         parsed = json.loads(line[start:])
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
-    is_event = isinstance(parsed, dict) and 'event' in parsed
-    return parsed if is_event and 'instance' in parsed else None
+    return parsed if isinstance(parsed, dict) else None
+
+
+def _parse_event(line: str) -> dict[str, Any] | None:
+    fields = parse_fields(line)
+    is_event = fields is not None and 'event' in fields
+    return fields if is_event and 'instance' in fields else None
