--- a/nutmegshore/commands/logs.py
+++ b/nutmegshore/commands/logs.py
@@ -167,7 +167,7 @@
         yield from sys.stdin
     for path in paths:
         try:
-            text = pathlib.Path(path).read_text(encoding='utf-8')
+            text = pathlib.Path(path).read_text('utf-8', errors='replace')
         except OSError as failure:
             raise UsageError(f'{path}: {failure.strerror}') from failure
         yield from text.splitlines()
