Fail the demonstration and the sessions on faults of our own code

Cause: an unexpected exception in a task, a message or a request was counted and logged, and neither the demonstration nor the judge of whole sessions read it. The demonstration has a failure line for each of them that an entry raised, also one that has stopped, and ends with exit code 1. Whole sessions have the measure internal_faults, with the handler of RegionLoad taken out as its proof.

--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -14,6 +14,7 @@
 from nutmegshore.callers import CallerRequest
 from nutmegshore.clock import VirtualClock
 from nutmegshore.configuration import ConfigurationTable
+from nutmegshore.counters import Counters
 from nutmegshore.entry.components import (
     EntryOptions,
     EntryComponents,
@@ -137,6 +138,8 @@
         self.upstreams: dict[str, MemoryUpstream] = {}
         self.region_by_upstream: dict[str, str] = {}
         self.by_name: dict[str, Entry] = {}
+        #: Of all entries that ever ran.
+        self.counters: list[Counters] = []
         self.region_by_entry: dict[str, str] = {}
         self._runs = 0
         self._ids = 0
@@ -167,6 +170,7 @@
         components = EntryComponents(dependencies, EntryOptions(_LIFETIME_S))
         dependencies.upstreams.on_report = components.record_report
         dependencies.upstreams.table = components.table
+        self.counters.append(dependencies.counters)
         self._runs += 1
         declarer = Declarer(
             platform, components.table, rng, components.check_ready
--- a/bench/whole_judge.py
+++ b/bench/whole_judge.py
@@ -6,6 +6,7 @@
 from bench.whole_cluster import Entry, Whole
 from bench.whole_ledgers import Call
 from nutmegshore.errors import Outcome
+from nutmegshore.fault_counts import FAULT_METRICS
 from nutmegshore.resources import Drain
 
 __all__ = ('MEASURES', 'config_revert', 'judge')
@@ -19,6 +20,7 @@
     'late_work',
     'cut_by_stop',
     'config_revert',
+    'internal_faults',
 )
 _LATE_S = 3
 _INF = float('inf')
@@ -35,6 +37,7 @@
         'false_not_run': false_not_run(whole),
         'late_work': late_work(whole),
         'cut_by_stop': cut_by_stop(whole),
+        'internal_faults': internal_faults(whole),
     }
 
 
@@ -152,6 +155,15 @@
     )
 
 
+def internal_faults(whole: Whole) -> int:
+    """Unexpected exceptions that entries counted in their own code."""
+    return sum(
+        counters.total(metric)
+        for counters in whole.counters
+        for metric in FAULT_METRICS
+    )
+
+
 def config_revert(whole: Whole) -> int:
     """Tables that went back, accepted writes that met or are not in force."""
     return _went_back(whole) + _met(whole) + _not_in_force(whole)
--- a/bench/whole_rules.py
+++ b/bench/whole_rules.py
@@ -13,6 +13,7 @@
 from nutmegshore.once import once
 from nutmegshore.steering import plan
 from nutmegshore.steering.choice import Chooser
+from nutmegshore.steering.load_reporter import LoadReporter
 
 __all__ = ('RULES', 'without')
 
@@ -25,6 +26,10 @@
     """End at once, whatever is in flight."""
 
 
+def _fail(*_) -> None:
+    raise ArithmeticError('taken out')
+
+
 def _first(self, candidates, service) -> str:
     return min((one.name for one in candidates), default='')
 
@@ -80,6 +85,10 @@
             'a table keeps the higher generation',
             [(table, '_rank', _by_operation)],
         ),
+        'internal_faults': (
+            'handlers of messages expect what peers send',
+            [(LoadReporter, '_handle_region', _fail)],
+        ),
     },
 )
 
--- a/nutmegshore/demo/cluster.py
+++ b/nutmegshore/demo/cluster.py
@@ -17,6 +17,7 @@
 from nutmegshore.demo.upstreams import StandinUpstream, UpstreamPlace
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.examples import list_objects
+from nutmegshore.fault_counts import list_fault_counts
 from nutmegshore.operators.http_client import HttpOperatorClient, Server
 from nutmegshore.store import ListedInstance, MemoryStore
 from nutmegshore.store.standin import make_standin
@@ -138,6 +139,7 @@
         self.upstreams = dict(self._make_upstreams(rng))
         self.places: list[EntryPlace] = []
         self.daemons: dict[str, EntryDaemon] = {}
+        self._started: list[tuple[str, EntryDaemon]] = []
         self._platform: HTTPServer | None = None
 
     def specs(self, kind: str) -> dict[str, dict[str, Any]]:
@@ -199,6 +201,17 @@
         if self._platform is not None:
             self._platform.stop()
 
+    def list_faults(self) -> list[str]:
+        """List what entries counted as faults of their own code.
+
+        Entries that have stopped count too.
+        """
+        return [
+            f'{name}: {counted}'
+            for name, daemon in self._started
+            for counted in list_fault_counts(daemon.counters)
+        ]
+
     def _make_upstreams(
         self,
         rng: random.Random,
@@ -227,6 +240,7 @@
             place = _choose_place(name, self.specs('entry')[name])
             daemon = EntryDaemon(place.settings(platform, self._lifetime))
             self.daemons[name] = daemon
+            self._started.append((name, daemon))
             try:
                 await daemon.start()
             except OSError:
--- a/nutmegshore/demo/script.py
+++ b/nutmegshore/demo/script.py
@@ -114,6 +114,7 @@
     if await _limited(session, 'start', cluster.start(), _START_LIMIT_S):
         await _run_loaded(session, rng)
     await _limited(session, 'stop of all parts', cluster.stop(), _END_LIMIT_S)
+    report.failures.extend(cluster.list_faults())
     _count_shift(session)
     return report
 
--- a/tests/demo/test_script.py
+++ b/tests/demo/test_script.py
@@ -9,6 +9,8 @@
 from nutmegshore.demo import DemoOptions, Report, run_demo, script
 from nutmegshore.demo.cluster import Cluster
 from nutmegshore.demo.ledgers import CallerLedger, Run, CallerConclusion
+from nutmegshore.examples import list_objects
+from nutmegshore.steering.load_reporter import LoadReporter
 
 
 _DEPLOYMENTS = ('vestfold', 'patelwadi')
@@ -83,6 +85,27 @@
     assert not report.is_good
 
 
+def _fail(*_):
+    raise ArithmeticError('of a test')
+
+
+def test_a_fault_at_an_entry_fails_the_run(monkeypatch):
+    """Guards against faults of our own code that cost no caller anything,
+    also at the entry that stops before the end."""
+    monkeypatch.setattr(LoadReporter, '_handle_region', _fail)
+    options = DemoOptions('patelwadi', seed=7, seconds=1, callers=1)
+    report = asyncio.run(run_demo(options, SystemClock()))
+    assert not report.is_good
+    failed = {line.partition(':')[0] for line in report.failures}
+    declared = list_objects('patelwadi')
+    assert failed == {
+        found['name'] for found in declared if found['kind'] == 'entry'
+    }
+    for line in report.failures:
+        assert 'message_failures type=RegionLoad' in line
+        assert f'failure: {line}' in report.lines
+
+
 def test_all_runs_that_cross_count_against_the_cap_in_its_time():
     """Guards against a spill or a fail-over that the cap does not bound."""
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -24,3 +24,10 @@
     with without('doubled'):
         verdict = run_schedule(0, _RUN_S)
     assert verdict.breaches['doubled']
+
+
+def test_the_counters_show_a_fault_that_breaks_nothing_else():
+    """Guards against faults of our own code that no check fails on."""
+    with without('internal_faults'):
+        verdict = run_schedule(0, _RUN_S)
+    assert verdict.breaches['internal_faults']
