--- a/tests/gateway/test_attempt_timeout.py
+++ b/tests/gateway/test_attempt_timeout.py
@@ -67,3 +67,31 @@
         assert answer.has_begun
 
     run_virtual(session)
+
+
+def test_a_stop_goes_on_as_a_limit_expires():
+    """Guards against LOST: SIGTERM came between the end of an attempt's time
+    and the end of its work; the stop failed, the process ended with it, and
+    every request in flight was reset."""
+
+    async def session():
+        attempt_timeout = AttemptTimeout()
+        is_ending = asyncio.Event()
+
+        async def attempt():
+            async with attempt_timeout.limit(0.5):
+                try:
+                    await asyncio.sleep(1)
+                except asyncio.CancelledError:
+                    # A request with a body waits for its tasks here.
+                    is_ending.set()
+                    await asyncio.sleep(0)
+                    raise
+
+        attempts = asyncio.ensure_future(attempt())
+        await is_ending.wait()
+        attempt_timeout.lift()
+        with pytest.raises(TimeoutError):
+            await attempts
+
+    run_virtual(session)
