Show that a stop resets what waits for a silent upstream, unseen

The way: GatewayDaemon._drain_callers runs into its timeout and calls CallerServer.close_all_connections, which cancels the tasks of the connections; CallerConnection._close then resets them.

--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -43,10 +43,15 @@
 async def _answer(reader, writer):
     """A stand-in of an upstream: one answer per connection, after 0.3 s.
 
-    It names a limit of one request a second, or says that it is leaving, if
-    the path says so.
+    It names a limit of one request a second, says that it is leaving, or does
+    not answer as long as it is connected, if the path says so.
     """
     head = await reader.readuntil(b'\r\n\r\n')
+    if b'/silent ' in head:
+        # It has run the request and lost its answer.
+        await reader.read()
+        writer.close()
+        return
     await asyncio.sleep(0.3)
     writer.write(_choose_answer(head))
     await writer.drain()
@@ -116,6 +121,35 @@
     assert lines.named('stopped')[0]['cut'] == 0
 
 
+async def _stop_beside_a_silent_upstream(running):
+    """Return what the caller gets as the grace period ends."""
+    silent = _REQUEST.replace(b'/orders/7 ', b'/orders/silent ')
+    async with running as (daemon, _):
+        await daemon.start()
+        pending = asyncio.ensure_future(_talk(daemon.caller_port, silent))
+        await asyncio.sleep(0.1)
+        await daemon.stop()
+        with contextlib.suppress(ConnectionResetError):
+            return await pending
+    return b''
+
+
+def test_a_request_gets_an_answer_at_the_end_of_the_grace_period(run_gateway):
+    """Guards against LOST: a request whose upstream was silent when the grace
+    period ended was reset; seed 1 of silent-upstreams-beside-changes."""
+    session = _stop_beside_a_silent_upstream(run_gateway())
+    received = asyncio.run(asyncio.wait_for(session, 20))
+    assert received.startswith((b'HTTP/1.1 502 ', b'HTTP/1.1 504 '))
+
+
+def test_a_stop_tells_how_many_requests_it_cut(run_gateway, lines):
+    """Guards against `cut` being counted after the requests had been cut: it
+    was always 0."""
+    session = _stop_beside_a_silent_upstream(run_gateway())
+    received = asyncio.run(asyncio.wait_for(session, 20))
+    assert lines.named('stopped')[0]['cut'] == int(not received)
+
+
 def test_a_gateway_keeps_to_the_limit_of_an_upstream(run_gateway, lines):
     """Guards against LIMIT in the whole program: an answer that names a limit
     reached no decision."""
