Stop although the limit of an attempt is just expiring

Cause: lifting a limit that is expiring raises RuntimeError out of the stop; an answer that becomes too long to buffer in that moment raised it as well. Change: one group of timeouts, whose limits are lifted or ended together; it passes over those that have expired.

--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -13,6 +13,7 @@
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.request import AttemptRecord, RoutedRequest
+from nutmegshore.gateway.timeout_group import lift
 from nutmegshore.gateway.upstream_events import UpstreamColdUsed, UpstreamJudged
 from nutmegshore.listener.headers import upstream_headers
 from nutmegshore.platform.dialect import (
@@ -118,7 +119,7 @@
             limit = self._context.attempt_timeout.limit(timeout_s)
             async with limit as time_limit:
                 # A long answer takes as long as its caller does to read it.
-                answer.call_on_streaming(lambda: time_limit.reschedule(None))
+                answer.call_on_streaming(lambda: lift(time_limit))
                 self._routed.may_have_run = True
                 return await self._context.upstreams.send(
                     upstream.instance,
--- a/nutmegshore/gateway/attempt_timeout.py
+++ b/nutmegshore/gateway/attempt_timeout.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+
+from nutmegshore.gateway.timeout_group import TimeoutGroup
 
 __all__ = ('AttemptTimeout',)
 
 
-class AttemptTimeout:
+class AttemptTimeout(TimeoutGroup):
     """Limits the duration of attempts until the gateway shuts down.
 
     While the gateway serves, a safe request is better retried elsewhere than
@@ -20,28 +21,16 @@
 
     def __init__(self) -> None:
         """Apply limits until `lift` is called."""
+        super().__init__()
         self._is_lifted = False
-        self._active: set[asyncio.Timeout] = set()
 
     def lift(self) -> None:
         """Remove all limits, also those of running attempts."""
         self._is_lifted = True
-        for timeout in self._active:
-            timeout.reschedule(None)
+        self.lift_all()
 
-    @contextlib.asynccontextmanager
-    async def limit(
+    def limit(
         self, seconds: float | None
-    ) -> AsyncIterator[asyncio.Timeout]:
-        """Raise `TimeoutError` in the body after the seconds; None: never.
-
-        The body may reschedule the timeout that it gets.
-        """
-        async with asyncio.timeout(
-            None if self._is_lifted else seconds
-        ) as time_limit:
-            self._active.add(time_limit)
-            try:
-                yield time_limit
-            finally:
-                self._active.discard(time_limit)
+    ) -> contextlib.AbstractAsyncContextManager[asyncio.Timeout]:
+        """Raise `TimeoutError` in the body after the seconds; None: never."""
+        return super().limit(None if self._is_lifted else seconds)
