Answer a request that arrives as its connection is to close

Cause: the end of the idle time did not look at what had been read or waited, as a stop does; and a stop took back `keep-alive` of an answer whose head was already written, so that the next request was read and dropped. Change: both ends of a connection ask the same question, and only an answer whose head is still to be written announces the close.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -96,7 +96,7 @@
         self._listener = ListenerContext(
             self._make_responder,
             dependencies.counters,
-            dependencies.log.faults,
+            faults=dependencies.log.faults,
         )
         self._tasks = KeptTasks(
             dependencies.clock, dependencies.counters, dependencies.log
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -90,7 +90,9 @@
 ) -> CallerServer:
     """Serve pages by path at IP:port."""
     make_responder = functools.partial(PageResponder, pages=pages)
-    server = CallerServer(ListenerContext(make_responder, counters, faults))
+    server = CallerServer(
+        ListenerContext(make_responder, counters, faults=faults)
+    )
     host, _, port = address.rpartition(':')
     server.open(int(port), host)
     return server
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -48,9 +48,9 @@
                 await self._serve_one()
 
     def leave(self) -> None:
-        """Close after the answer to the present or the next request."""
+        """Close after the next answer that can announce it."""
         self.is_leaving = True
-        if self._writer is not None:
+        if self._writer is not None and not self._writer.has_begun:
             self._writer.keeps_alive = False
 
     def close_when_idle(self) -> None:
@@ -58,7 +58,7 @@
         self.leave()
         if self._stream.closed() or not self.is_idle:
             return
-        if not self._reader.has_held and not _has_unread(self._stream):
+        if not self._has_waiting():
             self._stream.close()
 
     def _close(self) -> None:
@@ -71,14 +71,24 @@
         if self._stream.closed():
             return False
         self.is_idle = True
+        while not await self._starts_in_time():
+            if not self._has_waiting():
+                return False
+        self.is_idle = False
+        return True
+
+    async def _starts_in_time(self) -> bool:
         try:
             async with asyncio.timeout(self._context.limits.idle_s):
                 await self._reader.wait_start()
         except TimeoutError:
             return False
-        self.is_idle = False
         return True
 
+    def _has_waiting(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._reader.has_held or _has_unread(self._stream)
+
     async def _serve_one(self) -> None:
         writer = AnswerWriter(self._stream, keeps_alive=not self.is_leaving)
         self._writer = writer
--- a/nutmegshore/listener/context.py
+++ b/nutmegshore/listener/context.py
@@ -39,14 +39,14 @@
 class ListenerContext:
     """What the connections of one listener share.
 
-    `make_responder` builds the responder that answers one request. `faults`
-    reports unexpected exceptions. `limits` may be replaced while connections
-    are open; each looks it up when it needs it.
+    `make_responder` builds the responder that answers one request. `limits` may
+    be replaced while connections are open; each looks it up when it needs it.
+    `faults` reports unexpected exceptions.
     """
 
     make_responder: Callable[[AnswerWriter], Responder]
     counters: Counters
+    limits: ListenerLimits = ListenerLimits()
     faults: Faults = attrs.field(
         default=attrs.Factory(_make_faults, takes_self=True)
     )
-    limits: ListenerLimits = ListenerLimits()
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -45,7 +45,7 @@
 async def _listening(context, make_responder=None):
     forwarder = GatewayForwarder(context)
     listener = ListenerContext(
-        make_responder, context.counters, context.log.faults
+        make_responder, context.counters, faults=context.log.faults
     )
     if make_responder is None:
         listener.make_responder = lambda writer: GatewayResponder(
