Answer the requests that a stop would have cut

Cause: the end of the grace period cancelled the connections, and `cut` was counted after that. Change: 0.4 s before the end the time of all requests ends, so that each gets the answer of its deadline: 504 if it was sent, 503 if not. What cannot be written in 0.2 s is cut and counted. The end of a drain is a module of its own, and so are the dependencies of a process: the daemon's was large.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -1,14 +1,12 @@
 """The gateway daemon: startup, background tasks and graceful shutdown."""
 
 import asyncio
-import random
 
 import attrs
 
 from nutmegshore import __version__
-from nutmegshore.clock import Clock, SystemClock
-from nutmegshore.counters import Counters
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
+from nutmegshore.gateway.caller_drain import drain_callers
 from nutmegshore.gateway.events import (
     SettingsReloaded,
     Started,
@@ -20,19 +18,14 @@
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.gauges import GaugeSources, Gauges
 from nutmegshore.gateway.kept_tasks import KeptTasks
-from nutmegshore.gateway.log import EventLog, LineWriter
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.status_pages import StatusPages
 from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
-from nutmegshore.platform.store import PlatformStore
-from nutmegshore.store import Platform
 
-__all__ = ('GatewayDaemon', 'make_dependencies')
+__all__ = ('GatewayDaemon',)
 
-_SEED_BITS = 64
-_STDOUT = 1
 _EXPIRY_INTERVAL_S = 0.1
 _START_POLL_S = 0.05
 #: Seconds after its start that a gateway with complete state waits for peers
@@ -45,32 +38,6 @@
 _CLOSE_MARGIN_S = 0.4
 
 
-def make_dependencies(
-    settings: GatewaySettings,
-    store: Platform | None = None,
-    clock: Clock | None = None,
-) -> GatewayDependencies:
-    """Build the dependencies of a process.
-
-    By default these are the system clock and the store of the settings; the
-    log goes to standard output.
-    """
-    clock = clock or SystemClock()
-    counters = Counters()
-    log = EventLog(
-        LineWriter(_STDOUT),
-        settings.name,
-        clock,
-        counters,
-        settings.log_bytes_per_s,
-    )
-    # Identities of processes and operations must never repeat, so the seed
-    # comes from the system.
-    rng = random.Random(random.SystemRandom().getrandbits(_SEED_BITS))
-    store = store or PlatformStore(settings.store)
-    return GatewayDependencies(store, clock, rng, counters, log)
-
-
 class GatewayDaemon:
     """One gateway.
 
@@ -146,12 +113,18 @@
         self._peering.is_ready = False
         self._peering.report()
         self._assembly.peers.leave()
+        cut = 0
         if self._callers is not None:
             self._callers.leave()
             await self._dependencies.clock.sleep(min(_LINGER_S, grace_s / 2))
             self._forwarder.refuse_new()
-            await self._drain_callers(ends_at)
-        self._dependencies.log.write(Stopped(self._forwarder.in_flight))
+            cut = await drain_callers(
+                self._callers,
+                self._forwarder,
+                self._dependencies.clock,
+                ends_at,
+            )
+        self._dependencies.log.write(Stopped(cut))
         await self._close()
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -189,14 +162,6 @@
         self._tasks.keep('expire', self._expire_missing)
         self._tasks.keep('check cold', assembly.cold_checks.run)
 
-    async def _drain_callers(self, ends_at: float) -> None:
-        remaining_s = max(ends_at - self._dependencies.clock.now(), 0)
-        try:
-            async with asyncio.timeout(remaining_s):
-                await self._callers.finish()
-        except TimeoutError:
-            await self._callers.close_all_connections()
-
     async def _close(self) -> None:
         for server in self._pages:
             server.stop()
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -1,6 +1,5 @@
 """Forwarding of one caller's request to the upstreams of its route."""
 
-import asyncio
 import contextlib
 
 from nutmegshore.balancing import RoutingRequest
@@ -16,6 +15,7 @@
 from nutmegshore.gateway.events import RequestRetried
 from nutmegshore.gateway.request import IncomingRequest, RoutedRequest
 from nutmegshore.gateway.retries import Retries
+from nutmegshore.gateway.timeout_group import TimeoutGroup
 from nutmegshore.listener import CallerBody, KeptBody
 
 __all__ = ('GatewayForwarder',)
@@ -48,6 +48,7 @@
         """Forward requests in the context of one gateway."""
         self.in_flight = 0
         self._refuses_new = False
+        self._time_limits = TimeoutGroup()
         self._context = context
         self._retries = Retries(context)
         self._crashes = context.crashes
@@ -60,6 +61,10 @@
         """
         self._refuses_new = True
 
+    def end_requests(self) -> None:
+        """Let the time of all requests end now, so that they get an answer."""
+        self._time_limits.expire_all()
+
     def route(self, incoming: IncomingRequest) -> RoutedRequest:
         """Find the route of a request; raise `RequestError` without one."""
         missing = self._context.state.missing
@@ -105,7 +110,7 @@
             self.in_flight += 1
             stack.callback(self._end_request)
             try:
-                async with asyncio.timeout(limit_s):
+                async with self._time_limits.limit(limit_s):
                     await self._read_body(routed, body)
                     await self._run_attempts(routed, answer)
             except TimeoutError as failure:
--- a/nutmegshore/gateway/run.py
+++ b/nutmegshore/gateway/run.py
@@ -6,7 +6,8 @@
 
 from nutmegshore.errors import SettingsError
 from nutmegshore.gateway.assembly import GatewayDependencies
-from nutmegshore.gateway.daemon import GatewayDaemon, make_dependencies
+from nutmegshore.gateway.daemon import GatewayDaemon
+from nutmegshore.gateway.process_dependencies import make_dependencies
 from nutmegshore.gateway.settings import GatewaySettings, read_settings
 
 __all__ = ('SETTINGS_VARIABLE', 'run_gateway')
