Log failed tasks, messages and operators' calls with their stack

Cause: lines task failed and message failed had no stack, task_restarted has none and no level, and an unexpected exception in an operators' call went to tornado's log only, uncounted; its answer did not say that a write may have taken effect, and the command line showed it as malformed_request. Change: describe_failure of nutmegshore/faults.py (error and the end of the stack, both bounded) is used by OwnedTasks, GuardedDelivery and Faults. KeptTasks reports each failure as a fault of the task before task_restarted. The operators' handler reports unexpected exceptions with part operators; its answer 500 has outcome unknown and advice, and the client takes it for outcome_unknown. test_a_follower_that_failed_follows_again provokes faults that are reported now: it is marked so, and checks that each restarted task has its internal_fault.

--- a/nutmegshore/faults.py
+++ b/nutmegshore/faults.py
@@ -10,7 +10,13 @@
 from nutmegshore.counters import Counters
 from nutmegshore.logs import get_logger
 
-__all__ = ('CURRENT_REQUEST', 'Fault', 'Faults', 'log_fault')
+__all__ = (
+    'CURRENT_REQUEST',
+    'Fault',
+    'Faults',
+    'describe_failure',
+    'log_fault',
+)
 
 #: Id of the request that the current task works on, '' for none.
 CURRENT_REQUEST: contextvars.ContextVar[str] = contextvars.ContextVar(
@@ -77,8 +83,7 @@
         fault = Fault(
             part,
             request or CURRENT_REQUEST.get(),
-            repr(failure)[:_MAX_ERROR_CHARS],
-            _stack(failure)[-_MAX_STACK_CHARS:],
+            **describe_failure(failure),
         )
         try:
             self._record(fault)
@@ -98,5 +103,10 @@
         self._write(fault)
 
 
-def _stack(failure: BaseException) -> str:
-    return ''.join(traceback.format_exception(failure))
+def describe_failure(failure: BaseException) -> dict[str, str]:
+    """Fields of a log line: `error`, and the end of its `stack`."""
+    stack = ''.join(traceback.format_exception(failure))
+    return {
+        'error': repr(failure)[:_MAX_ERROR_CHARS],
+        'stack': stack[-_MAX_STACK_CHARS:],
+    }
--- a/nutmegshore/gateway/kept_tasks.py
+++ b/nutmegshore/gateway/kept_tasks.py
@@ -16,7 +16,9 @@
 
 
 class KeptTasks:
-    """Tasks that start again if they fail; each failure is logged.
+    """Tasks that start again if they fail.
+
+    Each failure is reported as a fault of the task, and logged with the pause.
 
     tasks = KeptTasks(clock, counters, log)
     tasks.keep('follow servers/', follower.run)
@@ -42,5 +44,6 @@
     def _log_failure(
         self, name: str, failure: Exception, pause_s: float
     ) -> None:
+        self._log.faults.report(name, failure)
         reason = repr(failure)[:_MAX_REASON_CHARS]
         self._log.write(TaskRestarted(name, reason, pause_s))
--- a/nutmegshore/operators/handler.py
+++ b/nutmegshore/operators/handler.py
@@ -7,7 +7,8 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.web import HTTPError, RequestHandler
 
-from nutmegshore.errors import NutmegshoreError
+from nutmegshore.errors import NutmegshoreError, Outcome
+from nutmegshore.faults import Faults
 from nutmegshore.operators.access import (
     Access,
     ClientIdentity,
@@ -15,11 +16,17 @@
     Role,
 )
 from nutmegshore.operators.api import OperatorApi
-from nutmegshore.operators.wire import describe_error, write_json
+from nutmegshore.operators.wire import (
+    describe_error,
+    describe_fault,
+    write_json,
+)
 from nutmegshore.resources import FieldFault, InvalidObject
 
 __all__ = ('OperatorHandler', 'make_invalid')
 
+#: Name of this part in reports of faults.
+_PART = 'operators'
 _SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 
 
@@ -55,14 +62,17 @@
             self.set_status(error.answer.status)
             self._finish_fault(error, describe_error(error))
             return
-        kind = 'internal' if status_code >= _SERVER_ERROR else 'request'
-        fields = {'error': kind, 'message': self._reason}
-        self.finish_json(fields)
+        if status_code >= _SERVER_ERROR:
+            self.set_header('Nutmegshore-Outcome', Outcome.UNKNOWN.value)
+            self.finish_json(describe_fault(self._reason))
+            return
+        self.finish_json({'error': 'request', 'message': self._reason})
 
     def log_exception(self, *details: Any) -> None:
-        """Log unexpected errors only, not those that become an answer."""
-        if not isinstance(details[1], (NutmegshoreError, HTTPError)):
-            super().log_exception(*details)
+        """Report unexpected errors only, not those that become an answer."""
+        error = details[1]
+        if not isinstance(error, (NutmegshoreError, HTTPError)):
+            Faults(self.api.counters).report(_PART, error)
 
     def finish_json(self, fields: Any) -> None:
         self.set_header('Content-Type', 'application/json')
--- a/nutmegshore/operators/http_client.py
+++ b/nutmegshore/operators/http_client.py
@@ -15,7 +15,7 @@
     HTTPResponse,
 )
 
-from nutmegshore.errors import ErrorKind, NutmegshoreError
+from nutmegshore.errors import ErrorKind, NutmegshoreError, Outcome
 from nutmegshore.operators.client import (
     EntryUnreachable,
     Fields,
@@ -180,13 +180,23 @@
 
 
 def _parse_kind(fields: Any) -> ErrorKind:
-    """Error kind of an answer; an unknown one is a malformed request."""
+    """Error kind of an answer.
+
+    An unknown one is a malformed request, unless the answer leaves open
+    whether the call took effect.
+    """
     try:
         return ErrorKind(fields['error'])
     except (ValueError, LookupError, TypeError):
+        if _outcome_of(fields) == Outcome.UNKNOWN.value:
+            return ErrorKind.OUTCOME_UNKNOWN
         return ErrorKind.MALFORMED_REQUEST
 
 
+def _outcome_of(fields: Any) -> Any:
+    return fields.get('outcome') if isinstance(fields, dict) else None
+
+
 def _path(*parts: str) -> str:
     quoted = [quote(part, safe='') for part in parts]
     return '/{0}'.format('/'.join(quoted))
--- a/nutmegshore/operators/wire.py
+++ b/nutmegshore/operators/wire.py
@@ -8,7 +8,9 @@
 from nutmegshore.errors import NutmegshoreError, Outcome, VersionConflict
 from nutmegshore.resources import Envelope, InvalidObject, write_spec
 
-__all__ = ('describe_error', 'write_json')
+__all__ = ('describe_error', 'describe_fault', 'write_json')
+
+_ADVICE = 'read the object before writing again'
 
 
 def write_json(found: Any) -> str:
@@ -28,10 +30,20 @@
     if isinstance(error, VersionConflict):
         fields['present'] = error.present
     if error.answer.outcome == Outcome.UNKNOWN:
-        fields['advice'] = 'read the object before writing again'
+        fields['advice'] = _ADVICE
     return fields
 
 
+def describe_fault(message: str) -> dict[str, str]:
+    """Fields of the answer after a fault of the entry's own code."""
+    return {
+        'error': 'internal',
+        'outcome': Outcome.UNKNOWN.value,
+        'message': message,
+        'advice': _ADVICE,
+    }
+
+
 def _encode(found: Any) -> Any:
     if isinstance(found, Envelope):
         # Without defaults, so that the answer can be written back: an empty
--- a/nutmegshore/peers/message_failures.py
+++ b/nutmegshore/peers/message_failures.py
@@ -3,20 +3,18 @@
 from typing import Any
 
 from nutmegshore.counters import Counters
+from nutmegshore.faults import describe_failure
 from nutmegshore.logs import get_logger
 from nutmegshore.peers.base import Handler
 
 __all__ = ('GuardedDelivery',)
 
-#: Characters of a failure that a log line quotes.
-_MAX_REASON_CHARS = 200
-
 
 class GuardedDelivery:
     """Delivers messages; one that fails costs nothing but itself.
 
     Failures are counted as `message_failures`, by type. The first one of each
-    type is logged.
+    type is logged, with its stack.
     """
 
     def __init__(self, deliver: Handler, counters: Counters) -> None:
@@ -41,5 +39,5 @@
             'message failed',
             sender=sender,
             type=name,
-            failure=repr(failure)[:_MAX_REASON_CHARS],
+            **describe_failure(failure),
         )
--- a/nutmegshore/peers/tasks.py
+++ b/nutmegshore/peers/tasks.py
@@ -6,6 +6,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
+from nutmegshore.faults import describe_failure
 from nutmegshore.logs import get_logger
 
 __all__ = ('OwnedTasks', 'TaskFailed')
@@ -23,7 +24,9 @@
 
 
 class OwnedTasks:
-    """Tasks of one component, cancelled with it; failures are logged.
+    """Tasks of one component, cancelled with it.
+
+    Failures are counted as `task_failures`, and logged with their stack.
 
     tasks = OwnedTasks('mesh', counters)
     tasks.spawn(self._dial_all())
@@ -73,7 +76,8 @@
             return
         self.failures = [*self.failures, failure][-_MAX_FAILURES:]
         self._counters.add('task_failures', owner=self._owner)
-        get_logger(self._owner).error('task failed', failure=repr(failure))
+        described = describe_failure(failure)
+        get_logger(self._owner).error('task failed', **described)
 
 
 class _Keeper:
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -167,6 +167,7 @@
     assert [one['reason'] for one in refused] == ['no_upstream']
 
 
+@pytest.mark.expects_faults
 def test_a_follower_that_failed_follows_again(run_gateway, lines, monkeypatch):
     """Guards against LOST: a follower that an exception ended was gone until
     the gateway was restarted."""
@@ -194,6 +195,8 @@
         'follow servers/',
         'follow evacuations/',
     }
+    reported = {line['part'] for line in lines.named('internal_fault')}
+    assert reported == restarted
 
 
 def test_a_gateway_without_a_store_is_not_ready(run_gateway):
--- a/tests/operators/test_http_client.py
+++ b/tests/operators/test_http_client.py
@@ -59,6 +59,27 @@
     assert found == ['unauthorized', 'forbidden', 'invalid_object']
 
 
+@pytest.mark.expects_faults
+def test_a_fault_of_the_entry_is_no_malformed_request(listen, monkeypatch):
+    """Guards against an operator who looks for the fault in the command, and
+    against "nothing changed" for a write that may be stored."""
+
+    def fail(declaration):
+        raise ArithmeticError('of a test')
+
+    async def session():
+        listener = listen()
+        monkeypatch.setattr(listener.side.api, 'declare', fail)
+        with _open(listener.url, listener.tokens['ann']) as client:
+            with pytest.raises(OperatorError) as caught:
+                await client.write('drain', 'd', {'entry': 'e'}, 0, '')
+        return caught.value
+
+    error = asyncio.run(session())
+    assert error.kind == ErrorKind.OUTCOME_UNKNOWN
+    assert error.fields['error'] == 'internal'
+
+
 class _Closing(TCPServer):
     """Reads a request and closes the connection without an answer."""
 
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -168,3 +168,49 @@
     assert 'there is no u' in found['previews'][1]['warnings'][0]
     assert found['conflicts'][0]['winner'] == 'drain/d'
     assert (ready, writes) == (503, 1)
+
+
+@pytest.mark.expects_faults
+@pytest.mark.parametrize('method', ['PUT', 'GET'])
+def test_a_fault_of_our_own_is_answered_and_reported(
+    listen, monkeypatch, capsys, method
+):
+    """Guards against a fault that an operator sees and nobody else does, and
+    against "not run" for a write that may be in the store."""
+
+    def fail(*_):
+        raise ArithmeticError('of a test')
+
+    async def session():
+        listener = listen()
+        monkeypatch.setattr(listener.side.api, 'declare', fail)
+        monkeypatch.setattr(listener.side.api, 'get', fail)
+        body = _WEST if method == 'PUT' else None
+        answer = await listener.call(method, '/objects/drain/d', body)
+        return *answer, listener.side.counters
+
+    response, fields, counters = asyncio.run(session())
+    assert response.code == 500
+    assert response.headers['Content-Type'] == 'application/json'
+    assert response.headers['Nutmegshore-Outcome'] == 'unknown'
+    assert (fields['error'], fields['outcome']) == ('internal', 'unknown')
+    assert fields['advice']
+    assert 'of a test' not in response.body.decode()
+    assert counters.total('internal_faults', part='operators') == 1
+    written = capsys.readouterr()
+    assert "ArithmeticError('of a test')" in written.out
+    assert 'in fail' in written.out
+    assert not written.err
+
+
+def test_a_refusal_is_no_fault(listen):
+    """Guards against alarms for what operators get wrong."""
+
+    async def session():
+        listener = listen()
+        await listener.call('GET', '/objects/drain/d')
+        await listener.call('PUT', '/objects/drain/d', '{')
+        await listener.call('GET', '/explain?service=%ff')
+        return listener.side.counters
+
+    assert not asyncio.run(session()).total('internal_faults')
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+import structlog
 
 from nutmegshore.clock import VirtualClock
 from nutmegshore.counters import Counters
@@ -89,3 +90,10 @@
 def net():
     """Empty network of mesh members."""
     return _Net()
+
+
+@pytest.fixture
+def log_lines():
+    """Lines that a test logs through structlog, as maps."""
+    with structlog.testing.capture_logs() as lines:
+        yield lines
--- a/tests/peers/test_tasks.py
+++ b/tests/peers/test_tasks.py
@@ -67,3 +67,43 @@
         assert work.starts == stopped_at
 
     run_virtual(session)
+
+
+def test_a_task_that_ends_by_a_fault_is_logged_with_its_place(log_lines):
+    """Guards against a fault without a stack, which nobody can mend."""
+
+    async def session():
+        clock = VirtualClock()
+        counters = Counters()
+        tasks = OwnedTasks('mesh', counters)
+        tasks.spawn(Failing(clock, 1).run())
+        await clock.sleep(1)
+        assert counters.total('task_failures', owner='mesh') == 1
+
+    run_virtual(session)
+    line = log_lines[0]
+    assert (line['log_level'], line['event']) == ('error', 'task failed')
+    assert line['part'] == 'mesh'
+    assert line['error'] == "RecursionError('odd')"
+    assert 'in run' in line['stack']
+
+
+def test_a_long_stack_is_logged_by_its_end(log_lines):
+    """Guards against log lines without a bound."""
+
+    def recur(depth):
+        if not depth:
+            raise ArithmeticError('x' * _HOUR_S)
+        return recur(depth - 1) + recur(depth - 2)
+
+    async def fail():
+        recur(100)
+
+    async def session():
+        tasks = OwnedTasks('mesh', Counters())
+        tasks.spawn(fail())
+        await VirtualClock().sleep(1)
+
+    run_virtual(session)
+    assert len(log_lines[0]['stack']) < _HOUR_S
+    assert len(log_lines[0]['error']) < _HOUR_S
