Follow the settings although their file is spoilt once

Cause: only errors of the file system were expected; nothing awaits the task. Change: the watch of the settings is a module of its own; what cannot be read or applied is logged, and the next check tries again.

--- a/nutmegshore/gateway/run.py
+++ b/nutmegshore/gateway/run.py
@@ -4,11 +4,10 @@
 import pathlib
 import signal
 
-from nutmegshore.errors import SettingsError
-from nutmegshore.gateway.assembly import GatewayDependencies
 from nutmegshore.gateway.daemon import GatewayDaemon
 from nutmegshore.gateway.process_dependencies import make_dependencies
-from nutmegshore.gateway.settings import GatewaySettings, read_settings
+from nutmegshore.gateway.settings import read_settings
+from nutmegshore.gateway.settings_watch import SettingsWatch
 
 __all__ = ('SETTINGS_VARIABLE', 'run_gateway')
 
@@ -28,20 +27,25 @@
 
 
 class _Process:
-    """A daemon and its settings file."""
+    """A daemon, its settings file and its signals."""
 
     def __init__(self, path: pathlib.Path) -> None:
         self._path = path
-        self._text = ''
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
 
     async def run(self) -> None:
         """Start, wait for a signal, and stop."""
-        daemon = GatewayDaemon(*self._read_initial_settings())
+        text = self._path.read_text(encoding='utf-8')
+        settings = read_settings(text)
+        dependencies = make_dependencies(settings)
+        daemon = GatewayDaemon(settings, dependencies)
+        settings_watch = SettingsWatch(
+            self._path, text, daemon, dependencies.log.faults
+        )
         self._handle_signals()
         start = asyncio.ensure_future(daemon.start())
-        watch = asyncio.ensure_future(self._watch_settings(daemon))
+        watch = asyncio.ensure_future(self._watch(settings_watch))
         stopped = asyncio.ensure_future(self._stop.wait())
         await asyncio.wait(
             (start, stopped),
@@ -54,44 +58,17 @@
         watch.cancel()
         await daemon.stop()
 
-    def _read_initial_settings(
-        self,
-    ) -> tuple[GatewaySettings, GatewayDependencies]:
-        self._text = self._path.read_text(encoding='utf-8')
-        settings = read_settings(self._text)
-        return settings, make_dependencies(settings)
-
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
 
-    async def _watch_settings(self, daemon: GatewayDaemon) -> None:
+    async def _watch(self, settings_watch: SettingsWatch) -> None:
         while True:
             is_requested = await _wait_for(self._reload, _POLL_INTERVAL_S)
             self._reload.clear()
-            self._check_settings(daemon, is_requested=is_requested)
-
-    def _check_settings(
-        self, daemon: GatewayDaemon, *, is_requested: bool
-    ) -> None:
-        """Reload the settings if they changed or a signal requested it."""
-        try:
-            text = self._path.read_text(encoding='utf-8')
-        except OSError as failure:
-            reason = failure.strerror
-            daemon.report_reload(f'settings file: {reason}')
-            return
-        if text == self._text and not is_requested:
-            return
-        self._text = text
-        try:
-            settings = read_settings(text)
-        except SettingsError as error:
-            daemon.report_reload(str(error))
-            return
-        daemon.reload(settings)
+            settings_watch.check(is_requested=is_requested)
 
 
 async def _wait_for(event: asyncio.Event, within_s: float) -> bool:
