Stop although one step of the stop fails

A fault before the requests are drained ended the process under them. Change: each of the three steps before the drain is contained and reported. Measured: test_a_fault_in_a_stop_cuts_no_request fails on the code before (ArithmeticError out of the stop) and passes now, with the other seven of tests/gateway/test_daemon.py.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -109,10 +109,15 @@
         self._dependencies.log.write(
             Stopping(self._forwarder.in_flight, grace_s)
         )
-        self._assembly.context.attempt_timeout.lift()
         self._peering.is_ready = False
-        self._peering.report()
-        self._assembly.peers.leave()
+        steps = (
+            self._assembly.context.attempt_timeout.lift,
+            self._peering.report,
+            self._assembly.peers.leave,
+        )
+        for step in steps:
+            with self._dependencies.log.faults.contain('stop'):
+                step()
         cut = 0
         if self._callers is not None:
             self._callers.leave()
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from nutmegshore.gateway.peering import Peering
 from nutmegshore.platform.store import PlatformStore
 
 _ANSWER = (
@@ -142,6 +143,27 @@
     assert received.startswith((b'HTTP/1.1 502 ', b'HTTP/1.1 504 '))
 
 
+@pytest.mark.expects_faults
+def test_a_fault_in_a_stop_cuts_no_request(run_gateway, monkeypatch):
+    """Guards against LOST: a fault in one step of a stop ended the process
+    under its requests."""
+
+    def fail(peering):
+        raise ArithmeticError('of a test')
+
+    async def session(running):
+        async with running as (daemon, _):
+            await daemon.start()
+            pending = asyncio.ensure_future(_talk(daemon.caller_port, _REQUEST))
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr(Peering, 'report', fail)
+            await daemon.stop()
+            return await pending
+
+    received = asyncio.run(asyncio.wait_for(session(run_gateway()), 20))
+    assert received.startswith(b'HTTP/1.1 200 ')
+
+
 def test_a_stop_tells_how_many_requests_it_cut(run_gateway, lines):
     """Guards against `cut` being counted after the requests had been cut: it
     was always 0."""
