Hear of the store before entries can expire, whatever the bound

In the model, with a drain bound of 4 s and calls of the store that take 0.8 s, or a bound of 5 s and calls of 0.1 s, all gateways took a sound store for away once in each round of listings. What was removed then would have been kept for 2.3 s more (DRAIN).

Cause: a silence of 3 s counts as an outage, since entries can expire in it, but how often the store is called followed from half of the kind's bound alone. Trace of test_the_death_of_an_aggregator_is_no_outage_of_the_store[4-0-0.8], before: last answer known of 8.76 s; g76, whose turn it is, lists from 11.02 to 11.82; 85 gateways doubt the store from 11.78 to 11.86. The class: a silence that is taken for an absence, though nobody asked.

The fix: kinds whose entries expire are listed after half of 3 s at the latest, as with a bound of 3 s. From the last answer to the next one at all gateways that leaves 1.5 s, 0.4 s for a turn that is missed, 0.25 s to the round, the call, and 0.55 s for the word of it. Bounds up to 3 s, and kinds without expiry, cost no call more.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -62,7 +62,8 @@
 
     `known` holds the objects; the watch continues from their position. If
     the digests of two gateways differ, the one with the lower position is
-    behind. `bound_s` is the time within which a change must take effect.
+    behind. `bound_s` is the time within which a change must take effect, and
+    `has_leases` says whether objects expire.
     After a failure, and after a restore of the store, the follower lists all
     objects again. `on_news` is called after each listing, and when the known
     objects change, with the source: `watch`, `listing`, or another gateway.
@@ -98,6 +99,7 @@
         self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
         self.outages = self._health.outages
+        self.has_leases = replica.has_leases
         self._context = context
         self._check_requested = asyncio.Event()
         self._restart = asyncio.Event()
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -13,7 +13,13 @@
 
 
 class Replica(abc.ABC):
-    """Local copy of one kind of object, updated by a follower."""
+    """Local copy of one kind of object, updated by a follower.
+
+    `has_leases` says whether the store removes objects whose owners have not
+    written them again in time.
+    """
+
+    has_leases = False
 
     @abc.abstractmethod
     def replace(
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -160,6 +160,8 @@
 class UpstreamReplica(Replica):
     """Replicates the registered upstreams; rejects invalid entries."""
 
+    has_leases = True
+
     def __init__(
         self,
         context: ReplicaContext,
--- a/nutmegshore/gateway/store_checks.py
+++ b/nutmegshore/gateway/store_checks.py
@@ -5,6 +5,7 @@
 
 from nutmegshore.gateway.follower import KindFollower
 from nutmegshore.gateway.roster import Roster
+from nutmegshore.gateway.store_outages import EXPIRING_S
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 
 __all__ = ('StoreChecks',)
@@ -56,7 +57,7 @@
         """List the kinds whose last listing is too long ago."""
         turn_s = self._turn() * _TURN_S
         for follower in followers:
-            wait_s = _CHECK_FRACTION * follower.bound_s + turn_s
+            wait_s = _CHECK_FRACTION * _answered_within_s(follower) + turn_s
             if self.age_s(follower) > wait_s:
                 follower.check()
 
@@ -78,3 +79,14 @@
         if peers.local.name not in checking:
             return _MAX_TURNS
         return min(checking.index(peers.local.name), _MAX_TURNS)
+
+
+def _answered_within_s(follower: KindFollower) -> float:
+    """Seconds within which some gateway must hear of a kind again.
+
+    In a longer silence entries may have expired, whether the store was away or
+    nobody called it.
+    """
+    if follower.has_leases:
+        return min(follower.bound_s, EXPIRING_S)
+    return follower.bound_s
--- a/nutmegshore/gateway/store_outages.py
+++ b/nutmegshore/gateway/store_outages.py
@@ -4,14 +4,14 @@
 
 from nutmegshore.clock import Clock
 
-__all__ = ('REWRITE_S', 'StoreOutages', 'ToldAnswers')
+__all__ = ('EXPIRING_S', 'REWRITE_S', 'StoreOutages', 'ToldAnswers')
 
 #: Seconds after the return of the store within which live upstreams have
 #: registered again.
 REWRITE_S = 2.3
 #: Seconds without an answer in which entries can expire: upstreams write every
 #: 1.5 s, and an entry expires after three such intervals.
-_EXPIRING_S = 3
+EXPIRING_S = 3
 #: Seconds after which an answer tells nothing; peers without any name more.
 _MAX_AGE_S = 3600
 
@@ -59,7 +59,7 @@
     def may_lack_entries(self) -> bool:
         """Whether live upstreams may still be about to register again."""
         since_return_s = self._clock.now() - self._returned_at
-        return self.silent_s >= _EXPIRING_S or since_return_s < REWRITE_S
+        return self.silent_s >= EXPIRING_S or since_return_s < REWRITE_S
 
     def told(self) -> ToldAnswers:
         """Return what is known of the answers, for other gateways."""
@@ -88,9 +88,9 @@
         now = self._clock.now()
         last_at = now - told.age_s
         since = min(now - told.steady_s, last_at)
-        if since - self._answered_at >= _EXPIRING_S:
+        if since - self._answered_at >= EXPIRING_S:
             self._begin(since)
-        elif told.steady_s and last_at > self._steady_since - _EXPIRING_S:
+        elif told.steady_s and last_at > self._steady_since - EXPIRING_S:
             # Both know answers of one time, and this gateway missed some.
             self._steady_since = min(self._steady_since, since)
             self._returned_at = min(self._returned_at, since)
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -359,6 +359,29 @@
     assert in_use_s + _REQUEST_S <= drain_s
 
 
+@pytest.mark.parametrize('count', [_SMALL, _LARGE])
+@pytest.mark.parametrize('call_s', [0.1, 0.8])
+@pytest.mark.parametrize('drain_s', [2, 3, 4, 5])
+def test_a_quiet_store_is_not_away(run_fleet, drain_s, call_s, count):
+    """Guards against DRAIN: gateways that let each other list the store, less
+    often the later changes may take effect, took it for away meanwhile."""
+
+    async def session(fleet):
+        doubtful = set()
+        for gateway in fleet.by_name.values():
+            gateway.platform.call_s = call_s
+        for _ in range(500):
+            await asyncio.sleep(_POLL_S)
+            doubtful.update(
+                one.name
+                for one in fleet.by_name.values()
+                if one.follower.outages.may_lack_entries
+            )
+        return doubtful
+
+    assert not run_fleet(session, count, drain_s=drain_s)
+
+
 @pytest.mark.parametrize('count', [_SMALL, _LARGE])
 @pytest.mark.parametrize('how', ['removed', 'draining'])
 @pytest.mark.parametrize('phase_s', [0, 0.3, 0.6, 0.9, 1.2])
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -58,6 +58,7 @@
     on_news: object = None
     view: object = attrs.field(factory=lambda: PlainView(0))
 
+    has_leases = False
     may_lack_entries = False
 
     def set_relayed(self, *, is_relayed, needs_listing=False):
