--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -62,7 +62,8 @@
 
     `known` holds the objects; the watch continues from their position. If
     the digests of two gateways differ, the one with the lower position is
-    behind. `bound_s` is the time within which a change must take effect.
+    behind. `bound_s` is the time within which a change must take effect, and
+    `has_leases` says whether objects expire.
     After a failure, and after a restore of the store, the follower lists all
     objects again. `on_news` is called after each listing, and when the known
     objects change, with the source: `watch`, `listing`, or another gateway.
@@ -98,6 +99,7 @@
         self.known = self.feed.known
         self._health = StoreHealth(prefix, context.clock, context.log)
         self.outages = self._health.outages
+        self.has_leases = replica.has_leases
         self._context = context
         self._check_requested = asyncio.Event()
         self._restart = asyncio.Event()
@@ -152,7 +154,7 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the last listing."""
+        """Seconds since the call of the last listing that was answered."""
         return self._context.clock.now() - self._listed_at
 
     @property
@@ -226,10 +228,12 @@
         self.feed.expire(is_after_outage=self.outages.may_lack_entries)
 
     async def _list(self) -> None:
+        called_at = self._context.clock.now()
         listing = await self._context.store.read_listing(self.prefix)
         self._context.counters.add('store_listings', kind=self.prefix)
         self._health.record_answer()
-        self._listed_at = self._context.clock.now()
+        # The store may have read the objects as soon as it was called.
+        self._listed_at = called_at
         if listing.read_at < self.known.position:
             self._context.counters.add(
                 'store_listings_outdated', kind=self.prefix
--- a/tests/gateway/test_change_bounds.py
+++ b/tests/gateway/test_change_bounds.py
@@ -359,6 +359,29 @@
     assert in_use_s + _REQUEST_S <= drain_s
 
 
+@pytest.mark.parametrize('count', [_SMALL, _LARGE])
+@pytest.mark.parametrize('call_s', [0.1, 0.8])
+@pytest.mark.parametrize('drain_s', [2, 3, 4, 5])
+def test_a_quiet_store_is_not_away(run_fleet, drain_s, call_s, count):
+    """Guards against DRAIN: gateways that let each other list the store, less
+    often the later changes may take effect, took it for away meanwhile."""
+
+    async def session(fleet):
+        doubtful = set()
+        for gateway in fleet.by_name.values():
+            gateway.platform.call_s = call_s
+        for _ in range(500):
+            await asyncio.sleep(_POLL_S)
+            doubtful.update(
+                one.name
+                for one in fleet.by_name.values()
+                if one.follower.outages.may_lack_entries
+            )
+        return doubtful
+
+    assert not run_fleet(session, count, drain_s=drain_s)
+
+
 @pytest.mark.parametrize('count', [_SMALL, _LARGE])
 @pytest.mark.parametrize('how', ['removed', 'draining'])
 @pytest.mark.parametrize('phase_s', [0, 0.3, 0.6, 0.9, 1.2])
@@ -380,6 +403,29 @@
     assert in_use_s + _REQUEST_S <= _DRAIN_S[count]
 
 
+@pytest.mark.parametrize(('count', 'answer_s'), [(_SMALL, 0.3), (_LARGE, 0.8)])
+@pytest.mark.parametrize('how', ['removed', 'draining'])
+def test_a_listing_is_as_old_as_its_call(run_fleet, how, count, answer_s):
+    """Guards against DRAIN: while no watch hears anything, the next listing
+    waited from when the last one had arrived, however long it took."""
+
+    async def session(fleet):
+        await _deafen(fleet)
+        for gateway in fleet.by_name.values():
+            gateway.platform.answer_s = answer_s
+        await asyncio.sleep(6)
+        in_use = []
+        for index in range(24):
+            await asyncio.sleep(0.1)
+            await fleet.leave(f'u{index}', how)
+            watching = fleet.seconds_in_use(f'u{index}')
+            in_use.append(asyncio.ensure_future(watching))
+        return max(await asyncio.gather(*in_use))
+
+    worst_s = run_fleet(session, count, upstreams=24)
+    assert worst_s + _REQUEST_S <= _DRAIN_S[count]
+
+
 @pytest.mark.parametrize('region', REGIONS)
 @pytest.mark.parametrize('how', ['removed', 'draining'])
 @pytest.mark.parametrize('drain_s', [3, 4])
