Read an entry of the store before it is removed

What callers saw: nothing yet; a gateway whose entry is gone is not found by those that start, and is dialled by nobody, until it announces itself again.

Cause: `Expected` named a uid and a version, numbers that the store gives out again in its next era.

Why it works: an object carries the era of the answer that showed it, and `Expected` demands it. It costs one read for each dead entry.

Ruled out: the same before a replacement.

What remains: a restore between the read and the removal.

--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -86,6 +86,9 @@
     `VersionConflict` where the object is not as expected. An answer without a
     readable era counts for the newest era that any answer has named.
 
+    The store compares revisions only, and gives them out again after a restore.
+    An object is therefore read before it is removed.
+
         store = PlatformStore('10.0.0.1:8642')
         listing = await store.read_listing('servers/')
     """
@@ -110,7 +113,8 @@
         if response.code == HTTPStatus.NOT_FOUND:
             return None
         raw = _parse_read(response, key, OBJECT_LEVELS)
-        return parse_object(_kind(key), raw)
+        era = read_era(response.headers, self.eras)
+        return parse_object(_kind(key), raw, era)
 
     async def iter_objects(self, prefix: str) -> list[StoredObject]:
         """Read all objects of a kind; the prefix is `KIND/`."""
@@ -161,12 +165,9 @@
         )
         raw = _parse_read(response, kind, _WATCH_LEVELS)
         try:
-            found = _parse_events(kind, raw['events'])
-            changes = Changes(
-                int(raw['StoreRevision']),
-                found.parsed,
-                read_era(response.headers, self.eras),
-            )
+            era = read_era(response.headers, self.eras)
+            found = _parse_events(kind, raw['events'], era)
+            changes = Changes(int(raw['StoreRevision']), found.parsed, era)
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
         if found.unnamed:
@@ -200,10 +201,15 @@
             if conflict.present and conflict.present.operation == operation:
                 return conflict.present
             raise
-        return parse_object(_kind(key), _parse_written(response, key))
+        raw = _parse_written(response, key)
+        era = read_era(response.headers, self.eras)
+        return parse_object(_kind(key), raw, era)
 
     async def remove(self, key: str, expected: Expected) -> None:
         """Remove the object if it is as expected."""
+        present = await self.read(key)
+        if present is None or Expected.of(present) != expected:
+            raise VersionConflict(key, present)
         query = urlencode({'Revision': expected.version})
         await self._send_write(key, query=f'?{query}', method='DELETE')
 
@@ -216,13 +222,14 @@
         response = await self._fetch(f'/{kind}?{query}')
         raw = _parse_read(response, kind, _LISTING_LEVELS)
         try:
-            found = _parse_items(kind, raw['items'])
+            era = read_era(response.headers, self.eras)
+            found = _parse_items(kind, raw['items'], era)
             return _Page(
                 int(raw['StoreRevision']),
                 found.parsed,
                 bool(raw.get('HasMore')),
                 found.unnamed,
-                read_era(response.headers, self.eras),
+                era,
             )
         except _MALFORMED_ERRORS as failure:
             raise PlatformUnavailable(f'{kind}: malformed answer') from failure
@@ -238,11 +245,12 @@
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as failure:
             raise unanswered(key, failure) from failure
-        read_era(response.headers, self.eras)
+        era = read_era(response.headers, self.eras)
         if response.code < HTTPStatus.MULTIPLE_CHOICES:
             return response
         if response.code == HTTPStatus.CONFLICT:
-            raise VersionConflict(key, _parse_conflicting(key, response))
+            present = _parse_conflicting(key, response, era)
+            raise VersionConflict(key, present)
         raise _status_error(key, response.code)
 
     async def _fetch(self, path: str, **options: Any) -> HTTPResponse:
@@ -330,42 +338,44 @@
         raise PlatformAnswerLost(f'{key}: malformed JSON') from failure
 
 
-def _parse_conflicting(key: str, response: HTTPResponse) -> StoredObject | None:
+def _parse_conflicting(
+    key: str, response: HTTPResponse, era: int
+) -> StoredObject | None:
     try:
         raw = read_parts(response.body, OBJECT_LEVELS)
-        return parse_object(_kind(key), raw)
+        return parse_object(_kind(key), raw, era)
     except PlatformFormatError:
         # The write conflicts even if the present object is unreadable.
         return None
 
 
-def _parse_items(kind: str, items: list[Any]) -> _Parsed:
+def _parse_items(kind: str, items: list[Any], era: int) -> _Parsed:
     parsed: list[StoredObject] = []
     unnamed: list[str] = []
     for entry in items:
         try:
-            parsed.append(parse_object(kind, entry))
+            parsed.append(parse_object(kind, entry, era))
         except PlatformFormatError as failure:
             unnamed.append(str(failure))
     return _Parsed(tuple(parsed), tuple(unnamed))
 
 
-def _parse_events(kind: str, events: list[Any]) -> _Parsed:
+def _parse_events(kind: str, events: list[Any], era: int) -> _Parsed:
     parsed: list[Change] = []
     unnamed: list[str] = []
     for event in events:
         try:
-            parsed.extend(_iter_changes(kind, event))
+            parsed.extend(_iter_changes(kind, event, era))
         except PlatformFormatError as failure:
             unnamed.append(str(failure))
     return _Parsed(tuple(parsed), tuple(unnamed))
 
 
-def _iter_changes(kind: str, event: Any) -> Iterator[Change]:
+def _iter_changes(kind: str, event: Any, era: int) -> Iterator[Change]:
     """Yield the change that an event describes."""
     if not isinstance(event, dict):
         raise PlatformFormatError('an event that is no JSON object')
-    stored = parse_object(kind, event.get('Object'))
+    stored = parse_object(kind, event.get('Object'), era)
     is_removed = bool(event.get('Deleted'))
     # An object of unknown revision follows a removal, since it would appear
     # to be older than the one that is known.
--- a/nutmegshore/platform/stored_object.py
+++ b/nutmegshore/platform/stored_object.py
@@ -35,8 +35,8 @@
 _MAX_UID_CHARS = 64
 
 
-def parse_object(kind: str, raw: Any) -> StoredObject:
-    """Parse one object as `read_parts` returned it.
+def parse_object(kind: str, raw: Any, era: int) -> StoredObject:
+    """Parse one object as `read_parts` returned it, from an answer of an era.
 
     An object that cannot be read gets a body that says why, so that whoever
     reads it rejects it under its own name. Raises
@@ -47,14 +47,15 @@
     metadata = fields.read_object(raw, 'Metadata')
     key = f'{kind}/{fields.read_name(metadata, "Name")}'
     try:
-        return _parse_named(key, raw, metadata)
+        return _parse_named(key, raw, metadata, era)
     except PlatformFormatError as failure:
         body = mark_unreadable(str(failure))
-        return StoredObject(key, body, '', _find_revision(metadata), '')
+        revision = _find_revision(metadata)
+        return StoredObject(key, body, '', revision, '', era)
 
 
 def _parse_named(
-    key: str, raw: dict[str, Any], metadata: dict[str, Any]
+    key: str, raw: dict[str, Any], metadata: dict[str, Any], era: int
 ) -> StoredObject:
     fault = find_unreadable(raw, OBJECT_LEVELS)
     if fault:
@@ -68,6 +69,7 @@
         uid=_read_uid(metadata),
         version=fields.read_integer(metadata, _REVISION),
         operation=fields.read_string(spec, OPERATION) if is_own else '',
+        era=era,
     )
 
 
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -33,7 +33,8 @@
 
     `uid` changes when an object is removed and created again, `version` is
     incremented by each write of one uid, and `operation` is the operation id
-    that the last writer chose.
+    that the last writer chose. `era` is the history of the store in which the
+    object was read, 0 if nobody told it; it does not make two objects differ.
     """
 
     key: str
@@ -41,23 +42,26 @@
     uid: str
     version: int
     operation: str
+    era: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
 class Expected:
-    """The uid and version that a conditional write requires.
+    """The uid, version and era that a conditional write requires.
 
-    Both are compared because versions restart when an object is removed and
-    created again, so a stale version alone could match the new object.
+    All are compared because versions restart when an object is removed and
+    created again, and when the store is restored from an older copy, so a stale
+    version alone could match the new object.
     """
 
     uid: str
     version: int
+    era: int = 0
 
     @classmethod
     def of(cls, stored: StoredObject) -> 'Expected':
         """Require that the object is unchanged since it was read."""
-        return cls(stored.uid, stored.version)
+        return cls(stored.uid, stored.version, stored.era)
 
 
 @attrs.frozen
--- a/nutmegshore/store/wire.py
+++ b/nutmegshore/store/wire.py
@@ -44,11 +44,13 @@
 MALFORMED = (ValueError, TypeError, LookupError)
 
 _SEPARATOR = ':'
+#: This store is never restored, so that its objects have no era.
+_NOT_IN_JSON = attrs.filters.exclude(attrs.fields(StoredObject).era)
 
 
 def encode_stored(stored: StoredObject) -> dict[str, Any]:
     """Encode a stored object as JSON fields, with a base64 body."""
-    fields = attrs.asdict(stored)
+    fields = attrs.asdict(stored, filter=_NOT_IN_JSON)
     fields['body'] = base64.b64encode(stored.body).decode()
     return fields
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -127,6 +127,41 @@
     asyncio.run(session())
 
 
+def test_a_removal_spares_an_object_of_another_era(serve_store):
+    """Guards against a removal that takes an object which got the revision of
+    a lost one."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            kept = store.copy()
+            lost = await client.write('gateways/g1', b'1', None, 'op-1')
+            store.restore(kept)
+            store.put('gateways', 'g1', {'operation': 'op-2', 'body': 2})
+            with pytest.raises(VersionConflict) as conflict:
+                await client.remove('gateways/g1', Expected.of(lost))
+            present = conflict.value.present
+            assert (present.version, present.body) == (lost.version, b'2')
+            assert store.get('gateways', 'g1')
+
+    asyncio.run(session())
+
+
+def test_a_removal_takes_an_object_that_is_as_expected(serve_store):
+    """Guards against an era that differs between a write and a listing."""
+
+    async def session():
+        async with serve_store() as (store, client):
+            store.restore(store.copy())
+            await client.write('gateways/g1', b'1', None, 'op-1')
+            written = await client.write('gateways/g2', b'1', None, 'op-2')
+            listed = await client.iter_objects('gateways/')
+            await client.remove('gateways/g1', Expected.of(listed[0]))
+            await client.remove('gateways/g2', Expected.of(written))
+            assert await client.iter_objects('gateways/') == []
+
+    asyncio.run(session())
+
+
 def test_an_unanswered_write_can_apply_later(serve_store):
     """Guards against treating an unanswered write as not applied."""
 
