Withdraw an era that the store names no more

What callers saw: after one answer with a wrong era, a gateway that gets no change any more until it restarts: configurations, drains and evacuations.

Timeline of the tests, on the untouched code, 20 gateways: an aggregator gets answers of era 900 for 3 s; it notes a restore, and so do eight gateways that it relays. Then its answers name era 1 again: each one is a failed call "of the older era". It is no source any more, its gateways ask the store themselves and fail alike, and the other aggregator counts for one that missed the restore.

Cause: the newest era only grows, by whatever any answer or any peer names. The class: a maximum over values from outside, which one wrong value moves for good.

Why it works: the store is linearizable, so that after an answer of era 900 no later call can get one of era 1. If for 2.5 s, longer than a call may take, all answers name an earlier era, the newest one was wrong. It is withdrawn: what is known of it is older than any other answer, the next listing leads back as after a restore (what that lacks is kept for a while), and neither an aggregator nor another peer is believed on it until an answer of the store names it. Answers that arrive late have newer ones between them; what peers tell confirms nothing.

Ruled out: a bound on how far an era may rise. A gateway that was cut off may have missed several restores, and an era that is wrong by one does the same.

What remains: the era still reaches the gateways that the aggregator relays, and these may miss the bound by 0.7 s once. If every relayed gateway asked the store first, a restore would cost a call of each.

--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -9,17 +9,13 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
-from nutmegshore.errors import (
-    HistoryLost,
-    PlatformError,
-    PlatformUnavailable,
-)
+from nutmegshore.errors import HistoryLost, PlatformError
 from nutmegshore.gateway.log import EventLog
-from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.replica import Replica, ReplicaFeed
 from nutmegshore.gateway.replica_view import ReplicaView, ToldView
 from nutmegshore.gateway.store_events import ReplicaChanged
 from nutmegshore.gateway.store_health import StoreHealth
+from nutmegshore.gateway.store_order import StoreOrder
 from nutmegshore.gateway.store_outages import REWRITE_S
 from nutmegshore.store import Changes, Listing, Platform
 from nutmegshore.store.base import WATCH_WAIT_S
@@ -66,7 +62,7 @@
     After a failure, and after a restore of the store, the follower lists all
     objects again. `on_news` is called after each listing, and when the known
     objects change, with the source: `watch`, `listing`, or another gateway.
-    `view` tells how old the known objects are.
+    `view` tells how old the known objects are, `order` which answers are older.
 
     A relayed follower applies the changes that an aggregator sends and does
     not call the store. When relaying ends, the watch continues from the
@@ -96,6 +92,7 @@
         self.view = ReplicaView(context.clock)
         self.feed = ReplicaFeed(replica, context.clock, rewrite_s, self.view)
         self.known = self.feed.known
+        self.order = StoreOrder(prefix, self.known, context.store.eras)
         self._health = StoreHealth(prefix, context.clock, context.log)
         self.outages = self._health.outages
         self._context = context
@@ -206,6 +203,8 @@
         answers of the store itself accepts no later era from a peer.
         """
         known_at = self.known.position
+        if self.order.is_withdrawn(found.era):
+            return False
         is_believed = not self.is_store_reachable or found.era == known_at.era
         if self.is_relayed:
             is_newer = found.read_at >= known_at
@@ -214,7 +213,7 @@
         if not is_newer:
             return False
         if self._context.store.eras is not None:
-            self._context.store.eras.observe(found.era)
+            self._context.store.eras.adopt(found.era)
         self.view.record_peer(sender, told or ToldView())
         self._apply(found, sender)
         # A watch from before would deliver the same changes again.
@@ -230,12 +229,12 @@
         self._context.counters.add('store_listings', kind=self.prefix)
         self._health.record_answer()
         self._listed_at = self._context.clock.now()
-        if listing.read_at < self.known.position:
+        if self.order.is_outdated(listing.read_at):
             self._context.counters.add(
                 'store_listings_outdated', kind=self.prefix
             )
             self._health.record_outdated(listing.read_at, self.known.position)
-            _check_era(self.prefix, listing.era, self.known)
+            self.order.check_era(listing.era)
             return
         self._health.record_current()
         self.view.record_answer(LISTING)
@@ -267,7 +266,7 @@
         self._context.counters.add('store_watches', kind=self.prefix)
         waited_s = self._context.clock.now() - started_at
         self._health.record_answer(waited_s)
-        _check_era(self.prefix, changes.era, self.known)
+        self.order.check_era(changes.era)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
             self.view.record_answer(WATCH)
@@ -314,11 +313,3 @@
         await self._context.clock.sleep(
             self._health.backoff_s(self._context.rng)
         )
-
-
-def _check_era(kind: str, era: int, known: KnownObjects) -> None:
-    """Raise `PlatformError` unless an answer has the known objects' era."""
-    if era < known.position.era:
-        raise PlatformUnavailable(f'{kind}: answer of the older era {era}')
-    if era > known.position.era:
-        raise HistoryLost(f'{kind}: era {era}')
--- a/nutmegshore/gateway/objects.py
+++ b/nutmegshore/gateway/objects.py
@@ -26,7 +26,8 @@
     its own position.
 
     If the store is restored from an older copy, a listing or the changes of a
-    peer lead to its next era. Revisions of two eras are not compared.
+    peer lead to its next era. Revisions of two eras are not compared. A listing
+    of an earlier era leads back to it.
 
         known.apply(changes)
         known.changes_since(StorePosition(2, 16))
@@ -66,7 +67,10 @@
         self.digest = 0
         for stored in listing.listed:
             self.digest ^= _digest(stored)
-        self._move_to(max(self.position, listing.read_at))
+        read_at = listing.read_at
+        if read_at.era == self.position.era:
+            read_at = max(self.position, read_at)
+        self._move_to(read_at)
         for key in before.keys() | self.by_key.keys():
             if before.get(key) != self.by_key.get(key):
                 self._record_change(key, before.get(key))
@@ -110,13 +114,25 @@
         return position.era == last.era and position <= last
 
     def _move_to(self, position: StorePosition) -> None:
-        if position.era > self.position.era:
+        if position.era != self.position.era:
             self._last_of_previous_era = self.position
             # What was written again at its lost revision is no change here.
             self._era_began_at = position if self.position.era else _START
+        if position.era < self.position.era:
+            self._forget_after(position)
         self.position = position
         self._first_era = self._first_era or position.era
 
+    def _forget_after(self, position: StorePosition) -> None:
+        """Have what changed in a later era count as changed at a position."""
+        self._last_of_previous_era = _START
+        self._first_era = min(self._first_era, position.era)
+        self._history_start = min(self._history_start, position)
+        self._changed_at = {
+            key: min(changed_at, position)
+            for key, changed_at in self._changed_at.items()
+        }
+
     def _is_outdated(self, change: Change) -> bool:
         known = self.by_key.get(change.key)
         if change.stored is None or known is None:
--- a/nutmegshore/gateway/replica.py
+++ b/nutmegshore/gateway/replica.py
@@ -42,7 +42,7 @@
 class ReplicaFeed:
     """Keeps the known objects of one kind, and updates the replica by them.
 
-    When a listing or changes lead to the next era of the store, what the
+    When a listing or changes lead to another era of the store, what the
     restore took away or brought back reaches the replica only after its
     owners could have written it again.
 
@@ -100,8 +100,8 @@
             self._replica.expire()
 
     def _is_restored(self, era: int) -> bool:
-        """Whether an era follows the known one; the first one does not."""
-        return 0 < self.known.position.era < era
+        """Whether an era replaces the known one; the first one does not."""
+        return self.known.position.era not in {0, era}
 
     def _replace_all(
         self, before: list[StoredObject] | None, *, is_after_outage: bool
--- a/nutmegshore/gateway/store_events.py
+++ b/nutmegshore/gateway/store_events.py
@@ -60,7 +60,8 @@
 class StoreRestored:
     """The store was restored from an older copy.
 
-    `era` numbers its present history, `previous` the one before.
+    `era` numbers its present history, `previous` the one before. It is below
+    `previous` if the store names that one no more: there was no such restore.
     """
 
     severity = Severity.CHANGE
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from nutmegshore.gateway.era_doubts import EraDoubts
 from nutmegshore.gateway.follower import FollowerContext, KindFollower
 from nutmegshore.gateway.replicas import (
     ConfigurationReplica,
@@ -69,6 +70,7 @@
         self.restores.on_restore.append(self._check_all)
         if context.store.eras is not None:
             self.restores.follow(context.store.eras)
+            EraDoubts(context.store.eras, context.clock).follow()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the bounds of reloaded settings."""
--- a/nutmegshore/gateway/store_sources.py
+++ b/nutmegshore/gateway/store_sources.py
@@ -35,8 +35,10 @@
         It counts from when it said so. One that has not noticed the last
         restore, or that is itself behind the store, is no source.
         """
-        is_same_era = told.position.era >= follower.known.position.era
-        if is_same_era and not _is_stale(follower, told.age_s):
+        era = told.position.era
+        is_same_era = era >= follower.known.position.era
+        is_believed = is_same_era and not follower.order.is_withdrawn(era)
+        if is_believed and not _is_stale(follower, told.age_s):
             sent_at = self._dependencies.clock.now() - told.transit_s
             before = self._sent_at.get(follower.prefix, sent_at)
             self._sent_at[follower.prefix] = max(before, sent_at)
--- a/nutmegshore/store/eras.py
+++ b/nutmegshore/store/eras.py
@@ -17,27 +17,54 @@
         eras.observe(4)
         eras.observe(5)  # calls log_restore(5, 4)
 
+    An era that the store names no more is withdrawn. Until an answer names it
+    once again, no other gateway is believed that it exists.
+
     The functions in `on_restore` are called with the new and the previous era,
-    those in `on_unreadable` with the text of an era that cannot be read.
+    also when that one is withdrawn. Those in `on_answer` get the era of each
+    answer, and those in `on_unreadable` the text of an era that cannot be read.
     """
 
     def __init__(self) -> None:
         """Start before the first answer."""
         self.newest = 0
         self.on_restore: list[Callable[[int, int], None]] = []
+        self.on_answer: list[Callable[[int], None]] = []
         self.on_unreadable: list[Callable[[str], None]] = []
+        self._withdrawn: int | None = None
 
     def observe(self, era: int) -> None:
         """Record the era of an answer."""
-        previous = self.newest
-        if era <= previous:
-            return
-        self.newest = era
-        if previous:
-            for handle_restore in self.on_restore:
-                handle_restore(era, previous)
+        if era > self.newest:
+            self._change_to(era)
+        for handle_answer in self.on_answer:
+            handle_answer(era)
+
+    def adopt(self, era: int) -> None:
+        """Record the era of objects that another gateway sent."""
+        if era > self.newest and not self.is_withdrawn(era):
+            self._change_to(era)
+
+    def withdraw(self, era: int) -> None:
+        """Return to an earlier era, the only one that the store still names."""
+        withdrawn = self.newest
+        self._change_to(era)
+        self._withdrawn = withdrawn
+
+    def is_withdrawn(self, era: int) -> bool:
+        """Whether an era was withdrawn and not named since."""
+        return era == self._withdrawn
 
     def reject(self, text: str) -> None:
         """Record an answer whose era cannot be read."""
         for handle_unreadable in self.on_unreadable:
             handle_unreadable(text)
+
+    def _change_to(self, era: int) -> None:
+        previous = self.newest
+        self.newest = era
+        if self.is_withdrawn(era):
+            self._withdrawn = None
+        if previous:
+            for handle_restore in self.on_restore:
+                handle_restore(era, previous)
--- a/tests/gateway/test_objects.py
+++ b/tests/gateway/test_objects.py
@@ -138,6 +138,22 @@
     assert changes is None or changes.changes == (Change(new.key, new),)
 
 
+def test_a_listing_of_an_earlier_era_leads_back(known):
+    """Guards against a peer that is sent all objects, or all that changed in an
+    era that was withdrawn, for ever."""
+    first = _stored('a', 8)
+    known.replace(Listing(20, (first, _stored('b', 9)), era=1))
+    known.replace(Listing(21, (first, _stored('b', 21)), era=900))
+    known.replace(Listing(22, (_stored('a', 22),), era=1))
+    assert known.position == StorePosition(1, 22)
+    assert known.changes_since(StorePosition(1, 20)) is None
+    assert known.changes_since(StorePosition(900, 20)) is None
+    known.apply(Changes(23, (Change('servers/a', None),), era=1))
+    changes = known.changes_since(StorePosition(1, 22))
+    assert changes.changes == (Change('servers/a', None),)
+    assert known.locate(30, None) == StorePosition(1, 30)
+
+
 def test_changes_of_two_objects_do_not_cancel(known):
     """Guards against DRAIN: two upstreams said that they leave, and gateways
     that had missed both took themselves for up to date."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -1057,6 +1057,38 @@
     run_fleet(session)
 
 
+@pytest.mark.parametrize('count', [1, 4, 20])
+def test_a_restore_after_a_wrong_era_is_noticed(run_fleet, count):
+    """Guards against a restore that seems older than a wrong era, and against
+    gateways that return to the wrong one when they hear of it again."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(count)]
+        await asyncio.sleep(4)
+        for gateway in gateways[::2]:
+            gateway.faults.era_text = '900'
+        await asyncio.sleep(3)
+        for gateway in gateways:
+            gateway.faults.era_text = None
+        await asyncio.sleep(10)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        wrong = {}
+        for _ in range(20):
+            _record_wrong(gateways, {'i-1', 'i-2'}, wrong)
+            await asyncio.sleep(_POLL_S)
+        fleet.configure(3)
+        fleet.register('i-2')
+        await asyncio.sleep(_BOUND_S)
+        assert {one.read_version() for one in gateways} == {3}
+        assert not wrong
+
+    run_fleet(session)
+
+
 @pytest.mark.parametrize('count', [1, 4])
 @pytest.mark.parametrize('hung_s', [0.5, 1, 1.5, 2])
 @pytest.mark.parametrize('later_s', [0.1, 1])
