End a stop beside connections with TLS

An entry whose callers use TLS could not stop while one of them kept an idle connection: its requests in flight were cut, and its records, peers and store stayed open until the process ended. Cause: the look for bytes that have arrived calls recv with MSG_PEEK, which an SSLSocket answers with ValueError; `close_when_idle` raised it into `finish`, and the stop ended there. Since the idle loop looks as well, the end of the idle time was an internal fault too, and so was a connection that closes in the same turn (its socket is None then). Change: the look goes to the plain socket, whose bytes are the encrypted ones. Measured: test_a_stop_ends_beside_an_idle_connection_with_tls failed before (ValueError: non-zero flags not allowed in calls to recv()) and passes now.

--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -181,8 +181,11 @@
 
 def _has_unread(stream: IOStream) -> bool:
     """Whether bytes have arrived that the loop has not read yet."""
+    if stream.closed():
+        return False
     try:
-        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+        # `recv` of a TLS socket takes no flags; the encrypted bytes will do.
+        return bool(socket.socket.recv(stream.socket, 1, socket.MSG_PEEK))
     except OSError:
         return False
 
--- a/tests/listener/test_connection.py
+++ b/tests/listener/test_connection.py
@@ -1,6 +1,8 @@
 """Tests of a caller's connection on real sockets."""
 
 import asyncio
+import pathlib
+import ssl
 import time
 
 from nutmegshore.counters import Counters
@@ -16,6 +18,7 @@
 _REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 _IDLE_S = 1
 _PATIENCE_S = 5
+_TLS = pathlib.Path(__file__).parent.parent / 'operators' / 'tls'
 
 
 class Greeter(Responder):
@@ -80,3 +83,27 @@
 
     head, received = asyncio.run(session())
     assert b'Connection: close' in head or received.startswith(b'HTTP/1.1 200')
+
+
+def test_a_stop_ends_beside_an_idle_connection_with_tls():
+    """Guards against LOST: the look for bytes that wait raised on a TLS
+    connection, so that the stop ended there and cut all requests."""
+
+    async def session():
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(_TLS / 'server.pem', _TLS / 'server.key')
+        listener = ListenerContext(Greeter, Counters())
+        server = CallerServer(listener, context)
+        port = server.open(0, '127.0.0.1')
+        trusting = ssl.create_default_context(cafile=_TLS / 'ca.pem')
+        trusting.check_hostname = False
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, ssl=trusting
+        )
+        writer.write(_REQUEST)
+        await reader.readuntil(b'hello')
+        async with asyncio.timeout(_PATIENCE_S):
+            await server.finish()
+        writer.close()
+
+    asyncio.run(session())
