Answer although the id of a request cannot be read

A fault in the reading of the caller's fields reset the connection: the report of the fault asked for the request's id, and with it for what had just failed. Change: the id is read apart, and a fault there is one more line. Measured: test_a_fault_in_the_reading_of_the_id_is_answered failed before (IncompleteReadError, reset) and gets a 503 now.

--- a/nutmegshore/listener/fault_answer.py
+++ b/nutmegshore/listener/fault_answer.py
@@ -63,5 +63,8 @@
         return RequestError(kind, type(fault).__name__)
 
     def _report(self, fault: Exception) -> None:
-        request_id = self._responder.request_id if self._responder else ''
+        request_id = ''
+        # The fault may lie in what reads the id.
+        with self._faults.contain(_PART):
+            request_id = self._responder.request_id if self._responder else ''
         self._faults.report(_PART, fault, request_id)
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -316,3 +316,14 @@
     failed, passed = asyncio.run(ask())
     assert failed.startswith(b'HTTP/1.1 503 ')
     assert passed.startswith(b'HTTP/1.1 200 ')
+
+
+def test_a_fault_in_the_reading_of_the_id_is_answered(
+    make_context, scripted, monkeypatch
+):
+    """Guards against a reset where the report of a fault asks again for what
+    has just failed, the id of the request."""
+    where = 'nutmegshore.gateway.responder.read_caller_fields'
+    monkeypatch.setattr(where, _Failing())
+    received = _send(make_context(scripted()))
+    assert received.startswith(b'HTTP/1.1 503 ')
