Answer a request whose work was cancelled from within

If something that a request awaits is cancelled, its work ends as cancelled. The connection took this for the caller's disconnect: it wrote no answer and served on, so that the caller would have taken the answer to its next request for this one. Change: work that is cancelled on an open connection is a fault like others. No such cancellation is known in today's code; the test injects it. Measured: test_a_request_whose_work_is_cancelled_from_within_is_answered failed before (no answer in 5 s, no fault reported) and gets a 503 now.

--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -151,9 +151,11 @@
             self._stream.set_close_callback(work.cancel)
             stack.callback(self._stream.set_close_callback, None)
             await asyncio.wait((work,))
-        failure = None if work.cancelled() else work.exception()
         if self._stream.closed():
             self._context.counters.add('caller_disconnects')
+        elif work.cancelled():
+            raise RuntimeError('the work on an answer was cancelled')
+        failure = None if work.cancelled() else work.exception()
         if isinstance(failure, NutmegshoreError):
             self._abort(failure)
         elif failure is not None:
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -327,3 +327,18 @@
     monkeypatch.setattr(where, _Failing())
     received = _send(make_context(scripted()))
     assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_request_whose_work_is_cancelled_from_within_is_answered(
+    make_context, scripted, monkeypatch
+):
+    """Guards against a request without an answer, on a connection that is
+    kept: the answer to the next request would be taken for its own."""
+    context = make_context(scripted())
+
+    async def wait(routed):
+        raise asyncio.CancelledError
+
+    monkeypatch.setattr(context.crashes, 'wait_for_check', wait)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 503 ')
