Build a request before it counts as sent

A fault while the headers for an upstream were made was answered with 502, although nothing had been sent: a caller may not retry what must run once. Measured: test_a_fault_before_the_send_is_answered_as_not_run failed before (502) and gets a 503 now.

--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -115,6 +115,7 @@
     ) -> AnswerHead:
         timeout_s = self._timeout_s(is_last=is_last)
         upstream = self._choice.upstream
+        upstream_request = self._upstream_request()
         try:
             limit = self._context.attempt_timeout.limit(timeout_s)
             async with limit as time_limit:
@@ -124,7 +125,7 @@
                 return await self._context.upstreams.send(
                     upstream.instance,
                     upstream,
-                    self._upstream_request(),
+                    upstream_request,
                     answer,
                 )
         except TimeoutError as failure:
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -342,3 +342,17 @@
     monkeypatch.setattr(context.crashes, 'wait_for_check', wait)
     received = _send(context)
     assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_fault_before_the_send_is_answered_as_not_run(
+    make_context, scripted, monkeypatch, route
+):
+    """Guards against a failure without a promise for a request that no
+    upstream has been given yet."""
+    upstreams = scripted()
+    context = make_context(upstreams, routes=[route(kind=RouteKind.UNSAFE)])
+    where = 'nutmegshore.gateway.attempt.write_expected_instance'
+    monkeypatch.setattr(where, _Failing())
+    received = _send(context, _POST)
+    assert not upstreams.sent
+    assert received.startswith(b'HTTP/1.1 503 ')
