Record the parts of an attempt's end apart

A fault in the counter of attempts kept the balancer from the end of the attempt: its upstream stayed busy for ever. A fault in the record of the attempt, which only the log needs, lost a whole answer. Change: each part is contained by itself. Whether a request has reached an upstream is now told by `tried`, which does not depend on that record: a request that was sent is never refused as `stopping`. Measured: test_a_fault_in_the_counters_occupies_no_slot (one request in flight left) and test_a_fault_in_the_record_of_an_attempt_keeps_its_answer (502) failed before and pass now.

--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -100,10 +100,13 @@
         self, in_flight: InFlightRequest, outcome: AttemptOutcome, result: str
     ) -> None:
         took_s = self._context.clock.now() - self._started_at
-        attempt = AttemptRecord.of(self._choice, took_s, result)
-        self._routed.attempts.append(attempt)
-        with self._context.log.faults.contain(_PART):
+        faults = self._context.log.faults
+        with faults.contain(_PART):
+            attempt = AttemptRecord.of(self._choice, took_s, result)
+            self._routed.attempts.append(attempt)
+        with faults.contain(_PART):
             self._record(result)
+        with faults.contain(_PART):
             avoided_s = self._context.balancer.end(
                 in_flight, AttemptResult(outcome, took_s)
             )
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -146,7 +146,7 @@
                 return
 
     def _next_attempt(self, routed: RoutedRequest) -> Attempt:
-        if self._refuses_new and not routed.attempts:
+        if self._refuses_new and not routed.tried:
             raise RequestError(ErrorKind.STOPPING, routed.service)
         routing_request = RoutingRequest(
             routed.route,
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -356,3 +356,45 @@
     received = _send(context, _POST)
     assert not upstreams.sent
     assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_fault_in_the_counters_occupies_no_slot(
+    make_context, scripted, monkeypatch
+):
+    """Guards against an upstream that counts as busy for ever, because the
+    end of an attempt was not recorded after a fault in its counter."""
+    context = make_context(scripted())
+    add = context.counters.add
+
+    def fail_for_attempts(name, *given, **labels):
+        if name == 'attempts':
+            raise ZeroDivisionError('of a test')
+        add(name, *given, **labels)
+
+    monkeypatch.setattr(context.counters, 'add', fail_for_attempts)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    loads = context.balancer.candidate_builder.load
+    in_flight = [loads.get(name).in_flight for name in context.state.by_id]
+    assert not any(in_flight)
+
+
+@pytest.mark.parametrize('method', ['end', '_judge', '_record_contact'])
+def test_a_fault_at_the_end_of_an_attempt_keeps_its_answer(
+    make_context, scripted, break_at, step, method
+):
+    """Guards against losing a whole answer to the record of its attempt."""
+    context = make_context(scripted(step(body=b'whole')))
+    break_at(context.balancer, method)
+    assert _send(context).endswith(b'whole')
+
+
+def test_a_fault_in_the_record_of_an_attempt_keeps_its_answer(
+    make_context, scripted, break_at, step, monkeypatch
+):
+    """Guards against losing a whole answer to the list of attempts that only
+    the log needs."""
+    context = make_context(scripted(step(body=b'whole')))
+    where = 'nutmegshore.gateway.attempt.AttemptRecord.of'
+    monkeypatch.setattr(where, _Failing())
+    assert _send(context).endswith(b'whole')
