Frame each answer anew

A fault while the head of a streamed answer was made left the writer with chunks: the error in its place announced chunks and had none, which is no answer in the protocol. Measured: test_an_answer_in_place_of_a_streamed_one_is_framed_by_its_length failed before (502 with Transfer-Encoding: chunked and a plain body) and passes now.

--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -117,8 +117,9 @@
         method = self.request.method if self.request else ''
         self._has_body = method != 'HEAD' and status not in _BODILESS
         takes_chunks = self.request is None or self.request.minor_version
-        if length is None and self._has_body:
-            self._is_chunked = bool(takes_chunks)
+        is_unframed = length is None and self._has_body
+        self._is_chunked = is_unframed and bool(takes_chunks)
+        if is_unframed:
             self.keeps_alive = self.keeps_alive and self._is_chunked
 
 
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -398,3 +398,23 @@
     where = 'nutmegshore.gateway.attempt.AttemptRecord.of'
     monkeypatch.setattr(where, _Failing())
     assert _send(context).endswith(b'whole')
+
+
+def test_an_answer_in_place_of_a_streamed_one_is_framed_by_its_length(
+    make_context, scripted, monkeypatch, step
+):
+    """Guards against bytes that are no answer: chunks announced, none sent,
+    after a fault while the head of a long answer was made."""
+    context = make_context(scripted(step(body=b'x' * 300_000)))
+    reason = 'nutmegshore.listener.answer._reason'
+    failing = [ZeroDivisionError('of a test')]
+
+    def fail_once(status):
+        if failing:
+            raise failing.pop()
+        return 'Reason'
+
+    monkeypatch.setattr(reason, fail_once)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 502 ')
+    assert b'Transfer-Encoding' not in received
