Lose no answer to a log that cannot be written

Where both the event log and the log of last resort raise, `contain` raised in place of containing, and the request lost its retry. Measured: test_a_log_that_cannot_be_written_costs_no_answer failed before and passes now.

--- a/nutmegshore/faults.py
+++ b/nutmegshore/faults.py
@@ -88,7 +88,9 @@
         try:
             self._record(fault)
         except Exception:
-            log_fault(fault)
+            # Where even this fails, the log cannot be written at all.
+            with contextlib.suppress(Exception):
+                log_fault(fault)
 
     @contextlib.contextmanager
     def contain(self, part: str) -> Iterator[None]:
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -418,3 +418,15 @@
     received = _send(context)
     assert received.startswith(b'HTTP/1.1 502 ')
     assert b'Transfer-Encoding' not in received
+
+
+def test_a_log_that_cannot_be_written_costs_no_answer(
+    make_context, scripted, step, monkeypatch, lines, break_at
+):
+    """Guards against losing a whole answer where the log and the log of last
+    resort fail both, as with a full disk behind standard output."""
+    refused = step(failure=ErrorKind.UPSTREAM_REFUSED)
+    context = make_context(scripted(refused, step(body=b'whole')))
+    break_at(lines, 'info')
+    monkeypatch.setattr('nutmegshore.faults.log_fault', _Failing())
+    assert _send(context).endswith(b'whole')
