Drain although the peers cannot be told

An exception in the word to the peers that a gateway stops ended the stop, and with it the process: all requests in flight were cut, with no line. The same fault at the end of the start ended the process as well. Change: the word to the peers is advice, and its faults are contained. Measured: test_a_fault_in_the_word_to_peers_cuts_no_request failed before (ZeroDivisionError out of `stop`) for both words and passes now.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -36,6 +36,8 @@
 _LINGER_S = 2.8
 #: Seconds reserved at the end of the grace period for closing connections.
 _CLOSE_MARGIN_S = 0.4
+#: Name of this part in reports of faults.
+_PART = 'daemon'
 
 
 class GatewayDaemon:
@@ -51,6 +53,7 @@
         self, settings: GatewaySettings, dependencies: GatewayDependencies
     ) -> None:
         """Build the components; nothing runs before `start`."""
+        self.faults = dependencies.log.faults
         self._settings = settings
         self._dependencies = dependencies
         self._started_at = dependencies.clock.now()
@@ -63,7 +66,7 @@
         self._listener = ListenerContext(
             self._make_responder,
             dependencies.counters,
-            faults=dependencies.log.faults,
+            faults=self.faults,
         )
         self._tasks = KeptTasks(
             dependencies.clock, dependencies.counters, dependencies.log
@@ -94,7 +97,8 @@
         while not self._can_become_ready():
             await self._dependencies.clock.sleep(_START_POLL_S)
         self._peering.is_ready = True
-        self._peering.report()
+        with self.faults.contain(_PART):
+            self._peering.report()
         self._log_start()
 
     async def stop(self) -> None:
@@ -110,9 +114,7 @@
             Stopping(self._forwarder.in_flight, grace_s)
         )
         self._assembly.context.attempt_timeout.lift()
-        self._peering.is_ready = False
-        self._peering.report()
-        self._assembly.peers.leave()
+        self._withdraw()
         cut = 0
         if self._callers is not None:
             self._callers.leave()
@@ -149,6 +151,14 @@
         """Log the result of a reload; an empty fault means success."""
         self._dependencies.log.write(SettingsReloaded(fault))
 
+    def _withdraw(self) -> None:
+        """Tell the peers that this gateway takes no new callers."""
+        self._peering.is_ready = False
+        with self.faults.contain(_PART):
+            self._peering.report()
+        with self.faults.contain(_PART):
+            self._assembly.peers.leave()
+
     def _spawn_tasks(self) -> None:
         assembly = self._assembly
         for follower in assembly.replicas.followers:
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -252,3 +252,35 @@
             await daemon.stop()
 
     asyncio.run(asyncio.wait_for(session(), 20))
+
+
+def _fail(*given, **named):
+    raise ZeroDivisionError('of a test')
+
+
+async def _stop_beside_a_request(running, find_owner, method):
+    async with running as (daemon, _):
+        await daemon.start()
+        pending = asyncio.ensure_future(_talk(daemon.caller_port, _REQUEST))
+        await asyncio.sleep(0.1)
+        setattr(find_owner(daemon), method, _fail)
+        await daemon.stop()
+        return await pending
+
+
+@pytest.mark.expects_faults
+@pytest.mark.parametrize(
+    ('find_owner', 'method'),
+    [
+        (lambda daemon: daemon._peering, 'report'),
+        (lambda daemon: daemon._assembly.peers, 'leave'),
+    ],
+)
+def test_a_fault_in_the_word_to_peers_cuts_no_request(
+    run_gateway, find_owner, method
+):
+    """Guards against LOST: a stop that raised while it told the peers ended
+    the process at once, with its requests."""
+    session = _stop_beside_a_request(run_gateway(), find_owner, method)
+    received = asyncio.run(asyncio.wait_for(session, 20))
+    assert received.endswith(b'\r\n\r\nok')
