Heed SIGHUP after a reload that failed

A settings file that is no UTF-8, as a half-written one may be, and any exception in a reload ended the watch of the settings, silently: no SIGHUP had an effect until the process was restarted. Change: text that cannot be read is reported like a file that cannot, and other exceptions are reported as faults. Measured: both tests of tests/gateway/test_run.py failed before (UnicodeDecodeError; the watch was done after one reload) and pass now.

--- a/nutmegshore/gateway/run.py
+++ b/nutmegshore/gateway/run.py
@@ -17,6 +17,8 @@
 #: Seconds between polls of the settings file, which may change without a
 #: signal.
 _POLL_INTERVAL_S = 1
+#: Name of this part in reports of faults.
+_PART = 'settings'
 
 
 def run_gateway(path: str) -> None:
@@ -71,7 +73,8 @@
         while True:
             is_requested = await _wait_for(self._reload, _POLL_INTERVAL_S)
             self._reload.clear()
-            self._check_settings(daemon, is_requested=is_requested)
+            with daemon.faults.contain(_PART):
+                self._check_settings(daemon, is_requested=is_requested)
 
     def _check_settings(
         self, daemon: GatewayDaemon, *, is_requested: bool
@@ -79,9 +82,8 @@
         """Reload the settings if they changed or a signal requested it."""
         try:
             text = self._path.read_text(encoding='utf-8')
-        except OSError as failure:
-            reason = failure.strerror
-            daemon.report_reload(f'settings file: {reason}')
+        except (OSError, UnicodeDecodeError) as failure:
+            daemon.report_reload(f'settings file: {failure}')
             return
         if text == self._text and not is_requested:
             return
