Restart a kept task that was cancelled from within

A kept task that awaited something which was cancelled ended as if by itself: it was gone until the process was restarted, without a line. No such cancellation is known in today's code; the test injects it. Measured: test_a_kept_task_that_is_cancelled_from_within_starts_again failed before (one start) and passes now.

--- a/nutmegshore/peers/tasks.py
+++ b/nutmegshore/peers/tasks.py
@@ -123,6 +123,9 @@
     """
     outcomes = await asyncio.gather(work, return_exceptions=True)
     failure = outcomes[0]
+    if isinstance(failure, asyncio.CancelledError):
+        # Only the task itself was cancelled, by something that it awaited.
+        return RuntimeError('cancelled from within')
     if isinstance(failure, Exception):
         return failure
     return None
--- a/tests/peers/test_tasks.py
+++ b/tests/peers/test_tasks.py
@@ -1,5 +1,7 @@
 """Tests of tasks that a component owns."""
 
+import asyncio
+
 import pytest
 
 from nutmegshore.clock import VirtualClock, run_virtual
@@ -107,3 +109,29 @@
     run_virtual(session)
     assert len(log_lines[0]['stack']) < _HOUR_S
     assert len(log_lines[0]['error']) < _HOUR_S
+
+
+def test_a_kept_task_that_is_cancelled_from_within_starts_again():
+    """Guards against a task that is gone until the process is restarted,
+    without a line, after it awaited something that was cancelled."""
+    clock = VirtualClock()
+    starts = []
+    failures = []
+
+    async def work():
+        starts.append(clock.now())
+        if len(starts) == 1:
+            raise asyncio.CancelledError
+        await clock.sleep(_HOUR_S)
+
+    async def session():
+        tasks = OwnedTasks('mesh', Counters())
+        tasks.spawn_kept(
+            'work', work, clock, lambda *failed: failures.append(failed)
+        )
+        await clock.sleep(1)
+        await tasks.stop()
+
+    run_virtual(session)
+    assert len(starts) == 2
+    assert failures
