Record the end of an attempt of an entry apart from its answer

A fault in what an entry records at the end of an attempt, its word to the quarantine or the release of the slot, reset the connection although the whole answer had come, and a fault in the first kept the slot for ever. Change: both are contained, each by itself, as in a gateway. Measured: test_a_fault_at_the_end_of_an_attempt_costs_no_answer failed before in both cases (ConnectionResetError) and passes now.

--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -20,6 +20,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.faults import Faults
 from nutmegshore.listener.body import KEPT_BYTES, KeptBody
 from nutmegshore.resources import Service
 from nutmegshore.steering import Permit, RouteRequest, Steering
@@ -33,6 +34,8 @@
 __all__ = ('ForwardHooks', 'CallerForwarder')
 
 _MS_PER_S = 1000
+#: Name of this part in reports of faults.
+_PART = 'forward'
 
 
 def _always_ready() -> None:
@@ -74,6 +77,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._counters = counters
+        self._faults = Faults(counters)
         self._hooks = hooks or ForwardHooks()
         self._drained = asyncio.Event()
 
@@ -250,8 +254,10 @@
         permit: Permit,
         failure: ErrorKind | None,
     ) -> None:
-        self._hooks.gate.finished(request, permit.name, failure)
-        permit.release(failure)
+        with self._faults.contain(_PART):
+            self._hooks.gate.finished(request, permit.name, failure)
+        with self._faults.contain(_PART):
+            permit.release(failure)
 
 
 async def _settle_claim(claim: IdempotencyClaim, attempts: Attempts) -> None:
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from nutmegshore.callers import OpenGate
 from nutmegshore.errors import ErrorKind
+from nutmegshore.steering import Permit
 from nutmegshore.upstreams import AnswerHead
 
 _GET = b'GET /orders/1 HTTP/1.1\r\nHost: a\r\n'
@@ -168,6 +170,36 @@
     assert b'Nutmegshore-Outcome: upstream\r\n' in answer
 
 
+@pytest.mark.expects_faults
+@pytest.mark.parametrize('part', ['gate', 'permit'])
+def test_a_fault_at_the_end_of_an_attempt_costs_no_answer(
+    part, listen, scripted, monkeypatch
+):
+    """Guards against a reset of an answer that had come whole, and against a
+    slot that stays taken, after a fault in what is recorded about it."""
+    owner = {'gate': OpenGate, 'permit': Permit}[part]
+    method = {'gate': 'finished', 'permit': 'release'}[part]
+    released = []
+    release = Permit.release
+
+    def record_release(permit, failure):
+        released.append(permit.name)
+        release(permit, failure)
+
+    def fail(*given):
+        raise ZeroDivisionError('of a test')
+
+    monkeypatch.setattr(Permit, 'release', record_release)
+    monkeypatch.setattr(owner, method, fail)
+
+    async def session():
+        async with listen(scripted()) as listener:
+            return await listener.talk(_GET, _CLOSE)
+
+    assert asyncio.run(session()).endswith(b'\r\n\r\nok')
+    assert released or part == 'permit'
+
+
 def test_pipelined_requests_are_answered_in_order(listen, scripted):
     """Guards against an answer to another request of the connection."""
 
