Contain an entry's records of load and its word of leaving

A fault in the record of the load that the head of an answer tells lost the whole answer, since it is made between head and body; a fault in the word to the peers ended the stop of an entry before its requests had their answers. A gateway contains the first already. What components depend on is a module of its own, since the components' one had too many imports.

--- a/bench/whole_cluster.py
+++ b/bench/whole_cluster.py
@@ -15,11 +15,8 @@
 from nutmegshore.clock import VirtualClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
-from nutmegshore.entry.components import (
-    EntryOptions,
-    EntryComponents,
-    EntryDependencies,
-)
+from nutmegshore.entry.components import EntryComponents
+from nutmegshore.entry.dependencies import EntryDependencies, EntryOptions
 from nutmegshore.errors import (
     ErrorKind,
     ObjectError,
--- a/nutmegshore/entry/components.py
+++ b/nutmegshore/entry/components.py
@@ -1,9 +1,6 @@
 """The components of an entry behind its listeners."""
 
 import asyncio
-import random
-
-import attrs
 
 from nutmegshore.callers import (
     ForwardHooks,
@@ -14,48 +11,25 @@
     lookup_entries,
 )
 from nutmegshore.caps import Caps
-from nutmegshore.clock import Clock
 from nutmegshore.configuration import ConfigurationFollower, ConfigurationTable
-from nutmegshore.counters import Counters
 from nutmegshore.entry.caps_gate import CapsGate
+from nutmegshore.entry.dependencies import EntryDependencies, EntryOptions
 from nutmegshore.entry.keyed_records import KeyedRecords
 from nutmegshore.entry.overload import OverloadWatch
 from nutmegshore.entry.quarantine_gate import QuarantineGate
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.faults import Faults
 from nutmegshore.once import OnceRecords, RecordSweep
-from nutmegshore.peers import Peers
-from nutmegshore.store import Platform
 from nutmegshore.quarantine import Quarantine
 from nutmegshore.resources import Entry
 from nutmegshore.steering import Steering, SteeringDependencies
-from nutmegshore.upstreams import UpstreamClient, UpstreamReport
+from nutmegshore.upstreams import UpstreamReport
 
-__all__ = ('EntryOptions', 'EntryComponents', 'EntryDependencies')
+__all__ = ('EntryComponents',)
 
 _RECORD_FLUSH_S = 5
-
-
-@attrs.frozen
-class EntryDependencies:
-    """Objects outside an entry that its components depend on.
-
-    `rng` must be seeded differently in each process, also for a restart under
-    the same name.
-    """
-
-    platform: Platform
-    peers: Peers
-    upstreams: UpstreamClient
-    clock: Clock
-    rng: random.Random
-    counters: Counters = attrs.field(factory=Counters)
-
-
-@attrs.frozen
-class EntryOptions:
-    """Options of an entry; `lookup_lifetime_s` is in seconds."""
-
-    lookup_lifetime_s: float = 5
+#: Name of this part in reports of faults.
+_PART = 'entry'
 
 
 class EntryComponents:
@@ -77,6 +51,7 @@
     ) -> None:
         """Build the components; nothing runs before `start`."""
         self.dependencies = dependencies
+        self._faults = Faults(dependencies.counters)
         self._options = options or EntryOptions()
         self.table = ConfigurationTable()
         self._is_leaving = False
@@ -104,7 +79,8 @@
     def leave(self) -> None:
         """Withdraw from look-up answers, here and at the peers."""
         self._is_leaving = True
-        self.dependencies.peers.leave()
+        with self._faults.contain(_PART):
+            self.dependencies.peers.leave()
 
     async def stop(self) -> None:
         """Stop all tasks after the last request has ended."""
@@ -139,10 +115,11 @@
         report: UpstreamReport,
     ) -> None:
         """Record the leaving state and load that an upstream reported."""
-        if report.is_leaving:
-            self.steering.record_leaving(name)
-        if report.busy is not None:
-            self.steering.record_report(name, report.busy)
+        with self._faults.contain(_PART):
+            if report.is_leaving:
+                self.steering.record_leaving(name)
+            if report.busy is not None:
+                self.steering.record_report(name, report.busy)
 
     def _build_shared_state(self, dependencies: EntryDependencies) -> None:
         """Build the components that share state with other entries."""
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -7,11 +7,8 @@
 from nutmegshore.callers import ListenerStop, make_caller_application
 from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
-from nutmegshore.entry.components import (
-    EntryComponents,
-    EntryDependencies,
-    EntryOptions,
-)
+from nutmegshore.entry.components import EntryComponents
+from nutmegshore.entry.dependencies import EntryDependencies, EntryOptions
 from nutmegshore.entry.overview import (
     is_region_reporter,
     make_providers,
