--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -7,17 +7,15 @@
 from nutmegshore.callers import ListenerStop, make_caller_application
 from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
-from nutmegshore.entry.components import (
-    EntryComponents,
-    EntryDependencies,
-    EntryOptions,
-)
+from nutmegshore.entry.components import EntryComponents
+from nutmegshore.entry.dependencies import EntryDependencies, EntryOptions
 from nutmegshore.entry.overview import (
     is_region_reporter,
     make_providers,
     make_status_board,
 )
 from nutmegshore.entry.seeds import read_seeds
+from nutmegshore.faults import Faults
 from nutmegshore.listener import CallerServer
 from nutmegshore.logs import get_logger
 from nutmegshore.operators import StatusWriter
@@ -69,7 +67,9 @@
         self._platform = platform or HttpPlatform(
             settings.get('platform', 'url'),
         )
-        self._upstreams = CurlUpstreams(self._clock)
+        self._upstreams = CurlUpstreams(
+            self._clock, faults=Faults(self.counters)
+        )
         self._transport = TcpTransport(
             settings.get(_PEERS, 'address'),
             settings.get(_PEERS, 'port'),
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -100,10 +100,13 @@
         self, in_flight: InFlightRequest, outcome: AttemptOutcome, result: str
     ) -> None:
         took_s = self._context.clock.now() - self._started_at
-        attempt = AttemptRecord.of(self._choice, took_s, result)
-        self._routed.attempts.append(attempt)
-        with self._context.log.faults.contain(_PART):
+        faults = self._context.log.faults
+        with faults.contain(_PART):
+            attempt = AttemptRecord.of(self._choice, took_s, result)
+            self._routed.attempts.append(attempt)
+        with faults.contain(_PART):
             self._record(result)
+        with faults.contain(_PART):
             avoided_s = self._context.balancer.end(
                 in_flight, AttemptResult(outcome, took_s)
             )
@@ -115,6 +118,7 @@
     ) -> AnswerHead:
         timeout_s = self._timeout_s(is_last=is_last)
         upstream = self._choice.upstream
+        upstream_request = self._upstream_request()
         try:
             limit = self._context.attempt_timeout.limit(timeout_s)
             async with limit as time_limit:
@@ -124,7 +128,7 @@
                 return await self._context.upstreams.send(
                     upstream.instance,
                     upstream,
-                    self._upstream_request(),
+                    upstream_request,
                     answer,
                 )
         except TimeoutError as failure:
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -316,3 +316,117 @@
     failed, passed = asyncio.run(ask())
     assert failed.startswith(b'HTTP/1.1 503 ')
     assert passed.startswith(b'HTTP/1.1 200 ')
+
+
+def test_a_fault_in_the_reading_of_the_id_is_answered(
+    make_context, scripted, monkeypatch
+):
+    """Guards against a reset where the report of a fault asks again for what
+    has just failed, the id of the request."""
+    where = 'nutmegshore.gateway.responder.read_caller_fields'
+    monkeypatch.setattr(where, _Failing())
+    received = _send(make_context(scripted()))
+    assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_request_whose_work_is_cancelled_from_within_is_answered(
+    make_context, scripted, monkeypatch
+):
+    """Guards against a request without an answer, on a connection that is
+    kept: the answer to the next request would be taken for its own."""
+    context = make_context(scripted())
+
+    async def wait(routed):
+        raise asyncio.CancelledError
+
+    monkeypatch.setattr(context.crashes, 'wait_for_check', wait)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_fault_before_the_send_is_answered_as_not_run(
+    make_context, scripted, monkeypatch, route
+):
+    """Guards against a failure without a promise for a request that no
+    upstream has been given yet."""
+    upstreams = scripted()
+    context = make_context(upstreams, routes=[route(kind=RouteKind.UNSAFE)])
+    where = 'nutmegshore.gateway.attempt.write_expected_instance'
+    monkeypatch.setattr(where, _Failing())
+    received = _send(context, _POST)
+    assert not upstreams.sent
+    assert received.startswith(b'HTTP/1.1 503 ')
+
+
+def test_a_fault_in_the_counters_occupies_no_slot(
+    make_context, scripted, monkeypatch
+):
+    """Guards against an upstream that counts as busy for ever, because the
+    end of an attempt was not recorded after a fault in its counter."""
+    context = make_context(scripted())
+    add = context.counters.add
+
+    def fail_for_attempts(name, *given, **labels):
+        if name == 'attempts':
+            raise ZeroDivisionError('of a test')
+        add(name, *given, **labels)
+
+    monkeypatch.setattr(context.counters, 'add', fail_for_attempts)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    loads = context.balancer.candidate_builder.load
+    in_flight = [loads.get(name).in_flight for name in context.state.by_id]
+    assert not any(in_flight)
+
+
+@pytest.mark.parametrize('method', ['end', '_judge', '_record_contact'])
+def test_a_fault_at_the_end_of_an_attempt_keeps_its_answer(
+    make_context, scripted, break_at, step, method
+):
+    """Guards against losing a whole answer to the record of its attempt."""
+    context = make_context(scripted(step(body=b'whole')))
+    break_at(context.balancer, method)
+    assert _send(context).endswith(b'whole')
+
+
+def test_a_fault_in_the_record_of_an_attempt_keeps_its_answer(
+    make_context, scripted, break_at, step, monkeypatch
+):
+    """Guards against losing a whole answer to the list of attempts that only
+    the log needs."""
+    context = make_context(scripted(step(body=b'whole')))
+    where = 'nutmegshore.gateway.attempt.AttemptRecord.of'
+    monkeypatch.setattr(where, _Failing())
+    assert _send(context).endswith(b'whole')
+
+
+def test_an_answer_in_place_of_a_streamed_one_is_framed_by_its_length(
+    make_context, scripted, monkeypatch, step
+):
+    """Guards against bytes that are no answer: chunks announced, none sent,
+    after a fault while the head of a long answer was made."""
+    context = make_context(scripted(step(body=b'x' * 300_000)))
+    reason = 'nutmegshore.listener.answer._reason'
+    failing = [ZeroDivisionError('of a test')]
+
+    def fail_once(status):
+        if failing:
+            raise failing.pop()
+        return 'Reason'
+
+    monkeypatch.setattr(reason, fail_once)
+    received = _send(context)
+    assert received.startswith(b'HTTP/1.1 502 ')
+    assert b'Transfer-Encoding' not in received
+
+
+def test_a_log_that_cannot_be_written_costs_no_answer(
+    make_context, scripted, step, monkeypatch, lines, break_at
+):
+    """Guards against losing a whole answer where the log and the log of last
+    resort fail both, as with a full disk behind standard output."""
+    refused = step(failure=ErrorKind.UPSTREAM_REFUSED)
+    context = make_context(scripted(refused, step(body=b'whole')))
+    break_at(lines, 'info')
+    monkeypatch.setattr('nutmegshore.faults.log_fault', _Failing())
+    assert _send(context).endswith(b'whole')
