Count the time of a full bucket, not of its tokens

Callers would see: after an upstream's limit has fallen, less urgent requests served before more urgent ones that were refused, for minutes.

Cause: the time for which a bucket has been full was computed from the tokens beyond its burst. When the burst itself became smaller (1000 to 1 a second), the 223 tokens left over counted as 247 s in which nobody wanted them. Two refills at the same reading of the clock set the time back to 0.

The new test failed before: "assert not shares.has_room(upstream('u1'), rank=1)" with True. Now the time that passes while the bucket is full is counted, whatever the burst was; a rate is divided by only where it has added tokens, and so is not 0.

--- a/nutmegshore/balancing/token_bucket.py
+++ b/nutmegshore/balancing/token_bucket.py
@@ -26,9 +26,14 @@
 
         `rate` is the number of tokens per second.
         """
-        tokens = self.tokens + (now - self.refilled_at) * rate
-        excess = tokens - burst
-        self.full_s = self.full_s + excess / rate if excess > 0 else 0
+        elapsed_s = now - self.refilled_at
+        tokens = self.tokens + elapsed_s * rate
+        if self.tokens >= burst:
+            self.full_s += elapsed_s
+        elif tokens >= burst:
+            self.full_s = (tokens - burst) / rate
+        else:
+            self.full_s = 0
         self.tokens = min(tokens, burst)
         self.refilled_at = now
 
--- a/tests/balancing/test_limit_shares.py
+++ b/tests/balancing/test_limit_shares.py
@@ -14,8 +14,8 @@
 def make_shares(clock):
     """Function that builds the shares of one of some gateways."""
 
-    def build(local, names, max_rate):
-        limits = LimitTable(clock)
+    def build(local, names, max_rate, limits=None):
+        limits = limits or LimitTable(clock)
         limits.handle_report('u1', UpstreamReport(max_rate=max_rate))
         members = RecentMembers(clock, lambda region: names)
         return LimitShares(clock, local, limits, members)
@@ -86,3 +86,20 @@
     clock.advance(passed_s)
     clock.tick_s = 0.004
     assert math.isfinite(shares.next_room_s([upstream('u1')], rank=0))
+
+
+def test_room_of_a_larger_limit_is_no_unused_room(make_shares, upstream, clock):
+    """Guards against less urgent requests that go before urgent ones for
+    minutes, since the tokens of the larger limit counted as time unused."""
+    limits = LimitTable(clock)
+    shares = make_shares('g1', ['g1'], 1000, limits)
+    assert not shares.has_room(upstream('u1'), rank=0)
+    clock.advance(1)
+    shares.acquire(upstream('u1'))
+    limits.handle_report('u1', UpstreamReport(max_rate=1))
+    shares.reservations.record_refusal('orders', rank=0)
+    clock.advance(0.1)
+    assert not shares.has_room(upstream('u1'), rank=1)
+    assert shares.has_room(upstream('u1'), rank=0)
+    clock.advance(0.5)
+    assert shares.has_room(upstream('u1'), rank=1)
