--- a/tests/balancing/test_decisions_hold.py
+++ b/tests/balancing/test_decisions_hold.py
@@ -247,8 +247,8 @@
 )
 
 
-class _AnyOrder(RuleBasedStateMachine):
-    """A gateway to which anything may happen next."""
+class _AnyFleet(RuleBasedStateMachine):
+    """A gateway around which anything may change."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -271,13 +271,31 @@
         if instance not in self.state.by_id:
             self.parts.forget(instance)
 
-    @rule(instance=_instances)
-    def say_leaving(self, instance):
-        """An upstream says in an answer that it is leaving."""
+    @rule()
+    def expire(self):
+        """The entries that are missing since an outage count as gone."""
+        for instance in self.state.expire_missing():
+            self.parts.forget(instance)
+
+    @rule(instance=_instances, is_moved=st.booleans())
+    def exclude(self, instance, is_moved):
+        """An answer says that its upstream is leaving, or is another one."""
         upstream = self.state.by_id.get(instance)
-        if upstream is not None:
+        if upstream is None:
+            return
+        if is_moved:
+            self.state.mark_moved(upstream)
+        else:
             self.state.departures.add(upstream)
 
+    @rule(instance=_instances, left_s=_seconds, ago_s=_seconds)
+    def hear_health(self, instance, left_s, ago_s):
+        """The health page of an upstream tells how long it stays cold."""
+        upstream = self.state.by_id.get(instance)
+        if upstream is not None:
+            asked_at = self.gateway.clock.now() - ago_s
+            self.state.cold_starts.handle_health(upstream, left_s, asked_at)
+
     @rule(zones=st.sampled_from(((), (), ('west-a',), ('east-a', 'north-a'))))
     def evacuate(self, zones):
         """The evacuated zones change."""
@@ -305,6 +323,10 @@
         if is_retained:
             self.parts.latency.retain({route.name for route in routes})
 
+
+class _AnyOrder(_AnyFleet):
+    """A gateway to which anything may happen next."""
+
     @rule(
         request=_requests,
         place=st.integers(0, 9),
