Round the time of return up

Cause: the time was rounded to the nearest millisecond. Change: it is rounded up. Measured: test_a_refused_caller_is_never_called_back_at_once fails on the code before and passes now.

--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -1,6 +1,7 @@
 """Answering and logging of one caller's request."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
@@ -38,6 +39,7 @@
 #: Retry-After in seconds where the error does not set one.
 _DEFAULT_RETRY_AFTER_S = 0.2
 _SERVER_ERROR = 500
+_MS_PER_S = 1000
 
 
 def status_of(error: NutmegshoreError) -> int:
@@ -109,7 +111,7 @@
         status = status_of(error)
         headers = [('Content-Type', 'text/plain')]
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            wait_s = round(_retry_after_s(error), 3)
+            wait_s = _round_up(_retry_after_s(error))
             headers.append((RETRY_AFTER, str(wait_s)))
         self._record(self._log_failure, error, status)
         kind = error.kind.value
@@ -188,7 +190,7 @@
                 candidates=refusal.candidates,
                 limited=refusal.limited,
                 paused=refusal.paused,
-                retry_after_s=round(_retry_after_s(error), 3),
+                retry_after_s=_round_up(_retry_after_s(error)),
             ),
         )
 
@@ -246,3 +248,8 @@
     if isinstance(error, RefusedError):
         return error.retry_after_s
     return _DEFAULT_RETRY_AFTER_S
+
+
+def _round_up(seconds: float) -> float:
+    """Round to milliseconds, so that a caller never comes back too early."""
+    return math.ceil(seconds * _MS_PER_S) / _MS_PER_S
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -6,7 +6,12 @@
 import attrs
 import pytest
 
-from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.errors import (
+    ErrorKind,
+    Outcome,
+    RefusedError,
+    RequestError,
+)
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.responder import GatewayResponder, status_of
 from nutmegshore.gateway.route import RouteKind
@@ -63,6 +68,20 @@
     assert [line['request'] for line in served] == ['r7']
 
 
+def test_a_refused_caller_is_never_called_back_at_once(
+    make_context, scripted, monkeypatch
+):
+    """Guards against `Retry-After: 0.0`, which a fraction of a millisecond was
+    rounded to."""
+
+    def refuse(request):
+        raise RefusedError(ErrorKind.QUARANTINED, 'orders', 0.0003)
+
+    context = make_context(scripted())
+    monkeypatch.setattr(context.balancer, 'choose', refuse)
+    assert b'\r\nRetry-After: 0.001\r\n' in _send(context, _GET)
+
+
 def test_a_failure_of_the_upstream_is_passed_on(make_context, scripted, step):
     """Guards against a gateway's status with an upstream's stamp."""
     received = _send(make_context(scripted(step(status=500))), _GET)
