--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -28,6 +28,9 @@
 #: about 1 ms; a machine that is down never answers.
 _CONNECT_TIMEOUT_S = 0.25
 _CONNECT_ROUND_TRIPS = 2
+#: Least round trip in seconds that a connect timeout allows for: a path may
+#: have become longer since its round trip was measured.
+_LEAST_ROUND_TRIP_S = 0.06
 #: An attempt of a safe request times out after this multiple of its worst
 #: expected time, as long as another upstream could still answer it.
 _TIMEOUT_FACTOR = 2.5
@@ -168,7 +171,8 @@
             may_run_twice=self._routed.route.is_safe,
             body=self._routed.body,
             connect_timeout_s=_CONNECT_TIMEOUT_S
-            + _CONNECT_ROUND_TRIPS * self._choice.candidate.delay_s,
+            + _CONNECT_ROUND_TRIPS
+            * max(self._choice.candidate.delay_s, _LEAST_ROUND_TRIP_S),
         )
 
     def _record(self, result: str) -> None:
