--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -214,7 +214,11 @@
         dependencies = self.dependencies
         return ColdChecks(
             self.balancer.candidate_builder,
-            CurlUpstreams(dependencies.clock, self.context.dialect),
+            CurlUpstreams(
+                dependencies.clock,
+                self.context.dialect,
+                dependencies.log.faults,
+            ),
             dependencies.clock,
             dependencies.counters,
         )
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -52,12 +52,11 @@
     """A request with its route, deadline and the attempts so far.
 
     `may_have_run` is true once an attempt is sent, unless it certainly did not
-    run the request. `runs`
-    counts the attempts except those that certainly did not run the request,
-    `tried` are the instances used so far. `last_region` is the region of the
-    last upstream, `no_retry` the reason why the last attempt is not retried,
-    `limited` the upstreams passed over lately because of their rate limit,
-    `paused` those that had asked for a pause. `upstreams_age_s` and
+    run the request. `runs` counts the attempts except those that certainly did
+    not run the request, `tried` are the instances used so far. `last_region` is
+    the region of the last upstream, `no_retry` the reason why the last attempt
+    is not retried, `limited` the upstreams passed over lately because of their
+    rate limit, `paused` those that had asked for a pause. `upstreams_age_s` and
     `upstreams_from` say how old the list of upstreams was at the last choice,
     and where it came from.
     """
