--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -984,6 +984,79 @@
     run_fleet(session)
 
 
+@pytest.mark.parametrize('count', [1, 4, 20])
+@pytest.mark.parametrize('after_s', [0, 0.5, 1.7])
+def test_a_gateway_that_boots_follows_the_owners_again(
+    run_fleet, count, after_s
+):
+    """Guards against a gateway that boots after a restore and goes on with what
+    others held back when its owners have written again or not at all."""
+
+    async def session(fleet):
+        for number in range(count):
+            fleet.start(f'g{number}')
+        fleet.register('i-2', zone='west-b')
+        await asyncio.sleep(4)
+        kept = fleet.store.copy()
+        fleet.configure(2)
+        fleet.store.put('evacuations', 'west-b', {})
+        fleet.register('i-3')
+        await asyncio.sleep(3)
+        await fleet.return_from(kept)
+        await asyncio.sleep(after_s)
+        booted = fleet.start('g99')
+        await asyncio.sleep(1)
+        fleet.store.put('evacuations', 'west-b', {})
+        await _hold(
+            _GONE_S,
+            lambda: (booted.read_version(), 'i-2' in booted.names()),
+            (2, False),
+        )
+        assert booted.names() == {'i-1'}
+        fleet.configure(3)
+        fleet.store.delete('evacuations', 'west-b')
+        await asyncio.sleep(_BOUND_S)
+        assert booted.read_version() == 3
+        assert booted.names() == {'i-1', 'i-2'}
+
+    run_fleet(session)
+
+
+def test_a_gateway_that_boots_takes_nothing_from_one_that_was_cut_off(
+    run_fleet,
+):
+    """Guards against requests to upstreams that are long gone: one without
+    the store told of them, and they were kept as if a restore had lost them."""
+
+    async def session(fleet):
+        cut_off = fleet.start('g1')
+        fleet.register('i-2')
+        await asyncio.sleep(3)
+        kept = fleet.store.copy()
+        cut_off.faults.status = 503
+        fleet.store.delete('servers', 'i-2')
+        await fleet.return_from(kept)
+        fleet.store.delete('servers', 'i-2')
+        await asyncio.sleep(20)
+        booted = fleet.start('g2')
+        await _hold(3, lambda: 'i-2' in booted.names(), False)
+        assert booted.names() == {'i-1'}
+
+    run_fleet(session)
+
+
+@pytest.mark.parametrize('count', [1, 4])
+def test_gateways_that_boot_together_wait_for_nobody(run_fleet, count):
+    """Guards against gateways that wait for each other's word."""
+
+    async def session(fleet):
+        gateways = [fleet.start(f'g{number}') for number in range(count)]
+        await asyncio.sleep(1)
+        assert all(one.state.is_complete for one in gateways)
+
+    run_fleet(session)
+
+
 def test_a_sweep_that_crosses_a_restore_spares_a_new_entry(run_fleet):
     """Guards against the removal of a live gateway's entry that got the
     revision of a dead one's: only the revision is sent."""
