Log why no second upstream was asked

The log could not tell a fleet without room from a paused or limited one.

no_retry now has the kind of the refusal. The test failed before.

--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -162,6 +162,8 @@
         except RefusedError as refusal:
             routed.limited = refusal.limited
             routed.paused = refusal.paused
+            if routed.tried:
+                routed.no_retry = refusal.kind.value
             raise self._final_error(routed, refusal) from refusal
         view = self._context.state.upstreams_view
         routed.upstreams_age_s = round(view.age_s, _DIGITS)
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -147,6 +147,24 @@
     assert len(upstreams.sent) == 2
 
 
+def test_a_failure_says_why_no_other_upstream_was_asked(
+    make_context, scripted, step, lines, monkeypatch
+):
+    """Guards against a line that hides the refusal of a second upstream behind
+    the failure of the first (issue 47)."""
+    context = make_context(scripted(step(failure=ErrorKind.UPSTREAM_LOST)))
+    choose = context.balancer.choose
+
+    def refuse_second(request):
+        if request.tried:
+            raise RefusedError(ErrorKind.OVERLOADED, 'orders', 0.5)
+        return choose(request)
+
+    monkeypatch.setattr(context.balancer, 'choose', refuse_second)
+    assert _send(context, _GET).startswith(b'HTTP/1.1 502 ')
+    assert lines.named('request_failed')[0]['no_retry'] == 'overloaded'
+
+
 def test_a_late_answer_to_another_request_is_not_passed_on(
     make_context,
     scripted,
