Tell from logs where objects were warm

The command warmth counts, per route, attempts that were expected warm and cold, how many of each were slow, first visits, upstreams per object, and the work spent over that of warm attempts.

commands/log_files.py has what both modules of log commands share.

--- a/nutmegshore/commands/application.py
+++ b/nutmegshore/commands/application.py
@@ -27,6 +27,7 @@
     SummaryCommand,
     TraceCommand,
 )
+from nutmegshore.commands.warmth import WarmthCommand
 from nutmegshore.commands.objects import (
     DeleteCommand,
     GetCommand,
@@ -55,6 +56,7 @@
     SummaryCommand,
     TokenCommand,
     TraceCommand,
+    WarmthCommand,
     WatchCommand,
 )
 
--- a/nutmegshore/commands/logs.py
+++ b/nutmegshore/commands/logs.py
@@ -4,13 +4,13 @@
 import json
 import pathlib
 import sys
-from collections.abc import Iterator
 from typing import Any, ClassVar
 
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
 
-from nutmegshore.commands.base import BaseCommand, ExitCode, UsageError
+from nutmegshore.commands.base import BaseCommand, ExitCode
+from nutmegshore.commands.log_files import FILES, iter_lines, read_all
 from nutmegshore.tracing import (
     LoggedFault,
     LogRecord,
@@ -18,18 +18,11 @@
     estimate_offsets,
     find_story,
     read_faults,
-    read_records,
     summarise,
 )
 
 __all__ = ('FaultsCommand', 'SummaryCommand', 'TraceCommand')
 
-_FILES = argument(
-    'files',
-    'Log files of one or several instances; standard input without any.',
-    multiple=True,
-    optional=True,
-)
 _MS_PER_S = 1000
 #: Stands for what a log does not tell.
 _UNKNOWN = '-'
@@ -47,12 +40,12 @@
     )
     arguments: ClassVar[list[Argument]] = [
         argument('request', 'Id of the request.'),
-        _FILES,
+        FILES,
     ]
 
     def run_command(self) -> int:
         """Print the story; exit code 1 if no line names the request."""
-        records = _read_all(self.argument('files'))
+        records = read_all(self.argument('files'))
         request = self.argument('request')
         stories = find_story(records, request)
         offsets = estimate_offsets(records)
@@ -85,11 +78,11 @@
 
     name = 'log-summary'
     description = 'Count events, reasons and attempts in logs of gateways.'
-    arguments: ClassVar[list[Argument]] = [_FILES]
+    arguments: ClassVar[list[Argument]] = [FILES]
 
     def run_command(self) -> int:
         """Print the counts, the most frequent first."""
-        summary = summarise(_read_all(self.argument('files')))
+        summary = summarise(read_all(self.argument('files')))
         reasons = (
             (' '.join(key), count) for key, count in _top(summary.reasons)
         )
@@ -114,7 +107,7 @@
         'Reads logs of gateways and entries, also with a time and a name'
         ' before each line. The exit code is 1 if there is any fault.'
     )
-    arguments: ClassVar[list[Argument]] = [_FILES]
+    arguments: ClassVar[list[Argument]] = [FILES]
 
     def run_command(self) -> int:
         """Print the faults, then how often each came; 1 if there is any."""
@@ -150,29 +143,14 @@
     return [
         fault
         for path in paths
-        for fault in read_faults(_iter_lines([path]), pathlib.Path(path).stem)
+        for fault in read_faults(iter_lines([path]), pathlib.Path(path).stem)
     ]
 
 
-def _read_all(paths: list[str]) -> list[LogRecord]:
-    return list(read_records(_iter_lines(paths)))
-
-
 def _top(counts: collections.Counter) -> list[tuple[Any, int]]:
     return counts.most_common()
 
 
-def _iter_lines(paths: list[str]) -> Iterator[str]:
-    if not paths:
-        yield from sys.stdin
-    for path in paths:
-        try:
-            text = pathlib.Path(path).read_text('utf-8', errors='replace')
-        except OSError as failure:
-            raise UsageError(f'{path}: {failure.strerror}') from failure
-        yield from text.splitlines()
-
-
 def _describe(record: LogRecord) -> str:
     pairs = ((name, json.dumps(one)) for name, one in record.fields.items())
     fields = ' '.join(f'{name}={text}' for name, text in pairs)
