--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -56,8 +56,7 @@
     the upstream had handled the request's object before. `trial` is set if its
     answer may end a pause of the upstream. `is_cold` says whether the upstream
     was cold, `is_first_cold` whether it got no request of this gateway for some
-    seconds while cold. `is_overdue` is set once it has counted as a failure of
-    its upstream although it goes on.
+    seconds while cold.
     """
 
     choice: Choice
@@ -67,7 +66,6 @@
     trial: Trial | None = None
     is_cold: bool = False
     is_first_cold: bool = False
-    is_overdue: bool = False
 
 
 class Balancer:
@@ -151,17 +149,6 @@
             is_first_cold,
         )
 
-    def record_overdue(self, sent: InFlightRequest) -> float:
-        """Count a request that goes on as a failure of its upstream.
-
-        Returns the seconds for which the upstream is avoided from now on, or 0.
-        """
-        sent.is_overdue = True
-        name = sent.choice.upstream.instance
-        if name not in self._state.by_id:
-            return 0
-        return self.candidate_builder.health.record(name, AttemptOutcome.SILENT)
-
     def end(self, sent: InFlightRequest, result: AttemptResult) -> float:
         """Record the end of an attempt.
 
@@ -185,7 +172,7 @@
             self.candidate_builder.latency.add_sample(
                 name, result.took_s, expected_s
             )
-        return self._record_health(sent, outcome)
+        return self.candidate_builder.health.record(name, outcome)
 
     def _record_contact(
         self, sent: InFlightRequest, result: AttemptResult
@@ -200,14 +187,6 @@
             sent_at = self._clock.now() - result.took_s
             cold_starts.handle_answer(upstream, sent_at)
 
-    def _record_health(
-        self, sent: InFlightRequest, outcome: AttemptOutcome
-    ) -> float:
-        if sent.is_overdue and outcome is AttemptOutcome.SILENT:
-            return 0
-        name = sent.choice.upstream.instance
-        return self.candidate_builder.health.record(name, outcome)
-
     def _judge(
         self, sent: InFlightRequest, outcome: AttemptOutcome
     ) -> AttemptOutcome:
--- a/nutmegshore/gateway/answer.py
+++ b/nutmegshore/gateway/answer.py
@@ -1,5 +1,6 @@
 """Buffering of an upstream's answer before it goes to the caller."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -52,14 +53,25 @@
         self._request_id = request_id
         self._is_safe = is_safe
         self._buffer = bytearray()
-        self._on_streaming = _do_nothing
+        self._before_streaming = _do_nothing
+        self._is_closed = False
 
-    def call_on_streaming(self, handle_streaming: Callable[[], None]) -> None:
+    def call_before_streaming(
+        self, handle_streaming: Callable[[], None]
+    ) -> None:
         """Call a function when the answer becomes too long to buffer.
 
-        From then on its speed is that of the caller.
+        From then on its speed is that of the caller. `RequestError` from the
+        function ends the answer before anything is sent.
         """
-        self._on_streaming = handle_streaming
+        self._before_streaming = handle_streaming
+
+    def close(self) -> None:
+        """Send nothing more to the caller; another branch answers it.
+
+        A cancelled attempt may run on for a moment.
+        """
+        self._is_closed = True
 
     def make_branch(self) -> 'BufferedAnswer':
         """Return an empty answer to the same request, for one attempt."""
@@ -78,6 +90,7 @@
 
     async def begin(self, head: AnswerHead) -> None:
         """Check and store the head."""
+        self._check_open()
         self._buffer.clear()
         self.head = None
         if not self._dialect.is_answer_to(head, self._request_id):
@@ -88,13 +101,14 @@
 
     async def receive(self, chunk: bytes) -> None:
         """Buffer a chunk, or stream it once the answer exceeds the buffer."""
+        self._check_open()
         if self.has_begun:
             await self._writer.receive(chunk)
             return
         self._buffer += chunk
         if len(self._buffer) > MAX_BUFFERED_BYTES:
+            self._before_streaming()
             self.has_begun = True
-            self._on_streaming()
             await self._writer.begin(self.head)
             await self._writer.receive(bytes(self._buffer))
             self._buffer.clear()
@@ -109,6 +123,10 @@
         status = self.head.status
         await self._writer.write_own(status, headers, bytes(self._buffer))
 
+    def _check_open(self) -> None:
+        if self._is_closed:
+            raise asyncio.CancelledError
+
 
 def _do_nothing() -> None:
     """Stand in for a handler that is not set."""
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -33,7 +33,7 @@
 #: have become longer since its round trip was measured.
 _LEAST_ROUND_TRIP_S = 0.06
 #: An attempt of a safe request is overdue after this multiple of its worst
-#: expected time, and again after each further one.
+#: expected time, and again whenever its age has doubled.
 _OVERDUE_FACTOR = 2.5
 _MIN_OVERDUE_S = 0.3
 #: Name of this part in reports of faults.
@@ -55,6 +55,10 @@
 class Attempt:
     """Sends a request to a chosen upstream and records the outcome.
 
+    `timer` tells when the attempt is overdue, `is_overdue` whether it has been,
+    and `is_beaten` whether another attempt has given the answer. An upstream
+    that is overdue and beaten counts as silent.
+
     attempt = Attempt(context, routed, choice, routing_request, answer)
     attempt.begin()
     head = await attempt.run()
@@ -72,12 +76,13 @@
         """Prepare an attempt that fills `answer`; `run` sends it."""
         self.answer = answer
         self.is_overdue = False
+        self.is_beaten = False
         self._context = context
         self._routed = routed
         self._choice = choice
         self._routing_request = routing_request
         self._in_flight: InFlightRequest | None = None
-        self.overdue = OverdueTimer(context.clock, self._get_overdue_s())
+        self.timer = OverdueTimer(context.clock, self._get_overdue_s())
 
     @property
     def upstream(self) -> str:
@@ -89,16 +94,6 @@
         """Seconds within which the answer was expected."""
         return self._choice.candidate.expected_s
 
-    def record_overdue(self) -> None:
-        """Count the attempt against its upstream, once; it goes on."""
-        self.overdue.postpone()
-        if self.is_overdue or self._in_flight is None:
-            return
-        self.is_overdue = True
-        avoided_s = self._context.balancer.record_overdue(self._in_flight)
-        if avoided_s:
-            self._log_avoided(avoided_s)
-
     def begin(self) -> None:
         """Count the request at its upstream, before the next one chooses."""
         in_flight = self._context.balancer.begin(
@@ -128,7 +123,7 @@
         """Record the end of an attempt that was cancelled or met a fault."""
         if self._in_flight is None:
             return
-        if self.is_overdue:
+        if self.is_overdue and self.is_beaten:
             self._end(AttemptOutcome.SILENT, ErrorKind.UPSTREAM_SILENT.value)
         else:
             self._end(AttemptOutcome.ABANDONED, 'abandoned')
@@ -136,7 +131,7 @@
     def _end(self, outcome: AttemptOutcome, result: str) -> None:
         in_flight = self._in_flight
         self._in_flight = None
-        took_s = self.overdue.age_s
+        took_s = self.timer.age_s
         faults = self._context.log.faults
         with faults.contain(_PART):
             attempt = AttemptRecord.of(self._choice, took_s, result)
--- a/nutmegshore/gateway/attempt_chooser.py
+++ b/nutmegshore/gateway/attempt_chooser.py
@@ -31,11 +31,6 @@
         self._answer = answer
         self._retries = Retries(context)
 
-    @property
-    def budget_left(self) -> float:
-        """Retries that this gateway may still send to the service."""
-        return self._retries.remaining(self._routed)
-
     def choose(self, reason: ErrorKind | None = None) -> Attempt:
         """Choose an upstream; raise the final error if none admits.
 
@@ -70,17 +65,22 @@
 
     def obstacle_to_hedge(self, running: tuple[Attempt, ...]) -> str:
         """Why no attempt may join those that run; empty if it may."""
-        if self._context.crashes.is_suspected(self._routed):
-            return 'suspected'
+        if self._context.crashes.may_crash(self._routed):
+            return 'may_crash'
         has_begun = any(attempt.answer.has_begun for attempt in running)
         return self._obstacle(None, has_begun=has_begun)
 
     def spend(self, failure: RequestError | None) -> None:
-        """Charge a further attempt to the budget; None: it joins another."""
+        """Charge and count a further attempt; None: it joins another."""
+        reason = failure.kind if failure else ErrorKind.UPSTREAM_SILENT
         self._retries.spend(self._routed, failure)
+        self._context.counters.add('retries', reason=reason.value)
 
     def refuse(self, reason: ErrorKind, obstacle: str) -> None:
         """Record why there is no further attempt."""
+        is_repeated = reason is ErrorKind.UPSTREAM_SILENT
+        if is_repeated and self._routed.no_retry == obstacle:
+            return
         self._routed.no_retry = obstacle
         self._context.counters.add(
             'retries_refused', reason=reason.value, obstacle=obstacle
--- a/nutmegshore/gateway/attempt_loop.py
+++ b/nutmegshore/gateway/attempt_loop.py
@@ -1,20 +1,24 @@
 """The attempts at one request, from the first one to an answer."""
 
+import functools
 from http import HTTPStatus
 
-from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.attempt import Attempt
 from nutmegshore.gateway.attempt_chooser import AttemptChooser
+from nutmegshore.gateway.attempt_recorder import AttemptRecorder
 from nutmegshore.gateway.context import GatewayContext
-from nutmegshore.gateway.events import RequestOverdue, RequestRetried
 from nutmegshore.gateway.request import RoutedRequest
 from nutmegshore.gateway.running_attempts import EndedAttempt, RunningAttempts
 
 __all__ = ('AttemptLoop',)
 
-_DIGITS = 3
 _SILENT = ErrorKind.UPSTREAM_SILENT
+#: Statuses below 500 with which another upstream may not answer.
+_PASSING_ERRORS = frozenset(
+    (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS)
+)
 #: Name of this part in reports of faults.
 _PART = 'forward'
 
@@ -25,7 +29,8 @@
     After a failure the request is retried, where that is allowed. If an
     attempt is overdue, the request is hedged: another upstream that admits it
     gets it as well. The first whole answer counts, and only then are the other
-    attempts cancelled, since a slow upstream may still be the first.
+    attempts cancelled, since a slow upstream may still be the first. An answer
+    that is an error of its upstream counts only if no other attempt runs.
 
     await AttemptLoop(context, routed, answer).run()
     """
@@ -41,20 +46,31 @@
         self._routed = routed
         self._answer = answer
         self._chooser = AttemptChooser(context, routed, answer)
+        self._recorder = AttemptRecorder(context, routed)
         self._running = RunningAttempts()
-        # An error that an upstream answered while other attempts ran.
-        self._fallback: Attempt | None = None
+        # The attempt whose whole answer the caller gets, unless another one
+        # that still runs has a better one.
+        self._answered: Attempt | None = None
 
     async def run(self) -> None:
-        """Return with a whole answer, or raise `RequestError`."""
+        """Fill the answer, or raise `RequestError`."""
         async with self._running:
             await self._context.crashes.wait_for_check(self._routed)
-            self._running.start(self._chooser.choose())
-            answered = await self._wait_answer()
-            self._answer.adopt(answered.answer)
+            self._start(self._chooser.choose())
+            self._answered = await self._wait_answer()
+            for ended in self._running.take_ended():
+                self._recorder.record_end(ended)
+            self._running.keep_only(self._answered)
+        self.take_answer()
         with self._context.log.faults.contain(_PART):
             self._context.crashes.record_answer(self._routed)
 
+    def take_answer(self) -> bool:
+        """Fill the answer with a whole one that has come, if there is any."""
+        if self._answered is not None:
+            self._answer.adopt(self._answered.answer)
+        return self._answered is not None
+
     async def _wait_answer(self) -> Attempt:
         answered = None
         while answered is None:
@@ -62,63 +78,56 @@
             if ended is None:
                 self._check_overdue()
             elif ended.failure is None:
-                answered = self._take_answer(ended.attempt)
+                answered = self._weigh_answer(ended.attempt)
             else:
                 answered = await self._handle_failure(ended)
         return answered
 
-    def _take_answer(self, attempt: Attempt) -> Attempt | None:
+    def _weigh_answer(self, attempt: Attempt) -> Attempt | None:
         """Return the attempt, or None if a better answer may come."""
-        if not (self._running and _is_server_error(attempt)):
+        if not (self._running and _is_error(attempt)):
             return attempt
-        self._fallback = attempt
+        self._answered = attempt
+        self._hedge()
         return None
 
     async def _handle_failure(self, ended: EndedAttempt) -> Attempt | None:
-        """Return an answer that came before, or None if one may still come.
+        """Return the attempt to take the answer from, None if one may come.
 
-        Raise the final error if nothing runs and no retry is allowed.
+        Raise the error if there is no answer and none may come.
         """
         failure = ended.failure
-        if not isinstance(failure, RequestError):
-            return self._handle_fault(failure)
-        is_not_run = failure.answer.outcome is Outcome.NOT_RUN
-        if is_not_run:
-            self._routed.runs -= 1
-        with self._context.log.faults.contain(_PART):
-            self._record_upstream_failure(failure, ended.attempt)
-        if self._running:
-            if is_not_run:
-                self._hedge()
-            return None
-        if self._fallback is None:
+        is_last = not self._running and self._answered is None
+        if is_last and not isinstance(failure, RequestError):
+            raise failure
+        self._recorder.record_end(ended)
+        if is_last:
             await self._retry(failure, ended.attempt)
-        return self._fallback
-
-    def _handle_fault(self, fault: BaseException) -> Attempt | None:
-        """Report a fault in an attempt if the caller may get an answer."""
-        if not self._running and self._fallback is None:
-            raise fault
-        self._context.log.faults.report(_PART, fault)
-        return None if self._running else self._fallback
+        elif self._running and ended.is_not_run:
+            self._hedge()
+        return None if self._running else self._answered
 
     async def _retry(self, failure: RequestError, failed: Attempt) -> None:
         """Start the attempt that follows the failure of the last one."""
+        self._check_retry(failure, failed)
+        await self._context.crashes.wait_for_check(self._routed)
+        self._check_retry(failure, failed)
+        self._start_again(self._chooser.choose(failure.kind), failure)
+        self._recorder.record_retry(failed, failure.kind)
+
+    def _check_retry(self, failure: RequestError, failed: Attempt) -> None:
         obstacle = self._chooser.obstacle_to_retry(failure, failed)
         if obstacle:
             self._chooser.refuse(failure.kind, obstacle)
             raise self._chooser.final_error(failure)
-        await self._context.crashes.wait_for_check(self._routed)
-        self._start_again(self._chooser.choose(failure.kind), failure)
-        with self._context.log.faults.contain(_PART):
-            self._log_retry(failed, failure.kind.value)
 
     def _check_overdue(self) -> None:
-        for attempt in self._running.attempts:
-            if not attempt.overdue.due_s:
-                with self._context.log.faults.contain(_PART):
-                    attempt.record_overdue()
-        self._hedge()
+        due = [one for one in self._running.attempts if not one.timer.due_s]
+        for attempt in due:
+            attempt.is_overdue = True
+            attempt.timer.postpone()
+        if due:
+            self._hedge()
 
     def _hedge(self) -> None:
         """Send the request to one more upstream if all attempts are overdue.
@@ -130,7 +139,7 @@
             return
         with self._context.log.faults.contain(_PART):
             hedge = self._start_hedge(running)
-            self._log_overdue(running[-1], hedge)
+            self._recorder.record_overdue(running[-1], hedge)
 
     def _start_hedge(self, running: tuple[Attempt, ...]) -> str:
         """Return the upstream of a further attempt, '' if none was started."""
@@ -149,50 +158,28 @@
         self, attempt: Attempt, failure: RequestError | None
     ) -> None:
         """Start an attempt beyond the first, and charge it to the budget."""
-        self._running.start(attempt)
-        reason = failure.kind if failure else _SILENT
+        self._start(attempt)
         with self._context.log.faults.contain(_PART):
             self._chooser.spend(failure)
-            self._context.counters.add('retries', reason=reason.value)
 
-    def _record_upstream_failure(
-        self, failure: RequestError, failed: Attempt
-    ) -> None:
-        """Record a failure against the upstream of an attempt."""
-        upstream = self._context.state.by_id.get(failed.upstream)
-        if upstream is None:
-            return
-        if failure.kind is ErrorKind.UPSTREAM_MOVED:
-            self._context.state.mark_moved(upstream)
-        elif failure.kind is ErrorKind.UPSTREAM_LOST:
-            self._context.crashes.record_loss(self._routed, upstream)
-
-    def _log_retry(self, failed: Attempt, reason: str) -> None:
-        self._context.log.write(
-            RequestRetried(
-                self._routed.request_id,
-                self._routed.route.name,
-                failed.upstream,
-                reason,
-                self._chooser.budget_left,
-            ),
-        )
-
-    def _log_overdue(self, overdue: Attempt, hedge: str) -> None:
-        self._context.log.write(
-            RequestOverdue(
-                self._routed.request_id,
-                self._routed.route.name,
-                overdue.upstream,
-                round(overdue.overdue.age_s, _DIGITS),
-                round(overdue.expected_s, _DIGITS),
-                hedge,
-                '' if hedge else self._routed.no_retry,
-                self._chooser.budget_left,
-            ),
-        )
-
-
-def _is_server_error(attempt: Attempt) -> bool:
+    def _start(self, attempt: Attempt) -> None:
+        handle_streaming = functools.partial(self._handle_streaming, attempt)
+        attempt.answer.call_before_streaming(handle_streaming)
+        self._running.start(attempt)
+
+    def _handle_streaming(self, attempt: Attempt) -> None:
+        """Let an attempt stream its answer, and end the others.
+
+        Raise `RequestError` if it is an error and a better answer may come.
+        """
+        if len(self._running.attempts) > 1 and _is_error(attempt):
+            raise RequestError(ErrorKind.UPSTREAM_SPOILED, 'long error')
+        attempt.timer.stop()
+        self._answered = None
+        self._running.keep_only(attempt)
+
+
+def _is_error(attempt: Attempt) -> bool:
     status = attempt.answer.head.status
-    return status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    is_passing = status in _PASSING_ERRORS
+    return is_passing or status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/nutmegshore/gateway/crashes.py
+++ b/nutmegshore/gateway/crashes.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash the upstreams that run them."""
 
 import asyncio
+import functools
 
 import attrs
 
@@ -148,7 +149,7 @@
         self._quarantine = quarantine
         self._accepts_connections = accepts_connections
         self._tasks = OwnedTasks('crashes', counters)
-        self._checks: dict[str, asyncio.Task] = {}
+        self._checks: dict[str, set[asyncio.Task]] = {}
 
     def check(self, routed: RoutedRequest) -> None:
         """Raise `RefusedError` for a request that is quarantined."""
@@ -162,9 +163,16 @@
         name = self._quarantine.assigned(_fingerprint(routed))
         return '' if name in routed.tried else name
 
-    def is_suspected(self, routed: RoutedRequest) -> bool:
-        """Whether a request may be one that crashes upstreams."""
-        return bool(self._quarantine.assigned(_fingerprint(routed)))
+    def may_crash(self, routed: RoutedRequest) -> bool:
+        """Whether a request may crash the upstream that gets it next.
+
+        That is so if it is suspected, or until the checks of its lost answers
+        have ended.
+        """
+        is_checked = routed.request_id in self._checks
+        return is_checked or bool(
+            self._quarantine.assigned(_fingerprint(routed))
+        )
 
     def record_answer(self, routed: RoutedRequest) -> None:
         """Record that an upstream answered the request and is alive."""
@@ -175,24 +183,30 @@
     ) -> None:
         """Start checking whether an upstream whose answer was lost is down."""
         check = self._tasks.spawn(self._check(_fingerprint(routed), upstream))
-        self._checks[routed.request_id] = check
+        self._checks.setdefault(routed.request_id, set()).add(check)
         check.add_done_callback(
-            lambda _: self._checks.pop(routed.request_id, None),
+            functools.partial(self._end_check, routed.request_id)
         )
 
     async def wait_for_check(self, routed: RoutedRequest) -> None:
-        """Wait for the check that the request's last lost answer started.
+        """Wait for the checks that the request's lost answers started.
 
-        A retry before the check ends could crash another upstream.
+        A retry before they end could crash another upstream.
         """
-        check = self._checks.get(routed.request_id)
-        if check is not None:
-            await asyncio.wait((check,))
+        checks = self._checks.get(routed.request_id)
+        if checks:
+            await asyncio.wait(tuple(checks))
 
     async def stop(self) -> None:
         """Cancel the running checks."""
         await self._tasks.stop()
 
+    def _end_check(self, request_id: str, check: asyncio.Task) -> None:
+        checks = self._checks[request_id]
+        checks.discard(check)
+        if not checks:
+            self._checks.pop(request_id)
+
     async def _check(
         self, request_fingerprint: Fingerprint, upstream: RegisteredUpstream
     ) -> None:
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -63,15 +63,15 @@
 class RequestServed:
     """A caller received the complete answer of an upstream.
 
-    `attempts` lists, per attempt, the upstream, why it was chosen, how many
-    requests it had, whether the object was assumed to be warm there, the
-    expected and the actual seconds, and the result. `key` names the object
-    that the request concerns. `configuration_age_s` is the time since this
-    gateway adopted the configuration. `upstreams_age_s` is the age of the list
-    of upstreams at the last choice, counted from the store's answer (-1: no
-    choice), `upstreams_from` the source of its last change. `limited` names the
-    upstreams at home that had no room within their rate limit, `paused` those
-    that had asked for a pause.
+    `attempts` lists, per attempt in the order of their ends, the upstream, why
+    it was chosen, how many requests it had, whether the object was assumed to
+    be warm there, the expected and the actual seconds, and the result. `key`
+    names the object that the request concerns. `configuration_age_s` is the
+    time since this gateway adopted the configuration. `upstreams_age_s` is the
+    age of the list of upstreams at the last choice, counted from the store's
+    answer (-1: no choice), `upstreams_from` the source of its last change.
+    `limited` names the upstreams at home that had no room within their rate
+    limit, `paused` those that had asked for a pause.
     """
 
     severity = Severity.ROUTINE
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -94,6 +94,7 @@
         self._context.budget.record_request(routed.service)
         remaining_s = routed.remaining_s(self._context.clock.now())
         limit_s = remaining_s + _ANSWER_MARGIN_S / 2
+        attempts = AttemptLoop(self._context, routed, answer)
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
             stack.callback(self._end_request)
@@ -101,9 +102,10 @@
                 async with self._time_limits.limit(limit_s):
                     await self._read_body(routed, body)
                     self._check_accepted(routed)
-                    await AttemptLoop(self._context, routed, answer).run()
+                    await attempts.run()
             except TimeoutError as failure:
-                raise self._deadline_error(routed) from failure
+                if not attempts.take_answer():
+                    raise self._deadline_error(routed) from failure
 
     async def _read_body(
         self,
--- a/nutmegshore/gateway/overdue_timer.py
+++ b/nutmegshore/gateway/overdue_timer.py
@@ -1,5 +1,7 @@
 """When an attempt without an answer is overdue."""
 
+import math
+
 from nutmegshore.clock import Clock
 
 __all__ = ('OverdueTimer',)
@@ -29,6 +31,10 @@
         """Seconds until the attempt is overdue, or is so again."""
         return max(self._due_at - self._clock.now(), 0)
 
+    def stop(self) -> None:
+        """Never let the attempt be overdue from now on."""
+        self._due_at = math.inf
+
     def postpone(self) -> None:
         """Let the attempt be overdue again when its age has doubled."""
         self._due_at = self._clock.now() + self.age_s
--- a/nutmegshore/gateway/running_attempts.py
+++ b/nutmegshore/gateway/running_attempts.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from nutmegshore.errors import Outcome, RequestError
 from nutmegshore.gateway.attempt import Attempt
 
 __all__ = ('EndedAttempt', 'RunningAttempts')
@@ -19,6 +20,13 @@
     attempt: Attempt
     failure: BaseException | None
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether its upstream certainly did not run the request."""
+        if not isinstance(self.failure, RequestError):
+            return False
+        return self.failure.answer.outcome is Outcome.NOT_RUN
+
 
 class RunningAttempts:
     """Runs each attempt in a task of its own, and cancels those left over.
@@ -60,40 +68,54 @@
     @property
     def due_s(self) -> float:
         """Seconds until any attempt is overdue, or is so again."""
-        return min(attempt.overdue.due_s for attempt in self.attempts)
+        return min(attempt.timer.due_s for attempt in self.attempts)
 
     def start(self, attempt: Attempt) -> None:
-        """Run an attempt; once its answer is streamed, the others end."""
+        """Run an attempt."""
         attempt.begin()
         task = asyncio.ensure_future(attempt.run())
         task.add_done_callback(lambda _: attempt.close())
-        attempt.answer.call_on_streaming(lambda: self._keep_only(task))
         self._by_task[task] = attempt
 
     async def wait(self, within_s: float) -> EndedAttempt | None:
-        """Wait for the end of an attempt; None after the seconds or before.
+        """Wait for the end of an attempt; None if the time passes first.
 
-        Of several that have ended, one with an answer comes first.
+        Of several that have ended, one with an answer comes first. The result
+        is also None if those that ended were cancelled by `keep_only`.
         """
         await asyncio.wait(
             tuple(self._by_task),
             timeout=None if within_s == math.inf else within_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
-        # Those that a streamed answer ended meanwhile are no longer here.
         done = [task for task in self._by_task if task.done()]
         if not done:
             return None
-        task = min(done, key=_has_failed)
-        return EndedAttempt(self._by_task.pop(task), _failure_of(task))
+        return self._take(min(done, key=_has_failed))
 
-    def _keep_only(self, kept: asyncio.Task) -> None:
-        self._cancel([task for task in self._by_task if task is not kept])
+    def take_ended(self) -> list[EndedAttempt]:
+        """Return the attempts that have ended, without waiting."""
+        done = [task for task in self._by_task if task.done()]
+        return [self._take(task) for task in done]
+
+    def keep_only(self, kept: Attempt) -> None:
+        """Cancel all other attempts: this one gives the answer."""
+        beaten = [
+            task
+            for task, attempt in self._by_task.items()
+            if attempt is not kept
+        ]
+        for task in beaten:
+            self._by_task[task].is_beaten = True
+        self._cancel(beaten)
+
+    def _take(self, task: asyncio.Task) -> EndedAttempt:
+        return EndedAttempt(self._by_task.pop(task), _failure_of(task))
 
     def _cancel(self, tasks: Iterable[asyncio.Task]) -> None:
         for task in tasks:
             task.cancel()
-            self._by_task.pop(task)
+            self._by_task.pop(task).answer.close()
             self._cancelled.append(task)
 
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -23,6 +23,7 @@
     QuarantineDependencies,
     make_quarantine,
 )
+from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.route import (
     Configuration,
@@ -32,6 +33,10 @@
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
+from tests.gateway.virtual_caller import Caller, SessionClock
+
+#: Seconds of work that the gateway of `make_caller` has measured.
+WORK_S = 0.2
 
 
 class ListWriter:
@@ -201,3 +206,26 @@
         )
 
     return build
+
+
+@pytest.fixture
+def make_caller(make_context, scripted, route):
+    """Function that builds a gateway over scripted upstreams, with a caller.
+
+    The gateway has measured `WORK_S` seconds of work, warm and cold.
+    """
+
+    def build(*steps, upstreams=None, extra_retries=60, **changes):
+        context = make_context(
+            upstreams or scripted(*steps),
+            SessionClock(),
+            [route(**changes)],
+            extra_retries,
+        )
+        latency = context.balancer.candidate_builder.latency
+        times = latency.route('r1', 'orders', WORK_S)
+        times.add_sample(WORK_S, is_warm=False)
+        times.add_sample(WORK_S, is_warm=True)
+        return Caller(context, GatewayForwarder(context))
+
+    return build
