Replace a summary that waits in a link by the next one

Links have a queue of their own now, of which the kernel takes 64 KiB ahead. A message with a slot (load reports, summaries, notices, requests and replies of one kind of object) takes the place of an earlier one of its slot. Relays carry the slot, so that forwarding members replace as well; earlier versions ignore the field and queue as before. Changes have no slot: all are sent.

--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from nutmegshore.peers import message
+from nutmegshore.peers import QueueRule, message, queue_rule
 
 __all__ = (
     'UNKNOWN_AGE',
@@ -191,3 +191,16 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+
+
+@queue_rule.register
+def _(
+    body: LoadReport | LoadSummary | RegionLoadReport | StateNotice,
+) -> QueueRule:
+    return QueueRule(slot=type(body).__name__)
+
+
+@queue_rule.register
+def _(body: StateRequest | StateReply) -> QueueRule:
+    # The latest request is for all that its sender lacks.
+    return QueueRule(slot=f'{type(body).__name__} {body.prefix}')
--- a/nutmegshore/peers/__init__.py
+++ b/nutmegshore/peers/__init__.py
@@ -8,6 +8,7 @@
 from nutmegshore.peers.memory import MemoryNetwork, MemoryPeers
 from nutmegshore.peers.memory_link import LinkNetwork, MemoryTransport
 from nutmegshore.peers.mesh import MeshPeers
+from nutmegshore.peers.queue_rules import QueueRule, queue_rule
 from nutmegshore.peers.tcp import TcpTransport
 
 __all__ = (
@@ -20,6 +21,7 @@
     'MeshOptions',
     'MeshPeers',
     'Peers',
+    'QueueRule',
     'TcpTransport',
     'Transport',
     'decode',
@@ -27,4 +29,5 @@
     'first_incarnation',
     'message',
     'process_of',
+    'queue_rule',
 )
--- a/nutmegshore/peers/link.py
+++ b/nutmegshore/peers/link.py
@@ -1,11 +1,14 @@
 """A stream of messages to one other entry."""
 
 import abc
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from nutmegshore.errors import ErrorKind, LinkError
 from nutmegshore.peers.codec import encode
+from nutmegshore.peers.queue_rules import NO_RULE, QueueRule, queue_rule
+from nutmegshore.peers.send_queue import SendQueue
 
 __all__ = ('HELLO_BYTES', 'SEND_QUEUE_BYTES', 'Accept', 'Link', 'Transport')
 
@@ -22,7 +25,7 @@
     `is_proven` is set after the handshake and raises the frame limit from
     `HELLO_BYTES` to 4 MiB; `reads_compressed` says whether the other side reads
     `CompressedFrame`. `close_reason` is the error kind for which the
-    local side closed the link, or None.
+    local side closed the link, or None. `queue` holds what waits to be sent.
 
         link.send(Ping())
         async for body in link:
@@ -35,14 +38,33 @@
         self.reads_compressed = False
         self.is_closed = False
         self.close_reason: ErrorKind | None = None
+        self.queue = SendQueue()
 
     def send(self, body: Any) -> bool:
         """Queue a message; False if the link is or gets closed."""
-        return self.send_frame(encode(body))
+        return self.send_frame(encode(body), queue_rule(body))
+
+    def send_frame(self, frame: bytes, rule: QueueRule = NO_RULE) -> bool:
+        """Queue an encoded message; a full queue closes the link.
+
+        It takes the place of an earlier one of its slot that still waits.
+        """
+        if self.is_closed:
+            return False
+        now = asyncio.get_running_loop().time()
+        self.queue.put(frame, rule, now)
+        self.write_queue()
+        if self.queue.size > SEND_QUEUE_BYTES:
+            self.abort()
+        return not self.is_closed
 
     @abc.abstractmethod
-    def send_frame(self, frame: bytes) -> bool:
-        """Queue an encoded message; a full queue closes the link."""
+    def write_queue(self) -> None:
+        """Send queued messages until the connection takes no more now."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Close the stream at once; what is queued may be lost."""
 
     @abc.abstractmethod
     async def read(self) -> Any:
--- a/nutmegshore/peers/memory_link.py
+++ b/nutmegshore/peers/memory_link.py
@@ -9,7 +9,6 @@
 from nutmegshore.peers.codec import MAX_FRAME_BYTES, decode
 from nutmegshore.peers.link import (
     HELLO_BYTES,
-    SEND_QUEUE_BYTES,
     Accept,
     Link,
     Transport,
@@ -55,26 +54,29 @@
         self.other: 'MemoryLink | None' = None
         self.is_broken = False
         self._received: asyncio.Queue[bytes | None] = asyncio.Queue()
-        self._free_at_s = float(0)
+        self._is_sending = False
 
     def join(self, other: 'MemoryLink') -> None:
         """Connect both ends."""
         self.other = other
         other.other = self
 
-    def send_frame(self, frame: bytes) -> bool:
-        """Queue an encoded message; a full queue closes the link."""
-        if self.is_closed or self.owner.is_killed:
-            return False
-        self.owner.network.count(self.owner.local.name, len(frame))
-        rate = self.owner.network.bytes_per_s
-        now = asyncio.get_running_loop().time()
-        self._free_at_s = max(self._free_at_s, now) + len(frame) / rate
-        if (self._free_at_s - now) * min(rate, MAX_RATE) > SEND_QUEUE_BYTES:
-            self.close(ErrorKind.LINK_CLOSED)
-            return False
-        self._carry(frame)
-        return True
+    def write_queue(self) -> None:
+        """Send queued messages, one after the other at the network's rate."""
+        while self.queue and not self._is_sending:
+            frame = self.queue.pop()
+            self.owner.network.count(self.owner.local.name, len(frame))
+            left_s = len(frame) / self.owner.network.bytes_per_s
+            self._carry(frame, left_s)
+            self._is_sending = left_s > 0
+            if self._is_sending:
+                asyncio.get_running_loop().call_later(left_s, self._go_on)
+        if self.is_closed and not self._is_sending:
+            self._carry(None)
+
+    def abort(self) -> None:
+        """Close the stream; what is queued arrives before its end."""
+        self.close(ErrorKind.LINK_CLOSED)
 
     async def read(self) -> Any:
         """Next message; None for an unknown type, `LinkError` at the end."""
@@ -93,36 +95,37 @@
         """Close the stream after the queued frames; idempotent."""
         if self.is_closed:
             return
-        if not self.owner.is_killed:
-            self._carry(None)
         self.is_closed = True
         self.close_reason = reason
+        if not self._is_sending:
+            self.write_queue()
         self._received.put_nowait(None)
 
     def receive(self, frame: bytes | None) -> None:
         """Queue a frame from the other end; None ends the stream."""
         self._received.put_nowait(frame)
 
-    def _carry(self, frame: bytes | None) -> None:
+    def _go_on(self) -> None:
+        self._is_sending = False
+        self.write_queue()
+
+    def _carry(self, frame: bytes | None, left_s: float = 0) -> None:
+        """Deliver a frame that has left the member after `left_s` seconds."""
+        if self.owner.is_killed:
+            return
         other = self.other
         network = self.owner.network
         ends = (self.owner.local, other.owner.local)
         if self.is_broken or network.is_cut(*ends) or other.owner.is_killed:
             self.is_broken = True
             return
-        loop = asyncio.get_running_loop()
-        start = max(self._free_at_s, loop.time())
-        loop.call_at(
-            start + network.delay_from(*ends),
+        asyncio.get_running_loop().call_later(
+            left_s + network.delay_from(*ends),
             other.receive,
             frame,
         )
 
 
-#: Bytes/s; keeps the product of an unlimited rate and no waiting time finite.
-MAX_RATE = 1e15
-
-
 class MemoryTransport(Transport):
     """One member's transport in a `LinkNetwork`."""
 
--- a/nutmegshore/peers/message_router.py
+++ b/nutmegshore/peers/message_router.py
@@ -5,12 +5,15 @@
 from collections.abc import Iterable
 from typing import Any
 
+import attrs
+
 from nutmegshore.counters import Counters
 from nutmegshore.peers.codec import encode
 from nutmegshore.peers.compression import compress_frame
 from nutmegshore.peers.link import Link
 from nutmegshore.peers.membership import Membership
 from nutmegshore.peers.messages import Relay
+from nutmegshore.peers.queue_rules import NO_RULE, QueueRule, queue_rule
 
 __all__ = ('HOP_LIMIT', 'MAX_SEEN_MESSAGES', 'MessageRouter')
 
@@ -96,9 +99,10 @@
         if link is not None and link.reads_compressed:
             frame = compressed
         self._count(body, len(frame))
-        if link is not None and link.send_frame(frame):
+        rule = queue_rule(body)
+        if link is not None and link.send_frame(frame, rule):
             return True
-        return self._forward(self._wrap(frame, target=name), '')
+        return self._forward(self._wrap(frame, target=name, rule=rule), '')
 
     def _count(self, body: Any, size: int) -> None:
         kind = type(body).__name__
@@ -109,9 +113,17 @@
     def _region(self) -> str:
         return self._membership.local.member.region
 
-    def _wrap(self, frame: bytes, target: str = '', region: str = '') -> Relay:
+    def _wrap(
+        self,
+        frame: bytes,
+        target: str = '',
+        region: str = '',
+        rule: QueueRule = NO_RULE,
+    ) -> Relay:
         self._sequence += 1
-        relay = Relay(self._local, self._sequence, target, region, 0, frame)
+        relay = Relay(
+            self._local, self._sequence, target, region, 0, frame, rule.slot
+        )
         self._is_duplicate(relay)
         return relay
 
@@ -160,11 +172,4 @@
 
 
 def _next_hop(relay: Relay) -> Relay:
-    return Relay(
-        relay.origin,
-        relay.sequence,
-        relay.target,
-        relay.region,
-        relay.hops + 1,
-        relay.frame,
-    )
+    return attrs.evolve(relay, hops=relay.hops + 1)
--- a/nutmegshore/peers/messages.py
+++ b/nutmegshore/peers/messages.py
@@ -100,7 +100,8 @@
     """A message forwarded over several links.
 
     `target` names one member. If it is empty, the message goes to all members
-    of `region`, or of the cluster if `region` is empty too.
+    of `region`, or of the cluster if `region` is empty too. `slot` is that of
+    the message, see `QueueRule`; earlier versions neither send nor forward it.
     """
 
     origin: str
@@ -109,3 +110,4 @@
     region: str
     hops: int
     frame: bytes
+    slot: str = ''
--- /dev/null
+++ b/nutmegshore/peers/queue_rules.py
@@ -0,0 +1,44 @@
+"""Rules for messages while they wait to be sent."""
+
+import functools
+from typing import Any
+
+import attrs
+
+from nutmegshore.peers.messages import Relay
+
+__all__ = ('NO_RULE', 'QueueRule', 'queue_rule')
+
+
+@attrs.frozen
+class QueueRule:
+    """What becomes of a message that waits to be sent.
+
+    A later message with the same `slot` to the same member takes its place;
+    '' stands for none. Messages that describe a state have a slot, those that
+    tell of a change have none.
+    """
+
+    slot: str = ''
+
+
+#: For messages that are sent in any case.
+NO_RULE = QueueRule()
+
+
+@functools.singledispatch
+def queue_rule(body: Any) -> QueueRule:
+    """Return the rule of a message; by default it is sent in any case.
+
+    @queue_rule.register
+    def _(body: LoadReport) -> QueueRule:
+        return QueueRule(slot='LoadReport')
+    """
+    return NO_RULE
+
+
+@queue_rule.register
+def _(body: Relay) -> QueueRule:
+    if not body.slot:
+        return NO_RULE
+    return QueueRule(f'{body.origin} {body.target} {body.slot}')
--- a/nutmegshore/peers/tcp.py
+++ b/nutmegshore/peers/tcp.py
@@ -1,10 +1,11 @@
 """Links over TCP, with TLS where a context is given."""
 
 import asyncio
+import socket
 import ssl
 from typing import Any
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
@@ -13,7 +14,6 @@
 from nutmegshore.peers.codec import MAX_FRAME_BYTES
 from nutmegshore.peers.link import (
     HELLO_BYTES,
-    SEND_QUEUE_BYTES,
     Accept,
     Link,
     Transport,
@@ -23,30 +23,39 @@
 __all__ = ('TcpLink', 'TcpTransport')
 
 
+#: Bytes that are written to a stream at once.
+_WRITE_BYTES = 65_536
+#: Unsent bytes that the kernel takes; what else waits can still be replaced.
+_UNSENT_BYTES = 65_536
+
+
 class TcpLink(Link):
     """A link on one TCP connection."""
 
     def __init__(self, stream: IOStream) -> None:
         """Wrap a connected stream."""
         super().__init__()
-        stream.max_write_buffer_size = SEND_QUEUE_BYTES
         stream.set_nodelay(True)
+        _limit_unsent(stream.socket)
         self._stream = stream
         self._reader = MessageReader()
 
-    def send_frame(self, frame: bytes) -> bool:
-        """Queue an encoded message; a full queue closes the link."""
-        if self.is_closed:
-            return False
-        try:
-            self._stream.write(frame)
-        except StreamBufferFullError:
-            self._abort()
-            return False
-        except StreamClosedError:
-            self.close()
-            return False
-        return True
+    def write_queue(self) -> None:
+        """Write queued messages while the stream holds no earlier ones."""
+        while self.queue and not self._stream.writing():
+            try:
+                written = self._stream.write(self._next_bytes())
+            except StreamClosedError:
+                self.close()
+                return
+            if self._stream.writing():
+                written.add_done_callback(self._go_on)
+
+    def abort(self) -> None:
+        """Close the stream at once; what is queued is lost."""
+        self.is_closed = True
+        self.close_reason = ErrorKind.LINK_CLOSED
+        self._stream.close()
 
     async def read(self) -> Any:
         """Next message; None for an unknown type, `LinkError` at the end."""
@@ -61,7 +70,7 @@
         self.is_closed = True
         self.close_reason = reason
         if self._stream.writing():
-            asyncio.ensure_future(self._stream.write(b'')).add_done_callback(
+            asyncio.ensure_future(self._write_rest()).add_done_callback(
                 self._close_stream,
             )
         else:
@@ -77,16 +86,36 @@
         except StreamClosedError as failure:
             raise LinkError(ErrorKind.LINK_CLOSED) from failure
 
-    def _abort(self) -> None:
-        self.is_closed = True
-        self.close_reason = ErrorKind.LINK_CLOSED
-        self._stream.close()
+    def _next_bytes(self) -> bytes:
+        """Remove queued messages that are written together."""
+        frames = [self.queue.pop()]
+        size = len(frames[0])
+        while self.queue and size < _WRITE_BYTES:
+            frames.append(self.queue.pop())
+            size += len(frames[-1])
+        return b''.join(frames)
+
+    def _go_on(self, written: asyncio.Future) -> None:
+        if not self.is_closed:
+            self.write_queue()
+
+    async def _write_rest(self) -> None:
+        while self.queue:
+            self._stream.write(self._next_bytes())
+        await self._stream.write(b'')
 
     def _close_stream(self, written: asyncio.Future) -> None:
         written.exception()
         self._stream.close()
 
 
+def _limit_unsent(connection: socket.socket) -> None:
+    """Limit what the kernel queues, on systems that can."""
+    option = getattr(socket, 'TCP_NOTSENT_LOWAT', None)
+    if option is not None:
+        connection.setsockopt(socket.IPPROTO_TCP, option, _UNSENT_BYTES)
+
+
 class _LinkServer(TCPServer):
     def __init__(self, accept: Accept, context: ssl.SSLContext | None) -> None:
         super().__init__(ssl_options=context)
