Drop what has waited in a link for too long, and log late links

Reports, requests and replies of objects, and changes now expire after 2 s in the queue of a hop; receivers leave a sender whose messages wait 1.2 s, and request the changes that they lack. Other messages (membership, verdicts, loans) wait as before. A link on which a message waits over 1 s is logged as 'link late', and 'link in time' later; links_late and link_messages_dropped (replaced, expired) count. Relays carry the rule to the members that forward.

The bound holds for each hop, not for the whole way.

--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -197,10 +197,17 @@
 def _(
     body: LoadReport | LoadSummary | RegionLoadReport | StateNotice,
 ) -> QueueRule:
-    return QueueRule(slot=type(body).__name__)
+    return QueueRule(slot=type(body).__name__, expires=True)
 
 
 @queue_rule.register
 def _(body: StateRequest | StateReply) -> QueueRule:
     # The latest request is for all that its sender lacks.
-    return QueueRule(slot=f'{type(body).__name__} {body.prefix}')
+    slot = f'{type(body).__name__} {body.prefix}'
+    return QueueRule(slot, expires=True)
+
+
+@queue_rule.register
+def _(body: StateChanges) -> QueueRule:
+    # The receiver requests what is missing before the next changes.
+    return QueueRule(expires=True)
--- a/nutmegshore/peers/link.py
+++ b/nutmegshore/peers/link.py
@@ -51,13 +51,21 @@
         """
         if self.is_closed:
             return False
-        now = asyncio.get_running_loop().time()
-        self.queue.put(frame, rule, now)
+        self.queue.put(frame, rule, _now())
         self.write_queue()
         if self.queue.size > SEND_QUEUE_BYTES:
             self.abort()
         return not self.is_closed
 
+    @property
+    def waiting_s(self) -> float:
+        """Seconds for which the oldest message has waited to be sent."""
+        return self.queue.oldest_s(_now())
+
+    def pop_frame(self) -> bytes:
+        """Remove the next message from the queue, b'' if there is none."""
+        return self.queue.pop(_now())
+
     @abc.abstractmethod
     def write_queue(self) -> None:
         """Send queued messages until the connection takes no more now."""
@@ -94,6 +102,10 @@
             raise
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 #: Called with each link that another entry opens; it owns the link.
 Accept = Callable[[Link], None]
 
--- a/nutmegshore/peers/link_manager.py
+++ b/nutmegshore/peers/link_manager.py
@@ -16,6 +16,7 @@
     VERSION_SCALE,
     perform_handshake,
 )
+from nutmegshore.peers.late_links import LateLinks
 from nutmegshore.peers.link import Link, Transport
 from nutmegshore.peers.messages import Hello
 
@@ -93,6 +94,7 @@
         self._callbacks = _LinkCallbacks(send_full_state, deliver)
         self._handshake_deadlines: dict[Link, float] = {}
         self._ranks: dict[str, tuple[int, bool]] = {}
+        self._late_links = LateLinks(components.counters)
         self.activity = _LinkActivity(components.clock)
 
     async def run(self) -> None:
@@ -112,7 +114,8 @@
             await self._components.clock.sleep(pause_s)
 
     def prune_links(self) -> None:
-        """Close idle links and those outside the topology."""
+        """Close idle links and those outside the topology; log late ones."""
+        self._late_links.observe(self._router.links)
         for unwanted in self._components.dialler.pop_unwanted():
             self._components.counters.add('links_unwanted')
             self._router.links[unwanted].close()
@@ -205,6 +208,7 @@
         if link.close_reason is not None:
             reason = link.close_reason.value
             self._components.counters.add('link_failures', reason=reason)
+        self._late_links.count_dropped(link)
         for name, present in list(self._router.links.items()):
             if present is link:
                 self._router.links.pop(name)
--- a/nutmegshore/peers/memory_link.py
+++ b/nutmegshore/peers/memory_link.py
@@ -64,7 +64,9 @@
     def write_queue(self) -> None:
         """Send queued messages, one after the other at the network's rate."""
         while self.queue and not self._is_sending:
-            frame = self.queue.pop()
+            frame = self.pop_frame()
+            if not frame:
+                break
             self.owner.network.count(self.owner.local.name, len(frame))
             left_s = len(frame) / self.owner.network.bytes_per_s
             self._carry(frame, left_s)
--- a/nutmegshore/peers/message_router.py
+++ b/nutmegshore/peers/message_router.py
@@ -122,7 +122,14 @@
     ) -> Relay:
         self._sequence += 1
         relay = Relay(
-            self._local, self._sequence, target, region, 0, frame, rule.slot
+            self._local,
+            self._sequence,
+            target,
+            region,
+            0,
+            frame,
+            rule.slot,
+            rule.expires,
         )
         self._is_duplicate(relay)
         return relay
--- a/nutmegshore/peers/messages.py
+++ b/nutmegshore/peers/messages.py
@@ -100,8 +100,9 @@
     """A message forwarded over several links.
 
     `target` names one member. If it is empty, the message goes to all members
-    of `region`, or of the cluster if `region` is empty too. `slot` is that of
-    the message, see `QueueRule`; earlier versions neither send nor forward it.
+    of `region`, or of the cluster if `region` is empty too. `slot` and
+    `expires` are those of its `QueueRule`; earlier versions neither send nor
+    forward them.
     """
 
     origin: str
@@ -111,3 +112,4 @@
     hops: int
     frame: bytes
     slot: str = ''
+    expires: bool = False
--- a/nutmegshore/peers/queue_rules.py
+++ b/nutmegshore/peers/queue_rules.py
@@ -16,10 +16,12 @@
 
     A later message with the same `slot` to the same member takes its place;
     '' stands for none. Messages that describe a state have a slot, those that
-    tell of a change have none.
+    tell of a change have none. A message that `expires` is dropped once it has
+    waited so long that its receiver learned what it says in another way.
     """
 
     slot: str = ''
+    expires: bool = False
 
 
 #: For messages that are sent in any case.
@@ -32,13 +34,12 @@
 
     @queue_rule.register
     def _(body: LoadReport) -> QueueRule:
-        return QueueRule(slot='LoadReport')
+        return QueueRule(slot='LoadReport', expires=True)
     """
     return NO_RULE
 
 
 @queue_rule.register
 def _(body: Relay) -> QueueRule:
-    if not body.slot:
-        return NO_RULE
-    return QueueRule(f'{body.origin} {body.target} {body.slot}')
+    slot = f'{body.origin} {body.target} {body.slot}' if body.slot else ''
+    return QueueRule(slot, body.expires)
--- a/nutmegshore/peers/send_queue.py
+++ b/nutmegshore/peers/send_queue.py
@@ -1,5 +1,6 @@
 """Messages that wait to be sent on one link."""
 
+import collections
 import itertools
 
 import attrs
@@ -12,6 +13,9 @@
 #: that they keep the place of the first, so that a slot is sent at all while
 #: the queue does not become empty.
 _MAX_DEFERRAL_S = 1
+#: Seconds after which what expires is dropped. Receivers rely on other members
+#: before.
+_EXPIRY_S = 2
 
 
 @attrs.frozen
@@ -20,22 +24,24 @@
 
     frame: bytes
     since: float
+    expires_at: float
 
 
 class SendQueue:
     """Encoded messages in the order in which they are sent.
 
-    A message takes the place of an earlier one of the same slot. `size` is in
-    bytes, and `replaced` counts the messages that were never sent for this.
+    A message takes the place of an earlier one of the same slot, and one that
+    expires is dropped some time later. `size` is in bytes; `dropped` counts the
+    messages that were never sent, by reason.
 
         queue.put(frame, QueueRule(slot='LoadReport'), now=12.5)
-        stream.write(queue.pop())
+        stream.write(queue.pop(now=12.6))
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.size = 0
-        self.replaced = 0
+        self.dropped: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
         self._by_key: dict[str | int, _Waiting] = {}
 
@@ -50,16 +56,26 @@
         since = now
         if earlier is not None:
             since = earlier.since
-            self.replaced += 1
+            self.dropped['replaced'] += 1
             self.size -= len(earlier.frame)
         if now - since < _MAX_DEFERRAL_S:
             self._by_key.pop(key, None)
-        self._by_key[key] = _Waiting(frame, since)
+        expires_at = now + _EXPIRY_S if rule.expires else float('inf')
+        self._by_key[key] = _Waiting(frame, since, expires_at)
         self.size += len(frame)
 
-    def pop(self) -> bytes:
-        """Remove the next message and return it."""
-        key = next(iter(self._by_key))
-        frame = self._by_key.pop(key).frame
-        self.size -= len(frame)
-        return frame
+    def pop(self, now: float) -> bytes:
+        """Remove the next message and return it, b'' if all have expired."""
+        while self._by_key:
+            key = next(iter(self._by_key))
+            first = self._by_key.pop(key)
+            self.size -= len(first.frame)
+            if now < first.expires_at:
+                return first.frame
+            self.dropped['expired'] += 1
+        return b''
+
+    def oldest_s(self, now: float) -> float:
+        """Seconds for which the queue has not sent what waits longest."""
+        waiting = self._by_key.values()
+        return max((now - one.since for one in waiting), default=0)
--- a/nutmegshore/peers/tcp.py
+++ b/nutmegshore/peers/tcp.py
@@ -88,10 +88,10 @@
 
     def _next_bytes(self) -> bytes:
         """Remove queued messages that are written together."""
-        frames = [self.queue.pop()]
-        size = len(frames[0])
+        frames = []
+        size = 0
         while self.queue and size < _WRITE_BYTES:
-            frames.append(self.queue.pop())
+            frames.append(self.pop_frame())
             size += len(frames[-1])
         return b''.join(frames)
 
--- a/tests/peers/test_send_queue.py
+++ b/tests/peers/test_send_queue.py
@@ -112,3 +112,61 @@
     came = asyncio.run(session())
     assert came == sorted(came)
     assert len(came) < 1_000
+
+
+def _send_changes(mesh, name, position):
+    noise = random.Random(position).randbytes(_SUMMARY_BYTES)
+    changes = StateChanges('servers/', 0, position, [noise], sent_at=_now())
+    mesh.send(name, changes)
+
+
+@pytest.mark.parametrize(
+    ('count', 'choose', 'bound_s'), [(3, _near_pair, 3), (30, _far_pair, 5.5)]
+)
+def test_changes_that_waited_too_long_are_dropped(net, count, choose, bound_s):
+    """Guards against DRAIN: changes that no receiver waited for any more went
+    before newer ones in a narrow link."""
+
+    async def session():
+        net.start_many(count)
+        await asyncio.sleep(10)
+        sender, name = choose(net)
+        net.network.bytes_per_s = _NARROW_LINK
+        ages = []
+        net.meshes[name].subscribe(
+            StateChanges, lambda _, body: ages.append(_now() - body.sent_at)
+        )
+        for position in range(60):
+            _send_changes(sender, name, position)
+            await asyncio.sleep(_INTERVAL_S)
+        return ages, net.failures()
+
+    ages, failures = run_virtual(session)
+    assert not failures
+    assert len(ages) > 10
+    # Up to 2 s in the queue of each hop, and 0.75 s to leave it.
+    assert max(ages) < bound_s
+
+
+def test_a_late_link_is_logged_once_and_counted(net, log_lines):
+    """Guards against a full link that shows only by what it delays."""
+
+    async def session():
+        net.start_many(3)
+        await asyncio.sleep(10)
+        sender, name = _near_pair(net)
+        net.network.bytes_per_s = _NARROW_LINK
+        for position in range(40):
+            _send_changes(sender, name, position)
+            await asyncio.sleep(_INTERVAL_S)
+        await asyncio.sleep(10)
+        counters = sender.components.counters
+        expired = counters.total('link_messages_dropped', reason='expired')
+        return name, counters.total('links_late'), expired
+
+    name, late, expired = run_virtual(session)
+    assert late == 1
+    assert expired > 10
+    lines = [line for line in log_lines if line.get('peer') == name]
+    assert [line['event'] for line in lines] == ['link late', 'link in time']
+    assert lines[0]['waiting_s'] > 1
