Count a summary in look-ups from when it was sent

With 4 s of waiting a dead gateway was named 5.2 s after its death, with 6 s for 7.2 s; the users want it gone after 6.

A gateway's own report now counts from when it was sent, and a summary 1.5 s from its arrival but no longer than 3 s from when it was sent, so that a death shows within 4.5 s whatever the links do. A stricter bound would leave a gateway alone in its own answers whenever its aggregators' links are full.

Tests: test_peering.py, a dead gateway of 24 while the summaries of its region wait 1, 2, 4 and 6 s (virtual time); 4 and 6 fail on the code before. While they wait 1 s, live gateways stay named, before and after.

--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -196,39 +196,42 @@
 
     def _handle_report(self, sender: str, report: LoadReport) -> None:
         check_report(report)
-        self.roster.record_contact(sender, is_ready=report.is_ready)
+        transit_s = self.transit_times.record(sender, report.sent_at)
+        self.roster.record_contact(sender, transit_s, is_ready=report.is_ready)
         self._load.handle_peer_counts(sender, report.in_flight)
         self._traffic.handle_report(sender, report)
-        self._compare(sender, report)
+        self._compare(sender, report, transit_s)
 
     def _handle_summary(self, sender: str, summary: LoadSummary) -> None:
         check_report(summary)
+        transit_s = self.transit_times.record(sender, summary.sent_at)
         peers = self._dependencies.peers
         local = peers.local.name
         others = [name for name in summary.ready if name != local]
-        self.roster.handle_named(sender, others)
+        self.roster.handle_named(sender, transit_s, others)
         if local not in peers.aggregators():
             sent_counts = self._sent_counts.get(sender, {})
             self._load.handle_all(summary.in_flight, sent_counts)
             self._traffic.handle_summary(summary)
-        self._compare(sender, summary)
+        self._compare(sender, summary, transit_s)
 
     def _handle_region(self, sender: str, report: RegionLoadReport) -> None:
         check_report(report)
+        transit_s = self.transit_times.record(sender, report.sent_at)
         if (
             self._dependencies.peers.local.name
             in self._dependencies.peers.aggregators()
         ):
             self._load.handle_peer_counts(report.region, report.in_flight)
-        self._compare(sender, report)
+        self._compare(sender, report, transit_s)
 
     def _compare(
         self,
         sender: str,
         report: LoadReport | LoadSummary | RegionLoadReport,
+        transit_s: float,
     ) -> None:
-        """Compare what a peer knows with the local state."""
-        transit_s = self.transit_times.record(sender, report.sent_at)
+        """Compare what a peer knew `transit_s` ago with the local state."""
         self._limits.adopt(report.limits, transit_s)
         self._leaving.adopt(report.leaving)
         self._cold.adopt(report.cold, transit_s)
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -18,6 +18,7 @@
     LoadSummary,
     StateChanges,
     StateReply,
+    StateRequest,
 )
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
@@ -508,6 +509,72 @@
     assert run_virtual(session) == [False, False, True]
 
 
+#: Bytes a second of a link.
+_NARROW_LINK = 1_000_000
+
+
+async def _keep_late(fleet, seconds):
+    """Let what the aggregators of the west send wait in their links."""
+    # A request for objects of a kind that there is not.
+    ballast = StateRequest(random.Random(7).randbytes(50_000).hex(), 0)
+    late = list(filter(_is_west, _aggregators(fleet)))
+    for name in late:
+        fleet.network.set_rate(name, _NARROW_LINK)
+    while True:
+        for name in late:
+            while fleet.network.queue_s(name) < seconds:
+                fleet[name].peers.send('g00', ballast)
+        await asyncio.sleep(0.02)
+
+
+def _watch_west(fleet):
+    """An observer, and two others of its region that do not aggregate."""
+    aggregators = _aggregators(fleet)
+    west = [name for name in fleet if _is_west(name)]
+    observer, *others = [name for name in west if name not in aggregators]
+    return fleet[observer].peering, others[:2]
+
+
+@pytest.mark.parametrize('late_s', [1, 2, 4, 6])
+def test_a_dead_gateway_is_not_named_by_a_late_summary(run_fleet, late_s):
+    """Guards against DRAIN: look-ups counted a summary from its arrival, so
+    that one that had waited in a link named the dead for as long again."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet)
+            await asyncio.sleep(3)
+            observer, (dead, _) = _watch_west(fleet)
+            fleet[dead].task.cancel()
+            delaying = asyncio.ensure_future(_keep_late(fleet, late_s))
+            named = []
+            for _ in range(100):
+                await asyncio.sleep(0.1)
+                named.append(observer.is_named(dead))
+            delaying.cancel()
+            return named
+
+    assert not any(run_virtual(session)[47:])
+
+
+def test_a_gateway_stays_named_while_summaries_wait(run_fleet):
+    """Guards against look-up answers without the gateways of a region whose
+    aggregators have full links."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet)
+            await asyncio.sleep(3)
+            observer, (_, other) = _watch_west(fleet)
+            delaying = asyncio.ensure_future(_keep_late(fleet, 1))
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                assert observer.is_named(other)
+            delaying.cancel()
+
+    run_virtual(session)
+
+
 def test_a_large_fleet_lists_each_kind_together(run_fleet):
     """Guards against listings that grow with the number of gateways."""
 
