Push changes from what the gateways have, not from an empty listing

Nobody is told of such a position, so that the gateways of its half were behind the base of the next push and had to request its changes: one round trip more, and one request of each gateway.

The base moves only with changes that are sent, or if what was sent is not known any more (start, another era, history too short).

--- a/nutmegshore/gateway/state_pushes.py
+++ b/nutmegshore/gateway/state_pushes.py
@@ -7,7 +7,7 @@
 from nutmegshore.gateway.state_objects import make_changes
 from nutmegshore.peers import Peers
 from nutmegshore.peers.topology import ring_position
-from nutmegshore.store import StorePosition
+from nutmegshore.store import Changes, StorePosition
 
 __all__ = ('StatePushes', 'pusher_of')
 
@@ -41,22 +41,29 @@
         """Send what has changed since the last call."""
         names = self._members(is_watched=is_watched)
         for follower in self._followers:
-            base = self._sent.get(follower.prefix)
-            known_at = follower.known.position
-            self._sent[follower.prefix] = known_at
-            if base is not None and base.era == known_at.era:
-                self._send_changes(names, follower, base)
+            changes = self._changes(follower)
+            if changes is None:
+                self._sent[follower.prefix] = follower.known.position
+            elif changes.changes:
+                self._send_changes(names, follower, changes)
 
     def stop(self) -> None:
         """Forget what was sent: this gateway is no aggregator any more."""
         self._sent.clear()
 
+    def _changes(self, follower: KindFollower) -> Changes | None:
+        """Return what was not sent yet; None if that is not known."""
+        base = self._sent.get(follower.prefix)
+        if base is None or base.era != follower.known.position.era:
+            return None
+        return follower.known.changes_since(base)
+
     def _send_changes(
-        self, names: list[str], follower: KindFollower, base: StorePosition
+        self, names: list[str], follower: KindFollower, changes: Changes
     ) -> None:
-        changes = follower.known.changes_since(base)
-        if changes is None or not changes.changes:
-            return
+        # A position without changes is told to nobody, and is no base.
+        base = self._sent[follower.prefix]
+        self._sent[follower.prefix] = follower.known.position
         body = make_changes(follower, changes, base, self._clock.now())
         self._peers.send_each(names, body)
 
