--- a/nutmegshore/peers/messages.py
+++ b/nutmegshore/peers/messages.py
@@ -100,7 +100,9 @@
     """A message forwarded over several links.
 
     `target` names one member. If it is empty, the message goes to all members
-    of `region`, or of the cluster if `region` is empty too.
+    of `region`, or of the cluster if `region` is empty too. `slot` and
+    `expires` are those of its `QueueRule`; earlier versions neither send nor
+    forward them.
     """
 
     origin: str
@@ -109,3 +111,5 @@
     region: str
     hops: int
     frame: bytes
+    slot: str = ''
+    expires: bool = False
