Log an answer whose caller has not taken it

Where the connection broke while an answer of up to 256 KiB was being written, or the gateway reset it because the caller did not read for the write timeout, nothing was logged: a StreamClosedError passed the responder, and the listener drops it. Only a counter told of the second case.

answer_cut names the request, the status, the attempts and which of the two it was; answers_cut counts them. An answer of the gateway's own has its line as before, written before the answer, and answer_cut follows it.

Both tests fail on the code before: no line with the request's id. RequestAbandoned moves to caller_events.py with the new event.

--- /dev/null
+++ b/nutmegshore/gateway/caller_events.py
@@ -0,0 +1,53 @@
+"""Events about callers that did not get their whole answers."""
+
+import attrs
+
+from nutmegshore.gateway.severity import Severity
+
+__all__ = ('AnswerCut', 'RequestAbandoned')
+
+
+@attrs.frozen
+class RequestAbandoned:
+    """The caller closed its connection before it received an answer.
+
+    The attempt was cancelled; its upstream may have run the request.
+    """
+
+    severity = Severity.FAILURE
+
+    request: str
+    route: str
+    service: str
+    key: str
+    configuration: int
+    configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
+    took_s: float
+    attempts: list
+
+
+@attrs.frozen
+class AnswerCut:
+    """The connection ended before the caller had taken our answer.
+
+    `reason` is `not_taken` if the gateway reset the connection of a caller that
+    did not read, and `caller_left` if the connection broke. `status` is that of
+    the answer. An answer of the gateway's own has its line as well.
+    """
+
+    severity = Severity.FAILURE
+
+    request: str
+    route: str
+    service: str
+    key: str
+    configuration: int
+    configuration_age_s: float
+    upstreams_age_s: float
+    upstreams_from: str
+    status: int
+    reason: str
+    took_s: float
+    attempts: list
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from nutmegshore.gateway.caller_events import AnswerCut, RequestAbandoned
 from nutmegshore.gateway.severity import Severity
 from nutmegshore.gateway.store_events import (
     ListingOutdated,
@@ -34,6 +35,7 @@
 
 __all__ = (
     'EVENT_NAMES',
+    'AnswerCut',
     'ConfigurationAdopted',
     'ConfigurationRejected',
     'EntryRejected',
@@ -174,27 +176,6 @@
     paused: list = attrs.field(factory=list)
 
 
-@attrs.frozen
-class RequestAbandoned:
-    """The caller closed its connection before it received an answer.
-
-    The attempt was cancelled; its upstream may have run the request.
-    """
-
-    severity = Severity.FAILURE
-
-    request: str
-    route: str
-    service: str
-    key: str
-    configuration: int
-    configuration_age_s: float
-    upstreams_age_s: float
-    upstreams_from: str
-    took_s: float
-    attempts: list
-
-
 @attrs.frozen
 class RequestFailed:
     """The gateway answered with an error, and the request may have run.
@@ -400,6 +381,7 @@
         RequestRefused: 'request_refused',
         RequestFailed: 'request_failed',
         RequestAbandoned: 'request_abandoned',
+        AnswerCut: 'answer_cut',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
         UpstreamLeaving: 'upstream_leaving',
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -19,6 +19,7 @@
 from nutmegshore.gateway.answer import NOT_RUN_STATUSES, BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.events import (
+    AnswerCut,
     RequestAbandoned,
     RequestFailed,
     RequestRefused,
@@ -118,6 +119,7 @@
         text = f'{kind}: {error}\n'.encode()
         await self._write_with_timeout(
             self.writer.write_own(status, tuple(headers), text),
+            status,
         )
 
     def _record(self, record: Callable[..., None], *details: Any) -> None:
@@ -125,15 +127,21 @@
         with self._context.log.faults.contain('responder'):
             record(*details)
 
-    async def _write_with_timeout(self, write: Awaitable[None]) -> None:
+    async def _write_with_timeout(
+        self, write: Awaitable[None], status: int
+    ) -> None:
         """Abort the connection of a caller that does not read its answer."""
         try:
             async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
             self._context.counters.add('answers_not_taken')
+            self._record(self._log_cut, status, 'not_taken')
             abort_stream(self.writer.stream)
             raise StreamClosedError from failure
+        except StreamClosedError:
+            self._record(self._log_cut, status, 'caller_left')
+            raise
 
     async def _forward(self) -> int:
         head = self.writer.request
@@ -148,8 +156,9 @@
             is_safe=self._routed.route.is_safe,
         )
         await self._forwarder.run(self._routed, self.body, answer)
-        await self._write_with_timeout(answer.finish())
-        return answer.head.status
+        status = answer.head.status
+        await self._write_with_timeout(answer.finish(), status)
+        return status
 
     def _log_served(self, status: int) -> None:
         routed = self._routed
@@ -169,14 +178,13 @@
         name = 'requests_refused' if is_refusal else 'requests_failed'
         self._context.counters.add(name, reason=error.kind.value)
         self._record_latency('refused' if is_refusal else 'failed')
-        attempts = self._routed.describe_attempts() if self._routed else []
         fields = {
             **self._common_fields(),
             'status': int(status),
             'reason': error.kind.value,
             'detail': str(error),
             'no_retry': self._routed.no_retry if self._routed else '',
-            'attempts': attempts,
+            'attempts': self._describe_attempts(),
         }
         if not is_refusal:
             self._context.log.write(RequestFailed(**fields))
@@ -199,13 +207,25 @@
         self._record_latency('abandoned')
         self._context.log.write(
             RequestAbandoned(
-                attempts=self._routed.describe_attempts()
-                if self._routed
-                else [],
+                attempts=self._describe_attempts(),
                 **self._common_fields(),
             ),
         )
 
+    def _log_cut(self, status: int, reason: str) -> None:
+        self._context.counters.add('answers_cut', reason=reason)
+        self._context.log.write(
+            AnswerCut(
+                status=int(status),
+                reason=reason,
+                attempts=self._describe_attempts(),
+                **self._common_fields(),
+            ),
+        )
+
+    def _describe_attempts(self) -> list[list]:
+        return self._routed.describe_attempts() if self._routed else []
+
     def _record_latency(self, outcome: str) -> None:
         """Record how long the caller waited, unless the request has no route.
 
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import attrs
 import pytest
@@ -17,6 +18,13 @@
 from nutmegshore.gateway.route import RouteKind
 from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
 
+#: An answer that is buffered, and that a narrow connection cannot take.
+_LONG_BYTES = 250_000
+#: Bytes that a narrow connection takes at once.
+_NARROW_BYTES = 4096
+#: Seconds within which a line has to be written.
+_PATIENCE_S = 5
+
 _GET = (
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r7\r\n'
     b'Affinity-Key: 7\r\nDeadline-Ms: 1500\r\nConnection: close\r\n\r\n'
@@ -436,6 +444,82 @@
     assert context.counters.total('answers_not_taken') == 1
 
 
+@pytest.fixture
+def narrow(monkeypatch):
+    """Let connections of callers take few bytes at once."""
+    serve = CallerServer.handle_stream
+
+    async def handle_stream(server, stream, address):
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _NARROW_BYTES
+        )
+        await serve(server, stream, address)
+
+    monkeypatch.setattr(CallerServer, 'handle_stream', handle_stream)
+
+
+async def _connect_narrowly(port):
+    """Connect as a caller with a small buffer for what it receives."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _NARROW_BYTES)
+    caller.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(caller, ('127.0.0.1', port))
+    return caller
+
+
+def _read_a_little(context, is_done, write_s=_PATIENCE_S):
+    """Ask for an answer and take a part of it; reset when `is_done` says."""
+
+    async def session():
+        async with _listening(context, write_s=write_s) as (port, _):
+            reader, writer = await asyncio.open_connection(
+                sock=await _connect_narrowly(port), limit=_NARROW_BYTES
+            )
+            writer.write(_GET)
+            await reader.readexactly(1)
+            async with asyncio.timeout(_PATIENCE_S):
+                while not is_done(writer):
+                    await asyncio.sleep(0.01)
+            writer.transport.abort()
+
+    asyncio.run(session())
+
+
+@pytest.mark.usefixtures('narrow')
+def test_a_caller_that_does_not_read_is_logged(
+    make_context, scripted, step, lines
+):
+    """Guards against a request that is cut without a line (issue 47): the
+    gateway reset the connection of a caller that did not take its answer."""
+    context = make_context(scripted(step(body=bytes(_LONG_BYTES))))
+
+    def is_cut(writer):
+        return context.counters.total('answers_not_taken')
+
+    _read_a_little(context, is_cut, write_s=0.05)
+    cut = lines.named('answer_cut')
+    assert [line['request'] for line in cut] == ['r7']
+    assert [line['reason'] for line in cut] == ['not_taken']
+
+
+@pytest.mark.usefixtures('narrow')
+def test_a_caller_that_leaves_within_its_answer_is_logged(
+    make_context, scripted, step, lines
+):
+    """Guards against a request that ends without a line (issue 47): the
+    caller's connection broke while its answer was being written."""
+    context = make_context(scripted(step(body=bytes(_LONG_BYTES))))
+
+    def has_left(writer):
+        writer.transport.abort()
+        return context.counters.total('caller_disconnects')
+
+    _read_a_little(context, has_left)
+    cut = lines.named('answer_cut')
+    assert [line['request'] for line in cut] == ['r7']
+    assert [line['reason'] for line in cut] == ['caller_left']
+
+
 def test_a_failed_unsafe_request_is_logged_with_why_it_was_not_retried(
     make_context,
     scripted,
