Cancel no write of tornado's

`nutmegshore faults` would count it as a fault of ours.

The writer now waits behind a shield. Since a broken connection then cancels the request before the write fails, the end of an answer is handled in one place: answer_cut says caller_left, or stopped if the gateway cut the answer at the end of its grace period; that was logged as request_abandoned, as if the caller had left.

test_a_cut_answer_leaves_no_exception_in_the_event_loop fails on the code before with tornado's traceback.

--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -33,8 +33,9 @@
     """The connection ended before the caller had taken our answer.
 
     `reason` is `not_taken` if the gateway reset the connection of a caller that
-    did not read, and `caller_left` if the connection broke. `status` is that of
-    the answer. An answer of the gateway's own has its line as well.
+    did not read, `stopped` if it did so at the end of its grace period, and
+    `caller_left` if the connection broke. `status` is that of the answer. An
+    answer of the gateway's own has its line as well.
     """
 
     severity = Severity.FAILURE
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -94,7 +94,7 @@
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
         try:
-            status = await self._forward()
+            answer = await self._forward()
         except asyncio.CancelledError:
             self._record(self._log_abandoned)
             raise
@@ -105,7 +105,7 @@
             self.writer.keeps_alive &= self.body.is_whole
             await self.refuse(error)
         else:
-            self._record(self._log_served, status)
+            await self._finish(answer)
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with the status of an error and log the failure."""
@@ -139,11 +139,13 @@
             self._record(self._log_cut, status, 'not_taken')
             abort_stream(self.writer.stream)
             raise StreamClosedError from failure
-        except StreamClosedError:
-            self._record(self._log_cut, status, 'caller_left')
+        except (StreamClosedError, asyncio.CancelledError):
+            has_left = self.writer.stream.closed()
+            reason = 'caller_left' if has_left else 'stopped'
+            self._record(self._log_cut, status, reason)
             raise
 
-    async def _forward(self) -> int:
+    async def _forward(self) -> BufferedAnswer:
         head = self.writer.request
         incoming = IncomingRequest(
             head, read_caller_fields(head), self._arrived_at
@@ -156,9 +158,12 @@
             is_safe=self._routed.route.is_safe,
         )
         await self._forwarder.run(self._routed, self.body, answer)
+        return answer
+
+    async def _finish(self, answer: BufferedAnswer) -> None:
         status = answer.head.status
         await self._write_with_timeout(answer.finish(), status)
-        return status
+        self._record(self._log_served, status)
 
     def _log_served(self, status: int) -> None:
         routed = self._routed
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -1,5 +1,6 @@
 """Writing of answers to a caller's connection."""
 
+import asyncio
 import socket
 import struct
 from http import HTTPStatus
@@ -46,7 +47,7 @@
         """Ask a caller that waits for it to send its body."""
         is_asked = self.request and self.request.get('expect')
         if is_asked and not self.has_begun:
-            await self.stream.write(_CONTINUE)
+            await self._write(_CONTINUE)
 
     async def begin(self, head: AnswerHead) -> None:
         """Write the head of an upstream's answer."""
@@ -64,12 +65,12 @@
         if self._is_chunked:
             size = format(len(chunk), 'x').encode()
             chunk = b'%b\r\n%b\r\n' % (size, chunk)
-        await self.stream.write(chunk)
+        await self._write(chunk)
 
     async def finish(self) -> None:
         """Mark the answer as whole."""
         if self._is_chunked and self._has_body:
-            await self.stream.write(_LAST_CHUNK)
+            await self._write(_LAST_CHUNK)
         self.is_complete = True
 
     async def write_own(
@@ -93,6 +94,14 @@
         body = f'{kind}: {error}\n'.encode()
         await self.write_own(error.answer.status, headers, body)
 
+    async def _write(self, piece: bytes) -> None:
+        """Wait until the connection has taken the bytes.
+
+        The write of the stream itself is never cancelled: tornado reads the
+        result of each, which raises in the event loop for a cancelled one.
+        """
+        await asyncio.shield(self.stream.write(piece))
+
     async def _write_head(
         self,
         status: int,
@@ -111,7 +120,7 @@
             lines.append('Connection: close')
         head = '\r\n'.join((*lines, '\r\n')).encode('latin-1')
         self.has_begun = True
-        await self.stream.write(head + body if self._has_body else head)
+        await self._write(head + body if self._has_body else head)
 
     def _choose_framing(self, status: int, length: str | None) -> None:
         method = self.request.method if self.request else ''
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -502,6 +502,21 @@
     assert [line['reason'] for line in cut] == ['not_taken']
 
 
+@pytest.mark.usefixtures('narrow')
+def test_a_cut_answer_leaves_no_exception_in_the_event_loop(
+    make_context, scripted, step, caplog
+):
+    """Guards against a traceback without a request (issue 47): a callback of
+    tornado raised for each write that the end of its time had cancelled."""
+    context = make_context(scripted(step(body=bytes(_LONG_BYTES))))
+
+    def is_cut(writer):
+        return context.counters.total('answers_not_taken')
+
+    _read_a_little(context, is_cut, write_s=0.05)
+    assert [line for line in caplog.records if line.name == 'asyncio'] == []
+
+
 @pytest.mark.usefixtures('narrow')
 def test_a_caller_that_leaves_within_its_answer_is_logged(
     make_context, scripted, step, lines
@@ -520,6 +535,28 @@
     assert [line['reason'] for line in cut] == ['caller_left']
 
 
+@pytest.mark.usefixtures('narrow')
+def test_an_answer_that_a_stop_cuts_is_logged(
+    make_context, scripted, step, lines
+):
+    """Guards against a line that blames the caller (issue 47): the grace
+    period ended while an answer was being written, and the gateway cut it."""
+    context = make_context(scripted(step(body=bytes(_LONG_BYTES))))
+
+    async def session():
+        async with _listening(context) as (port, _):
+            reader, writer = await asyncio.open_connection(
+                sock=await _connect_narrowly(port), limit=_NARROW_BYTES
+            )
+            writer.write(_GET)
+            await reader.readexactly(1)
+        writer.transport.abort()
+
+    asyncio.run(session())
+    cut = lines.named('answer_cut')
+    assert [line['reason'] for line in cut] == ['stopped']
+
+
 def test_a_failed_unsafe_request_is_logged_with_why_it_was_not_retried(
     make_context,
     scripted,
