--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -19,6 +19,7 @@
 from nutmegshore.gateway.answer import NOT_RUN_STATUSES, BufferedAnswer
 from nutmegshore.gateway.context import GatewayContext
 from nutmegshore.gateway.events import (
+    AnswerCut,
     RequestAbandoned,
     RequestFailed,
     RequestRefused,
@@ -93,7 +94,7 @@
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
         try:
-            status = await self._forward()
+            answer = await self._forward()
         except asyncio.CancelledError:
             self._record(self._log_abandoned)
             raise
@@ -104,7 +105,7 @@
             self.writer.keeps_alive &= self.body.is_whole
             await self.refuse(error)
         else:
-            self._record(self._log_served, status)
+            await self._finish(answer)
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with the status of an error and log the failure."""
@@ -118,6 +119,7 @@
         text = f'{kind}: {error}\n'.encode()
         await self._write_with_timeout(
             self.writer.write_own(status, tuple(headers), text),
+            status,
         )
 
     def _record(self, record: Callable[..., None], *details: Any) -> None:
@@ -125,17 +127,25 @@
         with self._context.log.faults.contain('responder'):
             record(*details)
 
-    async def _write_with_timeout(self, write: Awaitable[None]) -> None:
+    async def _write_with_timeout(
+        self, write: Awaitable[None], status: int
+    ) -> None:
         """Abort the connection of a caller that does not read its answer."""
         try:
             async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
             self._context.counters.add('answers_not_taken')
+            self._record(self._log_cut, status, 'not_taken')
             abort_stream(self.writer.stream)
             raise StreamClosedError from failure
+        except (StreamClosedError, asyncio.CancelledError):
+            has_left = self.writer.stream.closed()
+            reason = 'caller_left' if has_left else 'stopped'
+            self._record(self._log_cut, status, reason)
+            raise
 
-    async def _forward(self) -> int:
+    async def _forward(self) -> BufferedAnswer:
         head = self.writer.request
         incoming = IncomingRequest(
             head, read_caller_fields(head), self._arrived_at
@@ -148,8 +158,12 @@
             is_safe=self._routed.route.is_safe,
         )
         await self._forwarder.run(self._routed, self.body, answer)
-        await self._write_with_timeout(answer.finish())
-        return answer.head.status
+        return answer
+
+    async def _finish(self, answer: BufferedAnswer) -> None:
+        status = answer.head.status
+        await self._write_with_timeout(answer.finish(), status)
+        self._record(self._log_served, status)
 
     def _log_served(self, status: int) -> None:
         routed = self._routed
@@ -169,14 +183,13 @@
         name = 'requests_refused' if is_refusal else 'requests_failed'
         self._context.counters.add(name, reason=error.kind.value)
         self._record_latency('refused' if is_refusal else 'failed')
-        attempts = self._routed.describe_attempts() if self._routed else []
         fields = {
             **self._common_fields(),
             'status': int(status),
             'reason': error.kind.value,
             'detail': str(error),
             'no_retry': self._routed.no_retry if self._routed else '',
-            'attempts': attempts,
+            'attempts': self._describe_attempts(),
         }
         if not is_refusal:
             self._context.log.write(RequestFailed(**fields))
@@ -199,13 +212,25 @@
         self._record_latency('abandoned')
         self._context.log.write(
             RequestAbandoned(
-                attempts=self._routed.describe_attempts()
-                if self._routed
-                else [],
+                attempts=self._describe_attempts(),
                 **self._common_fields(),
             ),
         )
 
+    def _log_cut(self, status: int, reason: str) -> None:
+        self._context.counters.add('answers_cut', reason=reason)
+        self._context.log.write(
+            AnswerCut(
+                status=int(status),
+                reason=reason,
+                attempts=self._describe_attempts(),
+                **self._common_fields(),
+            ),
+        )
+
+    def _describe_attempts(self) -> list[list]:
+        return self._routed.describe_attempts() if self._routed else []
+
     def _record_latency(self, outcome: str) -> None:
         """Record how long the caller waited, unless the request has no route.
 
