Judge an upstream's silence from its last answer

An attempt that goes on although it is overdue stays in flight until the deadline.

The silence counts from the last answer now, to any request. The new test fails before.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -184,6 +184,7 @@
         if failure is not None:
             cold_starts.handle_failure(upstream, failure)
         elif result.outcome in _ANSWERS:
+            self.candidate_builder.latency.record_answer(upstream.instance)
             sent_at = self._clock.now() - result.took_s
             cold_starts.handle_answer(upstream, sent_at)
 
--- a/nutmegshore/balancing/latency.py
+++ b/nutmegshore/balancing/latency.py
@@ -73,13 +73,15 @@
     """Mean work time per request at an upstream, and its slowness.
 
     `slowness` is the ratio of actual to expected times. `pending` holds the
-    start and the expected time of requests in flight, so that an upstream that
-    has stopped answering is noticed before a timeout.
+    start and the expected time of requests in flight, `answered_at` the time of
+    the last answer, so that an upstream that has stopped answering is noticed
+    early.
     """
 
     mean_s: float = 0
     slowness: float = 1
     updated_at: float = 0
+    answered_at: float = float('-inf')
     pending: dict[int, tuple[float, float]] = attrs.field(factory=dict)
 
     def slowness_factor(self, now: float) -> float:
@@ -90,12 +92,17 @@
         return current if current > _NORMAL_SLOWNESS else 1
 
     def _overdue_ratio(self, now: float) -> float:
-        """Return the age of the oldest request over its expected time."""
+        """Return the silence since the oldest request over its expected time.
+
+        An upstream that answers others has not stopped, whatever became of the
+        oldest one.
+        """
         oldest = next(iter(self.pending.values()), None)
         if oldest is None:
             return 0
         started_at, expected_s = oldest
-        return min((now - started_at) / expected_s, _MAX_SLOWNESS)
+        silent_s = now - max(started_at, self.answered_at)
+        return min(silent_s / expected_s, _MAX_SLOWNESS)
 
 
 class LatencyTable:
@@ -143,6 +150,10 @@
         """Record that a request is no longer in flight."""
         self.upstream(instance).pending.pop(token, None)
 
+    def record_answer(self, instance: str) -> None:
+        """Record that an upstream has answered any request."""
+        self.upstream(instance).answered_at = self._clock.now()
+
     def add_sample(
         self, instance: str, work_s: float, expected_s: float
     ) -> None:
--- a/tests/balancing/test_latency.py
+++ b/tests/balancing/test_latency.py
@@ -76,3 +76,16 @@
     for _ in range(9):
         busy.add_sample(0.48, is_warm=False)
     assert table.route('r3', 'orders', 0.4).cold_s == pytest.approx(0.48)
+
+
+def test_one_request_that_hangs_does_not_make_its_upstream_slow(clock):
+    """Guards against an upstream that answers all others and looks full,
+    because of the age of a single request that goes on (issue 47)."""
+    table = LatencyTable(clock)
+    table.begin('u1', 0.1)
+    clock.seconds += 1
+    assert table.upstream('u1').slowness_factor(clock.now()) > 5
+    table.record_answer('u1')
+    assert table.upstream('u1').slowness_factor(clock.now()) == 1
+    clock.seconds += 0.5
+    assert table.upstream('u1').slowness_factor(clock.now()) == pytest.approx(5)
