--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -189,7 +189,7 @@
 def _patch_sockets(monkeypatch, applications, network):
     """Replace what opens sockets, which virtual time does not have."""
     monkeypatch.setattr(
-        'nutmegshore.platform.store.CurlAsyncHTTPClient',
+        'nutmegshore.platform.store_http.CurlAsyncHTTPClient',
         lambda **options: StandinClient(applications),
     )
     monkeypatch.setattr(
