Log how many idle connections a stop closed

idle_connections_closed tells how many connections were closed so, which bounds the requests that can have crossed; the counter of that name also has the connections whose idle time ended. The test fails on the code before: no such line.

--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -4,7 +4,7 @@
 
 from nutmegshore.gateway.severity import Severity
 
-__all__ = ('AnswerCut', 'RequestAbandoned')
+__all__ = ('AnswerCut', 'IdleConnectionsClosed', 'RequestAbandoned')
 
 
 @attrs.frozen
@@ -52,3 +52,16 @@
     reason: str
     took_s: float
     attempts: list
+
+
+@attrs.frozen
+class IdleConnectionsClosed:
+    """A stop closed the connections on which no request had arrived.
+
+    `count` is their number. A request that was on its way meets a closed
+    connection; it was not read, and has no line.
+    """
+
+    severity = Severity.CHANGE
+
+    count: int
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -8,6 +8,7 @@
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
 from nutmegshore.gateway.caller_drain import drain_callers
 from nutmegshore.gateway.events import (
+    IdleConnectionsClosed,
     SettingsReloaded,
     Started,
     Starting,
@@ -125,6 +126,9 @@
                 self._dependencies.clock,
                 ends_at,
             )
+            self._dependencies.log.write(
+                IdleConnectionsClosed(self._callers.idle_closed)
+            )
         self._dependencies.log.write(Stopped(cut))
         await self._close()
 
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -10,7 +10,11 @@
 
 import attrs
 
-from nutmegshore.gateway.caller_events import AnswerCut, RequestAbandoned
+from nutmegshore.gateway.caller_events import (
+    AnswerCut,
+    IdleConnectionsClosed,
+    RequestAbandoned,
+)
 from nutmegshore.gateway.severity import Severity
 from nutmegshore.gateway.store_events import (
     ListingOutdated,
@@ -40,6 +44,7 @@
     'ConfigurationRejected',
     'EntryRejected',
     'EvacuationChanged',
+    'IdleConnectionsClosed',
     'InternalFault',
     'LinesDropped',
     'PeerChanged',
@@ -382,6 +387,7 @@
         RequestFailed: 'request_failed',
         RequestAbandoned: 'request_abandoned',
         AnswerCut: 'answer_cut',
+        IdleConnectionsClosed: 'idle_connections_closed',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
         UpstreamLeaving: 'upstream_leaving',
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -53,13 +53,17 @@
         if self._writer is not None and not self._writer.has_begun:
             self._writer.keeps_alive = False
 
-    def close_when_idle(self) -> None:
-        """Close now if no request is under way, else after its answer."""
+    def close_when_idle(self) -> bool:
+        """Close now if no request is under way, else after its answer.
+
+        Returns whether it closed the connection now.
+        """
         self.leave()
-        if self._stream.closed() or not self.is_idle:
-            return
-        if not self._has_waiting():
-            self._stream.close()
+        if self._stream.closed() or not self.is_idle or self._has_waiting():
+            return False
+        self._context.counters.add('idle_connections_closed', reason='stop')
+        self._stream.close()
+        return True
 
     def _close(self) -> None:
         if self.is_idle:
@@ -73,6 +77,9 @@
         self.is_idle = True
         while not await self._starts_in_time():
             if not self._has_waiting():
+                self._context.counters.add(
+                    'idle_connections_closed', reason='idle_time'
+                )
                 return False
         self.is_idle = False
         return True
--- a/nutmegshore/listener/server.py
+++ b/nutmegshore/listener/server.py
@@ -28,7 +28,8 @@
     ...
     await server.finish()
 
-    `finish` cuts no request; `close_all_connections` does.
+    `finish` cuts no request; `close_all_connections` does. `idle_closed` is the
+    number of connections that `finish` closed because they were idle.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
             read_chunk_size=_READ_BYTES,
         )
         self._listener_context = listener_context
+        self.idle_closed = 0
         self._is_leaving = False
         self._listening: list[socket.socket] = []
         self._tasks: dict[asyncio.Task, CallerConnection] = {}
@@ -102,7 +104,7 @@
         await asyncio.sleep(0)
         while self._tasks:
             for connection in tuple(self._tasks.values()):
-                connection.close_when_idle()
+                self.idle_closed += connection.close_when_idle()
             await asyncio.wait(tuple(self._tasks), timeout=_STOP_CHECK_S)
 
     async def close_all_connections(self) -> None:
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -122,6 +122,27 @@
     assert lines.named('stopped')[0]['cut'] == 0
 
 
+def test_a_stop_tells_which_connections_it_closed(run_gateway, lines):
+    """Guards against a request that is cut without a line (issue 47): it was
+    on its way as a stop closed its idle connection."""
+
+    async def session():
+        async with run_gateway() as (daemon, _):
+            await daemon.start()
+            kept = _REQUEST.replace(b'Connection: close\r\n', b'')
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', daemon.caller_port
+            )
+            writer.write(kept)
+            await reader.readuntil(b'\r\n\r\nok')
+            await daemon.stop()
+            writer.close()
+
+    asyncio.run(asyncio.wait_for(session(), 20))
+    closed = lines.named('idle_connections_closed')
+    assert [line['count'] for line in closed] == [1]
+
+
 async def _stop_beside_a_silent_upstream(running):
     """Return what the caller gets as the grace period ends."""
     silent = _REQUEST.replace(b'/orders/7 ', b'/orders/silent ')
