Read a refusal that no caller waits for any more

A request that waits in the queue of an entry is refused through a future. If nobody awaits that future, asyncio calls its exception one that was never retrieved, as it does for a fault. The queue now reads the refusal itself, so that it counts as no fault.

--- a/nutmegshore/steering/admission.py
+++ b/nutmegshore/steering/admission.py
@@ -189,6 +189,8 @@
     def _refuse(self, waiter: Waiter, kind: ErrorKind) -> None:
         self._waiting.remove(waiter)
         waiter.result.set_exception(RequestError(kind))
+        # The caller may be gone: a refusal that nobody reads is no fault.
+        waiter.result.exception()
 
     def _abandon(self, waiter: Waiter) -> None:
         if waiter in self._waiting:
