Report faults that only the event loop or tornado sees

What a timer, a done callback, a task that nobody awaits or tornado's handle_stream raised reached standard error only: no internal_fault, no counter, no failing test. The processes of a gateway and of an entry now report what asyncio and tornado log of exceptions, through Faults: a line internal_fault of level error with the stack, and internal_faults. A cancelled task and a failure of a store's request that was given up are no faults. A connection whose start fails is closed.

The tests' fixture fails on such a fault.

--- a/nutmegshore/commands/daemon.py
+++ b/nutmegshore/commands/daemon.py
@@ -12,6 +12,7 @@
 from nutmegshore.commands.base import BaseCommand, UsageError, text_option
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.errors import SettingsError
+from nutmegshore.faults import report_logged_faults
 from nutmegshore.gateway.run import run_gateway
 from nutmegshore.logs import configure_logs, get_logger
 from nutmegshore.settings import EntrySettings, read_settings
@@ -93,9 +94,10 @@
     daemon = EntryDaemon(settings)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload_entry, daemon, path)
-    await daemon.start()
-    await _until_signal()
-    await daemon.stop()
+    with report_logged_faults(daemon.faults):
+        await daemon.start()
+        await _until_signal()
+        await daemon.stop()
 
 
 def reload_entry(daemon: EntryDaemon, path: str) -> None:
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -67,9 +67,8 @@
         self._platform = platform or HttpPlatform(
             settings.get('platform', 'url'),
         )
-        self._upstreams = CurlUpstreams(
-            self._clock, faults=Faults(self.counters)
-        )
+        self.faults = Faults(self.counters)
+        self._upstreams = CurlUpstreams(self._clock, faults=self.faults)
         self._transport = TcpTransport(
             settings.get(_PEERS, 'address'),
             settings.get(_PEERS, 'port'),
--- a/nutmegshore/faults.py
+++ b/nutmegshore/faults/faults.py
@@ -49,7 +49,7 @@
 def log_fault(fault: Fault) -> None:
     """Write a fault to the log of its part."""
     get_logger(fault.part).error(
-        'internal fault',
+        'internal_fault',
         request=fault.request,
         error=fault.error,
         stack=fault.stack,
--- a/nutmegshore/gateway/run.py
+++ b/nutmegshore/gateway/run.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 
+from nutmegshore.faults import report_logged_faults
 from nutmegshore.gateway.daemon import GatewayDaemon
 from nutmegshore.gateway.process_dependencies import make_dependencies
 from nutmegshore.gateway.settings import read_settings
@@ -43,6 +44,12 @@
         settings_watch = SettingsWatch(
             self._path, text, daemon, dependencies.log.faults
         )
+        with report_logged_faults(dependencies.log.faults):
+            await self._run(daemon, settings_watch)
+
+    async def _run(
+        self, daemon: GatewayDaemon, settings_watch: SettingsWatch
+    ) -> None:
         self._handle_signals()
         start = asyncio.ensure_future(daemon.start())
         watch = asyncio.ensure_future(self._watch(settings_watch))
--- a/nutmegshore/listener/server.py
+++ b/nutmegshore/listener/server.py
@@ -75,6 +75,7 @@
         self._tasks[task] = connection
         with contextlib.ExitStack() as stack:
             stack.callback(self._tasks.pop, task)
+            stack.callback(stream.close)
             stream.set_nodelay(True)
             await connection.run()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 from nutmegshore.clock import SystemClock
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
-from nutmegshore.faults import Faults
+from nutmegshore.faults import Faults, report_logged_faults
 from nutmegshore.gateway.assembly import GatewayDependencies
 from nutmegshore.gateway.daemon import GatewayDaemon
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
@@ -45,7 +45,8 @@
         report(self, part, failure, *options)
 
     monkeypatch.setattr(Faults, 'report', record)
-    yield found
+    with report_logged_faults(Faults(Counters())):
+        yield found
     is_expected = request.node.get_closest_marker('expects_faults')
     if not is_expected and found:
         pytest.fail(f'faults of our own code: {found}')
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -40,6 +40,13 @@
     return known
 
 
+class PlainOrder:
+    """The order of a store that is never restored."""
+
+    def is_withdrawn(self, era):
+        return False
+
+
 @attrs.define(eq=False)
 class PlainFollower:
     """What the peering sees of a follower."""
@@ -57,6 +64,7 @@
     is_current: bool = True
     on_news: object = None
     view: object = attrs.field(factory=lambda: PlainView(0))
+    order: object = attrs.field(factory=PlainOrder)
 
     has_leases = False
     may_lack_entries = False
