Report faults in libcurl's callbacks of a transfer

An exception in a callback for the head, the body, the sending or the start of a transfer was written to standard error by pycurl only; one in a transfer's end lost the ends of other transfers that libcurl told of at once, and could leave libcurl without its timer. Each is now an internal_fault of the part curl; the transfer ends as aborted.

--- a/nutmegshore/upstreams/multi.py
+++ b/nutmegshore/upstreams/multi.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Callable
+from typing import Any
 
 import pycurl
 
@@ -61,6 +63,12 @@
             loop = asyncio.get_running_loop()
             loop.call_soon(self._handle_events, pycurl.SOCKET_TIMEOUT, 0)
 
+    def guard(
+        self, call: Callable[..., Any], on_fault: Any
+    ) -> Callable[..., Any]:
+        """Return a callback for libcurl that returns `on_fault` if it fails."""
+        return functools.partial(self._run_guarded, call, on_fault)
+
     def close(self) -> None:
         """Drop all handles and close the connections."""
         for curl in tuple(self._done_by_curl):
@@ -69,6 +77,13 @@
         self._is_closed = True
         self._multi.close()
 
+    def _run_guarded(
+        self, call: Callable[..., Any], on_fault: Any, *given: Any
+    ) -> Any:
+        with self._faults.contain(_PART):
+            return call(*given)
+        return on_fault
+
     def _handle_timer(self, delay_ms: int) -> None:
         with self._faults.contain(_PART):
             self._set_timer(delay_ms)
@@ -86,7 +101,8 @@
 
     def _expire(self) -> None:
         self._timer = None
-        self._handle_events(pycurl.SOCKET_TIMEOUT, 0)
+        with self._faults.contain(_PART):
+            self._handle_events(pycurl.SOCKET_TIMEOUT, 0)
         if self._timer is None:
             # libcurl does not call the timer function again for an unchanged
             # timeout.
@@ -127,4 +143,5 @@
         on_done = self._done_by_curl.pop(curl, None)
         if on_done is not None:
             self._multi.remove_handle(curl)
-            on_done(error)
+            with self._faults.contain(_PART):
+                on_done(error)
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -25,7 +25,7 @@
 #: Blanks around a header's text. Others, such as a no-break space, may be bytes
 #: of a longer character.
 _BLANKS = ' \t'
-#: What a header callback returns to end the transfer.
+#: What a callback for received bytes returns to end the transfer.
 _ABORT = 0
 
 
@@ -50,10 +50,14 @@
         self._head_bytes = 0
         self._incoming = _Buffer()
         self._outgoing = _Buffer()
-        curl.setopt(pycurl.PREREQFUNCTION, self._mark_sent)
-        curl.setopt(pycurl.HEADERFUNCTION, self._receive_header_line)
-        curl.setopt(pycurl.WRITEFUNCTION, self._receive_chunk)
-        curl.setopt(pycurl.READFUNCTION, self._provide_chunk)
+        callbacks = (
+            (pycurl.PREREQFUNCTION, self._mark_sent, pycurl.PREREQFUNC_ABORT),
+            (pycurl.HEADERFUNCTION, self._receive_header_line, _ABORT),
+            (pycurl.WRITEFUNCTION, self._receive_chunk, _ABORT),
+            (pycurl.READFUNCTION, self._provide_chunk, pycurl.READFUNC_ABORT),
+        )
+        for option, call, on_fault in callbacks:
+            curl.setopt(option, curl_loop.guard(call, on_fault))
 
     @property
     def connect_s(self) -> float | None:
