Report the end of an owned task by a fault as any other fault

A task of OwnedTasks that ended by an exception was logged under a name of its own and counted as task_failures only; the tests' fixture did not see it. It is an internal_fault of its owner now, and counts as internal_faults too.

tests/peers/test_tasks.py: on the old code both tests of the line fail (one at its check, both in the fixture); tests/peers, tests/configuration and the tests of kept tasks, crashes and cold checks pass.

--- a/nutmegshore/peers/tasks.py
+++ b/nutmegshore/peers/tasks.py
@@ -6,8 +6,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
-from nutmegshore.faults import describe_failure
-from nutmegshore.logs import get_logger
+from nutmegshore.faults import Faults
 
 __all__ = ('OwnedTasks', 'TaskFailed')
 
@@ -26,7 +25,8 @@
 class OwnedTasks:
     """Tasks of one component, cancelled with it.
 
-    Failures are counted as `task_failures`, and logged with their stack.
+    Failures are counted as `task_failures`, and reported as faults of the
+    owner.
 
     tasks = OwnedTasks('mesh', counters)
     tasks.spawn(self._dial_all())
@@ -38,6 +38,7 @@
         self.failures: list[BaseException] = []
         self._owner = owner
         self._counters = counters
+        self._faults = Faults(counters)
         self._tasks: set[asyncio.Task] = set()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
@@ -76,8 +77,7 @@
             return
         self.failures = [*self.failures, failure][-_MAX_FAILURES:]
         self._counters.add('task_failures', owner=self._owner)
-        described = describe_failure(failure)
-        get_logger(self._owner).error('task failed', **described)
+        self._faults.report(self._owner, failure)
 
 
 class _Keeper:
