Lose no answer and no failure to a fault as a claim ends

A fault as an entry recorded the answer to a request with an idempotency key reset the connection after the whole answer, and one as it settled the claim of a failed request took the place of the failure. Both are reported now, and the claim is given up as one of unknown outcome: its record stays as started, so that no repeat of the key runs the request again.

tests/callers/test_forward.py: both cases of the new test fail on the old code and pass now, as do tests/callers and tests/once.

--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -187,11 +187,22 @@
         try:
             head = await self._run(request, attempts)
         except BaseException:
-            await _settle_claim(found, attempts)
+            await self._end_claim(found, _settle_claim(found, attempts))
             raise
-        await found.finish(head, attempts.tracked.kept_body)
+        kept_body = attempts.tracked.kept_body
+        await self._end_claim(found, found.finish(head, kept_body))
         return head
 
+    async def _end_claim(
+        self, claim: IdempotencyClaim, end: Awaitable[None]
+    ) -> None:
+        """End a claim; after a fault, its record stays as started."""
+        with self._faults.contain(_PART):
+            await end
+            return
+        with self._faults.contain(_PART):
+            await claim.lose()
+
     async def _run(
         self,
         request: CallerRequest,
--- a/tests/callers/test_forward.py
+++ b/tests/callers/test_forward.py
@@ -83,6 +83,14 @@
         self.seen.append('lose')
 
 
+class _FailingClaim(_Claim):
+    async def finish(self, head, body):
+        raise ArithmeticError('of a test')
+
+    async def release(self):
+        raise ArithmeticError('of a test')
+
+
 class _Records(IdempotencyRecords):
     def __init__(self, found):
         self.found = found
@@ -266,6 +274,26 @@
     assert claim.seen == [noted]
 
 
+@pytest.mark.expects_faults
+@pytest.mark.parametrize('failure', [None, _REFUSED])
+def test_a_fault_as_a_claim_ends_hides_no_outcome(
+    failure, run, scripted, step, order
+):
+    """Guards against a whole answer that is reset, a refusal that is hidden,
+    and a record that a repeat may take over (issue 47)."""
+    claim = _FailingClaim()
+    only = step(failure, None if failure else _HEAD)
+    outcome, _, counters, in_flight = run(
+        lambda: scripted(only),
+        order(idempotency_key='k'),
+        records=_Records(claim),
+    )
+    assert outcome == (failure or _HEAD)
+    assert claim.seen == ['lose']
+    assert counters.total('internal_faults', part='forward') == 1
+    assert not in_flight
+
+
 def test_a_recorded_answer_is_replayed_without_a_run(run, scripted, order):
     """Guards against a second run of a keyed request."""
     head, upstreams, _, _ = run(
