Skip no step at the end of an attempt after a fault in another

After a fault in what is recorded of an attempt (its latency, the contact, the end of a pause's trial, the answer's time), the steps behind it were skipped: an upstream that failed was not avoided, affinity and cold starts were not updated.

tests/balancing/test_balancer.py: the four new cases fail on the old code (one of them since its step has no method there) and pass now, with tests/gateway/test_internal_faults.py.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -44,6 +44,8 @@
 _ANSWERS = frozenset((AttemptOutcome.ANSWERED, AttemptOutcome.REFUSED))
 #: Logged as the fraction of moved requests while it is unknown.
 _UNKNOWN = -1
+#: Name of this part in reports of faults.
+_PART = 'balancer'
 #: Decimal places of fractions in logs.
 _DIGITS = 3
 
@@ -110,7 +112,7 @@
             raise self._refusals.no_upstream(request)
         if candidate is None or not self._is_admitted(request, candidate):
             refusal = self._refusals.refuse(request, found, candidate)
-            with self._faults.contain('balancer'):
+            with self._faults.contain(_PART):
                 refusal.remote = self._describe_remote(request, chosen, away)
             raise refusal
         return Choice(
@@ -169,13 +171,30 @@
         """
         name = sent.choice.upstream.instance
         self.candidate_builder.load.get(name).in_flight -= 1
-        self.candidate_builder.latency.end(name, sent.token)
+        contain = self._faults.contain
+        with contain(_PART):
+            self.candidate_builder.latency.end(name, sent.token)
         if name not in self._state.by_id:
             # The upstream was removed while the request ran.
             self.candidate_builder.forget(name)
             return 0
-        self._record_contact(sent, result)
-        outcome = self._judge(sent, result.outcome)
+        outcome = result.outcome
+        with contain(_PART):
+            self._record_contact(sent, result)
+        with contain(_PART):
+            outcome = self._judge(sent, outcome)
+        with contain(_PART):
+            self._record_outcome(sent, result, outcome)
+        return self._record_health(sent, outcome)
+
+    def _record_outcome(
+        self,
+        sent: InFlightRequest,
+        result: AttemptResult,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Record what an attempt tells of affinity and latency."""
+        name = sent.choice.upstream.instance
         if outcome is AttemptOutcome.ANSWERED:
             self._record_answer(sent, result)
         elif outcome in _NOT_STARTED and not sent.was_handled:
@@ -185,7 +204,6 @@
             self.candidate_builder.latency.add_sample(
                 name, result.took_s, expected_s
             )
-        return self._record_health(sent, outcome)
 
     def _record_contact(
         self, sent: InFlightRequest, result: AttemptResult
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -1,5 +1,7 @@
 """Tests of the selection of an upstream."""
 
+import functools
+
 import attrs
 import pytest
 
@@ -371,3 +373,52 @@
         leaving_home.choose(request)
     assert refused.value.kind is ErrorKind.NO_UPSTREAM
     assert 0 < refused.value.retry_after_s < 1
+
+
+def _note(done, name, *given):
+    done.append(name)
+
+
+def _fail(*given):
+    raise ArithmeticError('of a test')
+
+
+@pytest.mark.expects_faults
+@pytest.mark.parametrize(
+    'step', ['_record_contact', '_judge', '_record_outcome']
+)
+def test_a_fault_in_a_step_of_the_end_skips_no_other(
+    make_state, make_balancer, upstream, make_request, monkeypatch, step
+):
+    """Guards against an upstream that stays in use, or cold, after a fault in
+    what else is recorded about an attempt (issue 47)."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    choice = balancer.choose(make_request())
+    sent = balancer.begin(make_request(), choice)
+    done = []
+    steps = {'_record_contact', '_judge', '_record_outcome', '_record_health'}
+    for name in steps - {step}:
+        record = functools.partial(_note, done, name)
+        monkeypatch.setattr(balancer, name, record)
+    monkeypatch.setattr(balancer, step, _fail)
+    balancer.end(sent, _SERVED)
+    assert set(done) == steps - {step}
+    name = choice.upstream.instance
+    assert not balancer.candidate_builder.load.get(name).in_flight
+
+
+@pytest.mark.expects_faults
+def test_a_fault_in_the_latency_keeps_the_health_of_an_upstream(
+    make_state, make_balancer, upstream, make_request, monkeypatch
+):
+    """Guards against failures of an upstream that nothing counts, after a
+    fault in its statistics (issue 47)."""
+    balancer = make_balancer(make_state(*_fleet(upstream)))
+    choice = balancer.choose(make_request())
+    sent = balancer.begin(make_request(), choice)
+    latency = balancer.candidate_builder.latency
+    monkeypatch.setattr(latency, 'end', _fail)
+    monkeypatch.setattr(latency, 'add_sample', _fail)
+    balancer.end(sent, AttemptResult(AttemptOutcome.SILENT, 1))
+    health = balancer.candidate_builder.health
+    assert health.by_id[choice.upstream.instance].failures == 1
