Save up the bound on moves at gateways with few requests

Callers of a gateway that sends 3 to 5 requests a second were refused while other regions had room: in fleets up to 16 gateways it never moved any.

Cause: the bound was rounded to whole requests in each window of 2 s. One of eight requests is 0.125 of them, and a window may change by 0.0975.

Change: while a window's part of the bound is less than one request, each request earns the fraction that may run elsewhere, and a move costs one, as in large fleets. The rounding error is carried on; it is not drawn at random.

test_a_gateway_with_few_requests_moves_some failed before, and passes now with all others of tests/balancing/test_shift_bound.py, the bound with 8 requests a second among them.

--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -48,7 +48,8 @@
 
     The fraction in the last 2 s may differ from that in the 2 s before by at
     most the bound, up or down. With too few requests in the earlier window, as
-    at the start of traffic, there is no limit.
+    at the start of traffic, there is no limit. A gateway whose part of the
+    bound is less than one request saves up fractions of it.
 
     A gateway of a large fleet sends too few requests for that, and receives the
     sums of its region's last 2 s instead. It then moves the fraction that runs
@@ -119,14 +120,14 @@
             current.away += 1
         else:
             current.home += 1
+        credit = self._credit()
+        if credit is not None and is_away:
+            self._away_credit += credit - 1
+        elif credit is not None:
+            self._add_credit(credit, is_moving=is_moving)
         away_fraction = self.region_away_fraction
         if away_fraction is None:
             return
-        credit = away_fraction + self._max_region_step
-        if is_away:
-            self._away_credit += credit - 1
-        else:
-            self._add_credit(credit, is_moving=is_moving)
         debt = self._away_debt + max(away_fraction - self._max_region_step, 0)
         self._away_debt = max(debt - is_away, 0)
 
@@ -164,17 +165,28 @@
         self._away_credit = max(self._away_credit, saved)
 
     def _allows_away(self) -> bool:
-        away_fraction = self.region_away_fraction
-        if away_fraction is not None:
-            return (
-                self._away_credit + away_fraction + self._max_region_step >= 1
-            )
+        credit = self._credit()
+        if credit is not None:
+            return self._away_credit + credit >= 1
         previous = self._previous_away_fraction()
         if previous is None:
             return True
         home, away = self.window_counts()
         return (away + 1) / (home + away + 1) <= previous + self._max_step
 
+    def _credit(self) -> float | None:
+        """Return the credit of one request, or None if windows are counted.
+
+        In a window of a few requests the bound is less than one of them.
+        """
+        away_fraction = self.region_away_fraction
+        if away_fraction is not None:
+            return away_fraction + self._max_region_step
+        previous = self._previous_away_fraction()
+        if previous is None or sum(self.window_counts()) * self._max_step >= 1:
+            return None
+        return previous + self._max_step
+
     def _previous_away_fraction(self) -> float | None:
         """Return the fraction moved in the window before the last."""
         home, away = _sum_sent(self._sent.window(windows_ago=1))
