Keep the bound on moves when home accepts few requests

Cause: a gateway that sent fewer than 6 requests in the window before the last had no bound, as at the start of traffic. That happens in the first second of a limit, and then all that home does not accept moves at once.

Change: with too few requests in that window, those of up to two windows before it count as well.

A bound that the gateways of a small region hold together is what is missing.

--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -15,6 +15,8 @@
 _USED_FRACTION = 0.65
 #: Below this many requests in a window the fraction is not meaningful.
 _MIN_WINDOW_REQUESTS = 6
+#: Windows whose requests are kept, the last one included.
+_WINDOWS = 4
 #: The same for the requests of a whole region.
 _MIN_REGION_REQUESTS = 16
 #: Credit, in requests, that a gateway may save up while its region moves any.
@@ -47,7 +49,7 @@
     """Limits the change of the fraction of requests that run elsewhere.
 
     The fraction in the last 2 s may differ from that in the 2 s before by at
-    most the bound, up or down. With too few requests in the earlier window, as
+    most the bound, up or down. With too few requests in the earlier windows, as
     at the start of traffic, there is no limit. A gateway whose part of the
     bound is less than one request saves up fractions of it.
 
@@ -76,7 +78,7 @@
         self._away_credit = self._initial_credit
         self._away_debt = self._initial_credit
         self._denied_at = float('-inf')
-        self._sent = SlidingCounts(clock, _Sent, windows=2)
+        self._sent = SlidingCounts(clock, _Sent, windows=_WINDOWS)
         self.set_max_shift(max_shift)
 
     @property
@@ -188,11 +190,17 @@
         return previous + self._max_step
 
     def _previous_away_fraction(self) -> float | None:
-        """Return the fraction moved in the window before the last."""
-        home, away = _sum_sent(self._sent.window(windows_ago=1))
-        if home + away < _MIN_WINDOW_REQUESTS:
-            return None
-        return away / (home + away)
+        """Return the fraction moved in the window before the last.
+
+        With too few requests in it, those of the windows before it count too.
+        """
+        counts: list[_Sent] = []
+        for windows_ago in range(1, _WINDOWS):
+            counts.extend(self._sent.window(windows_ago))
+            home, away = _sum_sent(counts)
+            if home + away >= _MIN_WINDOW_REQUESTS:
+                return away / (home + away)
+        return None
 
 
 def _sum_sent(sent: Iterable[_Sent]) -> tuple[int, int]:
