--- a/nutmegshore/balancing/shift_bound.py
+++ b/nutmegshore/balancing/shift_bound.py
@@ -15,6 +15,8 @@
 _USED_FRACTION = 0.65
 #: Below this many requests in a window the fraction is not meaningful.
 _MIN_WINDOW_REQUESTS = 6
+#: Windows whose requests are kept, the last one included.
+_WINDOWS = 4
 #: The same for the requests of a whole region.
 _MIN_REGION_REQUESTS = 16
 #: Credit, in requests, that a gateway may save up while its region moves any.
@@ -47,8 +49,9 @@
     """Limits the change of the fraction of requests that run elsewhere.
 
     The fraction in the last 2 s may differ from that in the 2 s before by at
-    most the bound, up or down. With too few requests in the earlier window, as
-    at the start of traffic, there is no limit.
+    most the bound, up or down. With too few requests in the earlier windows, as
+    at the start of traffic, there is no limit. A gateway whose part of the
+    bound is less than one request saves up fractions of it.
 
     A gateway of a large fleet sends too few requests for that, and receives the
     sums of its region's last 2 s instead. It then moves the fraction that runs
@@ -75,7 +78,7 @@
         self._away_credit = self._initial_credit
         self._away_debt = self._initial_credit
         self._denied_at = float('-inf')
-        self._sent = SlidingCounts(clock, _Sent, windows=2)
+        self._sent = SlidingCounts(clock, _Sent, windows=_WINDOWS)
         self.set_max_shift(max_shift)
 
     @property
@@ -119,14 +122,14 @@
             current.away += 1
         else:
             current.home += 1
+        credit = self._credit()
+        if credit is not None and is_away:
+            self._away_credit += credit - 1
+        elif credit is not None:
+            self._add_credit(credit, is_moving=is_moving)
         away_fraction = self.region_away_fraction
         if away_fraction is None:
             return
-        credit = away_fraction + self._max_region_step
-        if is_away:
-            self._away_credit += credit - 1
-        else:
-            self._add_credit(credit, is_moving=is_moving)
         debt = self._away_debt + max(away_fraction - self._max_region_step, 0)
         self._away_debt = max(debt - is_away, 0)
 
@@ -164,23 +167,40 @@
         self._away_credit = max(self._away_credit, saved)
 
     def _allows_away(self) -> bool:
-        away_fraction = self.region_away_fraction
-        if away_fraction is not None:
-            return (
-                self._away_credit + away_fraction + self._max_region_step >= 1
-            )
+        credit = self._credit()
+        if credit is not None:
+            return self._away_credit + credit >= 1
         previous = self._previous_away_fraction()
         if previous is None:
             return True
         home, away = self.window_counts()
         return (away + 1) / (home + away + 1) <= previous + self._max_step
 
-    def _previous_away_fraction(self) -> float | None:
-        """Return the fraction moved in the window before the last."""
-        home, away = _sum_sent(self._sent.window(windows_ago=1))
-        if home + away < _MIN_WINDOW_REQUESTS:
+    def _credit(self) -> float | None:
+        """Return the credit of one request, or None if windows are counted.
+
+        In a window of a few requests the bound is less than one of them.
+        """
+        away_fraction = self.region_away_fraction
+        if away_fraction is not None:
+            return away_fraction + self._max_region_step
+        previous = self._previous_away_fraction()
+        if previous is None or sum(self.window_counts()) * self._max_step >= 1:
             return None
-        return away / (home + away)
+        return previous + self._max_step
+
+    def _previous_away_fraction(self) -> float | None:
+        """Return the fraction moved in the window before the last.
+
+        With too few requests in it, those of the windows before it count too.
+        """
+        counts: list[_Sent] = []
+        for windows_ago in range(1, _WINDOWS):
+            counts.extend(self._sent.window(windows_ago))
+            home, away = _sum_sent(counts)
+            if home + away >= _MIN_WINDOW_REQUESTS:
+                return away / (home + away)
+        return None
 
 
 def _sum_sent(sent: Iterable[_Sent]) -> tuple[int, int]:
