--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -174,6 +174,12 @@
             outcome = self._judge(sent, outcome)
         with contain(_PART):
             self._record_outcome(sent, result, outcome)
+        return self._record_health(sent, outcome)
+
+    def _record_health(
+        self, sent: InFlightRequest, outcome: AttemptOutcome
+    ) -> float:
+        name = sent.choice.upstream.instance
         return self.candidate_builder.health.record(name, outcome)
 
     def _record_outcome(
