End no request before the last sixth of a short grace period

The time for closing is 0.4 s or a sixth of the period, whichever is less, and half of it is for the last errors.

--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -6,7 +6,7 @@
 
 from nutmegshore import __version__
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
-from nutmegshore.gateway.caller_drain import drain_callers
+from nutmegshore.gateway.caller_drain import DrainTimes, drain_callers
 from nutmegshore.gateway.events import (
     IdleConnectionsClosed,
     SettingsReloaded,
@@ -35,8 +35,6 @@
 #: Seconds for which a stopping gateway still accepts new requests, since
 #: callers cache look-up answers for that long.
 _LINGER_S = 2.8
-#: Seconds reserved at the end of the grace period for closing connections.
-_CLOSE_MARGIN_S = 0.4
 #: Name of this part in reports of faults.
 _PART = 'daemon'
 
@@ -110,7 +108,8 @@
         refused: they could be cut at its end.
         """
         grace_s = self._settings.bounds.grace_s
-        ends_at = self._dependencies.clock.now() + grace_s - _CLOSE_MARGIN_S
+        times = DrainTimes.of_grace(grace_s)
+        ends_at = self._dependencies.clock.now() + times.work_s
         self._dependencies.log.write(
             Stopping(self._forwarder.in_flight, grace_s)
         )
@@ -125,6 +124,7 @@
                 self._forwarder,
                 self._dependencies.clock,
                 ends_at,
+                times.last_answers_s,
             )
             self._dependencies.log.write(
                 IdleConnectionsClosed(self._callers.idle_closed)
