Revert "Share the room that reports show among all gateways"

What the trial showed of the herd holds: reports half a second old let each gateway of a region use the same free slots, and a share of them by the number of gateways ends it, but it leaves slots unused where few gateways have requests for an upstream.

--- a/nutmegshore/balancing/admission.py
+++ b/nutmegshore/balancing/admission.py
@@ -50,22 +50,14 @@
 
         `lowest_rank` is the rank of the most urgent route to the service.
         """
+        unavoidable_s = candidate.expected_s - candidate.wait_s
         if candidate.is_known and candidate.expected_s > remaining_s:
             return False
-        return candidate.wait_s <= self.max_wait_s(
-            route, candidate, lowest_rank
-        )
-
-    def max_wait_s(
-        self, route: Route, candidate: Candidate, lowest_rank: int
-    ) -> float:
-        """Return the longest wait at an upstream for which it is used."""
-        unavoidable_s = candidate.expected_s - candidate.wait_s
         factor = _RANK_FACTOR ** max(route.rank - lowest_rank, 0)
         target_s = route.target_latency_s * _TARGET_FACTOR
         spare_s = target_s - unavoidable_s
         late_s = _LATE_WAIT_FRACTION * route.target_latency_s
-        return factor * max(spare_s, late_s)
+        return candidate.wait_s <= factor * max(spare_s, late_s)
 
     def retry_after_s(
         self,
--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -1,6 +1,5 @@
 """Selection of an upstream for each request."""
 
-import functools
 from collections.abc import Iterator
 from types import MappingProxyType
 
@@ -98,8 +97,8 @@
     def choose(self, request: RoutingRequest) -> Choice:
         """Return the best upstream; raise `RefusedError` on refusal."""
         found = self.candidate_builder.candidates(request)
-        home = best_of(self._within_share(request, found.home))
-        away = best_of(self._within_share(request, found.away))
+        home = best_of(found.home)
+        away = best_of(found.away)
         chosen = self.region_chooser.choose(
             request,
             home=home,
@@ -110,7 +109,6 @@
         if candidate is None and not (found.limited or found.paused):
             raise self._refusals.no_upstream(request)
         if candidate is None or not self._is_admitted(request, candidate):
-            self.candidate_builder.room_shares.record_refusal(request.service)
             refusal = self._refusals.refuse(request, found, candidate)
             with self._faults.contain(_PART):
                 refusal.remote = self._describe_remote(request, chosen, away)
@@ -226,37 +224,6 @@
             return AttemptOutcome.PAUSED
         return outcome
 
-    def _within_share(
-        self, request: RoutingRequest, candidates: list[Candidate]
-    ) -> list[Candidate]:
-        """Leave to the other gateways their part of the candidates' room."""
-        shares = self.candidate_builder.room_shares
-        refused_per_s = shares.refused_per_s(request.service)
-        if not (candidates and refused_per_s):
-            return candidates
-        max_wait_s = functools.partial(
-            self._admission.max_wait_s,
-            request.route,
-            lowest_rank=self._lowest_rank(request.service),
-        )
-        return shares.limit(
-            candidates,
-            max_wait_s,
-            refused_per_s * self._compared_fraction(request, candidates),
-            self.candidate_builder.members.count(self._region),
-        )
-
-    def _compared_fraction(
-        self, request: RoutingRequest, candidates: list[Candidate]
-    ) -> float:
-        """Return the fraction of upstreams at home, or elsewhere, compared."""
-        is_home = candidates[0].upstream.region == self._region
-        upstreams = sum(
-            (one.region == self._region) == is_home
-            for one in self._state.usable(request.service)
-        )
-        return len(candidates) / upstreams
-
     def _is_admitted(self, request: RoutingRequest, chosen: Candidate) -> bool:
         return self._admission.allows(
             request.route,
--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -20,7 +20,6 @@
 from nutmegshore.balancing.pause_table import PauseTable
 from nutmegshore.balancing.recent_members import RecentMembers
 from nutmegshore.balancing.region_delays import RegionDelays
-from nutmegshore.balancing.room_shares import RoomShares
 from nutmegshore.errors import Offer
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
@@ -56,7 +55,6 @@
         self.limit_shares = LimitShares(
             clock, dependencies.local, self.limits, self.members
         )
-        self.room_shares = RoomShares(clock, dependencies.rng)
         self.pauses = PauseTable(
             clock,
             dependencies.rng,
@@ -235,8 +233,6 @@
             has_handled=self.affinity.has_handled(name, request.key),
             busy=busy,
             is_known=route_latency.is_known,
-            queue_s=queue_s,
-            in_flight=self.load.get(name).in_flight,
         )
 
     def _is_warm(
--- a/nutmegshore/balancing/choice.py
+++ b/nutmegshore/balancing/choice.py
@@ -46,9 +46,7 @@
     `work_s` the work itself; `risk_s` is the average cost of refusals.
     `is_warm` says whether the object is presumed warm there, `has_handled`
     whether this gateway sent its requests there. `is_known` says whether the
-    work time was measured. `queue_s` is the time that each request in the queue
-    waits for the one before it. `busy` counts the requests there, `in_flight`
-    those of this gateway among them.
+    work time was measured.
     """
 
     upstream: RegisteredUpstream
@@ -60,8 +58,6 @@
     has_handled: bool
     busy: int
     is_known: bool = True
-    queue_s: float = 0
-    in_flight: int = 0
 
     @property
     def expected_s(self) -> float:
