Read customers, their keys and the load of shared machines

Cause: the configuration's customers and public routes were ignored. Keys went to upstreams as they came, a key that never existed was served, and a load report with a fourth figure was dropped as a whole.

Change: `gateway/customer.py` holds customers and their keys; the adapter parses them, one invalid entry costing only itself. The customer of a request is decided at admission: 401 without a known key, and the customer's name in place of the key for the upstream. The homes of route and customer both bind. Log lines name the customer, which changes the golden log.

--- a/nutmegshore/balancing/candidate_builder.py
+++ b/nutmegshore/balancing/candidate_builder.py
@@ -69,9 +69,10 @@
     def candidates(self, request: RoutingRequest) -> Candidates:
         """Return candidates at home and in other regions, in ranking order."""
         ranked = self._ranked(request)
-        homes = request.route.homes
-        if homes:
-            ranked = tuple(one for one in ranked if one.region in homes)
+        if request.has_homes:
+            ranked = tuple(
+                one for one in ranked if request.may_run_in(one.region)
+            )
         region = self._dependencies.region
         near = (one for one in ranked if one.region == region)
         far = (one for one in ranked if one.region != region)
--- a/nutmegshore/balancing/choice.py
+++ b/nutmegshore/balancing/choice.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from nutmegshore.gateway.customer import Customer
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.route import Route
 
@@ -27,7 +28,7 @@
 
     `tried` names the instances that the request was already sent to;
     `remaining_s` is the time until its deadline. `only` names the one instance
-    that may run it; if empty, any may.
+    that may run it; if empty, any may. `customer` is whom it belongs to.
     """
 
     route: Route
@@ -36,6 +37,25 @@
     remaining_s: float
     tried: frozenset[str] = frozenset()
     only: str = ''
+    customer: Customer | None = None
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Rank of the customer, then of the route; the least goes first."""
+        return (self.customer.rank if self.customer else 0, self.route.rank)
+
+    def may_run_in(self, region: str) -> bool:
+        """Whether the homes of the route and of the customer allow a region."""
+        return all(not homes or region in homes for homes in self._homes())
+
+    @property
+    def has_homes(self) -> bool:
+        """Whether the route or the customer has home regions."""
+        return any(self._homes())
+
+    def _homes(self) -> tuple[frozenset[str], frozenset[str]]:
+        customer_homes = self.customer.homes if self.customer else frozenset()
+        return (self.route.homes, customer_homes)
 
 
 @attrs.frozen
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -86,6 +86,10 @@
     FRAME_TOO_LARGE = 'frame_too_large'
     MALFORMED_FRAME = 'malformed_frame'
     LINK_CLOSED = 'link_closed'
+    UNKNOWN_KEY = 'unknown_key'
+    KEYS_OUTDATED = 'keys_outdated'
+    QUOTA_EXCEEDED = 'quota_exceeded'
+    CALLER_LIMIT = 'caller_limit'
     FAULT_BEFORE_SEND = 'fault_before_send'
     FAULT_AFTER_SEND = 'fault_after_send'
 
@@ -162,6 +166,10 @@
         ErrorKind.FRAME_TOO_LARGE: _not_run(HTTPStatus.BAD_REQUEST),
         ErrorKind.MALFORMED_FRAME: _not_run(HTTPStatus.BAD_REQUEST),
         ErrorKind.LINK_CLOSED: _UNAVAILABLE,
+        ErrorKind.UNKNOWN_KEY: _not_run(HTTPStatus.UNAUTHORIZED),
+        ErrorKind.KEYS_OUTDATED: _UNAVAILABLE,
+        ErrorKind.QUOTA_EXCEEDED: _not_run(HTTPStatus.TOO_MANY_REQUESTS),
+        ErrorKind.CALLER_LIMIT: _UNAVAILABLE,
         ErrorKind.FAULT_BEFORE_SEND: _UNAVAILABLE,
         ErrorKind.FAULT_AFTER_SEND: _unknown(HTTPStatus.BAD_GATEWAY),
     }
--- a/nutmegshore/gateway/attempt.py
+++ b/nutmegshore/gateway/attempt.py
@@ -16,12 +16,14 @@
 from nutmegshore.gateway.overdue_timer import OverdueTimer
 from nutmegshore.gateway.request import AttemptRecord, RoutedRequest
 from nutmegshore.gateway.upstream_events import UpstreamColdUsed, UpstreamJudged
+from nutmegshore.listener import RequestHead
 from nutmegshore.listener.headers import upstream_headers
 from nutmegshore.platform.dialect import (
     write_caller_headers,
+    write_customer_headers,
     write_expected_instance,
 )
-from nutmegshore.upstreams import AnswerHead, UpstreamRequest
+from nutmegshore.upstreams import AnswerHead, Headers, UpstreamRequest
 
 __all__ = ('Attempt',)
 
@@ -174,7 +176,7 @@
         upstream = self._choice.upstream
         headers = (
             ('Host', head.get('host')),
-            *write_caller_headers(upstream_headers(head.headers)),
+            *self._caller_headers(head),
             *write_expected_instance(upstream.instance),
         )
         return UpstreamRequest(
@@ -191,6 +193,12 @@
             * max(self._choice.candidate.delay_s, _LEAST_ROUND_TRIP_S),
         )
 
+    def _caller_headers(self, head: RequestHead) -> Headers:
+        headers = write_caller_headers(upstream_headers(head.headers))
+        if self._routed.configuration.customers.is_enabled:
+            return write_customer_headers(headers, self._routed.customer_name)
+        return headers
+
     def _record(self, result: str) -> None:
         self._context.counters.add(
             'attempts',
--- a/nutmegshore/gateway/attempt_chooser.py
+++ b/nutmegshore/gateway/attempt_chooser.py
@@ -45,6 +45,7 @@
             self._remaining_s(),
             frozenset(routed.tried),
             crashes.assigned(routed),
+            routed.customer,
         )
         try:
             crashes.check(routed)
--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -26,6 +26,7 @@
     upstreams_from: str
     took_s: float
     attempts: list
+    customer: str = ''
 
 
 @attrs.frozen
@@ -52,6 +53,7 @@
     reason: str
     took_s: float
     attempts: list
+    customer: str = ''
 
 
 @attrs.frozen
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -42,6 +42,7 @@
     'AnswerCut',
     'ConfigurationAdopted',
     'ConfigurationRejected',
+    'CustomerRejected',
     'EntryRejected',
     'EvacuationChanged',
     'IdleConnectionsClosed',
@@ -78,7 +79,8 @@
     age of the list of upstreams at the last choice, counted from the store's
     answer (-1: no choice), `upstreams_from` the source of its last change.
     `limited` names the upstreams at home that had no room within their rate
-    limit, `paused` those that had asked for a pause.
+    limit, `paused` those that had asked for a pause. `customer` is whom the
+    request belongs to.
     """
 
     severity = Severity.ROUTINE
@@ -96,6 +98,7 @@
     attempts: list
     limited: list = attrs.field(factory=list)
     paused: list = attrs.field(factory=list)
+    customer: str = ''
 
 
 @attrs.frozen
@@ -179,6 +182,7 @@
     attempts: list
     limited: list = attrs.field(factory=list)
     paused: list = attrs.field(factory=list)
+    customer: str = ''
 
 
 @attrs.frozen
@@ -204,6 +208,7 @@
     no_retry: str
     took_s: float
     attempts: list
+    customer: str = ''
 
 
 @attrs.frozen
@@ -246,6 +251,17 @@
     reason: str
 
 
+@attrs.frozen
+class CustomerRejected:
+    """A customer of a configuration, or one of its keys, is not used."""
+
+    severity = Severity.CHANGE
+
+    customer: str
+    configuration: int
+    reason: str
+
+
 @attrs.frozen
 class EntryRejected:
     """An entry in the store is malformed."""
@@ -401,6 +417,7 @@
         RequestJudged: 'request_judged',
         ConfigurationAdopted: 'configuration_adopted',
         ConfigurationRejected: 'configuration_rejected',
+        CustomerRejected: 'customer_rejected',
         EntryRejected: 'entry_rejected',
         EvacuationChanged: 'evacuation_changed',
         PeerChanged: 'peer_changed',
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -6,7 +6,9 @@
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.attempt_loop import AttemptLoop
 from nutmegshore.gateway.context import GatewayContext
+from nutmegshore.gateway.customer import Customer
 from nutmegshore.gateway.request import IncomingRequest, RoutedRequest
+from nutmegshore.gateway.route import Configuration, Route
 from nutmegshore.gateway.timeout_group import TimeoutGroup
 from nutmegshore.listener import CallerBody, KeptBody
 
@@ -53,7 +55,10 @@
         self._time_limits.expire_all()
 
     def route(self, incoming: IncomingRequest) -> RoutedRequest:
-        """Find the route of a request; raise `RequestError` without one."""
+        """Find the route and the customer of a request.
+
+        Raise `RequestError` without a route, or without a key that it needs.
+        """
         missing = self._context.state.missing
         if missing:
             raise RefusedError(
@@ -67,6 +72,7 @@
         route = configuration.match(host, head.target)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE, f'{host}{head.target}')
+        customer = _authenticate(configuration, route, incoming)
         time_limit_s = route.timeout_s
         if incoming.fields.remaining_ms is not None:
             time_limit_s = min(
@@ -79,6 +85,7 @@
             route,
             service,
             incoming.arrived_at + time_limit_s - _answer_margin_s(time_limit_s),
+            customer=customer,
         )
 
     async def run(
@@ -133,6 +140,22 @@
         self.in_flight -= 1
 
 
+def _authenticate(
+    configuration: Configuration, route: Route, incoming: IncomingRequest
+) -> Customer | None:
+    """Return the customer of a request, None if it needs none and has none.
+
+    Raise `RequestError` if the route needs a key and the request has none that
+    is known.
+    """
+    if not configuration.customers.is_enabled:
+        return None
+    customer = configuration.customers.find(incoming.fields.api_key)
+    if customer is None and not route.is_public:
+        raise RequestError(ErrorKind.UNKNOWN_KEY, route.name)
+    return customer
+
+
 def _answer_margin_s(time_limit_s: float) -> float:
     """Seconds of a caller's time that are reserved to deliver an error."""
     return min(_ANSWER_MARGIN_S, _ANSWER_MARGIN_FRACTION * time_limit_s)
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -10,6 +10,7 @@
 from nutmegshore.gateway.events import (
     ConfigurationAdopted,
     ConfigurationRejected,
+    CustomerRejected,
     EvacuationChanged,
 )
 from nutmegshore.gateway.follower import Replica
@@ -114,6 +115,10 @@
             stored.version,
         )
         self._log.write(event)
+        for rejected in found.customers.rejected:
+            self._log.write(
+                CustomerRejected(rejected.name, found.version, rejected.reason)
+            )
         if self.on_adopted is not None:
             self.on_adopted()
 
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -3,6 +3,7 @@
 import attrs
 
 from nutmegshore.balancing import Choice
+from nutmegshore.gateway.customer import Customer
 from nutmegshore.gateway.route import Configuration, Route
 from nutmegshore.listener import KeptBody, RequestHead
 from nutmegshore.platform.dialect import CallerFields
@@ -51,6 +52,7 @@
 class RoutedRequest:
     """A request with its route, deadline and the attempts so far.
 
+    `customer` is whom the request belongs to, None where it needs no key.
     `possible_runs` counts the attempts that were sent, `runs` those that were
     chosen, both except the ones that certainly did not run the request.
     `tried` are the instances used so far. `last_region` is the region of the
@@ -78,12 +80,18 @@
     paused: list[str] = attrs.field(factory=list)
     upstreams_age_s: float = -1
     upstreams_from: str = ''
+    customer: Customer | None = None
 
     @property
     def request_id(self) -> str:
         """The caller's id of the request."""
         return self.incoming.fields.request_id
 
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer, empty without one."""
+        return self.customer.name if self.customer else ''
+
     @property
     def may_have_run(self) -> bool:
         """Whether any upstream may have run the request."""
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -40,6 +40,10 @@
 #: Retry-After in seconds where the error does not set one.
 _DEFAULT_RETRY_AFTER_S = 0.2
 _SERVER_ERROR = 500
+#: Statuses of refusals that say when to come back.
+_RETRYABLE_STATUSES = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _MS_PER_S = 1000
 
 
@@ -47,12 +51,14 @@
     """HTTP status for an error.
 
     408, 421, 429 and 503 promise that a request has not run and never will.
-    Server errors with that outcome, and all refusals with a Retry-After, are
-    answered with 503, and errors with another outcome with none of the four.
+    Server errors with that outcome, and refusals with a Retry-After for another
+    reason than a quota, are answered with 503, and errors with another outcome
+    with none of the four.
     """
-    if isinstance(error, RefusedError):
-        return HTTPStatus.SERVICE_UNAVAILABLE
     status = error.answer.status
+    if isinstance(error, RefusedError):
+        is_quota = status == HTTPStatus.TOO_MANY_REQUESTS
+        return status if is_quota else HTTPStatus.SERVICE_UNAVAILABLE
     if error.answer.outcome is not Outcome.NOT_RUN:
         is_promise = status in NOT_RUN_STATUSES
         return HTTPStatus.BAD_GATEWAY if is_promise else status
@@ -111,7 +117,7 @@
         """Answer with the status of an error and log the failure."""
         status = status_of(error)
         headers = [('Content-Type', 'text/plain')]
-        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if status in _RETRYABLE_STATUSES:
             wait_s = _round_up(_retry_after_s(error))
             headers.append((RETRY_AFTER, str(wait_s)))
         self._record(self._log_failure, error, status)
@@ -258,6 +264,7 @@
             'route': routed.route.name if routed else '',
             'service': routed.service if routed else '',
             'key': routed.incoming.fields.affinity_key if routed else '',
+            'customer': routed.customer_name if routed else '',
             'configuration': adopted.version if adopted else 0,
             'configuration_age_s': round(age_s, 3),
             'upstreams_age_s': routed.upstreams_age_s if routed else -1,
--- a/nutmegshore/gateway/route.py
+++ b/nutmegshore/gateway/route.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from nutmegshore.gateway.customer import NO_CUSTOMERS, CustomerTable
 from nutmegshore.listener import ListenerLimits
 
 __all__ = (
@@ -44,7 +45,8 @@
     `timeout_s` bounds the time until the final answer, `target_latency_s` is
     the latency objective, `max_attempts` the number of upstreams that one
     request may be sent to. `rank` 0 is the most urgent. If `homes` is not
-    empty, requests may only be served in these regions.
+    empty, requests may only be served in these regions. A public route serves
+    requests without an API key.
     """
 
     name: str
@@ -58,6 +60,7 @@
     rank: int = 0
     is_sticky: bool = False
     homes: frozenset[str] = frozenset()
+    is_public: bool = False
 
     @property
     def is_safe(self) -> bool:
@@ -123,6 +126,7 @@
     routes: tuple[Route, ...]
     services: MappingProxyType[str, ServiceRules]
     limits: Limits = Limits()
+    customers: CustomerTable = NO_CUSTOMERS
     _routes_by_host: MappingProxyType = attrs.field(
         init=False,
         repr=False,
--- a/nutmegshore/platform/configuration.py
+++ b/nutmegshore/platform/configuration.py
@@ -5,6 +5,12 @@
 from typing import Any
 
 from nutmegshore.errors import PlatformFormatError
+from nutmegshore.gateway.customer import (
+    NO_CUSTOMERS,
+    Customer,
+    CustomerTable,
+    RejectedCustomer,
+)
 from nutmegshore.gateway.route import (
     Configuration,
     Limits,
@@ -53,6 +59,7 @@
             },
         ),
         limits=_parse_limits(fields.read_object(spec, 'Limits')),
+        customers=_parse_customers(fields.read_object(spec, 'Tenants')),
     )
 
 
@@ -75,6 +82,36 @@
         rank=fields.read_integer(raw, 'Priority', 0),
         is_sticky=fields.read_boolean(raw, 'Sticky'),
         homes=frozenset(fields.read_strings(raw, 'HomeRegions')),
+        is_public=fields.read_boolean(raw, 'Public'),
+    )
+
+
+def _parse_customers(raw: dict[str, Any]) -> CustomerTable:
+    """Parse the customers; an entry that is invalid costs only itself."""
+    if not raw:
+        return NO_CUSTOMERS
+    customers = []
+    rejected = []
+    for name in fields.read_names(raw):
+        try:
+            customers.append(_parse_customer(name, raw))
+        except PlatformFormatError as failure:
+            rejected.append(RejectedCustomer(name, str(failure)))
+    return CustomerTable.of(customers, rejected)
+
+
+def _parse_customer(name: str, table: dict[str, Any]) -> Customer:
+    raw = fields.read_object(table, name)
+    keys = frozenset(fields.read_strings(raw, 'ApiKeys')) - {''}
+    if not keys:
+        raise PlatformFormatError('ApiKeys: none')
+    return Customer(
+        name=name,
+        keys=keys,
+        rank=fields.read_integer(raw, 'Priority', 0),
+        max_rate=fields.read_number(raw, 'RatePerS', 0),
+        burst=fields.read_number(raw, 'Burst', 0),
+        homes=frozenset(fields.read_strings(raw, 'HomeRegions')),
     )
 
 
--- a/nutmegshore/platform/dialect.py
+++ b/nutmegshore/platform/dialect.py
@@ -18,11 +18,13 @@
     'RETRY_AFTER',
     'CallerFields',
     'HealthAnswer',
+    'LoadAnswer',
     'PlatformDialect',
     'read_caller_fields',
     'read_health',
     'read_load',
     'write_caller_headers',
+    'write_customer_headers',
     'write_expected_instance',
 )
 
@@ -32,11 +34,13 @@
 _AFFINITY = 'affinity-key'
 _DEADLINE = 'deadline-ms'
 _EXPECTED_INSTANCE = 'Expect-Instance'
+_API_KEY = 'key'
+_CUSTOMER = 'Tenant'
 _INSTANCE = 'instance-id'
 _COLD_LEFT = 'cold-ms'
 _SERVER_STAMP = 'server-stamp'
 _NOT_RUN = 'not-run'
-_LOAD = 'server-load'
+_LOAD_HEADER = 'server-load'
 _LIMIT = 'server-limit'
 _LEAVING = 'server-leaving'
 _SERVICE_UNAVAILABLE = 503
@@ -47,9 +51,12 @@
 _MS_PER_S = 1000
 #: Digits of the largest number of milliseconds that is read.
 _MAX_DEADLINE_DIGITS = 9
-_LOAD_FIELDS = 3
-#: A number of requests; a longer one is no load that an upstream can have.
-_COUNT = re.compile('[0-9]{1,9}')
+#: Running and waiting requests and slots, then the work time if it is told.
+_LOAD = re.compile(
+    r'(?P<running>\d{1,9}),(?P<waiting>\d{1,9}),\d{1,9}'
+    r'(,(?P<work_percent>\d{1,9}))?',
+    re.ASCII,
+)
 _IS_LEAVING = '1'
 _IS_STAYING = '0'
 _LEAVING_TEXTS = frozenset((_IS_STAYING, _IS_LEAVING))
@@ -61,6 +68,8 @@
 _SECONDS = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 #: Request headers that the gateway sets itself and strips from callers.
 _RESERVED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE.lower()))
+#: Stripped as well where requests are authenticated by an API key.
+_IDENTITY_HEADERS = frozenset((_API_KEY, _CUSTOMER.lower()))
 
 
 @attrs.frozen
@@ -68,12 +77,14 @@
     """Fields of a caller's request headers.
 
     `remaining_ms` is the time until the deadline in milliseconds, or None
-    without a deadline. An absent text is empty.
+    without a deadline. An absent text is empty. `api_key` identifies the
+    customer; several different ones identify none.
     """
 
     request_id: str
     affinity_key: str
     remaining_ms: int | None
+    api_key: str = attrs.field(default='', repr=False)
 
 
 def read_caller_fields(head: RequestHead) -> CallerFields:
@@ -85,9 +96,15 @@
         head.get(_REQUEST_ID),
         head.get(_AFFINITY),
         int(raw) if is_valid else None,
+        _read_api_key(head),
     )
 
 
+def _read_api_key(head: RequestHead) -> str:
+    keys = set(head.get_all(_API_KEY))
+    return keys.pop() if len(keys) == 1 else ''
+
+
 def write_caller_headers(headers: Headers) -> Headers:
     """Return the caller's headers that are forwarded to the upstream."""
     return tuple(
@@ -95,6 +112,18 @@
     )
 
 
+def write_customer_headers(headers: Headers, customer: str) -> Headers:
+    """Return the caller's headers with the customer's name for its API key.
+
+    No upstream may see the key, or a name that the caller chose. An empty name
+    adds no header.
+    """
+    kept = tuple(
+        pair for pair in headers if pair[0].lower() not in _IDENTITY_HEADERS
+    )
+    return (*kept, (_CUSTOMER, customer)) if customer else kept
+
+
 def write_expected_instance(instance: str) -> Headers:
     """Return the header that names the intended instance.
 
@@ -103,16 +132,29 @@
     return ((_EXPECTED_INSTANCE, instance),)
 
 
-def read_load(head: AnswerHead) -> int | None:
-    """Return the running plus waiting requests that an answer reports.
+@attrs.frozen
+class LoadAnswer:
+    """The load that an answer reports.
 
-    None if the header is absent or malformed.
+    `busy` is the number of running and waiting requests. `work_percent` says
+    how long work takes at this moment, where 100 is as usual. None is not told.
     """
-    counts = [count.strip() for count in head.fields.get(_LOAD, '').split(',')]
-    is_load = len(counts) == _LOAD_FIELDS
-    if not is_load or not all(map(_COUNT.fullmatch, counts)):
-        return None
-    return int(counts[0]) + int(counts[1])
+
+    busy: int | None = None
+    work_percent: int | None = None
+
+
+def read_load(head: AnswerHead) -> LoadAnswer:
+    """Read the load; nothing is told by a header that is malformed."""
+    raw = head.fields.get(_LOAD_HEADER, '')
+    found = _LOAD.fullmatch(raw.replace(' ', ''))
+    if found is None:
+        return LoadAnswer()
+    percent = found['work_percent']
+    return LoadAnswer(
+        int(found['running']) + int(found['waiting']),
+        int(percent) if percent else None,
+    )
 
 
 @attrs.frozen
@@ -191,9 +233,11 @@
         if head.status == _SERVICE_UNAVAILABLE:
             pause = _read_decimal(head, RETRY_AFTER.lower(), _SECONDS)
         leaving = _read_leaving(head)
+        load = read_load(head)
         return UpstreamReport(
             is_leaving=leaving == _IS_LEAVING,
-            busy=read_load(head),
+            busy=load.busy,
+            work_percent=load.work_percent,
             max_rate=limit.number,
             malformed_limit=limit.malformed,
             is_refusal=refusal is not None,
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -92,6 +92,8 @@
     """State that an upstream reports in the head of an answer.
 
     `busy` is the number of its busy slots, or None if the answer does not tell.
+    `work_percent` says how long work takes there at this moment, in percent of
+    the usual time, or None if the answer does not tell.
     `max_rate` is the number of requests per second that it accepts from all
     gateways together, or None if the answer names no limit. The text of a limit
     that cannot be read is in `malformed_limit`, and in `malformed_leaving` that
@@ -110,6 +112,7 @@
     pause_s: float | None = None
     malformed_pause: str | None = None
     malformed_leaving: str | None = None
+    work_percent: int | None = None
 
 
 #: Called with an upstream's name and the state that it reports.
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -5,8 +5,13 @@
 import attrs
 import pytest
 
-from nutmegshore.balancing import AttemptOutcome, AttemptResult
+from nutmegshore.balancing import (
+    AttemptOutcome,
+    AttemptResult,
+    RoutingRequest,
+)
 from nutmegshore.errors import ErrorKind, RefusedError, StayReason
+from nutmegshore.gateway.customer import Customer
 
 _SERVED = AttemptResult(AttemptOutcome.ANSWERED, 0.1)
 
@@ -361,6 +366,18 @@
     assert choice.reason == 'away'
 
 
+def test_the_homes_of_the_route_and_of_the_customer_both_bind(route):
+    """Guards against HOME: the homes of a customer were ignored."""
+    customer = Customer('c1', frozenset(('k1',)), homes=frozenset(('east',)))
+    both = frozenset(('east', 'west'))
+    request = RoutingRequest(
+        route(homes=both), 'orders', '7', 2, customer=customer
+    )
+    regions = [one for one in (*both, 'south') if request.may_run_in(one)]
+    assert regions == ['east']
+    assert request.has_homes
+
+
 def test_homes_hold_when_all_upstreams_there_leave(
     leaving_home, make_request, route
 ):
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -13,6 +13,7 @@
     RefusedError,
     RequestError,
 )
+from nutmegshore.gateway.customer import Customer, CustomerTable
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.responder import GatewayResponder, status_of
 from nutmegshore.gateway.route import RouteKind
@@ -603,3 +604,72 @@
     error = RequestError(kind, 'r1')
     if error.answer.outcome is not Outcome.NOT_RUN:
         assert status_of(error) not in {408, 421, 429, 503}
+
+
+def _with_customers(context, **changes):
+    """Let a customer with the key `k1` use the routes of a context."""
+    state = context.state
+    customer = Customer('c1', frozenset(('k1',)))
+    routes = [
+        attrs.evolve(one, **changes) for one in state.configuration.routes
+    ]
+    changed = attrs.evolve(
+        state.configuration,
+        version=state.configuration.version + 1,
+        routes=tuple(routes),
+        customers=CustomerTable.of([customer]),
+    )
+    state.adopt(changed)
+    return context
+
+
+def _get_with(*lines):
+    return _GET.replace(b'Connection', b'\r\n'.join((*lines, b'Connection')))
+
+
+def _named_headers(upstreams):
+    """Headers of the first request that was sent, by lower-case name."""
+    request = upstreams.sent[0][1]
+    return {name.lower(): text for name, text in request.headers}
+
+
+@pytest.mark.parametrize('sent', [(), (b'Key: k9',), (b'Key: k1', b'Key: k9')])
+def test_a_request_without_a_known_key_is_not_run(make_context, scripted, sent):
+    """Guards against ROUTE: a key that no configuration ever held was
+    served."""
+    upstreams = scripted()
+    context = _with_customers(make_context(upstreams))
+    assert _send(context, _get_with(*sent)).startswith(b'HTTP/1.1 401 ')
+    assert not upstreams.sent
+
+
+def test_an_upstream_gets_the_name_of_the_keys_customer(make_context, scripted):
+    """Guards against UNASKED: the key reached an upstream, or a name of the
+    caller's choice did."""
+    upstreams = scripted()
+    context = _with_customers(make_context(upstreams))
+    received = _send(context, _get_with(b'Key: k1', b'Tenant: c9'))
+    assert received.startswith(b'HTTP/1.1 200 ')
+    named = _named_headers(upstreams)
+    assert named['tenant'] == 'c1'
+    assert 'key' not in named
+
+
+def test_a_public_route_needs_no_key(make_context, scripted):
+    """Guards against DENIED: a public route asked for a key."""
+    upstreams = scripted()
+    context = _with_customers(make_context(upstreams), is_public=True)
+    assert _send(context, _get_with(b'Tenant: c9')).startswith(b'HTTP/1.1 200 ')
+    assert 'tenant' not in _named_headers(upstreams)
+
+
+def test_headers_are_passed_on_where_there_are_no_customers(
+    make_context, scripted
+):
+    """Guards against dropping ordinary headers of a deployment without
+    customers."""
+    upstreams = scripted()
+    _send(make_context(upstreams), _get_with(b'Key: k1', b'Tenant: c9'))
+    headers = upstreams.sent[0][1].headers
+    assert ('Key', 'k1') in headers
+    assert ('Tenant', 'c9') in headers
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,11 +6,13 @@
 from nutmegshore.listener.headers import parse_head
 from nutmegshore.platform.dialect import (
     HealthAnswer,
+    LoadAnswer,
     PlatformDialect,
     read_caller_fields,
     read_health,
     read_load,
     write_caller_headers,
+    write_customer_headers,
 )
 from nutmegshore.upstreams import AnswerHead
 
@@ -96,12 +98,54 @@
 
 
 @pytest.mark.parametrize(
-    ('raw', 'busy'),
-    [('3,2,8', 5), ('3,0', None), ('a,b,c', None), ('', None)],
+    ('raw', 'load'),
+    [
+        ('3,2,8', LoadAnswer(5)),
+        ('3,1,8,250', LoadAnswer(4, 250)),
+        ('3, 1, 8, 100', LoadAnswer(4, 100)),
+        ('3,0', LoadAnswer()),
+        ('3,1,8,', LoadAnswer()),
+        ('3,1,8,x', LoadAnswer()),
+        ('3,1,8,100,7', LoadAnswer()),
+        ('a,b,c', LoadAnswer()),
+        ('', LoadAnswer()),
+    ],
+)
+def test_a_load_report_counts_running_and_waiting(raw, load):
+    """Guards against counting the total of slots as load, and against dropping
+    the whole report of an upstream that also tells how long work takes."""
+    assert read_load(_answer(200, ('Server-Load', raw))) == load
+
+
+def _caller_head(*lines):
+    return parse_head(
+        '\r\n'.join(('GET / HTTP/1.1', 'Host: a', *lines)).encode()
+    )
+
+
+@pytest.mark.parametrize(
+    ('lines', 'api_key'),
+    [
+        (('Key: k1',), 'k1'),
+        (('Key: k1', 'key: k1'), 'k1'),
+        (('Key: k1', 'Key: k2'), ''),
+        ((), ''),
+    ],
+)
+def test_one_key_identifies_a_customer(lines, api_key):
+    """Guards against a request that is checked by one key and counted by
+    another."""
+    assert read_caller_fields(_caller_head(*lines)).api_key == api_key
+
+
+@pytest.mark.parametrize(
+    ('customer', 'added'), [('c1', (('Tenant', 'c1'),)), ('', ())]
 )
-def test_a_load_report_counts_running_and_waiting(raw, busy):
-    """Guards against counting the total of slots as load."""
-    assert read_load(_answer(200, ('Server-Load', raw))) == busy
+def test_upstreams_see_the_customer_and_never_the_key(customer, added):
+    """Guards against UNASKED: an upstream got the key, or a customer's name
+    that the caller made up."""
+    headers = (('KEY', 'k1'), ('tenant', 'c9'), ('A', 'b'))
+    assert write_customer_headers(headers, customer) == (('A', 'b'), *added)
 
 
 def _limit_report(*texts, status=200, headers=()):
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -83,6 +83,64 @@
     assert found.limits.idle_s == 15
 
 
+def _customers(**entries):
+    return _spec_configuration(Tenants=entries).customers
+
+
+def _spec_configuration(**changes):
+    spec = json.loads(_configuration())['Spec']
+    body = json.dumps({'Spec': {**spec, **changes}, 'Status': None})
+    return parse_configuration(body.encode())
+
+
+def test_customers_are_found_by_their_keys():
+    """Guards against a customer whose quota, rank or homes are ignored."""
+    found = _customers(
+        c1={
+            'ApiKeys': ['k1', 'k2'],
+            'Priority': 1,
+            'RatePerS': 5.5,
+            'Burst': 2,
+            'HomeRegions': ['west'],
+        },
+        c2={'ApiKeys': ['k3']},
+    )
+    c1 = found.find('k2')
+    assert found.is_enabled
+    assert (c1.name, c1.rank, c1.max_rate, c1.burst) == ('c1', 1, 5.5, 2)
+    assert c1.homes == {'west'}
+    assert not found.find('k3').has_quota
+    assert found.find('') is None
+
+
+def test_an_invalid_customer_costs_only_itself():
+    """Guards against a configuration that is dropped as a whole, and against
+    a key that lets one customer act as another."""
+    found = _customers(
+        c1={'ApiKeys': ['k1', 'shared']},
+        c2={'ApiKeys': ['k2', 'shared']},
+        c3={'ApiKeys': []},
+        c4={'ApiKeys': ['k4'], 'RatePerS': -1},
+        c5='odd',
+    )
+    assert found.find('k1').name == 'c1'
+    assert found.find('k2').name == 'c2'
+    assert [found.find(key) for key in ('shared', 'k4')] == [None, None]
+    rejected = [one.name for one in found.rejected]
+    assert rejected == ['c3', 'c4', 'c5', 'c1', 'c2']
+
+
+@pytest.mark.parametrize('changes', [{}, {'Tenants': {}}, {'Tenants': None}])
+def test_without_customers_no_key_is_needed(changes):
+    """Guards against refusing all requests of a deployment without keys."""
+    assert not _spec_configuration(**changes).customers.is_enabled
+
+
+def test_a_table_without_any_valid_customer_lets_nobody_in():
+    """Guards against opening all routes because the table cannot be read."""
+    assert _customers(c1={'ApiKeys': []}).is_enabled
+
+
 def test_a_traffic_split_keeps_its_weights():
     """Guards against a split whose services get equal weights."""
     split = [
