Run pipelined requests at the same time

A connection read its next request once the answer to the last one was written. A caller that sends several at once waited for each in turn, and the deadline of the later ones began when they were read.

Those that may run more than once and have no body start at once; any other waits, with all that follows it, until the answers ahead are written. Answers keep the order of the requests. An answer that closes the connection cancels the requests behind it, a stop announces the close on the last one read. Only gateways let requests run ahead; the entry daemon answers as before.

The patched name in test_internal_faults.py moved to request_reader.py, and the fake writers have the new methods of AnswerWriter.

--- a/nutmegshore/gateway/answer.py
+++ b/nutmegshore/gateway/answer.py
@@ -108,6 +108,8 @@
         self._buffer += chunk
         if len(self._buffer) > MAX_BUFFERED_BYTES:
             self._before_streaming()
+            await self._writer.wait_turn()
+            self._check_open()
             self.has_begun = True
             await self._writer.begin(self.head)
             await self._writer.receive(bytes(self._buffer))
--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -9,9 +9,13 @@
 
 @attrs.frozen
 class RequestAbandoned:
-    """The caller closed its connection before it received an answer.
+    """A request was ended before there was an answer for its caller.
 
-    The attempt was cancelled; its upstream may have run the request.
+    The attempt was cancelled; its upstream may have run the request. `reason`
+    is `caller_left` if the caller closed its connection, `withdrawn` if an
+    answer ahead of it on the connection announced the close, so that the caller
+    sends the request again, and `stopped` at the end of the gateway's grace
+    period.
     """
 
     severity = Severity.FAILURE
@@ -27,6 +31,7 @@
     took_s: float
     attempts: list
     customer: str = ''
+    reason: str = 'caller_left'
 
 
 @attrs.frozen
@@ -34,9 +39,10 @@
     """The connection ended before the caller had taken our answer.
 
     `reason` is `not_taken` if the gateway reset the connection of a caller that
-    did not read, `stopped` if it did so at the end of its grace period, and
-    `caller_left` if the connection broke. `status` is that of the answer. An
-    answer of the gateway's own has its line as well.
+    did not read, `stopped` if it did so at the end of its grace period,
+    `withdrawn` if an answer ahead of it on the connection announced the close,
+    and `caller_left` if the connection broke. `status` is that of the answer.
+    An answer of the gateway's own has its line as well.
     """
 
     severity = Severity.FAILURE
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -1,6 +1,7 @@
 """Answering and logging of one caller's request."""
 
 import asyncio
+import functools
 import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -96,6 +97,16 @@
         """Whether an upstream may have received the request."""
         return self._routed is not None and self._routed.may_have_run
 
+    @property
+    def may_run_ahead(self) -> bool:
+        """Whether the route of the request lets it run more than once."""
+        configuration = self._context.state.configuration
+        if configuration is None:
+            return False
+        head = self.writer.request
+        route = configuration.match(head.get('host'), head.target)
+        return route is not None and route.is_safe
+
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
@@ -123,9 +134,9 @@
         self._record(self._log_failure, error, status)
         kind = error.kind.value
         text = f'{kind}: {error}\n'.encode()
-        await self._write_with_timeout(
-            self.writer.write_own(status, tuple(headers), text),
-            status,
+        write = self.writer.write_own
+        await self._write_in_turn(
+            functools.partial(write, status, tuple(headers), text), status
         )
 
     def _record(self, record: Callable[..., None], *details: Any) -> None:
@@ -133,22 +144,21 @@
         with self._context.log.faults.contain('responder'):
             record(*details)
 
-    async def _write_with_timeout(
-        self, write: Awaitable[None], status: int
+    async def _write_in_turn(
+        self, write: Callable[[], Awaitable[None]], status: int
     ) -> None:
-        """Abort the connection of a caller that does not read its answer."""
+        """Write an answer once those ahead of it are written."""
         try:
+            await self.writer.wait_turn()
             async with asyncio.timeout(self._listener.limits.write_s):
-                await write
+                await write()
         except TimeoutError as failure:
             self._context.counters.add('answers_not_taken')
             self._record(self._log_cut, status, 'not_taken')
             abort_stream(self.writer.stream)
             raise StreamClosedError from failure
         except (StreamClosedError, asyncio.CancelledError):
-            has_left = self.writer.stream.closed()
-            reason = 'caller_left' if has_left else 'stopped'
-            self._record(self._log_cut, status, reason)
+            self._record(self._log_cut, status, self.writer.end_reason)
             raise
 
     async def _forward(self) -> BufferedAnswer:
@@ -168,7 +178,7 @@
 
     async def _finish(self, answer: BufferedAnswer) -> None:
         status = answer.head.status
-        await self._write_with_timeout(answer.finish(), status)
+        await self._write_in_turn(answer.finish, status)
         self._record(self._log_served, status)
 
     def _log_served(self, status: int) -> None:
@@ -195,7 +205,7 @@
             'reason': error.kind.value,
             'detail': str(error),
             'no_retry': self._routed.no_retry if self._routed else '',
-            'attempts': self._describe_attempts(),
+            'attempts': _describe_attempts(self._routed),
         }
         if not is_refusal:
             self._context.log.write(RequestFailed(**fields))
@@ -214,11 +224,13 @@
         )
 
     def _log_abandoned(self) -> None:
-        self._context.counters.add('requests_abandoned')
+        reason = self.writer.end_reason
+        self._context.counters.add('requests_abandoned', reason=reason)
         self._record_latency('abandoned')
         self._context.log.write(
             RequestAbandoned(
-                attempts=self._describe_attempts(),
+                reason=reason,
+                attempts=_describe_attempts(self._routed),
                 **self._common_fields(),
             ),
         )
@@ -229,14 +241,11 @@
             AnswerCut(
                 status=int(status),
                 reason=reason,
-                attempts=self._describe_attempts(),
+                attempts=_describe_attempts(self._routed),
                 **self._common_fields(),
             ),
         )
 
-    def _describe_attempts(self) -> list[list]:
-        return self._routed.describe_attempts() if self._routed else []
-
     def _record_latency(self, outcome: str) -> None:
         """Record how long the caller waited, unless the request has no route.
 
@@ -276,6 +285,10 @@
 _DEFAULT_REFUSAL = RefusedError(ErrorKind.NOT_READY, '', _DEFAULT_RETRY_AFTER_S)
 
 
+def _describe_attempts(routed: RoutedRequest | None) -> list[list]:
+    return routed.describe_attempts() if routed else []
+
+
 def _retry_after_s(error: NutmegshoreError) -> float:
     if isinstance(error, RefusedError):
         return error.retry_after_s
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -33,6 +34,11 @@
     and `is_complete` say how much of the answer was written. Writes wait
     until the connection has taken the bytes, which slows the upstream to the
     caller's speed.
+
+    The head waits for `turn`, which is set once the answers ahead of it on the
+    connection are written. `before_close` is called before a head that
+    announces the close. `is_withdrawn` says that an answer ahead has closed the
+    connection, so that the caller sends the request again.
     """
 
     stream: IOStream
@@ -40,9 +46,24 @@
     keeps_alive: bool = True
     has_begun: bool = False
     is_complete: bool = False
+    is_withdrawn: bool = False
+    turn: asyncio.Event | None = None
+    before_close: Callable[[], None] | None = None
     _is_chunked: bool = False
     _has_body: bool = True
 
+    @property
+    def end_reason(self) -> str:
+        """Why a request was cancelled before its caller had the answer."""
+        if self.stream.closed():
+            return 'caller_left'
+        return 'withdrawn' if self.is_withdrawn else 'stopped'
+
+    async def wait_turn(self) -> None:
+        """Wait until the answers ahead of this one are written."""
+        if self.turn is not None:
+            await self.turn.wait()
+
     async def write_continue(self) -> None:
         """Ask a caller that waits for it to send its body."""
         is_asked = self.request and self.request.get('expect')
@@ -109,7 +130,10 @@
         length: str | None,
         body: bytes = b'',
     ) -> None:
+        await self.wait_turn()
         self._choose_framing(status, length)
+        if not self.keeps_alive and self.before_close is not None:
+            self.before_close()
         lines = [f'HTTP/1.1 {int(status)} {_reason(status)}']
         lines.extend(f'{name}: {text}' for name, text in headers)
         if self._is_chunked and self._has_body:
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -1,4 +1,4 @@
-"""One caller's connection: its requests, one after the other."""
+"""One caller's connection: its requests, answered in their order."""
 
 import asyncio
 import contextlib
@@ -6,18 +6,11 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
-from nutmegshore.listener.answer import AnswerWriter, abort_stream
-from nutmegshore.listener.body import CallerBody
+from nutmegshore.listener.answer import abort_stream
 from nutmegshore.listener.context import ListenerContext
-from nutmegshore.listener.fault_answer import FaultAnswer
-from nutmegshore.listener.headers import (
-    RequestHead,
-    parse_head,
-    read_body_length,
-)
+from nutmegshore.listener.pipeline import Pipeline
 from nutmegshore.listener.reader import CallerReader
-from nutmegshore.listener.responder import Responder
+from nutmegshore.listener.request_reader import RequestReader
 
 __all__ = ('CallerConnection',)
 
@@ -25,18 +18,21 @@
 class CallerConnection:
     """Reads, answers and ends the requests of one connection.
 
+    Further requests are read while earlier ones are being answered; the
+    pipeline decides when each of them runs.
+
     await CallerConnection(stream, context).run()
     """
 
     def __init__(self, stream: IOStream, context: ListenerContext) -> None:
         """Wait for `run`."""
-        self.is_idle = True
         self.is_leaving = False
         self._stream = stream
         self._context = context
         self._reader = CallerReader(stream)
-        self._writer: AnswerWriter | None = None
-        self._responder: Responder | None = None
+        self._requests = RequestReader(self._reader, stream, context)
+        self._pipeline = Pipeline(context.counters)
+        self._is_reading = False
 
     async def run(self) -> None:
         """Serve until the caller or `close_when_idle` ends it."""
@@ -44,14 +40,14 @@
             stack.callback(self._close)
             stack.enter_context(self._context.faults.contain('listener'))
             stack.enter_context(contextlib.suppress(StreamClosedError))
-            while await self._has_next():
-                await self._serve_one()
+            await self._serve()
+            if self._pipeline.is_answered and not self._stream.closed():
+                await self._linger()
 
     def leave(self) -> None:
         """Close after the next answer that can announce it."""
         self.is_leaving = True
-        if self._writer is not None and not self._writer.has_begun:
-            self._writer.keeps_alive = False
+        self._pipeline.announce_close()
 
     def close_when_idle(self) -> bool:
         """Close now if no request is under way, else after its answer.
@@ -59,122 +55,85 @@
         Returns whether it closed the connection now.
         """
         self.leave()
-        if self._stream.closed() or not self.is_idle or self._has_waiting():
+        if self._stream.closed() or not self._is_idle or self._has_waiting():
             return False
         self._context.counters.add('idle_connections_closed', reason='stop')
         self._stream.close()
         return True
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._pipeline.is_empty and not self._is_reading
+
     def _close(self) -> None:
-        if self.is_idle:
+        if self._is_idle:
             self._stream.close()
         else:
             abort_stream(self._stream)
 
+    async def _serve(self) -> None:
+        """Read and answer requests until no further one can follow."""
+        reading = asyncio.ensure_future(self._read_requests())
+        ending = asyncio.ensure_future(self._pipeline.wait_end())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._pipeline.cancel)
+            stack.push_async_callback(_cancel, reading, ending)
+            self._stream.set_close_callback(self._pipeline.end)
+            stack.callback(self._stream.set_close_callback, None)
+            await asyncio.wait(
+                (reading, ending), return_when=asyncio.FIRST_COMPLETED
+            )
+        if not reading.cancelled():
+            reading.result()
+
+    async def _read_requests(self) -> None:
+        """Read until the connection has been idle for too long.
+
+        Behind a request whose answer closes the connection, nothing is read.
+        """
+        while await self._has_next():
+            exchange = await self._requests.read(
+                is_last=self.is_leaving,
+            )
+            # A stop may have announced the close in the meantime.
+            if not self._pipeline.is_closing:
+                self._pipeline.add(exchange)
+            self._is_reading = False
+            await self._pipeline.wait_room()
+
     async def _has_next(self) -> bool:
-        if self._stream.closed():
+        if self._pipeline.is_closing:
+            await self._pipeline.wait_end()
             return False
-        self.is_idle = True
         while not await self._starts_in_time():
-            if not self._has_waiting():
+            if self._idle_left_s() <= 0 and not self._has_waiting():
                 self._context.counters.add(
                     'idle_connections_closed', reason='idle_time'
                 )
                 return False
-        self.is_idle = False
+        self._is_reading = True
         return True
 
     async def _starts_in_time(self) -> bool:
+        left_s = self._idle_left_s()
+        if left_s <= 0:
+            left_s = self._context.limits.idle_s
         try:
-            async with asyncio.timeout(self._context.limits.idle_s):
+            async with asyncio.timeout(left_s):
                 await self._reader.wait_start()
         except TimeoutError:
             return False
         return True
 
+    def _idle_left_s(self) -> float:
+        """Seconds until the connection has been idle for too long."""
+        return self._context.limits.idle_s - self._pipeline.idle_s
+
     def _has_waiting(self) -> bool:
         """Whether a part of a request has arrived."""
         return self._reader.has_held or _has_unread(self._stream)
 
-    async def _serve_one(self) -> None:
-        writer = AnswerWriter(self._stream, keeps_alive=not self.is_leaving)
-        self._writer = writer
-        self._responder = None
-        try:
-            await self._answer(writer)
-        except StreamClosedError:
-            raise
-        except Exception as fault:
-            faults = self._context.faults
-            await FaultAnswer(faults, writer, self._responder).send(fault)
-        is_kept = writer.keeps_alive and self._has_whole_request()
-        if not is_kept and not self._stream.closed():
-            await self._linger()
-
-    async def _answer(self, writer: AnswerWriter) -> None:
-        responder = self._context.make_responder(writer)
-        self._responder = responder
-        try:
-            await self._read_request(responder)
-        except RequestError as error:
-            writer.keeps_alive = False
-            await responder.refuse(error)
-        else:
-            await self._while_connected(responder)
-
-    def _has_whole_request(self) -> bool:
-        responder = self._responder
-        if responder is None or responder.body is None:
-            return False
-        return responder.body.is_whole
-
-    async def _read_request(self, responder: Responder) -> None:
-        head = await self._read_head()
-        writer = responder.writer
-        writer.request = head
-        writer.keeps_alive &= head.keeps_alive
-        responder.body = CallerBody(
-            self._reader,
-            read_body_length(head),
-            self._context.limits.body_s,
-            writer.write_continue,
-            self._context.limits.body_bytes,
-        )
-
-    async def _read_head(self) -> RequestHead:
-        limits = self._context.limits
-        try:
-            async with asyncio.timeout(limits.head_s):
-                raw = await self._reader.read_head(limits.head_bytes)
-        except TimeoutError as failure:
-            raise RequestError(ErrorKind.SLOW_SENDER, 'head') from failure
-        return parse_head(raw)
-
-    async def _while_connected(self, responder: Responder) -> None:
-        """Cancel the work on an answer when its caller disconnects."""
-        work = asyncio.ensure_future(responder.run())
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(_cancel, work)
-            self._stream.set_close_callback(work.cancel)
-            stack.callback(self._stream.set_close_callback, None)
-            await asyncio.wait((work,))
-        if self._stream.closed():
-            self._context.counters.add('caller_disconnects')
-        elif work.cancelled():
-            raise RuntimeError('the work on an answer was cancelled')
-        failure = None if work.cancelled() else work.exception()
-        if isinstance(failure, NutmegshoreError):
-            self._abort(failure)
-        elif failure is not None:
-            raise failure
-
-    def _abort(self, failure: NutmegshoreError) -> None:
-        """End a connection whose answer cannot be made whole."""
-        if self._stream.closed():
-            return
-        abort_stream(self._stream)
-        self._context.counters.add('answers_aborted', reason=failure.kind.value)
-
     async def _linger(self) -> None:
         """Close so that the caller can still read the last answer.
 
@@ -199,6 +158,7 @@
         return False
 
 
-async def _cancel(work: asyncio.Future) -> None:
-    work.cancel()
-    await asyncio.wait((work,))
+async def _cancel(*tasks: asyncio.Future) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/nutmegshore/listener/responder.py
+++ b/nutmegshore/listener/responder.py
@@ -12,7 +12,8 @@
 class Responder(abc.ABC):
     """Answers one request that a connection has read.
 
-    The connection sets `body` once the head is known, then calls `run`. It
+    The connection builds it once the head is read, and sets `body`. It calls
+    `run` when the request may start. It
     calls `refuse` instead where the head itself was not acceptable. An error
     that `run` raises aborts the connection, because the answer has begun. After
     any other exception the connection calls `refuse`, unless the answer has
@@ -34,6 +35,17 @@
         """Whether an upstream may have received the request."""
         return False
 
+    @property
+    def may_run_ahead(self) -> bool:
+        """Whether `run` may be called while an answer ahead is outstanding.
+
+        It may only for a request that may run more than once: if an answer
+        ahead closes the connection, `run` is cancelled and the caller sends the
+        request again. Such a responder calls `writer.wait_turn` before it
+        limits the time of a write. The connection asks after `body` is set.
+        """
+        return False
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
--- a/tests/gateway/test_internal_faults.py
+++ b/tests/gateway/test_internal_faults.py
@@ -246,7 +246,7 @@
     make_context, scripted, monkeypatch, reader
 ):
     """Guards against a reset for a request whose reading failed."""
-    where = f'nutmegshore.listener.connection.{reader}'
+    where = f'nutmegshore.listener.request_reader.{reader}'
     monkeypatch.setattr(where, _Failing())
     received = _send(make_context(scripted()))
     assert received.startswith(b'HTTP/1.1 503 ')
--- a/tests/gateway/test_session_log.py
+++ b/tests/gateway/test_session_log.py
@@ -23,11 +23,15 @@
     def __init__(self, request):
         self.request = request
         self.has_begun = False
+        self.end_reason = 'caller_left'
         self.keeps_alive = True
 
     async def write_own(self, status, headers, body):
         """Discard a complete answer."""
 
+    async def wait_turn(self):
+        """No answer is ahead of this one."""
+
 
 class _NoBody:
     is_whole = True
--- a/tests/gateway/virtual_caller.py
+++ b/tests/gateway/virtual_caller.py
@@ -32,6 +32,7 @@
     request: RequestHead
     read_s: float = 0
     has_begun: bool = False
+    end_reason: str = 'caller_left'
     keeps_alive: bool = True
     status: int = 0
     body: bytes = b''
@@ -59,6 +60,9 @@
     async def finish(self):
         """Take the end of a streamed answer."""
 
+    async def wait_turn(self):
+        """No answer is ahead of this one."""
+
 
 @attrs.define
 class Caller:
