Tell requests behind a closed answer from lost callers

A request that was cancelled because an answer ahead of it closed the connection was logged as if its caller had left, and after a reset it was counted in caller_disconnects. The writer now withdraws those behind it before it closes or resets the connection; request_abandoned and answer_cut say 'withdrawn'.

--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -14,7 +14,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
-from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.headers import (
     IDEMPOTENCY_KEY,
@@ -129,5 +129,5 @@
             async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
-            abort_stream(self.writer.stream)
+            self.writer.abort()
             raise StreamClosedError from failure
--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -13,9 +13,8 @@
 
     The attempt was cancelled; its upstream may have run the request. `reason`
     is `caller_left` if the caller closed its connection, `withdrawn` if an
-    answer ahead of it on the connection announced the close, so that the caller
-    sends the request again, and `stopped` at the end of the gateway's grace
-    period.
+    answer ahead of it closed the connection, so that the caller sends the
+    request again, and `stopped` at the end of the gateway's grace period.
     """
 
     severity = Severity.FAILURE
@@ -40,9 +39,9 @@
 
     `reason` is `not_taken` if the gateway reset the connection of a caller that
     did not read, `stopped` if it did so at the end of its grace period,
-    `withdrawn` if an answer ahead of it on the connection announced the close,
-    and `caller_left` if the connection broke. `status` is that of the answer.
-    An answer of the gateway's own has its line as well.
+    `withdrawn` if an answer ahead of it closed the connection, and
+    `caller_left` if the connection broke. `status` is that of the answer. An
+    answer of the gateway's own has its line as well.
     """
 
     severity = Severity.FAILURE
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -15,7 +15,6 @@
     CallerServer,
     ListenerContext,
     Responder,
-    abort_stream,
 )
 
 __all__ = ('PageResponse', 'PageResponder', 'open_pages')
@@ -78,7 +77,7 @@
             async with asyncio.timeout(_WRITE_TIMEOUT_S):
                 await self.writer.write_own(status, headers, body)
         except TimeoutError as failure:
-            abort_stream(self.writer.stream)
+            self.writer.abort()
             raise StreamClosedError from failure
 
 
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -32,7 +32,6 @@
     AnswerWriter,
     ListenerContext,
     Responder,
-    abort_stream,
 )
 from nutmegshore.platform.dialect import RETRY_AFTER, read_caller_fields
 
@@ -155,7 +154,7 @@
         except TimeoutError as failure:
             self._context.counters.add('answers_not_taken')
             self._record(self._log_cut, status, 'not_taken')
-            abort_stream(self.writer.stream)
+            self.writer.abort()
             raise StreamClosedError from failure
         except (StreamClosedError, asyncio.CancelledError):
             self._record(self._log_cut, status, self.writer.end_reason)
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -36,9 +36,9 @@
     caller's speed.
 
     The head waits for `turn`, which is set once the answers ahead of it on the
-    connection are written. `before_close` is called before a head that
-    announces the close. `is_withdrawn` says that an answer ahead has closed the
-    connection, so that the caller sends the request again.
+    connection are written. `before_close` is called before this answer closes
+    the connection. `is_withdrawn` says that an answer ahead has closed it, so
+    that the caller sends the request again.
     """
 
     stream: IOStream
@@ -55,15 +55,20 @@
     @property
     def end_reason(self) -> str:
         """Why a request was cancelled before its caller had the answer."""
-        if self.stream.closed():
-            return 'caller_left'
-        return 'withdrawn' if self.is_withdrawn else 'stopped'
+        if self.is_withdrawn:
+            return 'withdrawn'
+        return 'caller_left' if self.stream.closed() else 'stopped'
 
     async def wait_turn(self) -> None:
         """Wait until the answers ahead of this one are written."""
         if self.turn is not None:
             await self.turn.wait()
 
+    def abort(self) -> None:
+        """Close the connection with a reset, within an answer or before it."""
+        self._announce_close()
+        abort_stream(self.stream)
+
     async def write_continue(self) -> None:
         """Ask a caller that waits for it to send its body."""
         is_asked = self.request and self.request.get('expect')
@@ -132,8 +137,8 @@
     ) -> None:
         await self.wait_turn()
         self._choose_framing(status, length)
-        if not self.keeps_alive and self.before_close is not None:
-            self.before_close()
+        if not self.keeps_alive:
+            self._announce_close()
         lines = [f'HTTP/1.1 {int(status)} {_reason(status)}']
         lines.extend(f'{name}: {text}' for name, text in headers)
         if self._is_chunked and self._has_body:
@@ -146,6 +151,10 @@
         self.has_begun = True
         await self._write(head + body if self._has_body else head)
 
+    def _announce_close(self) -> None:
+        if self.before_close is not None:
+            self.before_close()
+
     def _choose_framing(self, status: int, length: str | None) -> None:
         method = self.request.method if self.request else ''
         self._has_body = method != 'HEAD' and status not in _BODILESS
--- a/nutmegshore/listener/exchange.py
+++ b/nutmegshore/listener/exchange.py
@@ -6,7 +6,7 @@
 from tornado.iostream import StreamClosedError
 
 from nutmegshore.errors import NutmegshoreError, RequestError
-from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.fault_answer import FaultAnswer
 from nutmegshore.listener.responder import Responder
@@ -101,6 +101,13 @@
             raise self._failure
 
     async def _respond(self) -> None:
+        try:
+            await self._run_responder()
+        except NutmegshoreError as failure:
+            await self.writer.wait_turn()
+            self._abort(failure)
+
+    async def _run_responder(self) -> None:
         try:
             await self._responder.run()
         except asyncio.CancelledError as failure:
@@ -109,17 +116,16 @@
             raise RuntimeError(
                 'the work on an answer was cancelled'
             ) from failure
-        except NutmegshoreError as failure:
-            self._abort(failure)
         finally:
-            if self.writer.stream.closed():
+            has_left = self.writer.stream.closed()
+            if has_left and not self.writer.is_withdrawn:
                 self._context.counters.add('caller_disconnects')
 
     def _abort(self, failure: NutmegshoreError) -> None:
         """End a connection whose answer cannot be made whole."""
         if self.writer.stream.closed():
             return
-        abort_stream(self.writer.stream)
+        self.writer.abort()
         self._context.counters.add('answers_aborted', reason=failure.kind.value)
 
     async def _send_fault(self, fault: Exception) -> None:
--- a/nutmegshore/listener/fault_answer.py
+++ b/nutmegshore/listener/fault_answer.py
@@ -4,7 +4,7 @@
 
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.faults import Faults
-from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.responder import Responder
 
 __all__ = ('FaultAnswer',)
@@ -39,7 +39,7 @@
         if self._writer.is_complete:
             return
         if self._writer.has_begun:
-            abort_stream(self._writer.stream)
+            self._writer.abort()
             return
         self._writer.keeps_alive = False
         error = self._error(fault)
--- a/nutmegshore/listener/pipeline.py
+++ b/nutmegshore/listener/pipeline.py
@@ -10,8 +10,8 @@
 __all__ = ('MAX_READ_AHEAD', 'Pipeline')
 
 #: Requests of a connection that may be under way behind the one whose answer is
-#: next. Each may hold a buffered answer (256 KiB in a gateway) until its turn,
-#: so that a connection holds at most 2.25 MiB of them.
+#: next. A gateway buffers at most 256 KiB of each answer, so that a connection
+#: holds at most 2.25 MiB of answers.
 MAX_READ_AHEAD = 8
 
 
--- a/tests/listener/test_pipelining.py
+++ b/tests/listener/test_pipelining.py
@@ -336,3 +336,22 @@
     assert first[2] == '/safe/a'
     assert interim.startswith(b'HTTP/1.1 100 ')
     assert last[2] == '/unsafe'
+
+
+def test_a_cut_answer_is_not_counted_as_a_caller_that_left(converse):
+    """Guards against a count of callers that gave up which includes those
+    whose connection the listener reset."""
+
+    async def session(caller):
+        caller.desk.plays['/safe/a'] = _cut
+        caller.send('/safe/a', '/safe/b')
+        await caller.desk.until(lambda: len(caller.desk.started) == 2)
+        caller.desk.release('/safe/a')
+        await caller.desk.until(lambda: caller.desk.cancelled)
+        await caller.desk.until(lambda: not caller.server.connection_count)
+        return caller.counters
+
+    counters = converse(session)
+    assert counters.total('caller_disconnects') == 0
+    assert counters.total('answers_aborted') == 1
+    assert counters.total('requests_withdrawn') == 1
