Refuse answers that end within the request or have no status

An upstream may answer an upload at once without a length, close its side and reset the connection while the body is still being written. libcurl reports success, and a gateway, which accepts answers that the close ends, passed the part on as whole. A plain reset was already reported as an error, with and without a known length, for short and long bodies. Statuses from 600 on were passed on; 000 and others below 100 were not.

--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -170,7 +170,7 @@
         while chunk:
             await receiver.receive(chunk)
             chunk = await self._transfer.read_chunk()
-        if self._transfer.error:
+        if self._transfer.error or self._is_cut_short(head):
             raise self._lost_error()
         return head
 
@@ -199,15 +199,23 @@
         refusal = self._dialect.read_refusal(head)
         if refusal is not None:
             raise RequestError(refusal, self._name)
-        if self._has_unframed_body(head):
-            raise RequestError(ErrorKind.UPSTREAM_LOST, self._name)
-
-    def _has_unframed_body(self, head: AnswerHead) -> bool:
         # If only the close of the connection ends a body, a complete body
         # cannot be distinguished from one that an upstream's crash cut off.
-        is_bodiless = head.status in _BODILESS_STATUSES
-        is_bodiless = is_bodiless or self._request.method == 'HEAD'
-        if is_bodiless or self._dialect.accepts_unframed:
+        if self._is_unframed(head) and not self._dialect.accepts_unframed:
+            raise RequestError(ErrorKind.UPSTREAM_LOST, self._name)
+
+    def _is_cut_short(self, head: AnswerHead) -> bool:
+        """Whether the close that ended an answer came within the request.
+
+        libcurl takes such an answer as complete. The upstream has not read the
+        request, and may have closed because it failed.
+        """
+        if self.has_no_body or not self._is_unframed(head):
+            return False
+        return not self._transfer.has_sent(self._request.body.length)
+
+    def _is_unframed(self, head: AnswerHead) -> bool:
+        if head.status in _BODILESS_STATUSES or self._request.method == 'HEAD':
             return False
         return _FRAMING_HEADERS.isdisjoint(head.fields)
 
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -20,8 +20,9 @@
 #: Bytes of an answer's heads and trailers together, interim heads included.
 _MAX_HEAD_BYTES = 131_072
 _FIRST_FINAL_STATUS = 200
-#: libcurl also takes lines whose status has more digits, or no end.
-_STATUS_LINE = re.compile('HTTP/[0-9.]+ ([1-9][0-9]{2})( .*)?')
+#: libcurl also takes lines whose status has more digits, no end, or is no
+#: status of HTTP.
+_STATUS_LINE = re.compile('HTTP/[0-9.]+ ([1-5][0-9]{2})( .*)?')
 #: Blanks around a header's text. Others, such as a no-break space, may be bytes
 #: of a longer character.
 _BLANKS = ' \t'
@@ -45,7 +46,7 @@
         self.head: AnswerHead | None = None
         self._loop = curl_loop
         self._curl = curl
-        self._changed = asyncio.Event()
+        self._changed = _Change()
         self._lines: list[str] = []
         self._head_bytes = 0
         self._incoming = _Buffer()
@@ -81,13 +82,13 @@
     async def wait_head(self) -> AnswerHead | None:
         """Wait for the answer's head; None if the transfer failed."""
         while self.head is None and self.error is None:
-            await self._wait_change()
+            await self._changed.wait()
         return self.head
 
     async def read_chunk(self) -> bytes:
         """Wait for a chunk of the answer; empty at the end or on failure."""
         while not self._incoming.size and self.error is None:
-            await self._wait_change()
+            await self._changed.wait()
         chunk = self._incoming.pop_all()
         if self._incoming.is_paused:
             self._incoming.is_paused = False
@@ -97,22 +98,26 @@
     async def write_chunk(self, chunk: bytes) -> None:
         """Add a chunk of the request's body, after waiting for buffer space."""
         while self._outgoing.is_full and self.error is None:
-            await self._wait_change()
+            await self._changed.wait()
         self._outgoing.append(chunk)
         self._resume_sending()
 
+    def has_sent(self, length: int | None) -> bool:
+        """Whether the request's body was written to the connection.
+
+        The end of a body without a known length was marked by `write_end`.
+        """
+        if length is None:
+            if not self._outgoing.is_ended or self._outgoing.size:
+                return False
+            length = self._outgoing.total
+        return self._curl.getinfo(pycurl.SIZE_UPLOAD_T) >= length
+
     def write_end(self) -> None:
         """Mark the request's body as complete."""
         self._outgoing.is_ended = True
         self._resume_sending()
 
-    async def _wait_change(self) -> None:
-        # The reader of the answer and the writer of the body both wait here;
-        # each wakes on every change and checks its own condition again.
-        if self._changed.is_set():
-            self._changed = asyncio.Event()
-        await self._changed.wait()
-
     def _resume_sending(self) -> None:
         if self._outgoing.is_paused:
             self._outgoing.is_paused = False
@@ -169,11 +174,30 @@
         return pycurl.READFUNC_PAUSE
 
 
+class _Change:
+    """Wakes the reader of the answer and the writer of the body.
+
+    Both wake on every change, and check their own condition again.
+    """
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def set(self) -> None:
+        self._event.set()
+
+    async def wait(self) -> None:
+        if self._event.is_set():
+            self._event = asyncio.Event()
+        await self._event.wait()
+
+
 class _Buffer:
     """Chunks queued between a task and libcurl's callbacks."""
 
     def __init__(self) -> None:
         self.size = 0
+        self.total = 0
         self.is_paused = False
         self.is_ended = False
         self._chunks: collections.deque[bytes] = collections.deque()
@@ -185,6 +209,7 @@
     def append(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
         self.size += len(chunk)
+        self.total += len(chunk)
 
     def pop(self, size: int) -> bytes:
         chunk = self._chunks.popleft()
--- a/tests/upstreams/test_odd_heads.py
+++ b/tests/upstreams/test_odd_heads.py
@@ -18,7 +18,17 @@
 
 
 @pytest.mark.parametrize(
-    'start', [b'HTTP/1.1 200OK', b'HTTP/1.1 2000 OK', b'HTTP/1.1 099 OK']
+    'start',
+    [
+        b'HTTP/1.1 200OK',
+        b'HTTP/1.1 2000 OK',
+        b'HTTP/1.1 000',
+        b'HTTP/1.1 000 OK',
+        b'HTTP/1.1 020 OK',
+        b'HTTP/1.1 099 OK',
+        b'HTTP/1.1 600 OK',
+        b'HTTP/1.1 999 OK',
+    ],
 )
 def test_an_answer_without_a_status_is_lost(
     raw_upstream, collector, make_request, fail, start
@@ -35,6 +45,30 @@
     assert asyncio.run(session()) is ErrorKind.UPSTREAM_LOST
 
 
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 100 Continue\r\n\r\n'])
+def test_an_answer_with_an_invalid_status_says_nothing(
+    raw_upstream, collector, make_request, fail, status, interim
+):
+    """Guards against a report of load, or an end of a cold start, that is
+    taken from an answer to a health check which is none."""
+    answer = b'%bHTTP/1.1 %b OK\r\nServer-Load: 1,0,4\r\n%b\r\nok' % (
+        interim,
+        status,
+        _LINES,
+    )
+    reports = []
+
+    async def session():
+        raw = await raw_upstream(answer).start()
+        with _client() as client:
+            client.on_report = lambda *report: reports.append(report)
+            return await fail(client, raw, make_request(), collector())
+
+    assert asyncio.run(session()) is ErrorKind.UPSTREAM_LOST
+    assert not reports
+
+
 @pytest.mark.parametrize('text', ['voil\xe0', 'voil\xc3\xa0', '\x85a\xa0'])
 def test_the_bytes_of_a_text_are_kept(
     raw_upstream, collector, make_request, text
