--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -64,6 +64,7 @@
         super().__init__(writer)
         self.context = context
         self._listener = listener
+        self._arrived_at = context.clock.now()
         self._is_forwarded = False
 
     @property
@@ -112,7 +113,7 @@
         deadline = None
         remaining_ms = read_deadline_ms(head)
         if remaining_ms is not None:
-            deadline = self.context.clock.now() + remaining_ms / _MS_PER_S
+            deadline = self._arrived_at + remaining_ms / _MS_PER_S
         return CallerRequest(
             request_id=str(uuid.uuid4()),
             service=named_service(head),
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -15,6 +15,11 @@
 __all__ = ('CallerConnection',)
 
 
+#: Least seconds for which a request is awaited at once. Bytes that arrive as
+#: the idle time ends are read within it.
+_MIN_WAIT_S = 0.01
+
+
 class CallerConnection:
     """Reads, answers and ends the requests of one connection.
 
@@ -93,10 +98,9 @@
         Behind a request whose answer closes the connection, nothing is read.
         """
         while await self._has_next():
-            exchange = await self._requests.read(
-                is_last=self.is_leaving,
-            )
+            exchange = await self._requests.read()
             # A stop may have announced the close in the meantime.
+            exchange.writer.keeps_alive &= not self.is_leaving
             if not self._pipeline.is_closing:
                 self._pipeline.add(exchange)
             self._is_reading = False
@@ -116,9 +120,7 @@
         return True
 
     async def _starts_in_time(self) -> bool:
-        left_s = self._idle_left_s()
-        if left_s <= 0:
-            left_s = self._context.limits.idle_s
+        left_s = max(self._idle_left_s(), _MIN_WAIT_S)
         try:
             async with asyncio.timeout(left_s):
                 await self._reader.wait_start()
--- a/nutmegshore/listener/exchange.py
+++ b/nutmegshore/listener/exchange.py
@@ -43,6 +43,7 @@
         self._responder = responder
         self._failure = failure
         self._has_body = self._has_open_body()
+        self._is_cancelled = False
 
     @property
     def may_run_ahead(self) -> bool:
@@ -74,11 +75,16 @@
         self.task = asyncio.ensure_future(self._run())
         self.task.add_done_callback(lambda _: on_end(self))
 
+    def cancel(self) -> None:
+        """Cancel the responder, once: a second time would cut its clean-up."""
+        if self.task is not None and not self._is_cancelled:
+            self._is_cancelled = True
+            self.task.cancel()
+
     def withdraw(self) -> None:
         """Cancel the request, which the caller sends again."""
         self.writer.is_withdrawn = True
-        if self.task is not None:
-            self.task.cancel()
+        self.cancel()
 
     async def _run(self) -> None:
         with self._context.faults.contain(_PART):
--- a/nutmegshore/listener/pipeline.py
+++ b/nutmegshore/listener/pipeline.py
@@ -93,9 +93,9 @@
     async def cancel(self) -> None:
         """Cancel all requests, and wait for their end."""
         self.end()
+        for exchange in self._exchanges:
+            exchange.cancel()
         tasks = [one.task for one in self._exchanges if one.task is not None]
-        for task in tasks:
-            task.cancel()
         if tasks:
             await asyncio.wait(tasks)
 
@@ -128,6 +128,7 @@
 
     def _withdraw_behind(self, last: Exchange) -> None:
         """Cancel the requests behind an answer that closes the connection."""
+        last.writer.before_close = None
         for exchange in reversed(self._exchanges):
             if exchange is last:
                 return
--- a/nutmegshore/listener/request_reader.py
+++ b/nutmegshore/listener/request_reader.py
@@ -22,7 +22,7 @@
 class RequestReader:
     """Reads heads, and builds what answers each of them.
 
-    exchange = await RequestReader(reader, stream, context).read(is_last=False)
+    exchange = await RequestReader(reader, stream, context).read()
     """
 
     def __init__(
@@ -36,11 +36,10 @@
         self._stream = stream
         self._context = context
 
-    async def read(self, *, is_last: bool) -> Exchange:
+    async def read(self) -> Exchange:
         """Read a head; its failure is answered as the exchange runs.
 
-        Raise tornado's `StreamClosedError` when the caller is gone. The answer
-        to the last request closes the connection.
+        Raise tornado's `StreamClosedError` when the caller is gone.
         """
         writer = AnswerWriter(self._stream)
         failure = None
@@ -51,7 +50,6 @@
         except Exception as fault:
             failure = fault
         writer.keeps_alive = failure is None and writer.request.keeps_alive
-        writer.keeps_alive &= not is_last
         return self._make_exchange(writer, failure)
 
     async def _read_head(self) -> RequestHead:
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -195,6 +195,24 @@
     assert converse(session) == [b'a', bytes(_LONG_BYTES), b'c']
 
 
+def test_a_long_answer_that_waits_too_long_becomes_an_error(converse):
+    """Guards against a connection that is cut, or an attempt that holds its
+    upstream's slot without end, since a long answer waits for its turn."""
+
+    async def session(caller):
+        caller.upstreams.bodies['b'] = bytes(_LONG_BYTES)
+        caller.writer.write(_request('a') + _request('b', within_s=1))
+        await caller.until_sent('a', 'b')
+        caller.upstreams.release('b')
+        await caller.until(lambda: caller.forwarder.in_flight == 1)
+        caller.upstreams.release('a')
+        return [(await caller.read_answer())[0] for _ in range(2)]
+
+    first, second = converse(session)
+    assert first.startswith(b'HTTP/1.1 200 ')
+    assert second.startswith(b'HTTP/1.1 504 ')
+
+
 def test_a_caller_that_leaves_has_a_line_for_each_request(converse, lines):
     """Guards against upstreams that work for a caller that is gone, and
     against requests that end without a line: one of them was answered and
@@ -334,26 +352,30 @@
 
 def test_the_end_of_the_grace_period_answers_all_requests(converse):
     """Guards against LOST: requests behind one that its upstream does not
-    answer were cut at the end of the grace period, without an answer."""
+    answer were cut at the end of the grace period, without an answer. One that
+    may not run twice has not been sent by then."""
+    post = _request('u', '/unsafe/1', 'POST', 'Content-Length: 4')
 
     async def session(caller):
-        caller.writer.write(_request('a') + _request('b') + _request('c'))
+        safe = [_request(name) for name in 'abc']
+        caller.writer.write(b''.join((*safe, post, b'body')))
         await caller.until_sent('a', 'b', 'c')
         caller.upstreams.release('b')
         await caller.until(lambda: caller.forwarder.in_flight == 2)
         clock = caller.context.clock
         caller.server.leave()
+        caller.forwarder.refuse_new()
         stopping = asyncio.ensure_future(
             drain_callers(
                 caller.server, caller.forwarder, clock, clock.now(), _PATIENCE_S
             )
         )
-        answers = [await caller.read_answer() for _ in range(3)]
+        answers = [await caller.read_answer() for _ in range(4)]
         rest = await caller.reader.read()
         caller.writer.close()
         return [head.split()[1] for head, _ in answers], rest, await stopping
 
     statuses, rest, cut = converse(session)
-    assert statuses == [b'504', b'200', b'504']
+    assert statuses == [b'504', b'200', b'504', b'503']
     assert not rest
     assert cut == 0
--- a/tests/listener/conftest.py
+++ b/tests/listener/conftest.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import contextlib
+import pathlib
+import ssl
 
 import attrs
 import pytest
@@ -17,6 +19,7 @@
 
 _TURNS = 20
 _PATIENCE_S = 10
+_TLS = pathlib.Path(__file__).parent.parent / 'operators' / 'tls'
 
 
 class Desk:
@@ -119,28 +122,43 @@
         return await self.reader.read()
 
 
+def _server_context():
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(_TLS / 'server.pem', _TLS / 'server.key')
+    return context
+
+
+def _caller_context():
+    context = ssl.create_default_context(cafile=_TLS / 'ca.pem')
+    context.check_hostname = False
+    return context
+
+
 @pytest.fixture
 def converse():
     """Function that runs a session with a new connection to a listener."""
 
-    async def run(session, limits):
+    async def run(session, limits, tls):
         desk = Desk()
         counters = Counters()
         server = CallerServer(
             ListenerContext(
                 lambda writer: DeskResponder(writer, desk), counters, limits
-            )
+            ),
+            _server_context() if tls else None,
         )
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(server.close_all_connections)
             stack.callback(server.stop)
             port = server.open(0, '127.0.0.1')
-            streams = await asyncio.open_connection('127.0.0.1', port)
+            streams = await asyncio.open_connection(
+                '127.0.0.1', port, ssl=_caller_context() if tls else None
+            )
             stack.callback(streams[1].close)
             async with asyncio.timeout(_PATIENCE_S):
                 return await session(Session(desk, server, counters, *streams))
 
-    def start(session, **limits):
-        return asyncio.run(run(session, ListenerLimits(**limits)))
+    def start(session, *, tls=False, **limits):
+        return asyncio.run(run(session, ListenerLimits(**limits), tls))
 
     return start
--- a/tests/listener/test_pipelining.py
+++ b/tests/listener/test_pipelining.py
@@ -1,6 +1,7 @@
 """Tests of requests that a caller sends before earlier ones are answered."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -99,7 +100,8 @@
     assert sent == {'/safe/p': b'body'}
 
 
-def test_a_caller_cannot_run_more_than_the_bound_ahead(converse):
+@pytest.mark.parametrize('tls', [False, True])
+def test_a_caller_cannot_run_more_than_the_bound_ahead(converse, tls):
     """Guards against memory for answers that grows with what a caller sends,
     and against a connection that is cut because of it."""
 
@@ -115,7 +117,7 @@
         answers = [await caller.read_answer() for _ in targets]
         return targets, early, [body for _, _, body in answers]
 
-    targets, early, bodies = converse(session)
+    targets, early, bodies = converse(session, tls=tls)
     assert early == MAX_READ_AHEAD + 1
     assert bodies == targets
 
@@ -355,3 +357,51 @@
     assert counters.total('caller_disconnects') == 0
     assert counters.total('answers_aborted') == 1
     assert counters.total('requests_withdrawn') == 1
+
+
+def _draw_requests(rng):
+    """Draw targets, and the bytes that ask for them."""
+    for number in range(rng.randint(1, 40)):
+        target = f'/{rng.choice(("safe", "safe", "unsafe"))}/{number}'
+        head = f'GET {target} HTTP/1.1\r\nHost: a\r\n'
+        if not rng.randrange(5):
+            size = rng.choice((1, 70_000))
+            body = 'x' * size
+            yield target, f'{head}Content-Length: {size}\r\n\r\n{body}'
+        else:
+            yield target, f'{head}\r\n'
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_any_mix_of_requests_is_answered_in_order(converse, seed):
+    """Guards against races between reading, running and writing: bytes arrive
+    in any pieces and answers are ready in any order."""
+    rng = random.Random(seed)
+    drawn = list(_draw_requests(rng))
+
+    async def send_pieces(caller):
+        left = ''.join(raw for _, raw in drawn).encode()
+        while left:
+            size = rng.choice((1, 30, 300, 100_000))
+            caller.send(left[:size])
+            left = left[size:]
+            await caller.writer.drain()
+            await asyncio.sleep(0)
+
+    async def session(caller):
+        targets = [target for target, _ in drawn]
+        sending = asyncio.ensure_future(send_pieces(caller))
+        receiving = asyncio.ensure_future(_read_all(caller, len(targets)))
+        for target in rng.sample(targets, len(targets)):
+            caller.desk.release(target)
+            await asyncio.sleep(rng.choice((0, 0.001)))
+        await sending
+        return targets, await receiving, caller.desk.started
+
+    targets, answers, started = converse(session)
+    assert [body for _, _, body in answers] == targets
+    assert started == targets
+
+
+async def _read_all(caller, count):
+    return [await caller.read_answer() for _ in range(count)]
