--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -14,7 +14,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
-from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.headers import (
     IDEMPOTENCY_KEY,
@@ -64,6 +64,7 @@
         super().__init__(writer)
         self.context = context
         self._listener = listener
+        self._arrived_at = context.clock.now()
         self._is_forwarded = False
 
     @property
@@ -112,7 +113,7 @@
         deadline = None
         remaining_ms = read_deadline_ms(head)
         if remaining_ms is not None:
-            deadline = self.context.clock.now() + remaining_ms / _MS_PER_S
+            deadline = self._arrived_at + remaining_ms / _MS_PER_S
         return CallerRequest(
             request_id=str(uuid.uuid4()),
             service=named_service(head),
@@ -129,5 +130,5 @@
             async with asyncio.timeout(self._listener.limits.write_s):
                 await write
         except TimeoutError as failure:
-            abort_stream(self.writer.stream)
+            self.writer.abort()
             raise StreamClosedError from failure
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -33,6 +34,11 @@
     and `is_complete` say how much of the answer was written. Writes wait
     until the connection has taken the bytes, which slows the upstream to the
     caller's speed.
+
+    The head waits for `turn`, which is set once the answers ahead of it on the
+    connection are written. `before_close` is called before this answer closes
+    the connection. `is_withdrawn` says that an answer ahead has closed it, so
+    that the caller sends the request again.
     """
 
     stream: IOStream
@@ -40,9 +46,29 @@
     keeps_alive: bool = True
     has_begun: bool = False
     is_complete: bool = False
+    is_withdrawn: bool = False
+    turn: asyncio.Event | None = None
+    before_close: Callable[[], None] | None = None
     _is_chunked: bool = False
     _has_body: bool = True
 
+    @property
+    def end_reason(self) -> str:
+        """Why a request was cancelled before its caller had the answer."""
+        if self.is_withdrawn:
+            return 'withdrawn'
+        return 'caller_left' if self.stream.closed() else 'stopped'
+
+    async def wait_turn(self) -> None:
+        """Wait until the answers ahead of this one are written."""
+        if self.turn is not None:
+            await self.turn.wait()
+
+    def abort(self) -> None:
+        """Close the connection with a reset, within an answer or before it."""
+        self._announce_close()
+        abort_stream(self.stream)
+
     async def write_continue(self) -> None:
         """Ask a caller that waits for it to send its body."""
         is_asked = self.request and self.request.get('expect')
@@ -109,7 +135,10 @@
         length: str | None,
         body: bytes = b'',
     ) -> None:
+        await self.wait_turn()
         self._choose_framing(status, length)
+        if not self.keeps_alive:
+            self._announce_close()
         lines = [f'HTTP/1.1 {int(status)} {_reason(status)}']
         lines.extend(f'{name}: {text}' for name, text in headers)
         if self._is_chunked and self._has_body:
@@ -122,6 +151,10 @@
         self.has_begun = True
         await self._write(head + body if self._has_body else head)
 
+    def _announce_close(self) -> None:
+        if self.before_close is not None:
+            self.before_close()
+
     def _choose_framing(self, status: int, length: str | None) -> None:
         method = self.request.method if self.request else ''
         self._has_body = method != 'HEAD' and status not in _BODILESS
