Refuse API keys while the configuration may be too old

Cause: a gateway that was paused, cut off or restarted, or whose store had been restored, went on serving keys that had been removed long ago, and answered 401 to keys that it had not seen yet. The age of a view counted from the arrival of an answer, and a link that delayed each message equally went unseen.

Change: with StrictRevoke, keys are believed up to 0.9 of RevokeS, at admission and at each attempt; beyond it the answer is 503 with Retry-After and Connection: close. The age counts from the call of the store, and between gateways from a bound on the clocks that echoes in the reports give. Reports tell the version in force: a gateway that reads an earlier one from a restored store is behind, and gets the later one. Look-ups leave out gateways that believe no key.

--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -93,6 +93,7 @@
             dependencies.counters,
         ).follow()
         self.context = self._make_context()
+        self.context.key_age.bounds = settings.bounds
         self.cold_checks = self._make_cold_checks()
 
     def gateway_names(self, region: str) -> list[str]:
@@ -115,6 +116,7 @@
         self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
         self.replicas.apply_settings(settings)
+        self.context.key_age.bounds = bounds
 
     def _make_registry(self) -> Registry:
         settings = self.settings
--- a/nutmegshore/gateway/attempt_chooser.py
+++ b/nutmegshore/gateway/attempt_chooser.py
@@ -48,6 +48,9 @@
             routed.customer,
         )
         try:
+            self._context.key_age.check(
+                routed.route, routed.customer, routed.incoming.fields.api_key
+            )
             crashes.check(routed)
             choice = self._context.balancer.choose(routing_request)
         except RefusedError as refusal:
--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -8,6 +8,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.crashes import CrashGuard
+from nutmegshore.gateway.key_age import KeyAge
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.platform.dialect import PlatformDialect
@@ -21,7 +22,8 @@
     """Objects that all requests of one gateway share.
 
     `count_gateways` returns the least number of gateways that share a budget,
-    infinite while this one may not know the others.
+    infinite while this one may not know the others. `key_age` decides on the
+    keys of callers.
     """
 
     state: FleetState
@@ -35,3 +37,11 @@
     log: EventLog
     crashes: CrashGuard
     count_gateways: Callable[[], float]
+    key_age: KeyAge = attrs.field(
+        default=attrs.Factory(
+            lambda context: KeyAge(
+                context.state, context.clock, context.counters, context.log
+            ),
+            takes_self=True,
+        )
+    )
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -7,6 +7,7 @@
 from nutmegshore import __version__
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
 from nutmegshore.gateway.caller_drain import DrainTimes, drain_callers
+from nutmegshore.gateway.configuration_exchange import ConfigurationExchange
 from nutmegshore.gateway.events import (
     IdleConnectionsClosed,
     SettingsReloaded,
@@ -193,6 +194,7 @@
     async def _expire_missing(self) -> None:
         while True:
             self._assembly.replicas.expire()
+            self._assembly.context.key_age.observe()
             await self._dependencies.clock.sleep(_EXPIRY_INTERVAL_S)
 
     def _log_start(self) -> None:
@@ -247,4 +249,16 @@
             dependencies.log,
             self._assembly.reports.leaving,
         )
-        return Peering(peering_dependencies, self._assembly.replicas.followers)
+        peering = Peering(
+            peering_dependencies, self._assembly.replicas.followers
+        )
+        exchange = ConfigurationExchange(
+            self._assembly.peers,
+            dependencies.clock,
+            self._assembly.replicas.configurations,
+        )
+        self._assembly.state.configuration_words.on_earlier = exchange.send
+        peering.key_reports.is_too_old = (
+            self._assembly.context.key_age.is_too_old
+        )
+        return peering
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -15,6 +15,7 @@
     IdleConnectionsClosed,
     RequestAbandoned,
 )
+from nutmegshore.gateway.key_events import KeysOutdated, KeysTrusted
 from nutmegshore.gateway.severity import Severity
 from nutmegshore.gateway.store_events import (
     ListingOutdated,
@@ -47,6 +48,8 @@
     'EvacuationChanged',
     'IdleConnectionsClosed',
     'InternalFault',
+    'KeysOutdated',
+    'KeysTrusted',
     'LinesDropped',
     'PeerChanged',
     'ReportDelayed',
@@ -418,6 +421,8 @@
         ConfigurationAdopted: 'configuration_adopted',
         ConfigurationRejected: 'configuration_rejected',
         CustomerRejected: 'customer_rejected',
+        KeysOutdated: 'keys_outdated',
+        KeysTrusted: 'keys_trusted',
         EntryRejected: 'entry_rejected',
         EvacuationChanged: 'evacuation_changed',
         PeerChanged: 'peer_changed',
--- a/nutmegshore/gateway/follower.py
+++ b/nutmegshore/gateway/follower.py
@@ -241,7 +241,7 @@
             self.order.check_era(listing.era)
             return
         self._health.record_current()
-        self.view.record_answer(LISTING)
+        self.view.record_answer(LISTING, called_at)
         before = (self.known.position.era, self.known.digest)
         self._apply(listing, LISTING)
         if (self.known.position.era, self.known.digest) != before:
@@ -273,19 +273,20 @@
         self.order.check_era(changes.era)
         # A concurrent listing may already include these changes.
         if changes.read_at >= self.known.position:
-            self.view.record_answer(WATCH)
+            self.view.record_answer(WATCH, started_at)
             self._apply(changes, WATCH)
         await self._context.clock.sleep(max(_MIN_WATCH_S - waited_s, 0))
 
     def _apply(self, found: Listing | Changes, source: str) -> None:
         is_recent = self.outages.may_lack_entries
         before = (self.known.position.revision, self.known.digest)
-        if isinstance(found, Changes):
-            self.feed.apply_changes(found, is_after_outage=is_recent)
-        else:
-            self.feed.apply_listing(found, is_after_outage=is_recent)
-            self.is_listed = True
-            self._needs_listing = False
+        with self.view.updating():
+            if isinstance(found, Changes):
+                self.feed.apply_changes(found, is_after_outage=is_recent)
+            else:
+                self.feed.apply_listing(found, is_after_outage=is_recent)
+                self.is_listed = True
+                self._needs_listing = False
         if self.known.digest != before[-1]:
             event = ReplicaChanged(
                 self.prefix,
@@ -293,7 +294,7 @@
                 before[0],
                 self.known.position.revision,
                 may_lack_entries=is_recent,
-                age_s=round(self.view.age_s, _DIGITS),
+                age_s=round(self.view.seen_s, _DIGITS),
                 hops=self.view.hops,
             )
             self._context.log.write(event)
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -6,9 +6,7 @@
 from nutmegshore.gateway.answer import BufferedAnswer
 from nutmegshore.gateway.attempt_loop import AttemptLoop
 from nutmegshore.gateway.context import GatewayContext
-from nutmegshore.gateway.customer import Customer
 from nutmegshore.gateway.request import IncomingRequest, RoutedRequest
-from nutmegshore.gateway.route import Configuration, Route
 from nutmegshore.gateway.timeout_group import TimeoutGroup
 from nutmegshore.listener import CallerBody, KeptBody
 
@@ -57,7 +55,8 @@
     def route(self, incoming: IncomingRequest) -> RoutedRequest:
         """Find the route and the customer of a request.
 
-        Raise `RequestError` without a route, or without a key that it needs.
+        Raise `RequestError` without a route, without a key that it needs, or
+        while keys are not believed.
         """
         missing = self._context.state.missing
         if missing:
@@ -72,7 +71,9 @@
         route = configuration.match(host, head.target)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE, f'{host}{head.target}')
-        customer = _authenticate(configuration, route, incoming)
+        customer = self._context.key_age.authenticate(
+            route, incoming.fields.api_key
+        )
         time_limit_s = route.timeout_s
         if incoming.fields.remaining_ms is not None:
             time_limit_s = min(
@@ -140,22 +141,6 @@
         self.in_flight -= 1
 
 
-def _authenticate(
-    configuration: Configuration, route: Route, incoming: IncomingRequest
-) -> Customer | None:
-    """Return the customer of a request, None if it needs none and has none.
-
-    Raise `RequestError` if the route needs a key and the request has none that
-    is known.
-    """
-    if not configuration.customers.is_enabled:
-        return None
-    customer = configuration.customers.find(incoming.fields.api_key)
-    if customer is None and not route.is_public:
-        raise RequestError(ErrorKind.UNKNOWN_KEY, route.name)
-    return customer
-
-
 def _answer_margin_s(time_limit_s: float) -> float:
     """Seconds of a caller's time that are reserved to deliver an error."""
     return min(_ANSWER_MARGIN_S, _ANSWER_MARGIN_FRACTION * time_limit_s)
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -87,6 +87,8 @@
         age_s = self._sources.clock.now() - state.configured_at
         self._counters.set_gauge('configuration_version', version)
         self._counters.set_gauge('configuration_age_seconds', age_s)
+        view = state.configuration_view
+        self._counters.set_gauge('configuration_view_age_seconds', view.age_s)
 
     def _set_store(self) -> None:
         if self._sources.eras is not None:
--- a/nutmegshore/gateway/lookup.py
+++ b/nutmegshore/gateway/lookup.py
@@ -21,10 +21,14 @@
 
 @attrs.frozen
 class Gateway:
-    """A gateway that callers may use, with its address for callers."""
+    """A gateway that callers may use, with its address for callers.
+
+    `believes_keys` is false while it refuses requests with an API key.
+    """
 
     member: Member
     address: str
+    believes_keys: bool = True
 
 
 class Directory:
@@ -33,7 +37,8 @@
     An answer lists the ready gateways of the caller's region, sampled if there
     are many: callers spread over them at random and fail over when one dies.
     If that region has none, the answer lists gateways of the home regions of
-    the host's routes, or else those of all other regions.
+    the host's routes, or else those of all other regions. Gateways that believe
+    no API key are left out, unless none of all believes any.
     """
 
     def __init__(
@@ -59,7 +64,7 @@
             '',
         )
         by_region: dict[str, list[str]] = {}
-        for gateway in self._gateways():
+        for gateway in _fresh(tuple(self._gateways())):
             addresses = by_region.setdefault(gateway.member.region, [])
             addresses.append(gateway.address)
         local = by_region.get(region)
@@ -83,6 +88,12 @@
         return self._rng.sample(addresses, count)
 
 
+def _fresh(gateways: tuple[Gateway, ...]) -> tuple[Gateway, ...]:
+    """Return the gateways that believe keys, or all if none does."""
+    found = tuple(one for one in gateways if one.believes_keys)
+    return found or gateways
+
+
 def _home_regions(host: str, configuration: Configuration | None) -> set[str]:
     if configuration is None:
         return set()
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -7,6 +7,7 @@
 __all__ = (
     'UNKNOWN_AGE',
     'UNKNOWN_ERA',
+    'ConfigurationInForce',
     'LoadReport',
     'LoadSummary',
     'RegionLoadReport',
@@ -32,6 +33,7 @@
 _STATE_CHANGES_NUMBER = 86
 _RESTORE_QUESTION_NUMBER = 87
 _RESTORE_ANSWER_NUMBER = 88
+_CONFIGURATION_IN_FORCE_NUMBER = 89
 
 
 @message(_LOAD_REPORT_NUMBER)
@@ -51,7 +53,9 @@
     the position in `replicas` belongs to, and `ages` the seconds since the
     store's answer that the objects come from. `sent_at` is the sender's clock
     as it sent the message, 0 if it does not tell. `answers` holds, by key
-    prefix, the fields of `ToldAnswers`.
+    prefix, the fields of `ToldAnswers`, `heard` what `TransitTimes` echoes to
+    some peers. `configured` is the version of the configuration in force, 0 if
+    the sender does not tell.
     """
 
     is_ready: bool
@@ -67,6 +71,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+    configured: int = 0
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -140,7 +146,8 @@
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
     `shift_counts` and `traffic` are summed over the region, `limits`,
     `leaving` and `cold` are what the aggregator knows, and `eras`, `ages`,
-    `sent_at` and `answers` are as in `LoadReport`.
+    `sent_at`, `answers`, `heard` and `configured` are as in `LoadReport`.
+    `outdated` names the ready gateways that believe no API key.
     """
 
     ready: list
@@ -156,6 +163,9 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+    configured: int = 0
+    outdated: list = attrs.field(factory=list)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -165,8 +175,8 @@
 
     `in_flight` counts the requests of the gateways of `region` by upstream,
     `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
-    `ColdGossip` pack, and `eras`, `ages`, `sent_at` and `answers` are as in
-    `LoadReport`.
+    `ColdGossip` pack, and `eras`, `ages`, `sent_at`, `answers`, `heard` and
+    `configured` are as in `LoadReport`.
     """
 
     region: str
@@ -180,6 +190,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+    configured: int = 0
 
 
 @message(_STATE_NOTICE_NUMBER)
@@ -187,7 +199,7 @@
 class StateNotice:
     """What a gateway knows of the store, sent ahead of its next report.
 
-    `replicas`, `eras`, `ages`, `sent_at` and `answers` are as in `LoadReport`.
+    The fields are as in `LoadReport`.
     """
 
     replicas: dict
@@ -195,6 +207,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+    configured: int = 0
 
 
 @message(_RESTORE_QUESTION_NUMBER)
@@ -229,6 +243,21 @@
     age_s: float = 0
 
 
+@message(_CONFIGURATION_IN_FORCE_NUMBER)
+@attrs.frozen
+class ConfigurationInForce:
+    """The stored object of the configuration that its sender has in force.
+
+    Sent to a gateway that has an earlier one and cannot read this one, since
+    the store was restored.
+    """
+
+    key: str
+    body: bytes
+    uid: str
+    version: int
+
+
 @queue_rule.register
 def _(
     body: LoadReport | LoadSummary | RegionLoadReport | StateNotice,
@@ -243,6 +272,11 @@
     return QueueRule(slot, expires=True)
 
 
+@queue_rule.register
+def _(body: ConfigurationInForce) -> QueueRule:
+    return QueueRule(slot=type(body).__name__, expires=True)
+
+
 @queue_rule.register
 def _(body: StateChanges) -> QueueRule:
     # The receiver requests what is missing before the next changes.
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from nutmegshore.gateway.cold_gossip import ColdGossip
 from nutmegshore.gateway.events import ReportDelayed
 from nutmegshore.gateway.follower import KindFollower
+from nutmegshore.gateway.key_reports import KeyReports
 from nutmegshore.gateway.leaving_gossip import LeavingGossip
 from nutmegshore.gateway.limit_gossip import LimitGossip
 from nutmegshore.gateway.messages import (
@@ -57,8 +58,9 @@
         self.is_ready = False
         self._dependencies = dependencies
         self.roster = Roster(dependencies.clock, dependencies.log)
-        self._state_sync = StateSync(dependencies, followers, self.roster)
-        self.transit_times = self._state_sync.transit_times
+        self.key_reports = KeyReports()
+        self.state_sync = StateSync(dependencies, followers, self.roster)
+        self.transit_times = self.state_sync.transit_times
         self._restore_questions = RestoreQuestions(dependencies, followers)
         self._traffic = RegionTraffic(dependencies.balancer.region_chooser)
         candidate_builder = dependencies.balancer.candidate_builder
@@ -71,7 +73,7 @@
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
         self._notices = StateNotices(
-            peers, dependencies.clock, self._state_sync, followers
+            peers, dependencies.clock, self.state_sync, followers
         )
         peers.subscribe(LoadReport, self._handle_report)
         peers.subscribe(LoadSummary, self._handle_summary)
@@ -85,21 +87,23 @@
             while True:
                 self.report()
                 self._drop_silent()
-                self._state_sync.run_round()
+                self.state_sync.run_round()
                 await self._pause()
 
     def report(self) -> None:
         """Send one report now, to all peers or to an aggregator."""
         peers = self._dependencies.peers
         aggregators = peers.aggregators()
-        body = self._make_report(is_summed=bool(aggregators))
         if not aggregators:
-            peers.broadcast(body)
+            peers.broadcast(self._make_report(peers.live(), is_summed=False))
             return
         self._ticks += 1
-        turn = self._ticks % _AGGREGATOR_TURNS
-        self._send_report(aggregators[turn % len(aggregators)], body)
-        if peers.local.name == aggregators[turn % len(aggregators)]:
+        aggregator = aggregators[
+            self._ticks % _AGGREGATOR_TURNS % len(aggregators)
+        ]
+        body = self._make_report((aggregator,), is_summed=True)
+        self._send_report(aggregator, body)
+        if peers.local.name == aggregator:
             self._load.drop_all()
             self._send_summary()
             self._send_region_loads()
@@ -124,22 +128,28 @@
             event = ReportDelayed(round(late_s, _DIGITS))
             self._dependencies.log.write(event)
 
-    def _make_report(self, *, is_summed: bool) -> LoadReport:
-        """Return a report; only aggregators use the traffic by service."""
+    def _make_report(
+        self, names: Collection[str], *, is_summed: bool
+    ) -> LoadReport:
+        """Return a report to peers; aggregators use the traffic by service."""
+        # Read first: a process that is stopped meanwhile sends older ages.
+        sent_at = self._dependencies.clock.now()
         return LoadReport(
             self.is_ready,
             self._load.own_counts(),
-            self._state_sync.known(),
+            self.state_sync.known(),
             self._dependencies.quarantine.digest,
             self._traffic.shift_counts(),
             self._traffic.own() if is_summed else {},
             self._limits.own(),
-            self._state_sync.eras(),
+            self.state_sync.eras(),
             self._leaving.known(),
             self._cold.own(),
-            self._state_sync.ages(),
-            self._dependencies.clock.now(),
-            self._state_sync.answers(),
+            self.state_sync.ages(),
+            sent_at,
+            self.state_sync.answers(),
+            heard=self.transit_times.echoes(names, sent_at),
+            configured=self.state_sync.words.version,
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -150,6 +160,7 @@
     def _send_summary(self) -> None:
         """Send the summed reports to the gateways of the region."""
         peers = self._dependencies.peers
+        sent_at = self._dependencies.clock.now()
         gateways = self._region_gateways()
         ready = [name for name in self.roster.reporting() if name in gateways]
         if self.is_ready:
@@ -157,17 +168,20 @@
         summary = LoadSummary(
             ready,
             self._load.sum_counts(),
-            self._state_sync.known(),
+            self.state_sync.known(),
             self._dependencies.quarantine.digest,
             self._traffic.sum_shift_counts(ready),
             self._traffic.sum_services(ready),
             self._limits.known(),
-            self._state_sync.eras(),
+            self.state_sync.eras(),
             self._leaving.known(),
             self._cold.known(),
-            self._state_sync.ages(),
-            self._dependencies.clock.now(),
-            self._state_sync.answers(),
+            self.state_sync.ages(),
+            sent_at,
+            self.state_sync.answers(),
+            heard=self.transit_times.echoes(gateways, sent_at),
+            configured=self.state_sync.words.version,
+            outdated=self.key_reports.among(ready),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -176,22 +190,29 @@
         """Send the load of this region to the aggregators of the others."""
         peers = self._dependencies.peers
         region = peers.local.region
-        regions = [one for one in peers.regions() if one != region]
+        sent_at = self._dependencies.clock.now()
+        names = [
+            name
+            for other in peers.regions()
+            if other != region
+            for name in peers.aggregators(other)
+        ]
         body = RegionLoadReport(
             region,
             self._load.sum_counts(self._region_gateways()),
-            self._state_sync.known(),
+            self.state_sync.known(),
             self._dependencies.quarantine.digest,
             self._limits.known(),
-            self._state_sync.eras(),
+            self.state_sync.eras(),
             self._leaving.known(),
             self._cold.known(),
-            self._state_sync.ages(),
-            self._dependencies.clock.now(),
-            self._state_sync.answers(),
+            self.state_sync.ages(),
+            sent_at,
+            self.state_sync.answers(),
+            heard=self.transit_times.echoes(names, sent_at),
+            configured=self.state_sync.words.version,
         )
-        for other in regions:
-            peers.send_each(peers.aggregators(other), body)
+        peers.send_each(names, body)
 
     def _region_gateways(self) -> set[str]:
         """Live gateways of the region, including this one."""
@@ -206,6 +227,7 @@
         check_report(report)
         transit_s = self.transit_times.record(sender, report.sent_at)
         self.roster.record_contact(sender, transit_s, is_ready=report.is_ready)
+        self.key_reports.handle_report(sender, report.ages, transit_s)
         self._load.handle_peer_counts(sender, report.in_flight)
         self._traffic.handle_report(sender, report)
         self._compare(sender, report, transit_s)
@@ -217,6 +239,7 @@
         local = peers.local.name
         others = [name for name in summary.ready if name != local]
         self.roster.handle_named(sender, transit_s, others)
+        self.key_reports.handle_summary(others, summary.outdated)
         if local not in peers.aggregators():
             sent_counts = self._sent_counts.get(sender, {})
             self._load.handle_all(summary.in_flight, sent_counts)
@@ -243,7 +266,7 @@
         self._limits.adopt(report.limits, transit_s)
         self._leaving.adopt(report.leaving)
         self._cold.adopt(report.cold, transit_s)
-        self._state_sync.compare(sender, report, transit_s)
+        self.state_sync.compare(sender, report, transit_s)
         quarantine_digest = self._dependencies.quarantine.digest
         if quarantine_digest and quarantine_digest != report.quarantine_digest:
             self._dependencies.quarantine.send_verdicts(sender)
@@ -256,6 +279,7 @@
         for gone in self._sent_counts.keys() - known.keys():
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
+        self.key_reports.retain(known)
         self.transit_times.retain(set(known))
         # Gateways that vanish in a partition must have been seen before.
         for region in ('', *self._dependencies.peers.regions()):
--- a/nutmegshore/gateway/replica_view.py
+++ b/nutmegshore/gateway/replica_view.py
@@ -1,5 +1,8 @@
 """Age of a replica of the store, and the gateways over which it came."""
 
+import contextlib
+from collections.abc import Iterator
+
 import attrs
 
 from nutmegshore.clock import Clock
@@ -27,16 +30,20 @@
 
 
 class ReplicaView:
-    """Tells how old a replica is, in seconds since an answer of the store.
-
-    The replica shows all that the store had when it gave that answer, to this
-    gateway or to another one. `source` is where the last change came from,
-    `hops` are the gateways that passed it on, each with the age at which it
-    arrived from there.
-
-        view.record_answer('watch')
+    """Tells how old a replica is, in seconds since the store showed it.
+
+    `age_s` is a bound: the replica shows all that the store had that long ago,
+    to this gateway or to another one. An answer may have been made as soon as
+    the store was called, and have waited in a link or for a stopped process
+    since, so that it counts from the call. `seen_s` counts from when the answer
+    came, as far as that is known: by then owners may have written again what a
+    restore took away. `source` is where the last change came from, `hops` are
+    the gateways that passed it on, each with the age at which it arrived from
+    there.
+
+        view.record_answer('watch', called_at)
         view.record_peer('gateway-3', ToldView(age_s=0.6))
-        view.confirm(age_s=0.2)
+        view.confirm_at(clock.now() - 0.2)
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -44,31 +51,50 @@
         self.source = ''
         self.hops: list[_Hop] = []
         self._clock = clock
-        self._answered_at = float('-inf')
+        self._shown_at = float('-inf')
+        self._seen_at = float('-inf')
 
     @property
     def age_s(self) -> float:
-        """Seconds since the answer, at most an hour."""
-        return min(self._clock.now() - self._answered_at, _MAX_AGE_S)
+        """Greatest seconds since the store showed this, at most an hour."""
+        return min(self._clock.now() - self._shown_at, _MAX_AGE_S)
+
+    @property
+    def seen_s(self) -> float:
+        """Seconds since the last answer came, at most an hour."""
+        return min(self._clock.now() - self._seen_at, _MAX_AGE_S)
 
     @property
     def known_age_s(self) -> float:
-        """The age, or 0 if nobody told it."""
-        return self.age_s if self.age_s < _MAX_AGE_S else 0
+        """Seconds since the last answer came, or 0 if nobody told."""
+        return self.seen_s if self.seen_s < _MAX_AGE_S else 0
 
-    def record_answer(self, source: str) -> None:
-        """Record an answer of the store to this gateway."""
+    def record_answer(self, source: str, called_at: float) -> None:
+        """Record an answer of the store to a call of this gateway."""
         self.source = source
         self.hops = []
-        self._answered_at = self._clock.now()
+        self._seen_at = self._clock.now()
+        self.confirm_at(called_at)
 
     def record_peer(self, sender: str, told: ToldView) -> None:
-        """Record that objects of another gateway were adopted."""
+        """Record that newer objects of another gateway were adopted.
+
+        The bound stays: what is newer shows at least as much. Reports of the
+        same objects confirm it.
+        """
         self.source = sender
         self.hops = [*told.hops, [sender, round(told.age_s, _DIGITS)]]
-        self._answered_at = self._clock.now() - told.age_s
-
-    def confirm(self, age_s: float) -> None:
-        """Record that another view, of this age, shows the same objects."""
-        answered_at = self._clock.now() - age_s
-        self._answered_at = max(self._answered_at, answered_at)
+        self._seen_at = self._clock.now() - told.age_s
+
+    def confirm_at(self, shown_at: float) -> None:
+        """Record that the store had the objects at a reading of the clock."""
+        self._shown_at = max(self._shown_at, shown_at)
+
+    @contextlib.contextmanager
+    def updating(self) -> Iterator[None]:
+        """Forget the age if an update of the replica fails halfway."""
+        try:
+            yield
+        except Exception:
+            self._shown_at = float('-inf')
+            raise
--- a/nutmegshore/gateway/replicas.py
+++ b/nutmegshore/gateway/replicas.py
@@ -63,12 +63,14 @@
 class ConfigurationReplica(Replica):
     """Applies the operator's configuration, and never an older one.
 
-    `on_adopted` is called after each change.
+    `on_adopted` is called after each change, `in_force` is the object that the
+    configuration in force was read from.
     """
 
     def __init__(self, context: ReplicaContext) -> None:
         """Start without a configuration."""
         self.on_adopted: Callable[[], None] | None = None
+        self.in_force: StoredObject | None = None
         self._state = context.state
         self._log = context.log
 
@@ -87,6 +89,11 @@
         if change.stored is not None:
             self._apply_object(change.stored)
 
+    def apply_told(self, stored: StoredObject) -> None:
+        """Apply what another gateway has in force, unless it is older."""
+        if self.find_start(stored) is not None and self._is_later(stored):
+            self._apply_object(stored)
+
     def find_start(self, stored: StoredObject) -> int | None:
         """Return the version: an earlier one is back by a restore only."""
         try:
@@ -95,6 +102,11 @@
             # Logged when the configuration itself is read.
             return None
 
+    def _is_later(self, stored: StoredObject) -> bool:
+        present = self._state.configuration
+        version = parse_configuration(stored.body).version
+        return present is None or version > present.version
+
     def _apply_object(self, stored: StoredObject) -> None:
         if stored.key != CONFIGURATION_KEY:
             return
@@ -108,6 +120,7 @@
             if previous is not None and found.version < previous.version:
                 self._reject(stored, 'older than the one in force')
             return
+        self.in_force = stored
         event = ConfigurationAdopted(
             found.version,
             previous.version if previous else 0,
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -27,6 +27,8 @@
 _MIN_LIMIT_FIELDS = 2
 #: Start, age and rest of a cold start; more may follow.
 _MIN_COLD_FIELDS = 3
+#: Clock as an echoed message was sent, and the seconds since; more may follow.
+_MIN_HEARD_FIELDS = 2
 _ANSWERS_FIELDS = len(attrs.fields(ToldAnswers))
 _TRAFFIC_FIELDS = len(attrs.fields(ServiceTraffic))
 #: Integers in messages have at most this many bits.
@@ -48,7 +50,8 @@
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
     _check_numbers(report.shift_counts)
     if isinstance(report, LoadSummary):
-        _check(all(isinstance(name, str) for name in report.ready), 'ready')
+        named = (*report.ready, *report.outdated)
+        _check(all(isinstance(name, str) for name in named), 'ready')
 
 
 def check_notice(notice: StateNotice) -> None:
@@ -72,7 +75,10 @@
     _check_lists(summary.replicas, _MIN_REPLICA_FIELDS, _MIN_REPLICA_FIELDS)
     _check_lists(summary.answers, _ANSWERS_FIELDS, _ANSWERS_FIELDS)
     _check_names(summary.ages)
-    _check_numbers([*summary.ages.values(), summary.sent_at])
+    _check_lists(summary.heard, _MIN_HEARD_FIELDS, _MIN_HEARD_FIELDS)
+    _check_numbers(
+        [*summary.ages.values(), summary.sent_at, summary.configured]
+    )
 
 
 def _check_counts(by_name: Mapping[Any, Any]) -> None:
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -109,6 +109,9 @@
                 self._record(self._log_failure, error, 0)
                 raise
             self.writer.keeps_alive &= self.body.is_whole
+            if error.kind is ErrorKind.KEYS_OUTDATED:
+                # Another gateway may serve the caller's next requests.
+                self.writer.keeps_alive = False
             await self.refuse(error)
         else:
             await self._finish(answer)
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -4,6 +4,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.cold_starts import ColdStarts
+from nutmegshore.gateway.configuration_words import ConfigurationWords
 from nutmegshore.gateway.departures import Departures
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.replica_view import ReplicaView
@@ -18,7 +19,8 @@
     The configuration version never decreases. An upstream whose entry is
     missing after a store outage is kept until `expire_missing`, since entries
     expire while their owners cannot reach the store. `upstreams_view` tells how
-    old the upstreams are.
+    old the upstreams are, `configuration_view` how old the configuration is,
+    `configuration_words` what other gateways have in force.
 
         state.replace_upstreams(found, is_after_outage=True)
         state.usable('orders')
@@ -33,6 +35,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self.by_id: dict[str, RegisteredUpstream] = {}
         self.upstreams_view = ReplicaView(clock)
+        self.configuration_view = ReplicaView(clock)
+        self.configuration_words = ConfigurationWords(clock)
         self._clock = clock
         self.cold_starts = ColdStarts(clock, self._cold_s)
         self._missing: set[str] = set()
@@ -62,6 +66,7 @@
         if present is not None and configuration.version <= present.version:
             return False
         self.configuration = configuration
+        self.configuration_words.version = configuration.version
         self.configured_at = self._clock.now()
         return True
 
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -88,12 +88,14 @@
             self._has_news.set()
 
     def _send(self) -> None:
+        sent_at = self._clock.now()
         notice = StateNotice(
             self._state_sync.known(),
             self._state_sync.eras(),
             self._state_sync.ages(),
-            self._clock.now(),
+            sent_at,
             self._state_sync.answers(),
+            configured=self._state_sync.words.version,
         )
         if self._is_aggregator():
             self._send_as_aggregator(notice)
--- a/nutmegshore/gateway/state_objects.py
+++ b/nutmegshore/gateway/state_objects.py
@@ -50,7 +50,7 @@
         removed=removed,
         is_after_outage=follower.outages.may_lack_entries,
         era=known.position.era,
-        age_s=follower.view.age_s,
+        age_s=follower.view.seen_s,
         hops=follower.view.hops,
         sent_at=sent_at,
     )
@@ -70,7 +70,7 @@
         [_to_fields(stored) for stored in _present(changes)],
         removed=_removed(changes),
         era=changes.era,
-        age_s=follower.view.age_s,
+        age_s=follower.view.seen_s,
         hops=follower.view.hops,
         sent_at=sent_at,
     )
@@ -110,7 +110,7 @@
         kept=[_to_fields(stored) for stored in held.kept],
         revived=[_to_fields(stored) for stored in held.revived],
         held_s=held.age_s,
-        age_s=follower.view.age_s,
+        age_s=follower.view.seen_s,
     )
 
 
--- a/nutmegshore/gateway/state_pushes.py
+++ b/nutmegshore/gateway/state_pushes.py
@@ -64,7 +64,8 @@
         # A position without changes is told to nobody, and is no base.
         base = self._sent[follower.prefix]
         self._sent[follower.prefix] = follower.known.position
-        body = make_changes(follower, changes, base, self._clock.now())
+        sent_at = self._clock.now()
+        body = make_changes(follower, changes, base, sent_at)
         self._peers.send_each(names, body)
 
     def _members(self, *, is_watched: bool) -> list[str]:
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -32,6 +32,7 @@
 from nutmegshore.gateway.store_sources import StoreSources
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.transit_times import TransitTimes
+from nutmegshore.platform.configuration import CONFIGURATION_PREFIX
 from nutmegshore.store import Changes, Listing
 
 __all__ = ('StateSync',)
@@ -85,6 +86,9 @@
         self._checks = StoreChecks(dependencies, roster)
         self._sources = StoreSources(dependencies)
         self._requests = StateRequests(dependencies, roster)
+        state = dependencies.balancer.candidate_builder.state
+        self.words = state.configuration_words
+        self.words.has_peers = lambda: bool(roster.in_contact())
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
         dependencies.peers.subscribe(StateChanges, self._handle_changes)
@@ -134,6 +138,9 @@
         The message was on its way for `transit_s` seconds.
         """
         peers = self._dependencies.peers
+        sent_after = self.transit_times.learn(
+            sender, summary.sent_at, summary.heard.get(peers.local.name)
+        )
         member = peers.live().get(sender)
         is_near = member is not None and member.region == peers.local.region
         for prefix in summary.replicas.keys() & self._followers.keys():
@@ -141,8 +148,12 @@
             told = read_replica(summary, follower, transit_s, is_near=is_near)
             self._checks.record(follower, told.listed_s)
             follower.outages.record_told(told.answers)
-            if told.is_same_as(follower):
-                follower.view.confirm(told.age_s)
+            if told.is_same_as(follower) and prefix in summary.ages:
+                follower.view.confirm_at(sent_after - summary.ages[prefix])
+            if prefix == CONFIGURATION_PREFIX:
+                self.words.hear(told.position, summary.configured)
+                if told.is_same_as(follower):
+                    self.words.compare(sender, summary.configured)
             self._compare_one(sender, follower, told)
 
     def run_round(self) -> None:
--- a/nutmegshore/gateway/status_pages.py
+++ b/nutmegshore/gateway/status_pages.py
@@ -92,4 +92,11 @@
             if self._peering.is_named(name):
                 record = peers.membership.by_name[name]
                 host = record.address.rpartition(':')[0]
-                yield Gateway(member, f'{host}:{port}')
+                yield Gateway(
+                    member, f'{host}:{port}', self._believes_keys(name)
+                )
+
+    def _believes_keys(self, name: str) -> bool:
+        if name == self._assembly.settings.name:
+            return not self._assembly.context.key_age.is_outdated
+        return not self._peering.key_reports.is_outdated(name)
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -66,6 +66,7 @@
         )
         by_prefix = {follower.prefix: follower for follower in self.followers}
         state.upstreams_view = by_prefix[UPSTREAM_PREFIX].view
+        _follow_configuration(state, by_prefix[CONFIGURATION_PREFIX])
         self.restores = StoreRestores(log, context.counters)
         self.restores.on_restore.append(self._check_all)
         if context.store.eras is not None:
@@ -90,6 +91,13 @@
                 follower.check()
 
 
+def _follow_configuration(state: FleetState, follower: KindFollower) -> None:
+    """Have the state tell how old its configuration is."""
+    state.configuration_view = follower.view
+    words = state.configuration_words
+    words.read_position = lambda: follower.known.position
+
+
 def _bounds_by_prefix(settings: GatewaySettings) -> dict[str, float]:
     """Seconds within which a change must take effect, by key prefix."""
     return {
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -19,7 +20,8 @@
     `cold_factor` times its rate plus `cold_slack` requests per second. At
     most `max_shift` of a region's requests move to another region within
     2 s. A shutdown lasts `grace_s`, and the answer to a lookup is valid for
-    at most `max_lookup_s`.
+    at most `max_lookup_s`. If `is_revoke_strict`, no request that is sent later
+    than `revoke_s` after the removal of its API key runs.
     """
 
     drain_s: float = 2
@@ -33,6 +35,8 @@
     cold_slack: float = 5
     max_shift: float = 0.15
     max_lookup_s: float = 5
+    is_revoke_strict: bool = False
+    revoke_s: float = 5
 
 
 _SETTING_NAMES = (
@@ -47,19 +51,24 @@
     ('cold_slack', 'ColdSlack'),
     ('max_shift', 'MaxShift'),
     ('max_lookup_s', 'ttl_max_s'),
+    ('revoke_s', 'RevokeS'),
 )
+_FLAG_NAMES = (('is_revoke_strict', 'StrictRevoke'),)
+_FLAGS = MappingProxyType({'true': True, 'false': False})
 
 
 def parse_bounds(texts_by_name: Mapping[str, str]) -> Bounds:
     """Parse the known settings; ignore others and default absent ones.
 
     Raises `PlatformFormatError` for a value that is not a finite number of 0
-    or more.
+    or more, or for a flag that is neither true nor false.
     """
+    parsers = ((_SETTING_NAMES, _parse_bound), (_FLAG_NAMES, _parse_flag))
     return Bounds(
         **{
-            field: _parse_bound(setting, texts_by_name[setting])
-            for field, setting in _SETTING_NAMES
+            field: parse(setting, texts_by_name[setting])
+            for names, parse in parsers
+            for field, setting in names
             if setting in texts_by_name
         },
     )
@@ -73,3 +82,10 @@
     if not (math.isfinite(bound) and bound >= 0):
         raise PlatformFormatError(f'{setting}: {text}')
     return bound
+
+
+def _parse_flag(setting: str, text: str) -> bool:
+    flag = _FLAGS.get(text.strip().lower())
+    if flag is None:
+        raise PlatformFormatError(f'{setting}: {text}')
+    return flag
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -179,6 +179,7 @@
         registered = [upstream(name) for name in ('u1', 'u2', 'u3')]
         state.replace_upstreams(registered, is_after_outage=False)
         state.replace_evacuated(())
+        state.configuration_view.record_answer('listing', clock.now())
         rng = random.Random(7)
         dependencies = BalancerDependencies(
             clock, rng, name, 'west', lambda region: [name], 0.15
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -119,8 +119,13 @@
     age_s: float
     hops: list = attrs.field(factory=list)
 
-    def confirm(self, age_s):
-        self.age_s = min(self.age_s, age_s)
+    @property
+    def seen_s(self):
+        return self.age_s
+
+    def confirm_at(self, shown_at):
+        now = asyncio.get_running_loop().time()
+        self.age_s = min(self.age_s, now - shown_at)
 
 
 @attrs.define(eq=False)
