Keep customers' quotas over all gateways

Cause: RatePerS and Burst of a customer were read and not kept.

Change: balancing/customer_quotas.py admits the part of the demand that all gateways together may send, computed by each from the counts that gateways report: asked for lately, sent in the window, leaving it, sent lately. The counts travel in new optional fields of the load reports. The admission takes the credit once a request and gives it back if the request did not run; beyond the quota it refuses with QUOTA_EXCEEDED. bench/quota_fleet.py is the model.

--- a/bench/following_gateway.py
+++ b/bench/following_gateway.py
@@ -8,6 +8,7 @@
 
 from bench.cut_platform import CutPlatform
 from nutmegshore.balancing import Balancer, BalancerDependencies
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import FollowerContext, KindFollower
@@ -97,6 +98,7 @@
         counters,
         log,
         LeavingUpstreams(state, log, counters),
+        CustomerQuotas(clock, rng, balancer.candidate_builder.members),
     )
     peering = Peering(dependencies, [follower])
     peering.is_ready = True
--- a/bench/gateway_fleet.py
+++ b/bench/gateway_fleet.py
@@ -8,6 +8,7 @@
 import attrs
 
 from nutmegshore.balancing import Balancer, BalancerDependencies
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.crashes import QuarantineDependencies, make_quarantine
@@ -205,4 +206,7 @@
         outer.counters,
         outer.log,
         LeavingUpstreams(state, outer.log, outer.counters),
+        CustomerQuotas(
+            outer.clock, outer.rng, balancer.candidate_builder.members
+        ),
     )
--- a/bench/gateway_parts.py
+++ b/bench/gateway_parts.py
@@ -10,6 +10,7 @@
     FleetRetryBudget,
     WeightedRoundRobin,
 )
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.context import GatewayContext
@@ -22,6 +23,7 @@
     RouteKind,
     ServiceShare,
 )
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.platform.bounds import Bounds
@@ -88,9 +90,12 @@
     around = BalancerDependencies(
         clock, rng, 'g1', 'west', lambda region: [], bounds.max_shift
     )
+    balancer = Balancer(state, around)
+    log = EventLog(writer, 'g1', clock, counters, bytes_per_s)
+    members = balancer.candidate_builder.members
     return GatewayContext(
         state=state,
-        balancer=Balancer(state, around),
+        balancer=balancer,
         budget=FleetRetryBudget(
             clock,
             bounds.retry_ratio,
@@ -102,7 +107,8 @@
         dialect=PlatformDialect(),
         clock=clock,
         counters=counters,
-        log=EventLog(writer, 'g1', clock, counters, bytes_per_s),
+        log=log,
+        quotas=QuotaGate(CustomerQuotas(clock, rng, members), log, counters),
         crashes=CrashGuard(_make_quarantine(clock), counters),
         count_gateways=lambda: 1,
     )
--- /dev/null
+++ b/bench/quota_fleet.py
@@ -0,0 +1,371 @@
+"""Model of quotas: a fleet's gateways, their reports and their callers."""
+
+import collections
+import functools
+import itertools
+import random
+from collections.abc import Callable, Iterable, Iterator
+
+import attrs
+
+from bench.event_clock import EventClock
+from bench.quota_faults import Fault, Kill, Views
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
+from nutmegshore.balancing.quota_rule import QuotaBounds
+from nutmegshore.balancing.recent_members import RecentMembers
+from nutmegshore.clock import Clock
+from nutmegshore.gateway.customer import Customer
+
+__all__ = ('Load', 'Move', 'Result', 'gateway_names', 'play', 'region_of')
+
+_REGIONS = ('west', 'north', 'south')
+_ZONES = 2
+_REPORT_INTERVAL_S = 0.25
+_AGGREGATORS = 2
+_BETWEEN_REGIONS_S = 0.055
+_BETWEEN_ZONES_S = 0.0014
+_NOTICE_S = 4
+#: Seconds before the callers come, in which the gateways meet.
+_START_S = 5
+#: Seconds without demand for most of which nothing is measured.
+_WARM_S = 5
+
+
+@attrs.frozen
+class Move:
+    """A fraction of a zone's callers that moves to another zone at once."""
+
+    at_s: float
+    source: int
+    target: int
+    fraction: float = 0.75
+
+
+@attrs.frozen
+class Load:
+    """A fleet, a quota and the demand for it.
+
+    `demand` is a list of times, counted from the first request, and requests
+    per second from then on. `quotas` lists rates that replace `max_rate` later;
+    the gateways learn each within `apply_s`.
+    """
+
+    gateways: int
+    max_rate: float
+    burst: float = 0
+    demand: tuple[tuple[float, float], ...] = ((0, 1),)
+    seconds: float = 30
+    moves: tuple[Move, ...] = ()
+    faults: tuple[Fault, ...] = ()
+    lowered: tuple[tuple[float, float], ...] = ()
+    apply_s: float = 2
+    zones_used: int = 6
+
+
+@attrs.define
+class Result:
+    """When requests were sent and refused, in seconds after the first one."""
+
+    load: Load
+    sent: list[float] = attrs.field(factory=list)
+    refused: list[float] = attrs.field(factory=list)
+    waits: list[float] = attrs.field(factory=list)
+
+    def most(self, window_s: float = 5, start_s: float = 0) -> int:
+        """Return the most requests in any window from a time on."""
+        sent = [at for at in self.sent if at >= start_s]
+        found = 0
+        first = 0
+        for index, at in enumerate(sent):
+            while sent[first] <= at - window_s:
+                first += 1
+            found = max(found, index - first + 1)
+        return found
+
+    def allowed(self, max_rate: float | None = None) -> float:
+        """Return the bound on the requests in a window."""
+        rate = self.load.max_rate if max_rate is None else max_rate
+        return QuotaBounds().allowed(rate, self.load.burst)
+
+    def used(self, start_s: float = _WARM_S) -> float:
+        """Return the part of the quota that was used from a time on."""
+        count = sum(at >= start_s for at in self.sent)
+        return count / (self.load.max_rate * (self.load.seconds - start_s))
+
+    def asked(self, start_s: float = _WARM_S) -> float:
+        """Return the demand from a time on, as a part of the quota."""
+        asked = itertools.chain(self.sent, self.refused)
+        count = sum(at >= start_s for at in asked)
+        return count / (self.load.max_rate * (self.load.seconds - start_s))
+
+
+def gateway_names(count: int) -> list[str]:
+    """Return the names of a fleet's gateways."""
+    return [f'g{number:03}' for number in range(count)]
+
+
+def zone_of(name: str) -> int:
+    """Return the number of a gateway's zone."""
+    return int(name[1:]) % (len(_REGIONS) * _ZONES)
+
+
+def region_of(name: str) -> str:
+    """Return the region of a gateway."""
+    return _REGIONS[zone_of(name) % len(_REGIONS)]
+
+
+MakeQuotas = Callable[
+    [Clock, random.Random, RecentMembers, QuotaBounds], CustomerQuotas
+]
+
+
+def play(
+    load: Load, seed: int, make_quotas: MakeQuotas = CustomerQuotas
+) -> Result:
+    """Play a load to its end."""
+    return _Session(load, random.Random(seed), make_quotas).run()
+
+
+@attrs.define(eq=False)
+class _Gateway:
+    name: str
+    quotas: CustomerQuotas
+    max_rate: float
+    turn: int = 0
+
+
+class _Session:
+    """One load that is played."""
+
+    def __init__(
+        self, load: Load, rng: random.Random, make_quotas: MakeQuotas
+    ) -> None:
+        self._load = load
+        self._rng = rng
+        self._make_quotas = make_quotas
+        self._clock = EventClock()
+        self._result = Result(load)
+        self._names = gateway_names(load.gateways)
+        self._views = Views(
+            self._names, _shift(load.faults), self._clock.now, _NOTICE_S
+        )
+        self._seen_cache: dict[tuple, dict] = {}
+        self._gateways = {name: self._make(name) for name in self._names}
+        self._zones = _group(self._names)
+        self._weights = [
+            1 if zone < load.zones_used else 0
+            for zone in range(len(_REGIONS) * _ZONES)
+        ]
+
+    def run(self) -> Result:
+        """Play to the end."""
+        for name in self._names:
+            at_s = self._rng.random() * _REPORT_INTERVAL_S
+            self._clock.after(at_s, functools.partial(self._tick, name))
+        for fault in _shift(self._load.faults):
+            if isinstance(fault, Kill) and fault.end_s < float('inf'):
+                for name in fault.names:
+                    restart = functools.partial(self._restart, name)
+                    self._clock.after(fault.end_s, restart)
+        for move in self._load.moves:
+            self._clock.after(
+                _START_S + move.at_s, functools.partial(self._move, move)
+            )
+        for at_s, max_rate in self._load.lowered:
+            for name in self._names:
+                late_s = self._rng.random() * self._load.apply_s
+                self._clock.after(
+                    _START_S + at_s + late_s,
+                    functools.partial(self._lower, name, max_rate),
+                )
+        self._clock.after(_START_S, self._await_next)
+        self._clock.run()
+        self._result.sent.sort()
+        return self._result
+
+    def _make(self, name: str) -> _Gateway:
+        members = RecentMembers(
+            self._clock, lambda region: self._views.seen(name)
+        )
+        quotas = self._make_quotas(
+            self._clock, self._rng, members, QuotaBounds()
+        )
+        return _Gateway(
+            name, quotas, self._load.max_rate, self._rng.randrange(2)
+        )
+
+    def _restart(self, name: str) -> None:
+        self._gateways[name] = self._make(name)
+
+    def _lower(self, name: str, max_rate: float) -> None:
+        self._gateways[name].max_rate = max_rate
+
+    def _move(self, move: Move) -> None:
+        moved = self._weights[move.source] * move.fraction
+        self._weights[move.source] -= moved
+        self._weights[move.target] += moved
+
+    def _await_next(self) -> None:
+        at_s = self._clock.now() - _START_S
+        rate = next(
+            rate
+            for start_s, rate in reversed(self._load.demand)
+            if start_s <= at_s
+        )
+        if rate <= 0:
+            self._clock.after(0.1, self._await_next)
+            return
+        pause_s = self._rng.expovariate(rate)
+        if at_s + pause_s < self._load.seconds:
+            self._clock.after(pause_s, self._arrive)
+
+    def _arrive(self) -> None:
+        self._await_next()
+        zone = self._rng.choices(range(len(self._weights)), self._weights)[0]
+        open_names = [
+            name for name in self._zones[zone] if not self._views.is_dead(name)
+        ] or [name for name in self._names if not self._views.is_dead(name)]
+        self._ask(self._rng.choice(open_names))
+
+    def _ask(self, name: str) -> None:
+        now = self._clock.now()
+        until = self._views.paused_until(name)
+        if until > now:
+            self._clock.after(until - now, functools.partial(self._ask, name))
+            return
+        if self._views.is_dead(name):
+            return
+        gateway = self._gateways[name]
+        customer = Customer(
+            'acme', frozenset(), 0, gateway.max_rate, self._load.burst
+        )
+        wait_s = gateway.quotas.acquire(customer)
+        if wait_s:
+            self._result.refused.append(now - _START_S)
+            self._result.waits.append(wait_s)
+        else:
+            self._result.sent.append(now - _START_S)
+
+    def _tick(self, name: str) -> None:
+        now = self._clock.now()
+        if now > _START_S + self._load.seconds:
+            return
+        until = self._views.paused_until(name)
+        if until > now:
+            self._clock.after(until - now, functools.partial(self._tick, name))
+            return
+        self._clock.after(
+            _REPORT_INTERVAL_S, functools.partial(self._tick, name)
+        )
+        if not self._views.is_dead(name):
+            self._report(self._gateways[name])
+
+    def _report(self, gateway: _Gateway) -> None:
+        """Do what `Peering.report` does."""
+        gateway.turn += 1
+        region = region_of(gateway.name)
+        seen = self._seen(gateway.name)
+        aggregators = seen[region][:_AGGREGATORS]
+        receiver = aggregators[gateway.turn % len(aggregators)]
+        quotas = gateway.quotas
+        counts = quotas.own(receiver)
+        known = quotas.known_gateways()
+        if receiver != gateway.name:
+            self._send(
+                gateway.name, receiver, 'adopt', gateway.name, counts, 1, known
+            )
+            return
+        regions = [one for one in seen if one != region]
+        summed, count = quotas.sum_sources(seen[region])
+        for other in regions:
+            for name in seen[other][:_AGGREGATORS]:
+                self._send(
+                    gateway.name,
+                    name,
+                    'adopt',
+                    f'region {region}',
+                    summed,
+                    count,
+                    known,
+                )
+        sources = [*seen[region], *(f'region {one}' for one in regions)]
+        summed, count = quotas.sum_sources(sources)
+        for name in seen[region]:
+            if name != gateway.name:
+                self._send(
+                    gateway.name,
+                    name,
+                    'adopt_summary',
+                    gateway.name,
+                    summed,
+                    count,
+                    known,
+                )
+
+    def _send(
+        self, sender: str, receiver: str, method: str, *fields: object
+    ) -> None:
+        if self._views.is_lost(sender, receiver):
+            return
+        delay_s = _BETWEEN_ZONES_S
+        if region_of(sender) != region_of(receiver):
+            delay_s = _BETWEEN_REGIONS_S
+        sent_at = self._clock.now()
+        deliver = functools.partial(
+            self._deliver, receiver, method, sent_at, fields
+        )
+        self._clock.after(delay_s, deliver)
+
+    def _deliver(
+        self, receiver: str, method: str, sent_at: float, fields: tuple
+    ) -> None:
+        now = self._clock.now()
+        until = self._views.paused_until(receiver)
+        if until > now:
+            self._clock.after(
+                until - now,
+                functools.partial(
+                    self._deliver, receiver, method, sent_at, fields
+                ),
+            )
+        elif not self._views.is_dead(receiver):
+            quotas = self._gateways[receiver].quotas
+            getattr(quotas, method)(*fields, now - sent_at)
+
+    def _seen(self, name: str) -> dict[str, list[str]]:
+        """Return the gateways that one takes for alive, by region."""
+        seen = self._views.seen(name)
+        key = tuple(seen)
+        found = self._seen_cache.get(key)
+        if found is None:
+            found = collections.defaultdict(list)
+            for one in seen:
+                found[region_of(one)].append(one)
+            for region, names in found.items():
+                found[region] = _put_aggregators_first(names)
+            self._seen_cache[key] = found
+        return found
+
+
+def _put_aggregators_first(names: list[str]) -> list[str]:
+    """Return the names of a region; the second one is in the other zone."""
+    first = names[0]
+    others = sorted(names[1:], key=lambda name: zone_of(name) == zone_of(first))
+    return [first, *others]
+
+
+def _group(names: Iterable[str]) -> dict[int, list[str]]:
+    found: dict[int, list[str]] = collections.defaultdict(list)
+    for name in names:
+        found[zone_of(name)].append(name)
+    return found
+
+
+def _shift(faults: Iterable[Fault]) -> Iterator[Fault]:
+    """Yield the faults in the time of the clock."""
+    for fault in faults:
+        yield attrs.evolve(
+            fault,
+            start_s=fault.start_s + _START_S,
+            end_s=fault.end_s + _START_S,
+        )
--- /dev/null
+++ b/nutmegshore/balancing/fleet_counts.py
@@ -0,0 +1,160 @@
+"""Requests of each customer at the other gateways, from their reports."""
+
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
+import attrs
+
+from nutmegshore.balancing.quota_counts import NOTHING, Count
+
+__all__ = ('FleetCounts', 'Told', 'Total')
+
+#: Age in seconds up to which a report counts in full, and from which on it does
+#: not count. In between lies the time in which a dead aggregator is replaced.
+_FRESH_S = 1.5
+_STALE_S = 4
+
+Counts = Mapping[str, Count]
+
+_NONE: Counts = MappingProxyType({})
+
+
+@attrs.frozen
+class Told:
+    """What one report says of some gateways.
+
+    It covers `gateways` of them and was sent at `at`, by this gateway's clock.
+    Of its counts, `own` is what this gateway had reported. `known` is how many
+    gateways the sender saw lately, 0 if it does not know.
+    """
+
+    counts: Counts
+    gateways: float
+    at: float
+    known: int = 0
+    own: Counts = _NONE
+
+    def weight(self, now: float) -> float:
+        """Return the part of the report that still counts."""
+        return min(
+            max((_STALE_S - (now - self.at)) / (_STALE_S - _FRESH_S), 0), 1
+        )
+
+
+@attrs.define
+class Total:
+    """Requests of a customer at the other gateways.
+
+    `held` is the last peak of what was sent, which falls to nothing within a window.
+    It is what gateways may have sent whose reports have ended or begun anew.
+    """
+
+    count: Count = NOTHING
+    held: float = 0
+    held_at: float = 0
+
+    def hold(self, now: float, window_s: float) -> float:
+        """Return the requests that may be in the window, and keep the peak."""
+        held = self.held_left(now, window_s)
+        if self.count.sent >= held:
+            self.held = self.count.sent
+            self.held_at = now
+            return self.held
+        return held
+
+    def held_left(self, now: float, window_s: float) -> float:
+        """Return what is left of the last peak."""
+        return self.held * max(1 - (now - self.held_at) / window_s, 0)
+
+
+class FleetCounts:
+    """Adds up the reports of the other gateways.
+
+    In a small fleet, and at aggregators, these are the reports of single
+    gateways and of regions; elsewhere it is the last sum of an aggregator.
+    Whichever covers more gateways counts.
+
+        fleet.record('gateway-3', told)
+        fleet.refresh(clock.now())
+        fleet.total('acme').count.sent
+    """
+
+    def __init__(self, window_s: float) -> None:
+        """Start without reports."""
+        self.window_s = window_s
+        self.gateways = float(0)
+        self.refreshed_at = float('-inf')
+        self._direct: dict[str, Told] = {}
+        self._summary: Told | None = None
+        self._totals: dict[str, Total] = {}
+
+    @property
+    def known(self) -> int:
+        """How many gateways the others saw lately, 0 if none of them knows."""
+        told = [one.known for one in self._direct.values()]
+        if self._summary is not None:
+            told.append(self._summary.known)
+        return max(told, default=0)
+
+    def record(self, source: str, told: Told) -> None:
+        """Replace the report of a gateway or a region."""
+        self._direct[source] = told
+
+    def record_summary(self, told: Told) -> None:
+        """Replace the sum over the fleet, unless that one is newer."""
+        if self._summary is None or told.at >= self._summary.at:
+            self._summary = told
+
+    def total(self, customer: str) -> Total:
+        """Return the requests of a customer at the others, by `refresh`."""
+        return self._totals.get(customer) or Total()
+
+    def refresh(self, now: float) -> None:
+        """Add up what still counts; call this for each report."""
+        self.refreshed_at = now
+        self._drop_old(now)
+        direct = tuple(self._direct.values())
+        self.gateways = _count_gateways(direct, now)
+        chosen = direct
+        if self._summary is not None:
+            summed = _count_gateways((self._summary,), now) - 1
+            if summed > self.gateways:
+                self.gateways = summed
+                chosen = (self._summary,)
+        self._add_up(chosen, now)
+
+    def sum_sources(
+        self, sources: Iterable[str], now: float
+    ) -> tuple[dict[str, Count], float]:
+        """Return the counts of some sources, and the gateways they cover."""
+        told = [self._direct[name] for name in sources if name in self._direct]
+        return _sum_counts(told, now), _count_gateways(told, now)
+
+    def _drop_old(self, now: float) -> None:
+        for name, told in tuple(self._direct.items()):
+            if not told.weight(now):
+                self._direct.pop(name)
+        if self._summary is not None and not self._summary.weight(now):
+            self._summary = None
+
+    def _add_up(self, chosen: tuple[Told, ...], now: float) -> None:
+        found = _sum_counts(chosen, now)
+        for name in found.keys() | self._totals.keys():
+            total = self._totals.setdefault(name, Total())
+            total.count = found.get(name, NOTHING)
+            if not total.hold(now, self.window_s):
+                self._totals.pop(name)
+
+
+def _count_gateways(told: Iterable[Told], now: float) -> float:
+    return sum(one.gateways * one.weight(now) for one in told)
+
+
+def _sum_counts(told: Iterable[Told], now: float) -> dict[str, Count]:
+    summed: dict[str, Count] = {}
+    for one in told:
+        weight = one.weight(now)
+        for name, count in one.counts.items():
+            part = count.part(one.own.get(name, NOTHING), weight)
+            summed[name] = summed.get(name, NOTHING).plus(part)
+    return summed
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -10,6 +10,8 @@
     FleetRetryBudget,
     WeightedRoundRobin,
 )
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
+from nutmegshore.balancing.quota_rule import QuotaBounds
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.cold_checks import ColdChecks
@@ -22,6 +24,7 @@
 )
 from nutmegshore.gateway.follower import FollowerContext
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.registry import Registry, RegistryDependencies
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state import FleetState
@@ -34,6 +37,7 @@
     TcpTransport,
     first_incarnation,
 )
+from nutmegshore.platform.bounds import Bounds
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.store import Platform
 from nutmegshore.upstreams.curl import CurlUpstreams
@@ -92,6 +96,7 @@
             dependencies.log,
             dependencies.counters,
         ).follow()
+        self.quotas = self._make_quotas()
         self.context = self._make_context()
         self.cold_checks = self._make_cold_checks()
 
@@ -112,6 +117,7 @@
             bounds.retry_window_s,
             bounds.extra_retries,
         )
+        self.quotas.quotas.resize(_quota_bounds(bounds))
         self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
         self.replicas.apply_settings(settings)
@@ -177,6 +183,16 @@
             self.balancer.candidate_builder.forget,
         )
 
+    def _make_quotas(self) -> QuotaGate:
+        dependencies = self.dependencies
+        quotas = CustomerQuotas(
+            dependencies.clock,
+            dependencies.rng,
+            self.balancer.candidate_builder.members,
+            _quota_bounds(self.settings.bounds),
+        )
+        return QuotaGate(quotas, dependencies.log, dependencies.counters)
+
     def _make_context(self) -> GatewayContext:
         bounds = self.settings.bounds
         dependencies = self.dependencies
@@ -202,6 +218,7 @@
             counters=dependencies.counters,
             log=dependencies.log,
             crashes=CrashGuard(self.quarantine, dependencies.counters),
+            quotas=self.quotas,
             count_gateways=self._count_gateways,
         )
 
@@ -224,6 +241,12 @@
         return max(len(self.peers.live()), members.count_sharers())
 
 
+def _quota_bounds(bounds: Bounds) -> QuotaBounds:
+    return QuotaBounds(
+        bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+    )
+
+
 def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
     """Peer addresses of the seeds in the settings."""
     return tuple(
--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -9,6 +9,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.crashes import CrashGuard
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import UpstreamClient
@@ -34,4 +35,5 @@
     counters: Counters
     log: EventLog
     crashes: CrashGuard
+    quotas: QuotaGate
     count_gateways: Callable[[], float]
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -232,6 +232,7 @@
             self._dependencies.clock,
             self._dependencies.counters,
             self._dependencies.store.eras,
+            self._assembly.quotas.quotas,
         )
         return Gauges(sources)
 
@@ -246,5 +247,6 @@
             dependencies.counters,
             dependencies.log,
             self._assembly.reports.leaving,
+            self._assembly.quotas.quotas,
         )
         return Peering(peering_dependencies, self._assembly.replicas.followers)
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -98,11 +98,12 @@
 
         The caller of this method has to finish the answer.
         """
-        self._context.budget.record_request(routed.service)
         remaining_s = routed.remaining_s(self._context.clock.now())
         limit_s = remaining_s + _ANSWER_MARGIN_S / 2
         attempts = AttemptLoop(self._context, routed, answer)
         with contextlib.ExitStack() as stack:
+            stack.enter_context(self._context.quotas.admit(routed))
+            self._context.budget.record_request(routed.service)
             self.in_flight += 1
             stack.callback(self._end_request)
             try:
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -5,6 +5,7 @@
 import attrs
 
 from nutmegshore.balancing.candidate_builder import CandidateBuilder
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.balancing.region_choice import RegionChooser
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
@@ -19,6 +20,9 @@
 
 #: Gauges whose series change with upstreams, peers and evacuations.
 _DYNAMIC_GAUGES = (
+    'customer_quota_admitted_fraction',
+    'customer_quota_asked_per_second',
+    'customer_quota_sent_in_window',
     'entries_rejected_now',
     'peer_message_wait_seconds',
     'peer_report_age_seconds',
@@ -49,6 +53,7 @@
     clock: Clock
     counters: Counters
     eras: StoreEras | None = None
+    quotas: CustomerQuotas | None = None
 
 
 class Gauges:
@@ -78,6 +83,7 @@
         self._set_upstreams()
         self._set_leaving()
         self._set_moves()
+        self._set_quotas()
 
     def _set_configuration(self) -> None:
         state = self._sources.state
@@ -137,6 +143,19 @@
         if away_fraction is not None:
             self._counters.set_gauge('region_away_fraction', away_fraction)
 
+    def _set_quotas(self) -> None:
+        """Set the use of quotas by all gateways, as this one knows it."""
+        if self._sources.quotas is None:
+            return
+        for customer, state in self._sources.quotas.states().items():
+            labels = {'customer': customer}
+            for metric, number in (
+                ('customer_quota_admitted_fraction', state.fraction),
+                ('customer_quota_asked_per_second', state.asked_rate),
+                ('customer_quota_sent_in_window', state.sent),
+            ):
+                self._counters.set_gauge(metric, number, **labels)
+
     def _set_upstreams(self) -> None:
         free_slots: dict[tuple[str, str], int] = {}
         for upstream in self._sources.state.by_id.values():
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -51,7 +51,8 @@
     the position in `replicas` belongs to, and `ages` the seconds since the
     store's answer that the objects come from. `sent_at` is the sender's clock
     as it sent the message, 0 if it does not tell. `answers` holds, by key
-    prefix, the fields of `ToldAnswers`.
+    prefix, the fields of `ToldAnswers`. `quotas` and `quota_coverage` are what
+    `QuotaGossip` packs.
     """
 
     is_ready: bool
@@ -67,6 +68,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -140,7 +143,8 @@
     and `quarantine_digest` describe the aggregator, as in `LoadReport`;
     `shift_counts` and `traffic` are summed over the region, `limits`,
     `leaving` and `cold` are what the aggregator knows, and `eras`, `ages`,
-    `sent_at` and `answers` are as in `LoadReport`.
+    `sent_at` and `answers` are as in `LoadReport`. `quotas` and
+    `quota_coverage` are what `QuotaGossip` packs, over all regions.
     """
 
     ready: list
@@ -156,6 +160,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -166,7 +172,8 @@
     `in_flight` counts the requests of the gateways of `region` by upstream,
     `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
     `ColdGossip` pack, and `eras`, `ages`, `sent_at` and `answers` are as in
-    `LoadReport`.
+    `LoadReport`. `quotas` and `quota_coverage` are what `QuotaGossip` packs,
+    over `region`.
     """
 
     region: str
@@ -180,6 +187,8 @@
     ages: dict = attrs.field(factory=dict)
     sent_at: float = 0
     answers: dict = attrs.field(factory=dict)
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_STATE_NOTICE_NUMBER)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -14,6 +14,7 @@
     LoadSummary,
     RegionLoadReport,
 )
+from nutmegshore.gateway.quota_gossip import QuotaGossip
 from nutmegshore.gateway.region_traffic import RegionTraffic
 from nutmegshore.gateway.report_checks import check_report
 from nutmegshore.gateway.restore_questions import RestoreQuestions
@@ -67,6 +68,7 @@
         self._limits = LimitGossip(candidate_builder, dependencies.clock)
         self._leaving = LeavingGossip(dependencies.leaving)
         self._cold = ColdGossip(candidate_builder.state, dependencies.clock)
+        self._quotas = QuotaGossip(dependencies.quotas)
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
@@ -92,14 +94,14 @@
         """Send one report now, to all peers or to an aggregator."""
         peers = self._dependencies.peers
         aggregators = peers.aggregators()
-        body = self._make_report(is_summed=bool(aggregators))
         if not aggregators:
-            peers.broadcast(body)
+            peers.broadcast(self._make_report())
             return
         self._ticks += 1
         turn = self._ticks % _AGGREGATOR_TURNS
-        self._send_report(aggregators[turn % len(aggregators)], body)
-        if peers.local.name == aggregators[turn % len(aggregators)]:
+        receiver = aggregators[turn % len(aggregators)]
+        self._send_report(receiver, self._make_report(receiver))
+        if peers.local.name == receiver:
             self._load.drop_all()
             self._send_summary()
             self._send_region_loads()
@@ -124,7 +126,7 @@
             event = ReportDelayed(round(late_s, _DIGITS))
             self._dependencies.log.write(event)
 
-    def _make_report(self, *, is_summed: bool) -> LoadReport:
+    def _make_report(self, aggregator: str = '') -> LoadReport:
         """Return a report; only aggregators use the traffic by service."""
         return LoadReport(
             self.is_ready,
@@ -132,7 +134,7 @@
             self._state_sync.known(),
             self._dependencies.quarantine.digest,
             self._traffic.shift_counts(),
-            self._traffic.own() if is_summed else {},
+            self._traffic.own() if aggregator else {},
             self._limits.own(),
             self._state_sync.eras(),
             self._leaving.known(),
@@ -140,6 +142,8 @@
             self._state_sync.ages(),
             self._dependencies.clock.now(),
             self._state_sync.answers(),
+            self._quotas.own(aggregator),
+            self._quotas.own_coverage(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -168,6 +172,7 @@
             self._state_sync.ages(),
             self._dependencies.clock.now(),
             self._state_sync.answers(),
+            *self._quotas.sum_fleet(gateways, self._other_regions()),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -175,11 +180,10 @@
     def _send_region_loads(self) -> None:
         """Send the load of this region to the aggregators of the others."""
         peers = self._dependencies.peers
-        region = peers.local.region
-        regions = [one for one in peers.regions() if one != region]
+        gateways = self._region_gateways()
         body = RegionLoadReport(
-            region,
-            self._load.sum_counts(self._region_gateways()),
+            peers.local.region,
+            self._load.sum_counts(gateways),
             self._state_sync.known(),
             self._dependencies.quarantine.digest,
             self._limits.known(),
@@ -189,8 +193,9 @@
             self._state_sync.ages(),
             self._dependencies.clock.now(),
             self._state_sync.answers(),
+            *self._quotas.sum_region(gateways),
         )
-        for other in regions:
+        for other in self._other_regions():
             peers.send_each(peers.aggregators(other), body)
 
     def _region_gateways(self) -> set[str]:
@@ -202,12 +207,17 @@
             if member.region == peers.local.region
         }
 
+    def _other_regions(self) -> list[str]:
+        peers = self._dependencies.peers
+        return [one for one in peers.regions() if one != peers.local.region]
+
     def _handle_report(self, sender: str, report: LoadReport) -> None:
         check_report(report)
         transit_s = self.transit_times.record(sender, report.sent_at)
         self.roster.record_contact(sender, transit_s, is_ready=report.is_ready)
         self._load.handle_peer_counts(sender, report.in_flight)
         self._traffic.handle_report(sender, report)
+        self._quotas.handle_report(sender, report, transit_s)
         self._compare(sender, report, transit_s)
 
     def _handle_summary(self, sender: str, summary: LoadSummary) -> None:
@@ -221,6 +231,7 @@
             sent_counts = self._sent_counts.get(sender, {})
             self._load.handle_all(summary.in_flight, sent_counts)
             self._traffic.handle_summary(summary)
+            self._quotas.handle_summary(sender, summary, transit_s)
         self._compare(sender, summary, transit_s)
 
     def _handle_region(self, sender: str, report: RegionLoadReport) -> None:
@@ -231,6 +242,7 @@
             in self._dependencies.peers.aggregators()
         ):
             self._load.handle_peer_counts(report.region, report.in_flight)
+            self._quotas.handle_region(report, transit_s)
         self._compare(sender, report, transit_s)
 
     def _compare(
@@ -256,6 +268,7 @@
         for gone in self._sent_counts.keys() - known.keys():
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
+        self._quotas.retain(known)
         self.transit_times.retain(set(known))
         # Gateways that vanish in a partition must have been seen before.
         for region in ('', *self._dependencies.peers.regions()):
--- a/nutmegshore/gateway/report_checks.py
+++ b/nutmegshore/gateway/report_checks.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from nutmegshore.balancing.quota_counts import Count
 from nutmegshore.balancing.service_traffic import ServiceTraffic
 from nutmegshore.errors import ErrorKind, LinkError
 from nutmegshore.gateway.messages import (
@@ -28,6 +29,7 @@
 #: Start, age and rest of a cold start; more may follow.
 _MIN_COLD_FIELDS = 3
 _ANSWERS_FIELDS = len(attrs.fields(ToldAnswers))
+_QUOTA_FIELDS = len(Count._fields)
 _TRAFFIC_FIELDS = len(attrs.fields(ServiceTraffic))
 #: Integers in messages have at most this many bits.
 _NUMBER_BITS = 64
@@ -43,6 +45,8 @@
     _check_replicas(report)
     _check_lists(report.limits, _MIN_LIMIT_FIELDS, _MIN_LIMIT_FIELDS)
     _check_lists(report.cold, _MIN_COLD_FIELDS, _MIN_COLD_FIELDS)
+    _check_lists(report.quotas, 0, _QUOTA_FIELDS)
+    _check_numbers(report.quota_coverage)
     if isinstance(report, RegionLoadReport):
         return
     _check_lists(report.traffic, 0, _TRAFFIC_FIELDS)
--- a/nutmegshore/gateway/sync_dependencies.py
+++ b/nutmegshore/gateway/sync_dependencies.py
@@ -5,6 +5,7 @@
 import attrs
 
 from nutmegshore.balancing import Balancer
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.leaving import LeavingUpstreams
@@ -27,3 +28,4 @@
     counters: Counters
     log: EventLog
     leaving: LeavingUpstreams
+    quotas: CustomerQuotas
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -18,7 +18,8 @@
     `extra_retries` in any `retry_window_s`. A cold upstream receives at most
     `cold_factor` times its rate plus `cold_slack` requests per second. At
     most `max_shift` of a region's requests move to another region within
-    2 s. A shutdown lasts `grace_s`, and the answer to a lookup is valid for
+    2 s. In any `quota_window_s`, a customer's requests stay within its quota
+    times 1 plus `quota_overage`, plus `quota_slack`. A shutdown lasts `grace_s`, and the answer to a lookup is valid for
     at most `max_lookup_s`.
     """
 
@@ -33,6 +34,9 @@
     cold_slack: float = 5
     max_shift: float = 0.15
     max_lookup_s: float = 5
+    quota_window_s: float = 5
+    quota_overage: float = 0.1
+    quota_slack: float = 20
 
 
 _SETTING_NAMES = (
@@ -47,6 +51,9 @@
     ('cold_slack', 'ColdSlack'),
     ('max_shift', 'MaxShift'),
     ('max_lookup_s', 'ttl_max_s'),
+    ('quota_window_s', 'QuotaWindowS'),
+    ('quota_overage', 'QuotaOverage'),
+    ('quota_slack', 'QuotaSlack'),
 )
 
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -14,6 +14,7 @@
     FleetRetryBudget,
     WeightedRoundRobin,
 )
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import RequestError
@@ -25,6 +26,7 @@
 )
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.route import (
     Configuration,
     ServiceRules,
@@ -202,6 +204,11 @@
             counters=counters,
             log=log,
             crashes=CrashGuard(quarantine, counters, listening),
+            quotas=QuotaGate(
+                CustomerQuotas(clock, rng, balancer.candidate_builder.members),
+                log,
+                counters,
+            ),
             count_gateways=lambda: 1,
         )
 
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -9,6 +9,7 @@
 import pytest
 
 from nutmegshore.balancing import Balancer, BalancerDependencies
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, LinkError
@@ -182,6 +183,7 @@
             Counters(),
             make_log(clock),
             LeavingUpstreams(state, make_log(clock), Counters()),
+            CustomerQuotas(clock, rng, balancer.candidate_builder.members),
         )
         follower = PlainFollower(clock)
         peering = Peering(dependencies, [follower])
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -82,6 +82,7 @@
             dependencies.counters,
             dependencies.log,
             assembly.reports.leaving,
+            assembly.quotas.quotas,
         )
         peering = Peering(peering_dependencies, assembly.replicas.followers)
         peering.is_ready = True
--- a/tests/gateway/test_state_sync.py
+++ b/tests/gateway/test_state_sync.py
@@ -9,6 +9,7 @@
 import pytest
 
 from nutmegshore.balancing import Balancer, BalancerDependencies
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.follower import FollowerContext, KindFollower, Replica
@@ -150,6 +151,7 @@
                 counters,
                 log,
                 LeavingUpstreams(state, log, counters),
+                CustomerQuotas(clock, rng, balancer.candidate_builder.members),
             ),
             [follower],
         )
