Test the admission within quotas and its reports

Change: tests of the refusal with 429, of the credit that is taken once and given back, and of the counts on their way through aggregators.

--- a/bench/gateway_parts.py
+++ b/bench/gateway_parts.py
@@ -10,7 +10,6 @@
     FleetRetryBudget,
     WeightedRoundRobin,
 )
-from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.gateway.context import GatewayContext
@@ -92,7 +91,6 @@
     )
     balancer = Balancer(state, around)
     log = EventLog(writer, 'g1', clock, counters, bytes_per_s)
-    members = balancer.candidate_builder.members
     return GatewayContext(
         state=state,
         balancer=balancer,
@@ -108,7 +106,13 @@
         clock=clock,
         counters=counters,
         log=log,
-        quotas=QuotaGate(CustomerQuotas(clock, rng, members), log, counters),
+        quotas=QuotaGate.make(
+            balancer.candidate_builder.members,
+            (clock, rng),
+            log,
+            counters,
+            bounds,
+        ),
         crashes=CrashGuard(_make_quarantine(clock), counters),
         count_gateways=lambda: 1,
     )
--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -101,7 +101,7 @@
 
 def gateway_names(count: int) -> list[str]:
     """Return the names of a fleet's gateways."""
-    return [f'g{number:03}' for number in range(count)]
+    return ['g{0:03}'.format(number) for number in range(count)]
 
 
 def zone_of(name: str) -> int:
--- a/nutmegshore/balancing/customer_quotas.py
+++ b/nutmegshore/balancing/customer_quotas.py
@@ -1,5 +1,6 @@
 """Quotas of customers, which all gateways keep together."""
 
+import collections
 import random
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
@@ -17,8 +18,7 @@
     DELAY_S,
     FleetUse,
     QuotaBounds,
-    headroom,
-    permitted_rate,
+    QuotaPlan,
 )
 from nutmegshore.balancing.recent_members import RecentMembers
 from nutmegshore.clock import Clock
@@ -39,10 +39,14 @@
 #: Fraction of the headroom that all gateways have in equal parts; the rest is
 #: divided as the demand is.
 _EVEN_FRACTION = 0.3
+#: Aggregators that a gateway reports to, with some that were replaced lately.
+_RECEIVERS = 4
 #: Most requests that may be admitted beyond the permitted fraction, because as
 #: many were given back.
 _MAX_CREDIT = 2
 
+_DEFAULT_BOUNDS = QuotaBounds()
+
 _Counts = dict[str, Count]
 _NONE: Mapping[str, Count] = MappingProxyType({})
 
@@ -52,16 +56,14 @@
     """The use of a quota by all gateways, as this one knows it.
 
     `asked_rate` is the demand and `permitted_rate` what may be sent, in
-    requests per second; `fraction` is the part of the requests that is
-    admitted, `sent` the number sent in the window, and `headroom` how many more
-    there may be in it. `own_part` of the demand is this gateway's.
+    requests per second; `sent` is the number sent in the window. This gateway
+    has room for `own_room` more requests.
     """
 
     asked_rate: float
     permitted_rate: float
     sent: float
-    headroom: float
-    own_part: float
+    own_room: float
 
     @property
     def fraction(self) -> float:
@@ -70,6 +72,16 @@
             return 1
         return self.permitted_rate / self.asked_rate
 
+    def wait_s(self, window_s: float) -> float:
+        """Return the seconds after which there is room.
+
+        The window has to turn over in the measure of what is refused.
+        """
+        if not self.permitted_rate:
+            return window_s
+        turn_s = (1 - self.fraction) * window_s
+        return min(max(turn_s, 1 / self.permitted_rate), window_s)
+
 
 @attrs.frozen
 class QuotaChange:
@@ -119,7 +131,7 @@
         clock: Clock,
         rng: random.Random,
         members: RecentMembers,
-        bounds: QuotaBounds = QuotaBounds(),
+        bounds: QuotaBounds = _DEFAULT_BOUNDS,
     ) -> None:
         """Keep the bounds together with the gateways of `members`."""
         self.on_change: Callable[[QuotaChange], None] | None = None
@@ -139,7 +151,7 @@
         now = self._clock.now()
         state = self._state(own, is_asking=True)
         own.credit = min(own.credit + state.fraction, _MAX_CREDIT)
-        is_admitted = own.credit >= 1 and self._has_room(own, state)
+        is_admitted = own.credit >= 1 and state.own_room >= 1
         own.counts.record(now, is_sent=is_admitted)
         if is_admitted:
             own.credit -= 1
@@ -147,7 +159,7 @@
         if own.refused_at is None:
             self._report_change(own, is_limited=True)
         own.refused_at = now
-        return self._wait_s(state)
+        return state.wait_s(self.bounds.window_s)
 
     def release(self, customer: Customer) -> None:
         """Return the credit of a request that did not run."""
@@ -193,14 +205,15 @@
             name: own.counts.report(now) for name, own in self._by_name.items()
         }
         if receiver:
-            self._told[receiver] = counts
+            self._told = _put_last(self._told, receiver, counts)
         self._fleet.refresh(now)
         return counts
 
     def sum_sources(self, sources: Iterable[str]) -> tuple[_Counts, float]:
-        """Return the counts of this gateway and of some others, and their number.
+        """Return the counts of this gateway and of some sources.
 
-        The others are gateways or regions that have reported.
+        These are gateways or regions that have reported. The number of gateways
+        that the counts cover comes second.
         """
         now = self._clock.now()
         summed, gateways = self._fleet.sum_sources(sources, now)
@@ -237,11 +250,6 @@
         )
         self._fleet.refresh(now)
 
-    def retain(self, receivers: Iterable[str]) -> None:
-        """Drop what was told to gateways that are gone."""
-        for gone in self._told.keys() - set(receivers):
-            self._told.pop(gone)
-
     def _own(self, customer: Customer) -> _Own:
         own = self._by_name.get(customer.name)
         if own is None:
@@ -255,57 +263,33 @@
         now = self._clock.now()
         if now - self._fleet.refreshed_at > _REFRESH_S:
             self._fleet.refresh(now)
+        use = self._use(own, now, is_asking=is_asking)
         customer = own.customer
-        total = self._fleet.total(customer.name)
-        others = total.count
-        count = own.counts.report(now)
-        held = max(total.held_left(now, self.bounds.window_s), others.sent)
-        own_asked = count.asked + is_asking
-        asked = own_asked + others.asked * own.counts.rise(now)
-        use = FleetUse(
-            asked / ASKED_S,
-            count.plus(others),
-            others,
-            own_asked / max(asked, 1),
-            count.sent + held,
-            self.visible_fraction(),
-        )
-        quota = (self.bounds, customer.max_rate, customer.burst, use)
+        plan = QuotaPlan(self.bounds, customer.max_rate, customer.burst, use)
         return QuotaState(
             use.asked_rate,
-            permitted_rate(*quota),
-            use.held,
-            headroom(*quota),
-            use.own_part,
+            plan.permitted_rate,
+            use.sent_or_held,
+            _own_room(own.counts, plan, 1 + self._fleet.gateways, now),
         )
 
-    def _has_room(self, own: _Own, state: QuotaState) -> bool:
-        """Return whether this gateway may send more than before.
+    def _use(self, own: _Own, now: float, *, is_asking: bool) -> FleetUse:
+        """Return what is known of the use of a quota.
 
-        The others do not know yet what it sent in the last second. That may
-        exceed its average by its part of the headroom, or by one request.
+        If this gateway's demand has just risen, so has that of the others.
         """
-        now = self._clock.now()
-        even_part = 1 / (1 + self._fleet.gateways)
-        part = (
-            _EVEN_FRACTION * even_part + (1 - _EVEN_FRACTION) * state.own_part
+        total = self._fleet.total(own.customer.name)
+        count = own.counts.report(now)
+        own_asked = count.asked + is_asking
+        asked = own_asked + total.count.asked * own.counts.rise(now)
+        return FleetUse(
+            count,
+            total.count,
+            asked / ASKED_S,
+            own_asked / max(asked, 1),
+            total.left(now, self.bounds.window_s),
+            self.visible_fraction(),
         )
-        half_s = self.bounds.window_s / 2
-        usual = own.counts.leaving(now, half_s) * DELAY_S / half_s
-        lately = own.counts.sent_lately(now, DELAY_S)
-        extra = max(part * (state.headroom + lately), _MIN_RISE)
-        return lately + 1 <= usual + extra
-
-    def _wait_s(self, state: QuotaState) -> float:
-        """Return the seconds after which there is room.
-
-        The window has to turn over in the measure of what was refused.
-        """
-        window_s = self.bounds.window_s
-        turn_s = (1 - state.fraction) * window_s
-        if not state.permitted_rate:
-            return window_s
-        return min(max(turn_s, 1 / state.permitted_rate), window_s)
 
     def _forget_idle(self, now: float) -> None:
         """Drop customers without requests, and report ends of limits."""
@@ -327,3 +311,27 @@
                     self.visible_fraction(),
                 )
             )
+
+
+def _own_room(
+    counts: OwnCounts, plan: QuotaPlan, gateways: float, now: float
+) -> float:
+    """Return how many more requests one of some gateways may send.
+
+    The others do not know yet what it sent in the last second. That may exceed
+    its usual number by its part of the headroom.
+    """
+    demand_part = (1 - _EVEN_FRACTION) * plan.use.own_part
+    part = _EVEN_FRACTION / gateways + demand_part
+    lately = counts.sent_lately(now, DELAY_S)
+    extra = max(part * (plan.headroom + lately), _MIN_RISE)
+    return counts.usual(now, DELAY_S) + extra - lately
+
+
+def _put_last(
+    told: dict[str, _Counts], receiver: str, counts: _Counts
+) -> dict[str, _Counts]:
+    """Add what a receiver was told, and drop what others were long ago."""
+    others = [(name, old) for name, old in told.items() if name != receiver]
+    kept = collections.deque(others, maxlen=_RECEIVERS - 1)
+    return dict([*kept, (receiver, counts)])
--- a/nutmegshore/balancing/fleet_counts.py
+++ b/nutmegshore/balancing/fleet_counts.py
@@ -53,18 +53,16 @@
     held: float = 0
     held_at: float = 0
 
-    def hold(self, now: float, window_s: float) -> float:
-        """Return the requests that may be in the window, and keep the peak."""
-        held = self.held_left(now, window_s)
-        if self.count.sent >= held:
+    def hold(self, now: float, window_s: float) -> None:
+        """Keep the peak, or replace it by the present number."""
+        if self.count.sent >= self.left(now, window_s):
             self.held = self.count.sent
             self.held_at = now
-            return self.held
-        return held
 
-    def held_left(self, now: float, window_s: float) -> float:
-        """Return what is left of the last peak."""
-        return self.held * max(1 - (now - self.held_at) / window_s, 0)
+    def left(self, now: float, window_s: float) -> float:
+        """Return the requests that may be in the window."""
+        left = self.held * max(1 - (now - self.held_at) / window_s, 0)
+        return max(left, self.count.sent)
 
 
 class FleetCounts:
@@ -142,7 +140,8 @@
         for name in found.keys() | self._totals.keys():
             total = self._totals.setdefault(name, Total())
             total.count = found.get(name, NOTHING)
-            if not total.hold(now, self.window_s):
+            total.hold(now, self.window_s)
+            if not total.left(now, self.window_s):
                 self._totals.pop(name)
 
 
--- a/nutmegshore/balancing/quota_counts.py
+++ b/nutmegshore/balancing/quota_counts.py
@@ -39,9 +39,8 @@
 
     def part(self, own: 'Count', weight: float) -> 'Count':
         """Return a part of what remains without some of it."""
-        return Count(
-            *(max(all_of - one, 0) * weight for all_of, one in zip(self, own))
-        )
+        rest = map(operator.sub, self, own)
+        return Count(*(max(number, 0) * weight for number in rest))
 
 
 #: The count of a customer without requests.
@@ -120,6 +119,14 @@
             sent += one.sent
         return sent
 
+    def usual(self, now: float, span_s: float) -> float:
+        """Return how many requests were sent in so many seconds before.
+
+        It is the average of the first half of the window.
+        """
+        half_s = self._window_s / 2
+        return self.leaving(now, half_s) * span_s / half_s
+
     def is_empty(self, now: float) -> bool:
         """Return whether there was no request in the window."""
         self._expire(now)
--- a/nutmegshore/balancing/quota_rule.py
+++ b/nutmegshore/balancing/quota_rule.py
@@ -6,10 +6,10 @@
 
 from nutmegshore.balancing.quota_counts import ASKED_S, LEAVING_S, Count
 
-__all__ = ('DELAY_S', 'FleetUse', 'QuotaBounds', 'headroom', 'permitted_rate')
+__all__ = ('DELAY_S', 'FleetUse', 'QuotaBounds', 'QuotaPlan')
 
-#: Seconds after which all gateways know of a request, unless messages are late:
-#: a report to an aggregator each half second, its sums, those of another region.
+#: Seconds after which all gateways know of a request, if no message is late: a
+#: report to an aggregator each half second, its sums, those of another region.
 DELAY_S = 1.1
 #: Seconds that the sums are behind on average.
 _MEAN_DELAY_S = 0.6
@@ -57,67 +57,115 @@
 class FleetUse:
     """What is known of the use of a quota.
 
-    `fraction` is the part of the gateways whose reports are recent. They and
-    this gateway have the `count`, of which `asked_rate` is the demand in
-    requests per second, and `own_part` that of this gateway. `others` is the
-    count without this gateway. `held` is what may have been sent in the window by
-    those whose reports have ended as well.
+    `fraction` is the part of the gateways whose reports are recent. `own` is
+    the count of this gateway, `others` that of those, of which `asked_rate` is
+    the demand in requests per second, all together, and `own_part` that of this
+    gateway. `held` is what the others may have sent in the window, with those
+    whose reports have ended.
     """
 
-    asked_rate: float
-    count: Count
+    own: Count
     others: Count
+    asked_rate: float
     own_part: float
     held: float
     fraction: float
 
+    @property
+    def sent(self) -> float:
+        """Requests of the window that are reported."""
+        return self.own.sent + self.others.sent
 
-def permitted_rate(
-    bounds: QuotaBounds, max_rate: float, burst: float, use: FleetUse
-) -> float:
-    """Return the requests per second that the reporting gateways may send.
+    @property
+    def sent_or_held(self) -> float:
+        """Requests that may be in the window."""
+        return self.own.sent + self.held
 
-    It is what leaves the window, at most the quota, corrected by how much more
-    or less than planned is in it. Gateways that do not report may be alive and
-    use their part, so that the others plan for the rest only. What was sent
-    since the reports is estimated from a rise of the rate.
-    """
-    allowed = bounds.allowed(max_rate, burst)
-    quota = max_rate * bounds.window_s + burst
-    spare = _SPARE_FRACTION * (allowed - quota) * _calm(use, max_rate)
-    hidden = 1 - use.fraction
-    part = (quota + spare) * use.fraction * (1 - _HIDDEN_MARGIN * hidden)
-    rise = use.others.latest / ASKED_S - use.others.sent / bounds.window_s
-    unseen = max(rise, 0) * _MEAN_DELAY_S
-    unused = (quota + spare - use.held) * use.fraction
-    missing = min(part - use.count.sent, unused) - unseen
-    leaving_rate = min(
-        max_rate * use.fraction,
-        part / bounds.window_s,
-        use.count.leaving / LEAVING_S,
-    )
-    # What this gateway sends itself is known at once.
-    settling_s = _SETTLING_S + use.own_part * (ASKED_S - _SETTLING_S)
-    return max(leaving_rate + missing / settling_s, 0)
-
-
-def headroom(
-    bounds: QuotaBounds, max_rate: float, burst: float, use: FleetUse
-) -> float:
-    """Return how many more requests than now a window may have."""
-    allowed = bounds.allowed(max_rate, burst) * _USED_FRACTION
-    return max(
-        min(allowed * use.fraction - use.count.sent, allowed - use.held), 0
-    )
-
-
-def _calm(use: FleetUse, max_rate: float) -> float:
-    """Return 1 while the demand may be about the quota, else down to 0.
-
-    In a few requests, a multiple of the quota comes by chance.
+    def unseen(self, window_s: float) -> float:
+        """Return the requests sent since the reports, if the rate has risen."""
+        usual_rate = self.others.sent / window_s
+        return max(self.others.latest / ASKED_S - usual_rate, 0) * _MEAN_DELAY_S
+
+
+@attrs.frozen
+class QuotaPlan:
+    """What all gateways that report may send of a quota now.
+
+    Gateways that do not report may be alive and use their part, so that the
+    others plan for the rest only.
+
+        plan = QuotaPlan(bounds, customer, use)
+        if use.asked_rate <= plan.permitted_rate:
+            ...
     """
-    quota = max_rate * ASKED_S
-    chance = _CHANCE * (math.sqrt(quota) + 1)
-    asked = use.asked_rate * ASKED_S / max(use.fraction, _MIN_FRACTION)
-    excess = asked - _CALM_FACTOR * quota - chance
-    return min(max(1 - excess / (quota + chance), 0), 1)
+
+    bounds: QuotaBounds
+    max_rate: float
+    burst: float
+    use: FleetUse
+
+    @property
+    def permitted_rate(self) -> float:
+        """Requests per second that the gateways may send.
+
+        It is what leaves the window, at most the quota, corrected by how much
+        more or less than planned is in it.
+        """
+        use = self.use
+        leaving = use.own.leaving + use.others.leaving
+        leaving_rate = min(
+            self.max_rate * use.fraction,
+            self._part / self.bounds.window_s,
+            leaving / LEAVING_S,
+        )
+        # What this gateway sends itself is known at once.
+        settling_s = _SETTLING_S + use.own_part * (ASKED_S - _SETTLING_S)
+        return max(leaving_rate + self._missing / settling_s, 0)
+
+    @property
+    def headroom(self) -> float:
+        """Requests by which a window may exceed the present one."""
+        use = self.use
+        allowed = _USED_FRACTION * self._allowed
+        room = min(
+            allowed * use.fraction - use.sent, allowed - use.sent_or_held
+        )
+        return max(room, 0)
+
+    @property
+    def _allowed(self) -> float:
+        return self.bounds.allowed(self.max_rate, self.burst)
+
+    @property
+    def _whole(self) -> float:
+        """Requests of a window that are planned for if all gateways report."""
+        quota = self.max_rate * self.bounds.window_s + self.burst
+        spare = _SPARE_FRACTION * (self._allowed - quota)
+        return quota + spare * self._calm
+
+    @property
+    def _part(self) -> float:
+        """The part of them for the gateways that report."""
+        fraction = self.use.fraction
+        return self._whole * fraction * (1 - _HIDDEN_MARGIN * (1 - fraction))
+
+    @property
+    def _missing(self) -> float:
+        """Requests that the present window has less than planned."""
+        use = self.use
+        unused = (self._whole - use.sent_or_held) * use.fraction
+        unseen = use.unseen(self.bounds.window_s)
+        return min(self._part - use.sent, unused) - unseen
+
+    @property
+    def _calm(self) -> float:
+        """1 while the demand may be about the quota, else down to 0.
+
+        In a few requests, a multiple of the quota comes by chance.
+        """
+        quota = self.max_rate * ASKED_S
+        chance = _CHANCE * (math.sqrt(quota) + 1)
+        fraction = max(self.use.fraction, _MIN_FRACTION)
+        asked = self.use.asked_rate * ASKED_S / fraction
+        excess = asked - _CALM_FACTOR * quota - chance
+        return min(max(1 - excess / (quota + chance), 0), 1)
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -1,19 +1,11 @@
 """Builds the components of a gateway from its settings."""
 
-import random
-
-import attrs
-
 from nutmegshore.balancing import (
     Balancer,
     BalancerDependencies,
     FleetRetryBudget,
     WeightedRoundRobin,
 )
-from nutmegshore.balancing.customer_quotas import CustomerQuotas
-from nutmegshore.balancing.quota_rule import QuotaBounds
-from nutmegshore.clock import Clock
-from nutmegshore.counters import Counters
 from nutmegshore.gateway.cold_checks import ColdChecks
 from nutmegshore.gateway.cold_reports import ColdReports
 from nutmegshore.gateway.context import GatewayContext
@@ -22,8 +14,8 @@
     QuarantineDependencies,
     make_quarantine,
 )
+from nutmegshore.gateway.dependencies import GatewayDependencies
 from nutmegshore.gateway.follower import FollowerContext
-from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.registry import Registry, RegistryDependencies
 from nutmegshore.gateway.settings import GatewaySettings
@@ -37,25 +29,12 @@
     TcpTransport,
     first_incarnation,
 )
-from nutmegshore.platform.bounds import Bounds
 from nutmegshore.platform.dialect import PlatformDialect
-from nutmegshore.store import Platform
 from nutmegshore.upstreams.curl import CurlUpstreams
 
 __all__ = ('Assembly', 'GatewayDependencies')
 
 
-@attrs.frozen
-class GatewayDependencies:
-    """Dependencies that the components of a gateway share."""
-
-    store: Platform
-    clock: Clock
-    rng: random.Random
-    counters: Counters
-    log: EventLog
-
-
 class Assembly:
     """Builds the components of one gateway in dependency order.
 
@@ -117,7 +96,7 @@
             bounds.retry_window_s,
             bounds.extra_retries,
         )
-        self.quotas.quotas.resize(_quota_bounds(bounds))
+        self.quotas.resize(bounds)
         self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
         self.replicas.apply_settings(settings)
@@ -185,13 +164,13 @@
 
     def _make_quotas(self) -> QuotaGate:
         dependencies = self.dependencies
-        quotas = CustomerQuotas(
-            dependencies.clock,
-            dependencies.rng,
+        return QuotaGate.make(
             self.balancer.candidate_builder.members,
-            _quota_bounds(self.settings.bounds),
+            (dependencies.clock, dependencies.rng),
+            dependencies.log,
+            dependencies.counters,
+            self.settings.bounds,
         )
-        return QuotaGate(quotas, dependencies.log, dependencies.counters)
 
     def _make_context(self) -> GatewayContext:
         bounds = self.settings.bounds
@@ -241,12 +220,6 @@
         return max(len(self.peers.live()), members.count_sharers())
 
 
-def _quota_bounds(bounds: Bounds) -> QuotaBounds:
-    return QuotaBounds(
-        bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
-    )
-
-
 def _peer_addresses(settings: GatewaySettings) -> tuple[str, ...]:
     """Peer addresses of the seeds in the settings."""
     return tuple(
--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -4,7 +4,12 @@
 
 from nutmegshore.gateway.severity import Severity
 
-__all__ = ('AnswerCut', 'IdleConnectionsClosed', 'RequestAbandoned')
+__all__ = (
+    'AnswerCut',
+    'CustomerQuotaChanged',
+    'IdleConnectionsClosed',
+    'RequestAbandoned',
+)
 
 
 @attrs.frozen
@@ -67,3 +72,24 @@
     severity = Severity.CHANGE
 
     count: int
+
+
+@attrs.frozen
+class CustomerQuotaChanged:
+    """This gateway began or ceased to refuse a customer's requests.
+
+    All gateways together asked for `asked_rate` requests per second, may send
+    `permitted_rate`, and have sent `sent` in the window, as far as is known.
+    `visible_fraction` is the part of the gateways whose reports are recent.
+    """
+
+    severity = Severity.CHANGE
+
+    customer: str
+    change: str
+    max_rate: float
+    burst: float
+    asked_rate: float
+    permitted_rate: float
+    sent: float
+    visible_fraction: float
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -12,6 +12,7 @@
 
 from nutmegshore.gateway.caller_events import (
     AnswerCut,
+    CustomerQuotaChanged,
     IdleConnectionsClosed,
     RequestAbandoned,
 )
@@ -394,27 +395,6 @@
     failures: int
 
 
-@attrs.frozen
-class CustomerQuotaChanged:
-    """This gateway began or ceased to refuse a customer's requests.
-
-    All gateways together asked for `asked_rate` requests per second and may send
-    `permitted_rate`, and have sent `sent` in the window, as far as is known.
-    `visible_fraction` is the part of the gateways whose reports are recent.
-    """
-
-    severity = Severity.CHANGE
-
-    customer: str
-    change: str
-    max_rate: float
-    burst: float
-    asked_rate: float
-    permitted_rate: float
-    sent: float
-    visible_fraction: float
-
-
 EVENT_NAMES = MappingProxyType(
     {
         RequestServed: 'request_served',
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -22,6 +22,7 @@
 from nutmegshore.gateway.state_notices import StateNotices
 from nutmegshore.gateway.state_sync import StateSync
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
+from nutmegshore.peers import Peers
 
 __all__ = ('Peering',)
 
@@ -172,7 +173,7 @@
             self._state_sync.ages(),
             self._dependencies.clock.now(),
             self._state_sync.answers(),
-            *self._quotas.sum_fleet(gateways, self._other_regions()),
+            *self._quotas.sum_fleet(gateways, _other_regions(peers)),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -195,7 +196,7 @@
             self._state_sync.answers(),
             *self._quotas.sum_region(gateways),
         )
-        for other in self._other_regions():
+        for other in _other_regions(peers):
             peers.send_each(peers.aggregators(other), body)
 
     def _region_gateways(self) -> set[str]:
@@ -207,10 +208,6 @@
             if member.region == peers.local.region
         }
 
-    def _other_regions(self) -> list[str]:
-        peers = self._dependencies.peers
-        return [one for one in peers.regions() if one != peers.local.region]
-
     def _handle_report(self, sender: str, report: LoadReport) -> None:
         check_report(report)
         transit_s = self.transit_times.record(sender, report.sent_at)
@@ -268,8 +265,11 @@
         for gone in self._sent_counts.keys() - known.keys():
             self._sent_counts.pop(gone)
         self._traffic.retain(known)
-        self._quotas.retain(known)
         self.transit_times.retain(set(known))
         # Gateways that vanish in a partition must have been seen before.
         for region in ('', *self._dependencies.peers.regions()):
             self._members.observe(region)
+
+
+def _other_regions(peers: Peers) -> list[str]:
+    return [one for one in peers.regions() if one != peers.local.region]
--- a/nutmegshore/gateway/quota_gate.py
+++ b/nutmegshore/gateway/quota_gate.py
@@ -1,15 +1,20 @@
 """Admission of requests within the quotas of their customers."""
 
 import contextlib
+import random
 from collections.abc import Iterator
 
 from nutmegshore.balancing.customer_quotas import CustomerQuotas, QuotaChange
+from nutmegshore.balancing.quota_rule import QuotaBounds
+from nutmegshore.balancing.recent_members import RecentMembers
+from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RefusedError
+from nutmegshore.gateway.caller_events import CustomerQuotaChanged
 from nutmegshore.gateway.customer import Customer
-from nutmegshore.gateway.events import CustomerQuotaChanged
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.request import RoutedRequest
+from nutmegshore.platform.bounds import Bounds
 
 __all__ = ('QuotaGate',)
 
@@ -35,6 +40,23 @@
         self._counters = counters
         quotas.on_change = self._log_change
 
+    @classmethod
+    def make(
+        cls,
+        members: RecentMembers,
+        sources: tuple[Clock, random.Random],
+        log: EventLog,
+        counters: Counters,
+        bounds: Bounds,
+    ) -> 'QuotaGate':
+        """Build the gate and its quotas, from a clock and a random source."""
+        quotas = CustomerQuotas(*sources, members, _quota_bounds(bounds))
+        return cls(quotas, log, counters)
+
+    def resize(self, bounds: Bounds) -> None:
+        """Apply the bounds of reloaded settings."""
+        self.quotas.resize(_quota_bounds(bounds))
+
     @contextlib.contextmanager
     def admit(self, routed: RoutedRequest) -> Iterator[None]:
         """Take the credit of a request for as long as it may run."""
@@ -71,3 +93,9 @@
             round(change.visible_fraction, _DIGITS),
         )
         self._log.write(event)
+
+
+def _quota_bounds(bounds: Bounds) -> QuotaBounds:
+    return QuotaBounds(
+        bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+    )
--- a/nutmegshore/gateway/quota_gossip.py
+++ b/nutmegshore/gateway/quota_gossip.py
@@ -52,7 +52,7 @@
     def sum_fleet(
         self, gateways: Collection[str], regions: Collection[str]
     ) -> tuple[_Packed, list[float]]:
-        """Return the counts of this region and of others, and their coverage."""
+        """Return the counts of all regions, and their coverage."""
         return self._sum([*gateways, *(_REGION + one for one in regions)])
 
     def handle_report(
@@ -75,10 +75,6 @@
                 sender, _unpack(summary.quotas), gateways, known, transit_s
             )
 
-    def retain(self, peers: Collection[str]) -> None:
-        """Forget peers that are gone."""
-        self._quotas.retain(peers)
-
     def _sum(self, sources: Collection[str]) -> tuple[_Packed, list[float]]:
         summed, gateways = self._quotas.sum_sources(sources)
         coverage = [round(gateways, _DIGITS), self._quotas.known_gateways()]
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -19,8 +19,8 @@
     `cold_factor` times its rate plus `cold_slack` requests per second. At
     most `max_shift` of a region's requests move to another region within
     2 s. In any `quota_window_s`, a customer's requests stay within its quota
-    times 1 plus `quota_overage`, plus `quota_slack`. A shutdown lasts `grace_s`, and the answer to a lookup is valid for
-    at most `max_lookup_s`.
+    times 1 plus `quota_overage`, plus `quota_slack`. A shutdown lasts
+    `grace_s`, and the answer to a lookup is valid for at most `max_lookup_s`.
     """
 
     drain_s: float = 2
--- a/tests/balancing/test_customer_quotas.py
+++ b/tests/balancing/test_customer_quotas.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from types import MappingProxyType
 
 import attrs
 import pytest
@@ -25,17 +26,22 @@
 _NAMES = tuple(gateway_names(88))
 _WEST = frozenset(name for name in _NAMES if region_of(name) == 'west')
 _OTHERS = frozenset(_NAMES) - _WEST
-_FAULTS = {
-    'half killed': (Kill(frozenset(_NAMES[::2]), 7),),
-    'half back after 2 s': (Kill(frozenset(_NAMES[::2]), 7, 9),),
-    'paused': (Pause(frozenset(_NAMES[:9]), 7, 10),),
-    'one way out': (Cut(frozenset(_NAMES[:9]), frozenset(_NAMES[9:]), 7, 14),),
-    'one way in': (Cut(frozenset(_NAMES[9:]), frozenset(_NAMES[:9]), 7, 14),),
-    'region split off': (
-        Cut(_WEST, _OTHERS, 7, 14, is_noticed=True),
-        Cut(_OTHERS, _WEST, 7, 14, is_noticed=True),
-    ),
-}
+#: The aggregators of all regions are among the first.
+_FIRST = frozenset(_NAMES[:9])
+_REST = frozenset(_NAMES[9:])
+_FAULTS = MappingProxyType(
+    {
+        'half killed': (Kill(frozenset(_NAMES[::2]), 7),),
+        'half back after 2 s': (Kill(frozenset(_NAMES[::2]), 7, 9),),
+        'paused': (Pause(_FIRST, 7, 10),),
+        'one way out': (Cut(_FIRST, _REST, 7, 14),),
+        'one way in': (Cut(_REST, _FIRST, 7, 14),),
+        'region split off': (
+            Cut(_WEST, _OTHERS, 7, 14, is_noticed=True),
+            Cut(_OTHERS, _WEST, 7, 14, is_noticed=True),
+        ),
+    }
+)
 
 
 def _play(gateways, max_rate, times, **changes):
@@ -74,7 +80,7 @@
 @pytest.mark.parametrize('fault', sorted(_FAULTS))
 @pytest.mark.parametrize('max_rate', [0.5, 5, 50])
 def test_the_bound_holds_over_all_gateways_with_faults(fault, max_rate):
-    """Guards against gateways that each use the part of those they cannot see.
+    """Guards against gateways that use the part of those they cannot see.
 
     Load: 7.5 times the quota at 88 gateways, then one fault.
     """
@@ -155,8 +161,8 @@
 
 
 def test_what_dead_gateways_sent_stays_in_the_window(make_quotas):
-    """Guards against a report of a restarted gateway, which counts from 0, that
-    makes room for what it sent before."""
+    """Guards against a report of a restarted gateway, which counts from 0,
+    that makes room for what it sent before."""
     quotas = make_quotas(['g1', 'g2'])
     customer = _customer(max_rate=50)
     quotas.adopt('g2', {'c1': Count(0, 270, 0, 0)}, 1, 2, 0)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-from types import MappingProxyType
 
 import attrs
 import pytest
@@ -14,7 +13,6 @@
     FleetRetryBudget,
     WeightedRoundRobin,
 )
-from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import SystemClock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import RequestError
@@ -33,6 +31,7 @@
 )
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
+from nutmegshore.platform.bounds import Bounds
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 from tests.gateway.virtual_caller import Caller, SessionClock
@@ -176,7 +175,7 @@
         clock = clock or SystemClock()
         counters = Counters()
         state = FleetState(clock)
-        rules = MappingProxyType({'orders': ServiceRules()})
+        rules = {'orders': ServiceRules()}
         state.adopt(Configuration(1, tuple(routes) or (route(),), rules))
         registered = [upstream(name) for name in ('u1', 'u2', 'u3')]
         state.replace_upstreams(registered, is_after_outage=False)
@@ -204,10 +203,12 @@
             counters=counters,
             log=log,
             crashes=CrashGuard(quarantine, counters, listening),
-            quotas=QuotaGate(
-                CustomerQuotas(clock, rng, balancer.candidate_builder.members),
+            quotas=QuotaGate.make(
+                balancer.candidate_builder.members,
+                (clock, rng),
                 log,
                 counters,
+                Bounds(),
             ),
             count_gateways=lambda: 1,
         )
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -9,11 +9,9 @@
 import pytest
 
 from nutmegshore.balancing import Balancer, BalancerDependencies
-from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock, run_virtual
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, LinkError
-from nutmegshore.gateway.leaving import LeavingUpstreams
 from nutmegshore.gateway.messages import (
     LoadReport,
     LoadSummary,
@@ -24,12 +22,12 @@
 )
 from nutmegshore.gateway.objects import KnownObjects
 from nutmegshore.gateway.peering import Peering
-from nutmegshore.gateway.sync_dependencies import PeeringDependencies
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.quarantine import Quarantine, fingerprint
 from nutmegshore.store import Change, Changes, StoredObject, StorePosition
 from nutmegshore.upstreams import UpstreamReport
+from tests.gateway.peering_parts import CUSTOMER, make_dependencies
 
 _PREFIX = 'servers/'
 #: Seconds within which the users want a configuration in force.
@@ -138,6 +136,7 @@
     chooser: object
     limits: object
     state: FleetState
+    quotas: object
 
 
 class Fleet(collections.UserDict):
@@ -174,16 +173,8 @@
             lambda service: {'u1', 'u2', 'u3'},
             lambda upstream: False,
         )
-        dependencies = PeeringDependencies(
-            peers,
-            balancer,
-            quarantine,
-            clock,
-            rng,
-            Counters(),
-            make_log(clock),
-            LeavingUpstreams(state, make_log(clock), Counters()),
-            CustomerQuotas(clock, rng, balancer.candidate_builder.members),
+        dependencies = make_dependencies(
+            peers, balancer, quarantine, (clock, rng), make_log(clock)
         )
         follower = PlainFollower(clock)
         peering = Peering(dependencies, [follower])
@@ -201,6 +192,7 @@
             chooser,
             balancer.candidate_builder.limits,
             state,
+            dependencies.quotas,
         )
 
     @contextlib.asynccontextmanager
@@ -273,6 +265,11 @@
         LoadReport(True, {}, {}, ages={_PREFIX: 'x'}),
         LoadReport(True, {}, {}, answers={_PREFIX: [1]}),
         LoadReport(True, {}, {}, sent_at=float('nan')),
+        LoadReport(True, {}, {}, quotas={'c1': 1}),
+        LoadReport(True, {}, {}, quotas={'c1': [1, 'x']}),
+        LoadReport(True, {}, {}, quotas={7: [1, 1]}),
+        LoadReport(True, {}, {}, quota_coverage=[1, float('nan')]),
+        LoadSummary([], {}, {}, quotas={'c1': [float('inf')]}),
         StateReply(_PREFIX, 11, [], age_s=float('nan')),
         StateChanges(_PREFIX, 10, 11, [], sent_at=float('inf')),
         RestoreAnswer(_PREFIX, 1, age_s=float('nan')),
@@ -471,6 +468,62 @@
     assert run_virtual(session) == ['g01']
 
 
+@pytest.mark.parametrize('count', [3, 24, 96])
+def test_all_gateways_know_what_a_customer_sent(run_fleet, count):
+    """Guards against gateways that each admit the whole of a quota, and against
+    requests that are lost or counted twice on the way through aggregators."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet, count)
+            await asyncio.sleep(4)
+            for gateway in fleet.values():
+                assert gateway.quotas.acquire(CUSTOMER) == 0
+            await asyncio.sleep(1.5)
+            assert fleet['g02'].quotas.visible_fraction() == 1
+            for gateway in fleet.values():
+                assert gateway.quotas.acquire(CUSTOMER) == 0
+            return {
+                gateway.quotas.states()['c1'].sent for gateway in fleet.values()
+            }
+
+    assert run_virtual(session) == {count + 1}
+
+
+@pytest.mark.parametrize('count', [3, 24])
+def test_a_gateway_without_reports_takes_a_small_part(run_fleet, count):
+    """Guards against a gateway that uses the part of those whose reports have
+    ended."""
+
+    async def session():
+        async with run_fleet() as fleet:
+            _start_large(fleet, count)
+            await asyncio.sleep(4)
+            for name in fleet:
+                if name != 'g02':
+                    fleet[name].task.cancel()
+            await asyncio.sleep(5)
+            return fleet['g02'].quotas.visible_fraction()
+
+    assert run_virtual(session) == pytest.approx(1 / count)
+
+
+def test_a_report_of_an_earlier_version_covers_no_gateway(run_fleet):
+    """Guards against quotas that gateways of a version without them seem to
+    leave unused."""
+
+    async def session():
+        async with run_fleet('g1', 'g2') as fleet:
+            fleet['g2'].task.cancel()
+            await asyncio.sleep(4)
+            fleet['g1'].peers.deliver('g2', LoadReport(True, {}, {}))
+            fleet['g1'].peers.deliver('g2', LoadSummary(['g2'], {}, {}))
+            await asyncio.sleep(0.5)
+            return fleet['g1'].quotas.visible_fraction()
+
+    assert run_virtual(session) == 1 / 2
+
+
 def test_limits_of_unknown_upstreams_are_dropped(run_fleet):
     """Guards against limits of upstreams that are gone, passed on for ever."""
 
--- a/tests/gateway/virtual_caller.py
+++ b/tests/gateway/virtual_caller.py
@@ -36,9 +36,11 @@
     status: int = 0
     body: bytes = b''
     mixed: list = attrs.field(factory=list)
+    headers: dict = attrs.field(factory=dict)
 
     async def write_own(self, status, headers, body):
         """Take a complete answer."""
+        self.headers = dict(headers)
         if self.has_begun:
             self.mixed.append(int(status))
         self.status = int(status)
@@ -70,13 +72,14 @@
     took_s: float = 0
     writers: list = attrs.field(factory=list)
 
-    async def send(self, method='GET'):
-        """Send a request; return what its caller got."""
+    async def send(self, method='GET', extra=()):
+        """Send a request with extra headers; return what its caller got."""
         headers = (
             ('Host', 'a.example'),
             ('Request-Id', 'r7'),
             ('Affinity-Key', '7'),
             ('Deadline-Ms', '3000'),
+            *extra,
         )
         listener = ListenerContext(lambda writer: None, self.context.counters)
         head = RequestHead(method, '/orders/7', 'HTTP/1.1', headers)
