--- a/bench/gateway_parts.py
+++ b/bench/gateway_parts.py
@@ -22,6 +22,7 @@
     RouteKind,
     ServiceShare,
 )
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
 from nutmegshore.platform.bounds import Bounds
@@ -88,9 +89,11 @@
     around = BalancerDependencies(
         clock, rng, 'g1', 'west', lambda region: [], bounds.max_shift
     )
+    balancer = Balancer(state, around)
+    log = EventLog(writer, 'g1', clock, counters, bytes_per_s)
     return GatewayContext(
         state=state,
-        balancer=Balancer(state, around),
+        balancer=balancer,
         budget=FleetRetryBudget(
             clock,
             bounds.retry_ratio,
@@ -102,7 +105,14 @@
         dialect=PlatformDialect(),
         clock=clock,
         counters=counters,
-        log=EventLog(writer, 'g1', clock, counters, bytes_per_s),
+        log=log,
+        quotas=QuotaGate.make(
+            balancer.candidate_builder.members,
+            (clock, rng),
+            log,
+            counters,
+            bounds,
+        ),
         crashes=CrashGuard(_make_quarantine(clock), counters),
         count_gateways=lambda: 1,
     )
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -1,17 +1,11 @@
 """Builds the components of a gateway from its settings."""
 
-import random
-
-import attrs
-
 from nutmegshore.balancing import (
     Balancer,
     BalancerDependencies,
     FleetRetryBudget,
     WeightedRoundRobin,
 )
-from nutmegshore.clock import Clock
-from nutmegshore.counters import Counters
 from nutmegshore.gateway.cold_checks import ColdChecks
 from nutmegshore.gateway.cold_reports import ColdReports
 from nutmegshore.gateway.context import GatewayContext
@@ -20,8 +14,9 @@
     QuarantineDependencies,
     make_quarantine,
 )
+from nutmegshore.gateway.dependencies import GatewayDependencies
 from nutmegshore.gateway.follower import FollowerContext
-from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.registry import Registry, RegistryDependencies
 from nutmegshore.gateway.settings import GatewaySettings
 from nutmegshore.gateway.state import FleetState
@@ -35,23 +30,11 @@
     first_incarnation,
 )
 from nutmegshore.platform.dialect import PlatformDialect
-from nutmegshore.store import Platform
 from nutmegshore.upstreams.curl import CurlUpstreams
 
 __all__ = ('Assembly', 'GatewayDependencies')
 
 
-@attrs.frozen
-class GatewayDependencies:
-    """Dependencies that the components of a gateway share."""
-
-    store: Platform
-    clock: Clock
-    rng: random.Random
-    counters: Counters
-    log: EventLog
-
-
 class Assembly:
     """Builds the components of one gateway in dependency order.
 
@@ -92,6 +75,7 @@
             dependencies.log,
             dependencies.counters,
         ).follow()
+        self.quotas = self._make_quotas()
         self.context = self._make_context()
         self.context.key_age.bounds = settings.bounds
         self.cold_checks = self._make_cold_checks()
@@ -113,6 +97,7 @@
             bounds.retry_window_s,
             bounds.extra_retries,
         )
+        self.quotas.resize(bounds)
         self.balancer.region_chooser.shift_bound.set_max_shift(bounds.max_shift)
         self.registry.seeds = _peer_addresses(settings)
         self.replicas.apply_settings(settings)
@@ -179,6 +164,16 @@
             self.balancer.candidate_builder.forget,
         )
 
+    def _make_quotas(self) -> QuotaGate:
+        dependencies = self.dependencies
+        return QuotaGate.make(
+            self.balancer.candidate_builder.members,
+            (dependencies.clock, dependencies.rng),
+            dependencies.log,
+            dependencies.counters,
+            self.settings.bounds,
+        )
+
     def _make_context(self) -> GatewayContext:
         bounds = self.settings.bounds
         dependencies = self.dependencies
@@ -204,6 +199,7 @@
             counters=dependencies.counters,
             log=dependencies.log,
             crashes=CrashGuard(self.quarantine, dependencies.counters),
+            quotas=self.quotas,
             count_gateways=self._count_gateways,
         )
 
--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -10,6 +10,7 @@
 from nutmegshore.gateway.crashes import CrashGuard
 from nutmegshore.gateway.key_age import KeyAge
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import UpstreamClient
@@ -36,6 +37,7 @@
     counters: Counters
     log: EventLog
     crashes: CrashGuard
+    quotas: QuotaGate
     count_gateways: Callable[[], float]
     key_age: KeyAge = attrs.field(
         default=attrs.Factory(
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -234,6 +234,7 @@
             self._dependencies.clock,
             self._dependencies.counters,
             self._dependencies.store.eras,
+            self._assembly.quotas.quotas,
         )
         return Gauges(sources)
 
@@ -248,6 +249,7 @@
             dependencies.counters,
             dependencies.log,
             self._assembly.reports.leaving,
+            self._assembly.quotas.quotas,
         )
         peering = Peering(
             peering_dependencies, self._assembly.replicas.followers
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -12,6 +12,7 @@
 
 from nutmegshore.gateway.caller_events import (
     AnswerCut,
+    CustomerQuotaChanged,
     IdleConnectionsClosed,
     RequestAbandoned,
 )
@@ -423,6 +424,7 @@
         CustomerRejected: 'customer_rejected',
         KeysOutdated: 'keys_outdated',
         KeysTrusted: 'keys_trusted',
+        CustomerQuotaChanged: 'customer_quota_changed',
         EntryRejected: 'entry_rejected',
         EvacuationChanged: 'evacuation_changed',
         PeerChanged: 'peer_changed',
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -55,7 +55,8 @@
     as it sent the message, 0 if it does not tell. `answers` holds, by key
     prefix, the fields of `ToldAnswers`, `heard` what `TransitTimes` echoes to
     some peers. `configured` is the version of the configuration in force, 0 if
-    the sender does not tell.
+    the sender does not tell. `quotas` and `quota_coverage` are what
+    `QuotaGossip` packs.
     """
 
     is_ready: bool
@@ -73,6 +74,8 @@
     answers: dict = attrs.field(factory=dict)
     heard: dict = attrs.field(factory=dict)
     configured: int = 0
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_STATE_REQUEST_NUMBER)
@@ -147,7 +150,8 @@
     `shift_counts` and `traffic` are summed over the region, `limits`,
     `leaving` and `cold` are what the aggregator knows, and `eras`, `ages`,
     `sent_at`, `answers`, `heard` and `configured` are as in `LoadReport`.
-    `outdated` names the ready gateways that believe no API key.
+    `outdated` names the ready gateways that believe no API key. `quotas` and
+    `quota_coverage` are what `QuotaGossip` packs, over all regions.
     """
 
     ready: list
@@ -166,6 +170,8 @@
     heard: dict = attrs.field(factory=dict)
     configured: int = 0
     outdated: list = attrs.field(factory=list)
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_REGION_LOAD_NUMBER)
@@ -176,7 +182,8 @@
     `in_flight` counts the requests of the gateways of `region` by upstream,
     `limits`, `leaving` and `cold` are what `LimitGossip`, `LeavingGossip` and
     `ColdGossip` pack, and `eras`, `ages`, `sent_at`, `answers`, `heard` and
-    `configured` are as in `LoadReport`.
+    `configured` are as in `LoadReport`. `quotas` and `quota_coverage` are what
+    `QuotaGossip` packs, over `region`.
     """
 
     region: str
@@ -192,6 +199,8 @@
     answers: dict = attrs.field(factory=dict)
     heard: dict = attrs.field(factory=dict)
     configured: int = 0
+    quotas: dict = attrs.field(factory=dict)
+    quota_coverage: list = attrs.field(factory=list)
 
 
 @message(_STATE_NOTICE_NUMBER)
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -15,6 +15,7 @@
     LoadSummary,
     RegionLoadReport,
 )
+from nutmegshore.gateway.quota_gossip import QuotaGossip
 from nutmegshore.gateway.region_traffic import RegionTraffic
 from nutmegshore.gateway.report_checks import check_report
 from nutmegshore.gateway.restore_questions import RestoreQuestions
@@ -22,6 +23,7 @@
 from nutmegshore.gateway.state_notices import StateNotices
 from nutmegshore.gateway.state_sync import StateSync
 from nutmegshore.gateway.sync_dependencies import PeeringDependencies
+from nutmegshore.peers import Peers
 
 __all__ = ('Peering',)
 
@@ -69,6 +71,7 @@
         self._limits = LimitGossip(candidate_builder, dependencies.clock)
         self._leaving = LeavingGossip(dependencies.leaving)
         self._cold = ColdGossip(candidate_builder.state, dependencies.clock)
+        self._quotas = QuotaGossip(dependencies.quotas)
         self._ticks = 0
         self._sent_counts: dict[str, dict[str, int]] = {}
         peers = dependencies.peers
@@ -95,14 +98,15 @@
         peers = self._dependencies.peers
         aggregators = peers.aggregators()
         if not aggregators:
-            peers.broadcast(self._make_report(peers.live(), is_summed=False))
+            peers.broadcast(self._make_report(peers.live()))
             return
         self._ticks += 1
         aggregator = aggregators[
             self._ticks % _AGGREGATOR_TURNS % len(aggregators)
         ]
-        body = self._make_report((aggregator,), is_summed=True)
-        self._send_report(aggregator, body)
+        self._send_report(
+            aggregator, self._make_report((aggregator,), aggregator)
+        )
         if peers.local.name == aggregator:
             self._load.drop_all()
             self._send_summary()
@@ -129,7 +133,7 @@
             self._dependencies.log.write(event)
 
     def _make_report(
-        self, names: Collection[str], *, is_summed: bool
+        self, names: Collection[str], aggregator: str = ''
     ) -> LoadReport:
         """Return a report to peers; aggregators use the traffic by service."""
         # Read first: a process that is stopped meanwhile sends older ages.
@@ -140,7 +144,7 @@
             self.state_sync.known(),
             self._dependencies.quarantine.digest,
             self._traffic.shift_counts(),
-            self._traffic.own() if is_summed else {},
+            self._traffic.own() if aggregator else {},
             self._limits.own(),
             self.state_sync.eras(),
             self._leaving.known(),
@@ -148,8 +152,10 @@
             self.state_sync.ages(),
             sent_at,
             self.state_sync.answers(),
-            heard=self.transit_times.echoes(names, sent_at),
-            configured=self.state_sync.words.version,
+            self.transit_times.echoes(names, sent_at),
+            self.state_sync.words.version,
+            self._quotas.own(aggregator),
+            self._quotas.own_coverage(),
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -179,9 +185,10 @@
             self.state_sync.ages(),
             sent_at,
             self.state_sync.answers(),
-            heard=self.transit_times.echoes(gateways, sent_at),
-            configured=self.state_sync.words.version,
-            outdated=self.key_reports.among(ready),
+            self.transit_times.echoes(gateways, sent_at),
+            self.state_sync.words.version,
+            self.key_reports.among(ready),
+            *self._quotas.sum_fleet(gateways, _other_regions(peers)),
         )
         self._traffic.handle_summary(summary)
         peers.send_each(gateways, summary)
@@ -189,17 +196,16 @@
     def _send_region_loads(self) -> None:
         """Send the load of this region to the aggregators of the others."""
         peers = self._dependencies.peers
-        region = peers.local.region
         sent_at = self._dependencies.clock.now()
+        gateways = self._region_gateways()
         names = [
             name
-            for other in peers.regions()
-            if other != region
-            for name in peers.aggregators(other)
+            for region in _other_regions(peers)
+            for name in peers.aggregators(region)
         ]
         body = RegionLoadReport(
-            region,
-            self._load.sum_counts(self._region_gateways()),
+            peers.local.region,
+            self._load.sum_counts(gateways),
             self.state_sync.known(),
             self._dependencies.quarantine.digest,
             self._limits.known(),
@@ -209,8 +215,9 @@
             self.state_sync.ages(),
             sent_at,
             self.state_sync.answers(),
-            heard=self.transit_times.echoes(names, sent_at),
-            configured=self.state_sync.words.version,
+            self.transit_times.echoes(names, sent_at),
+            self.state_sync.words.version,
+            *self._quotas.sum_region(gateways),
         )
         peers.send_each(names, body)
 
@@ -230,6 +237,7 @@
         self.key_reports.handle_report(sender, report.ages, transit_s)
         self._load.handle_peer_counts(sender, report.in_flight)
         self._traffic.handle_report(sender, report)
+        self._quotas.handle_report(sender, report, transit_s)
         self._compare(sender, report, transit_s)
 
     def _handle_summary(self, sender: str, summary: LoadSummary) -> None:
@@ -244,6 +252,7 @@
             sent_counts = self._sent_counts.get(sender, {})
             self._load.handle_all(summary.in_flight, sent_counts)
             self._traffic.handle_summary(summary)
+            self._quotas.handle_summary(sender, summary, transit_s)
         self._compare(sender, summary, transit_s)
 
     def _handle_region(self, sender: str, report: RegionLoadReport) -> None:
@@ -254,6 +263,7 @@
             in self._dependencies.peers.aggregators()
         ):
             self._load.handle_peer_counts(report.region, report.in_flight)
+            self._quotas.handle_region(report, transit_s)
         self._compare(sender, report, transit_s)
 
     def _compare(
@@ -284,3 +294,7 @@
         # Gateways that vanish in a partition must have been seen before.
         for region in ('', *self._dependencies.peers.regions()):
             self._members.observe(region)
+
+
+def _other_regions(peers: Peers) -> list[str]:
+    return [one for one in peers.regions() if one != peers.local.region]
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -19,9 +19,11 @@
     `extra_retries` in any `retry_window_s`. A cold upstream receives at most
     `cold_factor` times its rate plus `cold_slack` requests per second. At
     most `max_shift` of a region's requests move to another region within
-    2 s. A shutdown lasts `grace_s`, and the answer to a lookup is valid for
-    at most `max_lookup_s`. If `is_revoke_strict`, no request that is sent later
-    than `revoke_s` after the removal of its API key runs.
+    2 s. In any `quota_window_s`, a customer's requests stay within its quota
+    times 1 plus `quota_overage`, plus `quota_slack`. A shutdown lasts
+    `grace_s`, and the answer to a lookup is valid for at most `max_lookup_s`.
+    If `is_revoke_strict`, no request that is sent later than `revoke_s` after
+    the removal of its API key runs.
     """
 
     drain_s: float = 2
@@ -37,6 +39,9 @@
     max_lookup_s: float = 5
     is_revoke_strict: bool = False
     revoke_s: float = 5
+    quota_window_s: float = 5
+    quota_overage: float = 0.1
+    quota_slack: float = 20
 
 
 _SETTING_NAMES = (
@@ -52,6 +57,9 @@
     ('max_shift', 'MaxShift'),
     ('max_lookup_s', 'ttl_max_s'),
     ('revoke_s', 'RevokeS'),
+    ('quota_window_s', 'QuotaWindowS'),
+    ('quota_overage', 'QuotaOverage'),
+    ('quota_slack', 'QuotaSlack'),
 )
 _FLAG_NAMES = (('is_revoke_strict', 'StrictRevoke'),)
 _FLAGS = MappingProxyType({'true': True, 'false': False})
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-from types import MappingProxyType
 
 import attrs
 import pytest
@@ -25,12 +24,14 @@
 )
 from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.log import EventLog
+from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.route import (
     Configuration,
     ServiceRules,
 )
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
+from nutmegshore.platform.bounds import Bounds
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 from tests.gateway.virtual_caller import Caller, SessionClock
@@ -174,7 +175,7 @@
         clock = clock or SystemClock()
         counters = Counters()
         state = FleetState(clock)
-        rules = MappingProxyType({'orders': ServiceRules()})
+        rules = {'orders': ServiceRules()}
         state.adopt(Configuration(1, tuple(routes) or (route(),), rules))
         registered = [upstream(name) for name in ('u1', 'u2', 'u3')]
         state.replace_upstreams(registered, is_after_outage=False)
@@ -203,6 +204,13 @@
             counters=counters,
             log=log,
             crashes=CrashGuard(quarantine, counters, listening),
+            quotas=QuotaGate.make(
+                balancer.candidate_builder.members,
+                (clock, rng),
+                log,
+                counters,
+                Bounds(),
+            ),
             count_gateways=lambda: 1,
         )
 
