Keep room for urgent requests where routes compete

What is queued cannot be overtaken.

balancing/contention.py now accepts a less urgent request, or one that is late anyway, only if the next more urgent one would still be in time. Routes and customers that are refused far more often than the others are due regardless (fair_floor.py). Routes without competitors are judged as before.

--- a/bench/balancing_load.py
+++ b/bench/balancing_load.py
@@ -40,6 +40,8 @@
 from nutmegshore.gateway.state import FleetState
 
 __all__ = (
+    'Job',
+    'ModelUpstream',
     'Pattern',
     'Region',
     'Served',
@@ -288,30 +290,35 @@
 
 
 @attrs.define(eq=False)
-class _Job:
-    """A request at an upstream; `done` is called when its work ends."""
+class Job:
+    """A request at an upstream; `done` is called when its work ends.
+
+    `work_s` is the mean time of cold work if it is not that of the pattern.
+    """
 
     key: str
     done: PlayEvent
+    work_s: float = 0
 
 
-class _ModelUpstream:
+class ModelUpstream:
     """Slots, a queue in order of arrival, and the objects it had lately."""
 
     def __init__(
         self, pattern: Pattern, clock: EventClock, rng: random.Random
     ) -> None:
+        """Take slots, queue, kept objects and times from `pattern`."""
         self._pattern = pattern
         self._clock = clock
         self._rng = rng
         self.running = 0
         self.cold_runs = 0
-        self._waiting: collections.deque[_Job] = collections.deque()
+        self._waiting: collections.deque[Job] = collections.deque()
         self._kept: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
 
-    def take(self, job: _Job) -> bool:
+    def take(self, job: Job) -> bool:
         """Run or queue a request; False if the queue is full."""
         if self.running < self._pattern.slots:
             self._begin(job)
@@ -326,13 +333,14 @@
         """Requests that run or wait."""
         return self.running + len(self._waiting)
 
-    def _begin(self, job: _Job) -> None:
+    def _begin(self, job: Job) -> None:
         self.running += 1
-        self._clock.after(self._work_s(job.key), lambda: self._end(job))
+        self._clock.after(self._work_s(job), lambda: self._end(job))
 
-    def _work_s(self, key: str) -> float:
+    def _work_s(self, job: Job) -> float:
         pattern = self._pattern
-        mean_s = pattern.work_s
+        key = job.key
+        mean_s = job.work_s or pattern.work_s
         if key in self._kept:
             mean_s *= pattern.warm_part
         else:
@@ -343,7 +351,7 @@
             self._kept.popitem(last=False)
         return mean_s * self._rng.lognormvariate(0, pattern.spread)
 
-    def _end(self, job: _Job) -> None:
+    def _end(self, job: Job) -> None:
         self.running -= 1
         if self._waiting:
             self._begin(self._waiting.popleft())
@@ -358,10 +366,10 @@
         self._rng = rng
         self._clock = EventClock()
         self._by_region = {one.name: Served() for one in pattern.regions}
-        self._upstreams: dict[str, _ModelUpstream] = {}
+        self._upstreams: dict[str, ModelUpstream] = {}
         state = _make_state(pattern, self._clock)
         for instance in state.by_id:
-            self._upstreams[instance] = _ModelUpstream(
+            self._upstreams[instance] = ModelUpstream(
                 pattern,
                 self._clock,
                 rng,
@@ -487,7 +495,7 @@
         """Have a request arrive at its upstream."""
         upstream = self._upstreams[attempt.upstream]
         before = upstream.cold_runs
-        job = _Job(attempt.request.key, lambda: self._return(attempt))
+        job = Job(attempt.request.key, lambda: self._return(attempt))
         if not upstream.take(job):
             attempt.balancer.end(
                 attempt.sent, AttemptResult(AttemptOutcome.REFUSED, 0)
--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -1,11 +1,9 @@
 """Selection of an upstream for each request."""
 
-from collections.abc import Iterator
 from types import MappingProxyType
 
 import attrs
 
-from nutmegshore.balancing.admission import Admission
 from nutmegshore.balancing.candidate_builder import CandidateBuilder
 from nutmegshore.balancing.choice import (
     Candidate,
@@ -13,6 +11,7 @@
     RoutingRequest,
     best_of,
 )
+from nutmegshore.balancing.contention import Contention, Verdict
 from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.balancing.outcome import AttemptOutcome, AttemptResult
 from nutmegshore.balancing.pause_table import Trial
@@ -20,7 +19,6 @@
 from nutmegshore.balancing.region_choice import RegionChoice, RegionChooser
 from nutmegshore.errors import Offer, RemoteOffer
 from nutmegshore.gateway.cold_starts import ColdSource
-from nutmegshore.gateway.route import Configuration
 from nutmegshore.gateway.state import FleetState
 
 __all__ = ('Balancer', 'InFlightRequest')
@@ -84,18 +82,17 @@
         """Choose among the upstreams in `state`."""
         self.candidate_builder = CandidateBuilder(state, dependencies)
         self.region_chooser = RegionChooser(dependencies, self._is_admitted)
-        self._admission = Admission(dependencies.clock, dependencies.rng)
-        self._refusals = Refusals(
-            state, self.candidate_builder, self._admission, dependencies
-        )
+        self._contention = Contention(state, dependencies.clock)
+        self._refusals = Refusals(state, self.candidate_builder, dependencies)
         self._region = dependencies.region
         self._clock = dependencies.clock
         self._faults = dependencies.faults
-        self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
         self._state = state
 
     def choose(self, request: RoutingRequest) -> Choice:
         """Return the best upstream; raise `RefusedError` on refusal."""
+        with self._faults.contain(_PART):
+            self._contention.record_asked(request)
         found = self.candidate_builder.candidates(request)
         home = best_of(found.home)
         away = best_of(found.away)
@@ -108,8 +105,9 @@
         candidate = chosen.candidate
         if candidate is None and not (found.limited or found.paused):
             raise self._refusals.no_upstream(request)
-        if candidate is None or not self._is_admitted(request, candidate):
-            refusal = self._refusals.refuse(request, found, candidate)
+        verdict = self._judge_choice(request, candidate)
+        if candidate is None or not verdict.is_admitted:
+            refusal = self._refusals.refuse(request, found, candidate, verdict)
             with self._faults.contain(_PART):
                 refusal.remote = self._describe_remote(request, chosen, away)
             raise refusal
@@ -124,6 +122,8 @@
     def begin(self, request: RoutingRequest, choice: Choice) -> InFlightRequest:
         """Count a request that is about to be sent."""
         candidate_builder = self.candidate_builder
+        with self._faults.contain(_PART):
+            self._contention.record_sent(request, choice.candidate)
         name = choice.upstream.instance
         is_cold = self._state.is_cold(name)
         is_first_cold = is_cold and candidate_builder.cold_start.acquire(
@@ -224,20 +224,15 @@
             return AttemptOutcome.PAUSED
         return outcome
 
-    def _is_admitted(self, request: RoutingRequest, chosen: Candidate) -> bool:
-        return self._admission.allows(
-            request.route,
-            chosen,
-            request.remaining_s,
-            self._lowest_rank(request.service),
-        )
+    def _judge_choice(
+        self, request: RoutingRequest, candidate: Candidate | None
+    ) -> Verdict:
+        if candidate is None:
+            return Verdict()
+        return self._contention.judge(request, candidate)
 
-    def _lowest_rank(self, service: str) -> int:
-        """Return the rank of the most urgent route to a service."""
-        configuration = self._state.configuration
-        if self._ranks[0] is not configuration:
-            self._ranks = (configuration, dict(_iter_ranks(configuration)))
-        return self._ranks[1].get(service, 0)
+    def _is_admitted(self, request: RoutingRequest, chosen: Candidate) -> bool:
+        return self._contention.judge(request, chosen).is_admitted
 
     def _record_answer(
         self, sent: InFlightRequest, result: AttemptResult
@@ -292,13 +287,3 @@
             if away_fraction is None
             else round(away_fraction, _DIGITS),
         )
-
-
-def _iter_ranks(configuration: Configuration) -> Iterator[tuple[str, int]]:
-    """Yield each service with the rank of its most urgent route."""
-    ranks: dict[str, int] = {}
-    for route in configuration.routes:
-        for share in route.shares:
-            known = ranks.get(share.service, route.rank)
-            ranks[share.service] = min(known, route.rank)
-    yield from ranks.items()
--- a/nutmegshore/balancing/choice.py
+++ b/nutmegshore/balancing/choice.py
@@ -29,6 +29,7 @@
     `tried` names the instances that the request was already sent to;
     `remaining_s` is the time until its deadline. `only` names the one instance
     that may run it; if empty, any may. `customer` is whom it belongs to.
+    `age_s` is the time since it arrived.
     """
 
     route: Route
@@ -38,6 +39,7 @@
     tried: frozenset[str] = frozenset()
     only: str = ''
     customer: Customer | None = None
+    age_s: float = 0
 
     @property
     def urgency(self) -> tuple[int, int]:
--- /dev/null
+++ b/nutmegshore/balancing/contention.py
@@ -0,0 +1,205 @@
+"""Contention: which requests wait or are refused when there is little room."""
+
+import enum
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from nutmegshore.balancing.choice import Candidate, RoutingRequest
+from nutmegshore.balancing.fair_floor import FairFloor
+from nutmegshore.balancing.rivals import Rival, Rivals
+from nutmegshore.clock import Clock
+from nutmegshore.gateway.route import Configuration
+from nutmegshore.gateway.state import FleetState
+
+__all__ = ('Contention', 'RefusalCause', 'Verdict')
+
+#: Expected times are accurate to about this factor, so a request that can still
+#: meet its latency target may exceed it by this much.
+_TARGET_FACTOR = 1.1
+#: A request that cannot meet its target (its object is cold everywhere, or it
+#: runs in another region) may wait for this fraction of the target. Longer
+#: queues would make other requests late too.
+_LATE_WAIT_FRACTION = 0.6
+#: Without competitors that are active, each rank below the most urgent route of
+#: a service shortens the permitted wait by this factor.
+_RANK_FACTOR = 0.8
+#: Fraction of the time that a request has for waiting that the expected wait
+#: may take. Waits vary about as much as their mean: with this one, nine in ten
+#: waits are shorter than that time (exp(-1 / fraction) is a tenth).
+_SAFE_WAIT_FRACTION = 1 / math.log(10)
+
+
+class RefusalCause(enum.Enum):
+    """Why a request may not queue at an upstream.
+
+    `DEADLINE`: it would be answered after its deadline. `QUEUE`: it would wait
+    for too long. `URGENT`: more urgent requests would be late because of it.
+    `LATE`: it cannot be in time any more, and others would be late because of
+    it.
+    """
+
+    NONE = ''
+    DEADLINE = 'deadline'
+    QUEUE = 'queue'
+    URGENT = 'urgent'
+    LATE = 'late'
+
+
+@attrs.frozen
+class Verdict:
+    """Whether a request may queue at an upstream, and why not.
+
+    `wait_limit_s` is the wait that it may expect there, `room_in_s` the time
+    until the queue is short enough. `kept_for` names the route for whose
+    requests the room is kept.
+    """
+
+    cause: RefusalCause = RefusalCause.NONE
+    wait_limit_s: float = 0
+    room_in_s: float = 0
+    kept_for: str = ''
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the request may queue there."""
+        return self.cause is RefusalCause.NONE
+
+
+_ADMITTED = Verdict()
+
+
+class Contention:
+    """Decides whether a request may queue at an upstream.
+
+    In overload a queue that makes every answer late serves nobody. A request
+    is accepted if it is expected to meet its target, or if its wait is short.
+
+    What is queued at an upstream cannot be overtaken. Where requests of several
+    routes or customers compete for a service, one that is less urgent, or late
+    anyway, is accepted only if a more urgent one that arrives next would still
+    be in time. It is accepted regardless if its route or customer has been
+    refused far more often than the others.
+
+        contention.record_asked(request)
+        contention.judge(request, candidate).is_admitted
+    """
+
+    def __init__(self, state: FleetState, clock: Clock) -> None:
+        """Use the routes of the configuration in `state`."""
+        self._state = state
+        self._rivals = Rivals(clock)
+        self._floor = FairFloor(clock)
+        self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
+
+    def record_asked(self, request: RoutingRequest) -> None:
+        """Count a request that needs an upstream."""
+        self._rivals.record_asked(request)
+        self._floor.record_asked(request)
+
+    def record_sent(
+        self, request: RoutingRequest, candidate: Candidate
+    ) -> None:
+        """Learn from a request that is sent."""
+        self._rivals.record_sent(request, candidate)
+        self._floor.record_sent(request)
+
+    def judge(self, request: RoutingRequest, candidate: Candidate) -> Verdict:
+        """Return whether a request may queue at its best upstream."""
+        if candidate.is_known and candidate.expected_s > request.remaining_s:
+            return Verdict(RefusalCause.DEADLINE)
+        rivals = self._rivals.active(request.service)
+        is_contended = len(rivals) > 1
+        limit_s = _own_limit_s(request, candidate)
+        if not is_contended:
+            limit_s *= self._rank_factor(request)
+        if candidate.wait_s > limit_s:
+            return _refuse_wait(request, candidate, limit_s)
+        if is_contended and not self._floor.is_due(request):
+            return _yield_to(rivals, request, candidate)
+        return _ADMITTED
+
+    def _rank_factor(self, request: RoutingRequest) -> float:
+        lowest_rank = self._lowest_rank(request.service)
+        return _RANK_FACTOR ** max(request.route.rank - lowest_rank, 0)
+
+    def _lowest_rank(self, service: str) -> int:
+        """Return the rank of the most urgent route to a service."""
+        configuration = self._state.configuration
+        if self._ranks[0] is not configuration:
+            self._ranks = (configuration, dict(_iter_ranks(configuration)))
+        return self._ranks[1].get(service, 0)
+
+
+def _own_limit_s(request: RoutingRequest, candidate: Candidate) -> float:
+    """Return the seconds that a request may wait for its own sake."""
+    target_s = request.route.target_latency_s
+    unavoidable_s = candidate.expected_s - candidate.wait_s
+    spare_s = target_s * _TARGET_FACTOR - unavoidable_s
+    return max(spare_s, _LATE_WAIT_FRACTION * target_s)
+
+
+def _refuse_wait(
+    request: RoutingRequest, candidate: Candidate, limit_s: float
+) -> Verdict:
+    late_s = _LATE_WAIT_FRACTION * request.route.target_latency_s
+    return Verdict(RefusalCause.QUEUE, limit_s, candidate.wait_s - late_s)
+
+
+def _yield_to(
+    rivals: list[Rival], request: RoutingRequest, candidate: Candidate
+) -> Verdict:
+    """Return whether the next request of a more urgent class stays in time."""
+    is_late = _is_late(request, candidate)
+    protected = [
+        one
+        for one in rivals
+        if one.timely_work_s and (is_late or one.urgency < request.urgency)
+    ]
+    if not protected:
+        return _ADMITTED
+    tightest = min(protected, key=_spare_s)
+    place_s = _place_s(rivals, candidate)
+    ahead = candidate.busy + 2 - candidate.upstream.slots
+    next_wait_s = max(ahead, 0) * place_s
+    bearable_s = _SAFE_WAIT_FRACTION * tightest.spare_s
+    if next_wait_s <= bearable_s:
+        return _ADMITTED
+    return Verdict(
+        RefusalCause.LATE if is_late else RefusalCause.URGENT,
+        max(bearable_s - place_s, 0),
+        next_wait_s - bearable_s,
+        tightest.route.name,
+    )
+
+
+def _is_late(request: RoutingRequest, candidate: Candidate) -> bool:
+    """Return whether a request would be late even without a wait."""
+    needed_s = candidate.expected_s - candidate.wait_s + request.age_s
+    return needed_s > request.route.target_latency_s * _TARGET_FACTOR
+
+
+def _spare_s(rival: Rival) -> float:
+    return rival.spare_s
+
+
+def _place_s(rivals: list[Rival], candidate: Candidate) -> float:
+    """Return the seconds for which one more request in the queue is waited."""
+    waiting = candidate.busy + 1 - candidate.upstream.slots
+    if waiting > 0:
+        return candidate.wait_s / waiting
+    count = sum(one.count for one in rivals)
+    total_s = sum(one.count * one.work_s for one in rivals)
+    mean_s = max(total_s / max(count, 1), candidate.work_s)
+    return mean_s / candidate.upstream.slots
+
+
+def _iter_ranks(configuration: Configuration) -> Iterator[tuple[str, int]]:
+    """Yield each service with the rank of its most urgent route."""
+    ranks: dict[str, int] = {}
+    for route in configuration.routes:
+        for share in route.shares:
+            known = ranks.get(share.service, route.rank)
+            ranks[share.service] = min(known, route.rank)
+    yield from ranks.items()
--- a/nutmegshore/balancing/refusals.py
+++ b/nutmegshore/balancing/refusals.py
@@ -9,8 +9,9 @@
     Candidates,
     RoutingRequest,
 )
+from nutmegshore.balancing.contention import Verdict
 from nutmegshore.balancing.dependencies import BalancerDependencies
-from nutmegshore.errors import ErrorKind, RefusedError
+from nutmegshore.errors import Contended, ErrorKind, RefusedError
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.state import FleetState
 
@@ -20,6 +21,8 @@
 _DEFAULT_RETRY_S = 0.4
 #: Name of this part in reports of faults.
 _PART = 'refusals'
+#: Decimal places of seconds in logs.
+_DIGITS = 3
 
 
 class Refusals:
@@ -35,13 +38,12 @@
         self,
         state: FleetState,
         candidate_builder: CandidateBuilder,
-        admission: Admission,
         dependencies: BalancerDependencies,
     ) -> None:
-        """Take the retry times from `admission`."""
+        """Describe the candidates of `candidate_builder`."""
         self._state = state
         self._candidate_builder = candidate_builder
-        self._admission = admission
+        self._admission = Admission(dependencies.clock, dependencies.rng)
         self._region = dependencies.region
         self._gateways = dependencies.gateways
         self._faults = dependencies.faults
@@ -51,11 +53,12 @@
         request: RoutingRequest,
         found: Candidates,
         candidate: Candidate | None,
+        verdict: Verdict,
     ) -> RefusedError:
         """Return the refusal of a request that no upstream takes now.
 
         `candidate` is the best of those that could, or None if all are passed
-        over.
+        over; `verdict` says why it does not.
         """
         refusal = RefusedError(
             _kind(found, candidate),
@@ -63,8 +66,11 @@
             _DEFAULT_RETRY_S,
         )
         with self._faults.contain(_PART):
-            refusal.retry_after_s = self._retry_s(request, found, candidate)
+            refusal.retry_after_s = self._retry_s(
+                request, found, candidate, verdict
+            )
         with self._faults.contain(_PART):
+            refusal.contended = _describe_verdict(verdict)
             self._describe(refusal, found, candidate)
         return refusal
 
@@ -78,10 +84,11 @@
         request: RoutingRequest,
         found: Candidates,
         candidate: Candidate | None,
+        verdict: Verdict,
     ) -> float:
         if candidate:
             return self._admission.retry_after_s(
-                request, candidate, self._gap_s(request, candidate)
+                request, verdict.room_in_s, self._gap_s(request, candidate)
             )
         if found.limited:
             return self._rate_limited_s(request, found)
@@ -111,7 +118,7 @@
             opens_in_s = self._first_opening_s(found.paused)
             earliest_s = min(earliest_s, opens_in_s)
         retry_s = self._admission.rate_limited_retry_s(
-            request.service, earliest_s, shares.gap_s(found.limited)
+            request, earliest_s, shares.gap_s(found.limited)
         )
         shares.reservations.record_refusal(request.service, rank)
         return retry_s
@@ -156,6 +163,14 @@
         return max(len(self._gateways(region)), 1)
 
 
+def _describe_verdict(verdict: Verdict) -> Contended:
+    return Contended(
+        verdict.cause.value,
+        round(verdict.wait_limit_s, _DIGITS),
+        verdict.kept_for,
+    )
+
+
 def _kind(found: Candidates, candidate: Candidate | None) -> ErrorKind:
     """Return why a request is refused."""
     if candidate:
--- a/nutmegshore/errors.py
+++ b/nutmegshore/errors.py
@@ -9,6 +9,7 @@
 __all__ = (
     'ANSWERS',
     'Answer',
+    'Contended',
     'ErrorKind',
     'LinkError',
     'NutmegshoreError',
@@ -250,6 +251,20 @@
     away_fraction: float = -1
 
 
+@attrs.frozen
+class Contended:
+    """Why the best upstream did not accept a request.
+
+    `cause` is a `RefusalCause`. The request could have waited for
+    `wait_limit_s` seconds there; the room is kept for requests of the route
+    `kept_for`.
+    """
+
+    cause: str = ''
+    wait_limit_s: float = 0
+    kept_for: str = ''
+
+
 class RefusedError(RequestError):
     """A request was refused and will never run.
 
@@ -257,7 +272,8 @@
     number of usable upstreams, `best` the offer of the best of them, and
     `remote` that of the other regions. `limited` names the upstreams at home
     that were passed over because of their rate limit, `paused` those of all
-    regions that have asked for a pause.
+    regions that have asked for a pause. `contended` says why the best one did
+    not accept the request.
     """
 
     def __init__(
@@ -272,6 +288,7 @@
         self.candidates = 0
         self.best = Offer()
         self.remote = RemoteOffer()
+        self.contended = Contended()
         self.limited: list[str] = []
         self.paused: list[str] = []
 
--- a/nutmegshore/gateway/attempt_chooser.py
+++ b/nutmegshore/gateway/attempt_chooser.py
@@ -46,6 +46,7 @@
             frozenset(routed.tried),
             crashes.assigned(routed),
             routed.customer,
+            self._context.clock.now() - routed.incoming.arrived_at,
         )
         try:
             crashes.check(routed)
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -148,7 +148,11 @@
     why it was not sent to the best upstream of the other regions, described by
     the fields after it. `retry_after_s` is the Retry-After sent to the caller,
     `no_retry` the reason why the last attempt, if there was one, was not
-    retried.
+    retried. `cause` says why the best upstream did not accept the request: it
+    would have been answered after its deadline (`deadline`), or waited for more
+    than `wait_limit_s` (`queue`), or requests of the route `kept_for` would be
+    late because of it, since it is less urgent (`urgent`) or late anyway
+    (`late`).
     """
 
     severity = Severity.FAILURE
@@ -183,6 +187,9 @@
     limited: list = attrs.field(factory=list)
     paused: list = attrs.field(factory=list)
     customer: str = ''
+    cause: str = ''
+    wait_limit_s: float = 0
+    kept_for: str = ''
 
 
 @attrs.frozen
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -201,11 +201,18 @@
             self._context.log.write(RequestFailed(**fields))
             return
         refusal = error if isinstance(error, RefusedError) else _DEFAULT_REFUSAL
+        if refusal.contended.cause:
+            self._context.counters.add(
+                'requests_contended',
+                cause=refusal.contended.cause,
+                route=fields['route'],
+            )
         self._context.log.write(
             RequestRefused(
                 **fields,
                 **attrs.asdict(refusal.best),
                 **attrs.asdict(refusal.remote),
+                **attrs.asdict(refusal.contended),
                 candidates=refusal.candidates,
                 limited=refusal.limited,
                 paused=refusal.paused,
