--- a/bench/contention_load.py
+++ b/bench/contention_load.py
@@ -44,6 +44,8 @@
 #: Seconds after which callers return that retry at once.
 _AT_ONCE_S = 0.02
 _MAX_SHIFT = 0.15
+#: Seconds from one region to another.
+_AWAY_S = 0.055
 
 
 @attrs.frozen
@@ -353,7 +355,7 @@
         choice: Choice,
     ) -> None:
         region = choice.upstream.region
-        away_s = 0 if region == request.region else 0.055
+        away_s = 0 if region == request.region else _AWAY_S
         attempt = _Attempt(
             request,
             balancer,
--- a/tests/balancing/test_retry_schedule.py
+++ b/tests/balancing/test_retry_schedule.py
@@ -57,3 +57,14 @@
     first = pytest.approx(0.05)
     assert table.reserve('orders', earliest_s, gap_s) == first
     assert table.reserve('scans', earliest_s, gap_s) == first
+
+
+def test_urgent_callers_return_first(clock):
+    """Guards against urgent callers that return after all less urgent ones
+    that were refused before them."""
+    table = RetrySchedule(clock)
+    late = [table.reserve('orders', 0.1, 0.1, (0, 2)) for _ in range(5)]
+    urgent = table.reserve('orders', 0.1, 0.1, (0, 0))
+    assert urgent == pytest.approx(0.1)
+    assert table.reserve('orders', 0.1, 0.1, (0, 2)) > max(late)
+    assert table.reserve('orders', 0.1, 0.1, (1, 0)) > max(late)
