--- a/nutmegshore/balancing/retry_schedule.py
+++ b/nutmegshore/balancing/retry_schedule.py
@@ -47,7 +47,7 @@
         """
         now = self._clock.now()
         earliest_s = max(earliest_s, _MIN_RETRY_S)
-        reserved = self._current(service, now)
+        reserved = self._reserved_until.setdefault(service, {})
         last = max(
             (until for known, until in reserved.items() if known <= urgency),
             default=now,
@@ -56,13 +56,3 @@
         latest_s = max(_MAX_RETRY_S, earliest_s)
         reserved[urgency] = min(retry_at, now + latest_s)
         return reserved[urgency] - now
-
-    def _current(self, service: str, now: float) -> dict[_Urgency, float]:
-        """Return the last reserved time of each urgency that is yet to come."""
-        reserved = {
-            urgency: until
-            for urgency, until in self._reserved_until.get(service, {}).items()
-            if until > now
-        }
-        self._reserved_until[service] = reserved
-        return reserved
