Send what home refuses to where it is likely in time

Change: such a request moves within the bound on moves if other regions have answered this gateway's requests for the service in time lately (balancing/remote_success.py). Limits and pauses of upstreams at home move only whole objects, as before.

--- a/nutmegshore/balancing/balancer.py
+++ b/nutmegshore/balancing/balancer.py
@@ -193,6 +193,7 @@
         """Record what an attempt tells of affinity and latency."""
         name = sent.choice.upstream.instance
         if outcome is AttemptOutcome.ANSWERED:
+            self._record_remote(sent, result)
             self._record_answer(sent, result)
         elif outcome in _NOT_STARTED and not sent.was_handled:
             self.candidate_builder.affinity.discard(name, sent.request.key)
@@ -257,6 +258,17 @@
     def _is_admitted(self, request: RoutingRequest, chosen: Candidate) -> bool:
         return self._contention.judge(request, chosen).is_admitted
 
+    def _record_remote(
+        self, sent: InFlightRequest, result: AttemptResult
+    ) -> None:
+        """Record whether another region has answered in time."""
+        if sent.choice.upstream.region != self._region:
+            request = sent.request
+            self.region_chooser.remote_success.record(
+                request.service,
+                is_in_time=result.took_s <= request.route.target_latency_s,
+            )
+
     def _record_answer(
         self, sent: InFlightRequest, result: AttemptResult
     ) -> None:
--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -6,6 +6,7 @@
 
 from nutmegshore.balancing.dependencies import BalancerDependencies
 from nutmegshore.balancing.choice import Candidate, RoutingRequest
+from nutmegshore.balancing.remote_success import RemoteSuccess
 from nutmegshore.balancing.service_traffic import ServiceTraffic
 from nutmegshore.balancing.shift_bound import ShiftBound
 from nutmegshore.balancing.spillover import SpilloverTable
@@ -58,6 +59,7 @@
             dependencies.max_shift,
             dependencies.rng,
         )
+        self.remote_success = RemoteSuccess()
         self._is_admitted = is_admitted
 
     def choose(
@@ -81,7 +83,10 @@
             return RegionChoice(home, _HOME, StayReason.NO_UPSTREAM)
         is_refused = not self._is_admitted(request, home)
         self._record_wait_ratio(request, home, away, is_refused=is_refused)
-        stay_reason = self._stay_reason(request, away, is_refused=is_refused)
+        is_useful = away.has_handled or self._is_likely_in_time(request, away)
+        stay_reason = self._stay_reason(
+            request, away, is_overflow=is_refused and is_useful
+        )
         if stay_reason is StayReason.MOVED:
             return RegionChoice(away, _SPILL)
         return RegionChoice(home, _HOME, stay_reason)
@@ -125,7 +130,9 @@
             has_capacity=_has_capacity(away, target_s),
             is_refused=True,
         )
-        stay_reason = self._stay_reason(request, away, is_refused=True)
+        stay_reason = self._stay_reason(
+            request, away, is_overflow=away.has_handled
+        )
         if stay_reason is StayReason.MOVED:
             return RegionChoice(away, _SPILL)
         return RegionChoice(None, _HOME, stay_reason)
@@ -135,39 +142,31 @@
         request: RoutingRequest,
         away: Candidate,
         *,
-        is_refused: bool,
+        is_overflow: bool,
     ) -> StayReason:
         """Return why a request that could run at home does not move.
 
-        `is_refused` says whether home does not admit it.
+        `is_overflow` says whether home does not admit it, and its object is
+        warm elsewhere or likely to be. Others move only as their objects do:
+        work on cold objects would use up the other regions' capacity as well.
         """
         if not self._is_admitted(request, away):
             return StayReason.OVERLOADED
         if not self.shift_bound.allows_home():
             return StayReason.MOVED
-        if not self._is_selected(request, away, is_refused=is_refused):
+        key = request.key if request.route.is_sticky else ''
+        is_selected = self.spillover.should_move(request.service, key)
+        if not (is_selected or is_overflow):
             return StayReason.NOT_SELECTED
         if not self.shift_bound.try_away():
             return StayReason.BOUND
         return StayReason.MOVED
 
-    def _is_selected(
-        self,
-        request: RoutingRequest,
-        away: Candidate,
-        *,
-        is_refused: bool,
+    def _is_likely_in_time(
+        self, request: RoutingRequest, away: Candidate
     ) -> bool:
-        """Return whether a request should move, if the bound allows it.
-
-        A request that home has no capacity for moves only if its object is warm
-        elsewhere: work on cold objects would use up the other regions' capacity
-        as well.
-        """
-        key = request.key if request.route.is_sticky else ''
-        if self.spillover.should_move(request.service, key):
-            return True
-        return away.has_handled and is_refused
+        is_expected = away.expected_s <= request.route.target_latency_s
+        return is_expected and self.remote_success.is_likely(request.service)
 
     def _record_wait_ratio(
         self,
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -271,6 +271,10 @@
     balancer = make_balancer(make_state(*fleet))
     balancer.region_chooser.shift_bound.set_max_shift(0)
     balancer.candidate_builder.load.get('w1').in_flight = 20
+    for _ in range(20):
+        balancer.region_chooser.remote_success.record(
+            'orders', is_in_time=False
+        )
     first = _refuse_for(0.1, balancer, make_request('7'), clock).remote
     assert first.stay_reason == StayReason.NOT_SELECTED.value
     last = _refuse_for(8, balancer, make_request('7'), clock).remote
