Bound what a process holds for its callers

Callers brought down a process: each body kept up to 1 MiB before the first attempt and as much again on its way to the upstream, each answer up to 0.75 MiB, connections had no limit, and each small chunk cost a timer and a task.

A byte budget for all callers, derived from the memory of the instance (memory_mb, 512 if absent), counts the kept starts of bodies, what transfers buffer and what is held of answers. From half of it on, buffers hold one piece; beyond seven eighths, larger bodies are refused with caller_limit, and a stalled connection is closed for each. Connections are capped by memory and descriptors (max_fds); idle ones make way first, then stalled ones. Chunks are decoded by the piece. A body has a whole time, and what is read while lingering has a bound. The entry gets a limit on bodies, caller_body_bytes.

--- a/nutmegshore/callers/application.py
+++ b/nutmegshore/callers/application.py
@@ -19,7 +19,10 @@
 
 
 class CallerApplication:
-    """Opens listeners for callers on behalf of `EntryDaemon`."""
+    """Opens listeners for callers on behalf of `EntryDaemon`.
+
+    `listener` is what their connections share.
+    """
 
     def __init__(
         self,
@@ -28,7 +31,7 @@
     ) -> None:
         """Create the application; `listen` opens a listener."""
         self._responder_context = responder_context
-        self._listener = ListenerContext(
+        self.listener = ListenerContext(
             self._make_responder,
             responder_context.counters,
             limits=limits or ListenerLimits(),
@@ -41,12 +44,12 @@
         context: ssl.SSLContext | None = None,
     ) -> CallerServer:
         """Open the listener; with a context, it uses TLS."""
-        server = CallerServer(self._listener, context)
+        server = CallerServer(self.listener, context)
         server.open(port, address)
         return server
 
     def _make_responder(self, writer: AnswerWriter) -> CallerResponder:
-        return CallerResponder(writer, self._responder_context, self._listener)
+        return CallerResponder(writer, self._responder_context, self.listener)
 
 
 def make_caller_application(
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -145,7 +145,7 @@
         self._check_deadline(ready)
         if request.body is None:
             return ready
-        body = KeptBody(request.body)
+        body = KeptBody(request.body, held=request.held)
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
                 await body.read_start()
--- a/nutmegshore/callers/request.py
+++ b/nutmegshore/callers/request.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from nutmegshore.byte_budget import ByteBudget, HeldBytes
 from nutmegshore.upstreams import BodySource, Headers
 
 __all__ = ('CallerRequest',)
@@ -14,7 +15,8 @@
     `deadline` is a reading of the process's clock, or None for the service's
     default. `body_start` holds the first 64 KiB of the body, or all of a
     shorter one, whatever the sizes of the chunks that arrived. It is set before
-    the request reaches a gate or a record.
+    the request reaches a gate or a record. `held` counts the bytes that are
+    kept of the body.
     """
 
     request_id: str
@@ -26,3 +28,4 @@
     deadline: float | None = None
     idempotency_key: str = ''
     body_start: bytes = b''
+    held: HeldBytes = attrs.field(factory=lambda: ByteBudget().hold())
--- a/nutmegshore/callers/responder.py
+++ b/nutmegshore/callers/responder.py
@@ -15,6 +15,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
 from nutmegshore.listener.answer import AnswerWriter, abort_stream
+from nutmegshore.byte_budget import HeldBytes
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.headers import (
     IDEMPOTENCY_KEY,
@@ -74,7 +75,8 @@
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
         try:
-            await self._answer()
+            with self._listener.budget.hold() as held:
+                await self._answer(held)
         except NutmegshoreError as error:
             if self.writer.has_begun:
                 raise
@@ -87,11 +89,11 @@
         self.context.counters.add('requests_refused', reason=reason)
         await self._write_in_time(self.writer.write_error(error))
 
-    async def _answer(self) -> None:
+    async def _answer(self, held: HeldBytes) -> None:
         if self.writer.request.path == _LOOKUP_PATH:
             await self._answer_lookup()
             return
-        incoming = self._incoming(self.writer.request)
+        incoming = attrs.evolve(self._incoming(self.writer.request), held=held)
         self._is_forwarded = True
         await self.context.forwarder.forward(incoming, self.writer)
         await self._write_in_time(self.writer.finish())
--- a/nutmegshore/entry/daemon.py
+++ b/nutmegshore/entry/daemon.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from nutmegshore.byte_budget import ByteBudget
 from nutmegshore.callers import ListenerStop, make_caller_application
 from nutmegshore.clock import Clock, SystemClock
 from nutmegshore.counters import Counters
@@ -16,7 +17,7 @@
 )
 from nutmegshore.entry.seeds import read_seeds
 from nutmegshore.faults import Faults
-from nutmegshore.listener import CallerServer
+from nutmegshore.listener import CallerServer, InstanceLimits, ListenerLimits
 from nutmegshore.logs import get_logger
 from nutmegshore.operators import StatusWriter
 from nutmegshore.operators.assembly import make_operator_side
@@ -68,7 +69,18 @@
             settings.get('platform', 'url'),
         )
         self.faults = Faults(self.counters)
-        self._upstreams = CurlUpstreams(self._clock, faults=self.faults)
+        self._limits = InstanceLimits.of_instance(
+            settings.get('instance', 'memory_mb'),
+            settings.get('instance', 'max_fds'),
+        )
+        self._budget = ByteBudget(self._limits.buffer_bytes, self.counters)
+        self._budget.on_change = self._report_budget
+        self._upstreams = CurlUpstreams(
+            self._clock,
+            faults=self.faults,
+            budget=self._budget,
+            idle_connections=self._limits.idle_upstreams,
+        )
         self._transport = TcpTransport(
             settings.get(_PEERS, 'address'),
             settings.get(_PEERS, 'port'),
@@ -94,7 +106,12 @@
             self.components.lookup,
             self.counters,
             self._clock,
+            ListenerLimits(
+                body_bytes=self._settings.get('limits', 'caller_body_bytes')
+            ),
         )
+        application.listener.budget = self._budget
+        application.listener.max_connections = self._limits.connections
         self._server = application.listen(
             self._settings.get(_CALLERS, 'port'),
             self._settings.get(_CALLERS, 'address'),
@@ -152,6 +169,15 @@
         self._upstreams.close()
         self._log.info('stopped')
 
+    def _report_budget(self) -> None:
+        budget = self._budget
+        self._log.info(
+            'caller_memory',
+            is_short=budget.is_short,
+            held=budget.used,
+            limit=budget.limit,
+        )
+
     async def _close_operators(self) -> None:
         server = self.operators.server
         if server is not None:
--- a/nutmegshore/gateway/answer.py
+++ b/nutmegshore/gateway/answer.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.listener import AnswerWriter
+from nutmegshore.listener import AnswerWriter, ByteBudget, HeldBytes
 from nutmegshore.listener.headers import answer_headers
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver
@@ -44,14 +44,19 @@
         request_id: str,
         *,
         is_safe: bool,
+        held: HeldBytes | None = None,
     ) -> None:
-        """Write the answer to one request through its connection's writer."""
+        """Write the answer to one request through its connection's writer.
+
+        What is buffered counts as held by the request.
+        """
         self.has_begun = False
         self.head: AnswerHead | None = None
         self._writer = writer
         self._dialect = dialect
         self._request_id = request_id
         self._is_safe = is_safe
+        self._held = held or ByteBudget().hold()
         self._buffer = bytearray()
         self._before_streaming = _do_nothing
         self._is_closed = False
@@ -80,6 +85,7 @@
             self._dialect,
             self._request_id,
             is_safe=self._is_safe,
+            held=self._held,
         )
 
     def adopt(self, branch: 'BufferedAnswer') -> None:
@@ -91,7 +97,7 @@
     async def begin(self, head: AnswerHead) -> None:
         """Check and store the head."""
         self._check_open()
-        self._buffer.clear()
+        self._drop_buffer()
         self.head = None
         if not self._dialect.is_answer_to(head, self._request_id):
             raise RequestError(ErrorKind.UPSTREAM_SPOILED, self._request_id)
@@ -106,12 +112,13 @@
             await self._writer.receive(chunk)
             return
         self._buffer += chunk
-        if len(self._buffer) > MAX_BUFFERED_BYTES:
+        self._held.add(len(chunk))
+        most = self._held.budget.buffer_bytes(MAX_BUFFERED_BYTES)
+        if len(self._buffer) > most:
             self._before_streaming()
             self.has_begun = True
             await self._writer.begin(self.head)
-            await self._writer.receive(bytes(self._buffer))
-            self._buffer.clear()
+            await self._stream_buffer()
 
     async def finish(self) -> None:
         """Write the buffered answer, or end the streamed one."""
@@ -121,7 +128,21 @@
         self.has_begun = True
         headers = answer_headers(self.head.headers)
         status = self.head.status
-        await self._writer.write_own(status, headers, bytes(self._buffer))
+        # The writer holds the only copy while the caller reads; the request
+        # gives back what it held at its end.
+        body = bytes(self._buffer)
+        self._buffer.clear()
+        await self._writer.write_own(status, headers, body)
+
+    async def _stream_buffer(self) -> None:
+        taken = bytes(self._buffer)
+        self._buffer.clear()
+        await self._writer.receive(taken)
+        self._held.add(-len(taken))
+
+    def _drop_buffer(self) -> None:
+        self._held.add(-len(self._buffer))
+        self._buffer.clear()
 
     def _check_open(self) -> None:
         if self._is_closed:
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -182,7 +182,11 @@
         dependencies = self.dependencies
         dialect = PlatformDialect()
         faults = dependencies.log.faults
-        upstreams = CurlUpstreams(dependencies.clock, dialect, faults)
+        limits = self.settings.instance_limits
+        memory = limits.make_budget(dependencies.counters)
+        upstreams = CurlUpstreams(
+            dependencies.clock, dialect, faults, memory, limits.idle_upstreams
+        )
         upstreams.on_report = self.reports.record
         upstreams.on_connected = self.reports.record_connection
         upstreams.on_destination_report = self.reports.record_destination
@@ -203,6 +207,7 @@
             log=dependencies.log,
             crashes=CrashGuard(self.quarantine, dependencies.counters),
             count_gateways=self._count_gateways,
+            memory=memory,
         )
 
     def _make_cold_checks(self) -> ColdChecks:
--- a/nutmegshore/gateway/caller_events.py
+++ b/nutmegshore/gateway/caller_events.py
@@ -4,7 +4,12 @@
 
 from nutmegshore.gateway.severity import Severity
 
-__all__ = ('AnswerCut', 'IdleConnectionsClosed', 'RequestAbandoned')
+__all__ = (
+    'AnswerCut',
+    'CallerMemory',
+    'IdleConnectionsClosed',
+    'RequestAbandoned',
+)
 
 
 @attrs.frozen
@@ -56,6 +61,20 @@
     customer: str = ''
 
 
+@attrs.frozen
+class CallerMemory:
+    """The memory for callers became short, or is sufficient again.
+
+    `held` bytes of bodies and answers are held, of `limit`.
+    """
+
+    severity = Severity.CHANGE
+
+    is_short: bool
+    held: int
+    limit: int
+
+
 @attrs.frozen
 class IdleConnectionsClosed:
     """A stop closed the connections on which no request had arrived.
--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -10,6 +10,7 @@
 from nutmegshore.gateway.crashes import CrashGuard
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.listener import ByteBudget
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import UpstreamClient
 
@@ -21,7 +22,8 @@
     """Objects that all requests of one gateway share.
 
     `count_gateways` returns the least number of gateways that share a budget,
-    infinite while this one may not know the others.
+    infinite while this one may not know the others. `memory` counts what is
+    held for callers.
     """
 
     state: FleetState
@@ -35,3 +37,4 @@
     log: EventLog
     crashes: CrashGuard
     count_gateways: Callable[[], float]
+    memory: ByteBudget = attrs.field(factory=ByteBudget)
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -7,6 +7,7 @@
 from nutmegshore import __version__
 from nutmegshore.gateway.assembly import Assembly, GatewayDependencies
 from nutmegshore.gateway.caller_drain import DrainTimes, drain_callers
+from nutmegshore.gateway.caller_memory import log_memory
 from nutmegshore.gateway.events import (
     IdleConnectionsClosed,
     SettingsReloaded,
@@ -66,7 +67,10 @@
             self._make_responder,
             dependencies.counters,
             faults=self.faults,
+            budget=self._assembly.context.memory,
+            max_connections=settings.instance_limits.connections,
         )
+        log_memory(self._assembly.context.memory, dependencies.log)
         self._tasks = KeptTasks(
             dependencies.clock, dependencies.counters, dependencies.log
         )
@@ -232,6 +236,7 @@
             self._dependencies.clock,
             self._dependencies.counters,
             self._dependencies.store.eras,
+            assembly.context.memory,
         )
         return Gauges(sources)
 
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -12,6 +12,7 @@
 
 from nutmegshore.gateway.caller_events import (
     AnswerCut,
+    CallerMemory,
     IdleConnectionsClosed,
     RequestAbandoned,
 )
@@ -40,6 +41,7 @@
 __all__ = (
     'EVENT_NAMES',
     'AnswerCut',
+    'CallerMemory',
     'ConfigurationAdopted',
     'ConfigurationRejected',
     'CustomerRejected',
@@ -403,6 +405,7 @@
         RequestFailed: 'request_failed',
         RequestAbandoned: 'request_abandoned',
         AnswerCut: 'answer_cut',
+        CallerMemory: 'caller_memory',
         IdleConnectionsClosed: 'idle_connections_closed',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -121,7 +121,7 @@
     ) -> None:
         if body.is_whole:
             return
-        kept_body = KeptBody(body, _MAX_KEPT_BODY_BYTES)
+        kept_body = KeptBody(body, _MAX_KEPT_BODY_BYTES, routed.held)
         await kept_body.read_start()
         routed.body = kept_body
 
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -13,6 +13,7 @@
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.rejected_entries import RejectedEntries
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.listener import ByteBudget
 from nutmegshore.store import StoreEras
 
 __all__ = ('GaugeSources', 'Gauges')
@@ -49,6 +50,7 @@
     clock: Clock
     counters: Counters
     eras: StoreEras | None = None
+    budget: ByteBudget | None = None
 
 
 class Gauges:
@@ -72,6 +74,7 @@
             self._counters.drop_gauge(metric)
         in_flight = self._sources.in_flight()
         self._counters.set_gauge('requests_in_flight', in_flight)
+        self._set_budget()
         self._set_configuration()
         self._set_store()
         self._set_peers()
@@ -79,6 +82,12 @@
         self._set_leaving()
         self._set_moves()
 
+    def _set_budget(self) -> None:
+        budget = self._sources.budget
+        if budget is not None:
+            self._counters.set_gauge('caller_bytes_held', budget.used)
+            self._counters.set_gauge('caller_bytes_limit', budget.limit)
+
     def _set_configuration(self) -> None:
         state = self._sources.state
         if state.configuration is None:
--- a/nutmegshore/gateway/pages.py
+++ b/nutmegshore/gateway/pages.py
@@ -21,6 +21,8 @@
 __all__ = ('PageResponse', 'PageResponder', 'open_pages')
 
 _TEXT = 'text/plain; charset=utf-8'
+#: Connections of one page; its clients are few and known.
+_MAX_CONNECTIONS = 64
 #: Seconds for a client to receive a page.
 _WRITE_TIMEOUT_S = 5
 
@@ -91,7 +93,12 @@
     """Serve pages by path at IP:port."""
     make_responder = functools.partial(PageResponder, pages=pages)
     server = CallerServer(
-        ListenerContext(make_responder, counters, faults=faults)
+        ListenerContext(
+            make_responder,
+            counters,
+            faults=faults,
+            max_connections=_MAX_CONNECTIONS,
+        )
     )
     host, _, port = address.rpartition(':')
     server.open(int(port), host)
--- a/nutmegshore/gateway/request.py
+++ b/nutmegshore/gateway/request.py
@@ -5,7 +5,12 @@
 from nutmegshore.balancing import Choice
 from nutmegshore.gateway.customer import Customer
 from nutmegshore.gateway.route import Configuration, Route
-from nutmegshore.listener import KeptBody, RequestHead
+from nutmegshore.listener import (
+    ByteBudget,
+    HeldBytes,
+    KeptBody,
+    RequestHead,
+)
 from nutmegshore.platform.dialect import CallerFields
 from nutmegshore.quarantine import Fingerprint
 
@@ -60,7 +65,8 @@
     the last one, `limited` the upstreams passed over lately because of their
     rate limit, `paused` those that had asked for a pause. `upstreams_age_s` and
     `upstreams_from` say how old the list of upstreams was at the last choice,
-    and where it came from.
+    and where it came from. `held` counts the bytes that are kept of the body
+    and the answer.
     """
 
     incoming: IncomingRequest
@@ -81,6 +87,7 @@
     upstreams_age_s: float = -1
     upstreams_from: str = ''
     customer: Customer | None = None
+    held: HeldBytes = attrs.field(factory=lambda: ByteBudget().hold())
 
     @property
     def request_id(self) -> str:
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -82,6 +82,7 @@
         self._context = context
         self._forwarder = forwarder
         self._listener = listener
+        self._held = listener.budget.hold()
         self._arrived_at = context.clock.now()
         self._routed: RoutedRequest | None = None
 
@@ -99,19 +100,20 @@
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
-        try:
-            answer = await self._forward()
-        except asyncio.CancelledError:
-            self._record(self._log_abandoned)
-            raise
-        except NutmegshoreError as error:
-            if self.writer.has_begun:
-                self._record(self._log_failure, error, 0)
+        with self._held:
+            try:
+                answer = await self._forward()
+            except asyncio.CancelledError:
+                self._record(self._log_abandoned)
                 raise
-            self.writer.keeps_alive &= self.body.is_whole
-            await self.refuse(error)
-        else:
-            await self._finish(answer)
+            except NutmegshoreError as error:
+                if self.writer.has_begun:
+                    self._record(self._log_failure, error, 0)
+                    raise
+                self.writer.keeps_alive &= self.body.is_whole
+                await self.refuse(error)
+            else:
+                await self._finish(answer)
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with the status of an error and log the failure."""
@@ -157,11 +159,13 @@
             head, read_caller_fields(head), self._arrived_at
         )
         self._routed = self._forwarder.route(incoming)
+        self._routed.held = self._held
         answer = BufferedAnswer(
             self.writer,
             self._context.dialect,
             self._routed.request_id,
             is_safe=self._routed.route.is_safe,
+            held=self._held,
         )
         await self._forwarder.run(self._routed, self.body, answer)
         return answer
--- a/nutmegshore/gateway/settings.py
+++ b/nutmegshore/gateway/settings.py
@@ -10,6 +10,7 @@
 import attrs
 
 from nutmegshore.errors import PlatformFormatError, SettingsError
+from nutmegshore.listener import InstanceLimits
 from nutmegshore.platform.bounds import Bounds, parse_bounds
 
 __all__ = ('GatewaySettings', 'read_settings')
@@ -24,7 +25,8 @@
     Addresses are IP:port. `regions_by_zone` has all availability zones of
     the deployment; `seeds` are instances used to discover the others.
     `log_bytes_per_s` limits the log; 0 switches it off. `link_mbps` is the rate
-    of the instance's link in Mbit/s, 0 if it is not known.
+    of the instance's link in Mbit/s, `memory_mb` its memory and `max_fds` the
+    number of descriptors that it allows; 0 is not known.
     """
 
     name: str
@@ -43,8 +45,15 @@
     seeds: tuple[str, ...] = ()
     log_bytes_per_s: float = 400_000
     link_mbps: float = 0
+    memory_mb: float = 0
+    max_fds: float = 0
     bounds: Bounds = Bounds()
 
+    @property
+    def instance_limits(self) -> InstanceLimits:
+        """What callers may take of the instance."""
+        return InstanceLimits.of_instance(self.memory_mb, int(self.max_fds))
+
 
 def _read_text(raw: str) -> str:
     if not raw:
@@ -120,12 +129,15 @@
         'key': _Setting(_PEERS, 'key', _read_text, _TEXT),
         'seeds': _Setting(_PEERS, 'seeds', _read_addresses, 'IP:port,...'),
         'store': _Setting('store', 'address', _read_address, _ADDRESS),
-        'link_mbps': _Setting(
-            _INSTANCE,
-            'link_mbps',
-            _read_optional_amount,
-            'a number, 0 or more, or nothing',
-        ),
+        **{
+            name: _Setting(
+                _INSTANCE,
+                name,
+                _read_optional_amount,
+                'a number, 0 or more, or nothing',
+            )
+            for name in ('link_mbps', 'memory_mb', 'max_fds')
+        },
         'log_bytes_per_s': _Setting(
             'log', 'bytes_per_s', _read_amount, 'a number, 0 or more'
         ),
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -9,6 +9,7 @@
 from tornado.iostream import IOStream
 
 from nutmegshore.errors import NutmegshoreError, Outcome
+from nutmegshore.listener.caller_activity import CallerActivity
 from nutmegshore.listener.headers import RequestHead, answer_headers
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver, Headers
 
@@ -19,6 +20,8 @@
 _OUTCOME = 'Nutmegshore-Outcome'
 _ERROR = 'Nutmegshore-Error'
 _LENGTH = 'Content-Length'
+#: A longer body is not copied to be sent together with its head.
+_JOINED_BYTES = 16_384
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 #: Linger switched on with a time of 0 s: closing sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -40,6 +43,7 @@
     keeps_alive: bool = True
     has_begun: bool = False
     is_complete: bool = False
+    activity: CallerActivity = attrs.field(factory=CallerActivity)
     _is_chunked: bool = False
     _has_body: bool = True
 
@@ -100,7 +104,8 @@
         The write of the stream itself is never cancelled: tornado reads the
         result of each, which raises in the event loop for a cancelled one.
         """
-        await asyncio.shield(self.stream.write(piece))
+        with self.activity.waiting():
+            await asyncio.shield(self.stream.write(piece))
 
     async def _write_head(
         self,
@@ -120,7 +125,13 @@
             lines.append('Connection: close')
         head = '\r\n'.join((*lines, '\r\n')).encode('latin-1')
         self.has_begun = True
-        await self._write(head + body if self._has_body else head)
+        if not self._has_body:
+            body = b''
+        if len(body) > _JOINED_BYTES:
+            await self._write(head)
+            await self._write(body)
+        else:
+            await self._write(head + body)
 
     def _choose_framing(self, status: int, length: str | None) -> None:
         method = self.request.method if self.request else ''
--- a/nutmegshore/listener/body.py
+++ b/nutmegshore/listener/body.py
@@ -6,6 +6,9 @@
 from tornado.iostream import StreamClosedError
 
 from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.listener.body_pace import BodyPace
+from nutmegshore.byte_budget import ByteBudget, HeldBytes
+from nutmegshore.listener.chunks import ChunkDecoder
 from nutmegshore.listener.reader import CallerReader
 from nutmegshore.upstreams import BodySource
 
@@ -20,9 +23,10 @@
     """A body as it arrives on a caller's connection.
 
     `before_read` runs once before the first byte is awaited; it answers
-    `Expect: 100-continue`. A caller that sends nothing for `timeout_s` raises
-    `SLOW_SENDER`, a broken chunk `MALFORMED_REQUEST`. `is_whole` says whether
-    everything was read, and with it that the next request follows.
+    `Expect: 100-continue`. A caller that sends nothing for `timeout_s`, or
+    takes too long for the whole, raises `SLOW_SENDER`, a broken chunk
+    `MALFORMED_REQUEST`. `is_whole` says whether everything was read, and with
+    it that the next request follows.
     """
 
     def __init__(
@@ -45,6 +49,8 @@
         self._timeout_s = timeout_s
         self._before_read = before_read
         self._left = length or 0
+        self._decoder = ChunkDecoder()
+        self._pace = BodyPace()
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the pieces once."""
@@ -65,32 +71,38 @@
             )
 
     async def _read_in_time(self) -> bytes:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         try:
             async with asyncio.timeout(self._timeout_s):
-                return await self._read_piece()
+                piece = await self._read_piece()
         except TimeoutError as failure:
             raise RequestError(ErrorKind.SLOW_SENDER, 'body') from failure
         except StreamClosedError as closed:
             raise RequestError(ErrorKind.CALLER_STALLED, 'gone') from closed
+        self._pace.record(loop.time() - began_at, len(piece))
+        if self._pace.is_too_slow:
+            raise RequestError(ErrorKind.SLOW_SENDER, 'whole body')
+        return piece
 
     async def _read_piece(self) -> bytes:
-        if self.length is None and not self._left:
-            self._left = await self._reader.read_chunk_size()
-            if not self._left:
-                await self._reader.skip_trailers()
-                self.is_whole = True
-                return b''
+        if self.length is None:
+            return await self._read_chunks()
         piece = await self._reader.read_piece(self._left)
         self._left -= len(piece)
-        if not self._left:
-            await self._end_piece()
+        self.is_whole = not self._left
         return piece
 
-    async def _end_piece(self) -> None:
-        if self.length is None:
-            await self._reader.read_chunk_end()
-        else:
+    async def _read_chunks(self) -> bytes:
+        # The data before the last chunk is passed on first, since its trailers
+        # may never come.
+        piece = b''
+        if not self._decoder.is_ended:
+            piece = await self._reader.read_chunks(self._decoder)
+        if not piece:
+            await self._reader.skip_trailers()
             self.is_whole = True
+        return piece
 
 
 class KeptBody(BodySource):
@@ -98,7 +110,9 @@
 
     A body that is whole by then can be sent again. Of a longer one the rest
     is passed on as it arrives; a failure there is `CALLER_STALLED`, since the
-    upstream may have begun its work.
+    upstream may have begun its work. What is kept counts as held; while the
+    budget is short, it is at most `KEPT_BYTES`, and a body that does not find
+    room is refused.
 
         body = KeptBody(source)
         await body.read_start()
@@ -108,23 +122,25 @@
         self,
         source: BodySource,
         kept_bytes: int = KEPT_BYTES,
+        held: HeldBytes | None = None,
     ) -> None:
         """Wrap the body of one request; `start` is empty until it is read."""
         self.length = source.length
         self._kept_bytes = kept_bytes
+        self._held = held or ByteBudget().hold()
         self.start = b''
         self._chunks = source.chunks()
 
     async def read_start(self) -> None:
         """Read until the body is whole or too long to keep."""
+        self._held.budget.check_room(self.length)
         pieces = bytearray()
-        # A body without a known length may end at exactly that many.
-        is_long = self.length is not None and self.length > self._kept_bytes
-        enough = self._kept_bytes + (not is_long)
-        while len(pieces) < enough and not self.can_replay:
+        while len(pieces) < self._enough() and not self.can_replay:
             piece = await anext(self._chunks, b'')
             pieces += piece
+            self._held.add(len(piece))
             self.can_replay = not piece
+            self._check_held(len(pieces))
         self.start = bytes(pieces)
         if self.can_replay:
             self.length = len(pieces)
@@ -137,6 +153,19 @@
             async for piece in _iter_rest(self._chunks):
                 yield piece
 
+    def _enough(self) -> int:
+        """Bytes to keep now, one more if the body may end at that many."""
+        kept_bytes = self._kept_bytes
+        if self._held.budget.is_short:
+            kept_bytes = min(kept_bytes, KEPT_BYTES)
+        is_long = self.length is not None and self.length > kept_bytes
+        return kept_bytes + (not is_long)
+
+    def _check_held(self, size: int) -> None:
+        """Raise `RefusedError` if the budget has no room for so much."""
+        if not self.can_replay and self._held.budget.is_full:
+            self._held.budget.check_room(size)
+
 
 async def _iter_rest(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     try:
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -9,6 +9,7 @@
 from nutmegshore.errors import ErrorKind, NutmegshoreError, RequestError
 from nutmegshore.listener.answer import AnswerWriter, abort_stream
 from nutmegshore.listener.body import CallerBody
+from nutmegshore.listener.caller_activity import CallerActivity
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.fault_answer import FaultAnswer
 from nutmegshore.listener.headers import (
@@ -34,14 +35,16 @@
         self.is_leaving = False
         self._stream = stream
         self._context = context
-        self._reader = CallerReader(stream)
+        self.is_closed = stream.closed
+        self.activity = CallerActivity()
+        self._reader = CallerReader(stream, self.activity)
         self._writer: AnswerWriter | None = None
         self._responder: Responder | None = None
 
     async def run(self) -> None:
         """Serve until the caller or `close_when_idle` ends it."""
         with contextlib.ExitStack() as stack:
-            stack.callback(self._close)
+            stack.callback(self.close)
             stack.enter_context(self._context.faults.contain('listener'))
             stack.enter_context(contextlib.suppress(StreamClosedError))
             while await self._has_next():
@@ -59,24 +62,29 @@
         Returns whether it closed the connection now.
         """
         self.leave()
-        if self._stream.closed() or not self.is_idle or self._has_waiting():
+        if self._stream.closed() or not self.is_idle or self.has_waiting():
             return False
         self._context.counters.add('idle_connections_closed', reason='stop')
         self._stream.close()
         return True
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close now, with a reset if a request is under way."""
         if self.is_idle:
             self._stream.close()
         else:
             abort_stream(self._stream)
 
+    def has_waiting(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._reader.has_held or _has_unread(self._stream)
+
     async def _has_next(self) -> bool:
         if self._stream.closed():
             return False
         self.is_idle = True
         while not await self._starts_in_time():
-            if not self._has_waiting():
+            if not self.has_waiting():
                 self._context.counters.add(
                     'idle_connections_closed', reason='idle_time'
                 )
@@ -92,12 +100,12 @@
             return False
         return True
 
-    def _has_waiting(self) -> bool:
-        """Whether a part of a request has arrived."""
-        return self._reader.has_held or _has_unread(self._stream)
-
     async def _serve_one(self) -> None:
-        writer = AnswerWriter(self._stream, keeps_alive=not self.is_leaving)
+        writer = AnswerWriter(
+            self._stream,
+            keeps_alive=not self.is_leaving,
+            activity=self.activity,
+        )
         self._writer = writer
         self._responder = None
         try:
@@ -184,7 +192,7 @@
         with contextlib.suppress(OSError, TimeoutError):
             self._stream.socket.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(self._context.limits.linger_s):
-                await self._reader.discard()
+                await self._reader.discard(self._context.limits.linger_bytes)
         self._stream.close()
 
 
--- a/nutmegshore/listener/context.py
+++ b/nutmegshore/listener/context.py
@@ -7,6 +7,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.faults import Faults
 from nutmegshore.listener.answer import AnswerWriter
+from nutmegshore.byte_budget import ByteBudget
 from nutmegshore.listener.responder import Responder
 
 __all__ = ('ListenerLimits', 'ListenerContext')
@@ -19,7 +20,8 @@
     `idle_s` runs between requests, `head_s` from the first byte of a head to
     its end, `body_s` between two pieces of a body, `write_s` for one of our
     own answers, and `linger_s` after the last answer of a connection, until
-    the caller has closed it. `body_bytes` bounds a body, 0 is no bound.
+    the caller has closed it; at most `linger_bytes` are read then. `body_bytes`
+    bounds a body, 0 is no bound.
     """
 
     head_bytes: int = 32_768
@@ -29,6 +31,7 @@
     write_s: float = 10
     linger_s: float = 2
     body_bytes: int = 0
+    linger_bytes: int = 8_388_608
 
 
 def _make_faults(context: 'ListenerContext') -> Faults:
@@ -41,7 +44,9 @@
 
     `make_responder` builds the responder that answers one request. `limits` may
     be replaced while connections are open; each looks it up when it needs it.
-    `faults` reports unexpected exceptions.
+    `faults` reports unexpected exceptions. `budget` counts what the process
+    holds for its callers, and `max_connections` bounds the open connections,
+    0 is no bound.
     """
 
     make_responder: Callable[[AnswerWriter], Responder]
@@ -50,3 +55,5 @@
     faults: Faults = attrs.field(
         default=attrs.Factory(_make_faults, takes_self=True)
     )
+    budget: ByteBudget = attrs.field(factory=ByteBudget)
+    max_connections: int = 0
--- a/nutmegshore/listener/reader.py
+++ b/nutmegshore/listener/reader.py
@@ -1,37 +1,39 @@
 """Reading of requests from a caller's connection."""
 
 import asyncio
-import re
 
 from tornado.iostream import IOStream
 
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.listener.caller_activity import CallerActivity
+from nutmegshore.listener.chunks import ChunkDecoder
 
 __all__ = ('READ_BYTES', 'CallerReader')
 
-#: Bytes that are taken from the connection at once.
-READ_BYTES = 65_536
+#: Bytes that are taken from the connection at once. Each connection holds one
+#: such piece and tornado at most two, beside the budget for all callers.
+READ_BYTES = 16_384
 
 _LINE_END = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
-#: A chunk's size line with its extensions; longer ones are refused.
-_MAX_SIZE_LINE_BYTES = 256
+_MAX_TRAILER_LINE_BYTES = 256
 _MAX_TRAILER_BYTES = 4096
-_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t -~]*)?')
-_HEXADECIMAL = 16
 
 
 class CallerReader:
-    """Takes heads, body pieces and chunk lines from a stream.
+    """Takes heads, body pieces and chunks from a stream.
 
     It holds what was read beyond them, at most `READ_BYTES` more than the
     longest line allowed. Reading raises tornado's `StreamClosedError` when the
     caller is gone.
     """
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(
+        self, stream: IOStream, activity: CallerActivity | None = None
+    ) -> None:
         """Read from a connected stream."""
         self._stream = stream
+        self._activity = activity or CallerActivity()
         self._held = bytearray()
         self._pending: asyncio.Future[bytes] | None = None
 
@@ -65,18 +67,13 @@
             self._held += piece
         return self._take(limit)
 
-    async def read_chunk_size(self) -> int:
-        """Read the line before a chunk."""
-        line = await self._read_line()
-        found = _SIZE_LINE.fullmatch(line)
-        if found is None:
-            raise _malformed('chunk size')
-        return int(found.group(1), _HEXADECIMAL)
-
-    async def read_chunk_end(self) -> None:
-        """Read the line end after a chunk."""
-        if await self._read_line():
-            raise _malformed('chunk end')
+    async def read_chunks(self, decoder: ChunkDecoder) -> bytes:
+        """Read data of at least one chunk; empty after the last one."""
+        data = self._decode(decoder)
+        while not data and not decoder.is_ended:
+            await self._fill()
+            data = self._decode(decoder)
+        return data
 
     async def skip_trailers(self) -> None:
         """Read past the trailers, which are not passed on."""
@@ -88,16 +85,24 @@
                 raise _malformed('trailers')
             line = await self._read_line()
 
-    async def discard(self) -> None:
-        """Read and drop everything until the caller closes."""
-        while True:
+    async def discard(self, limit: int) -> None:
+        """Read and drop so many bytes, or all until the caller closes."""
+        while limit > 0:
             self._held.clear()
             await self._fill()
+            limit -= len(self._held)
+
+    def _decode(self, decoder: ChunkDecoder) -> bytes:
+        if not self._held:
+            return b''
+        data, used = decoder.decode(bytes(self._held))
+        self._held = self._held[used:]
+        return data
 
     async def _read_line(self) -> bytes:
         return await self._read_until(
             _LINE_END,
-            _MAX_SIZE_LINE_BYTES,
+            _MAX_TRAILER_LINE_BYTES,
             ErrorKind.MALFORMED_REQUEST,
         )
 
@@ -130,7 +135,8 @@
         # every later one; the next call takes up the same read.
         if self._pending is None:
             self._pending = self._stream.read_bytes(READ_BYTES, partial=True)
-        piece = await asyncio.shield(self._pending)
+        with self._activity.waiting():
+            piece = await asyncio.shield(self._pending)
         self._pending = None
         return piece
 
--- a/nutmegshore/listener/server.py
+++ b/nutmegshore/listener/server.py
@@ -11,12 +11,13 @@
 
 from nutmegshore.listener.connection import CallerConnection
 from nutmegshore.listener.context import ListenerContext
+from nutmegshore.listener.eviction import choose_stalled, choose_victim
+from nutmegshore.listener.reader import READ_BYTES
 
 __all__ = ('CallerServer',)
 
 #: Bytes that tornado may hold of what a caller sent, per connection.
-_MAX_BUFFER_BYTES = 262_144
-_READ_BYTES = 65_536
+_MAX_BUFFER_BYTES = 65_536
 _STOP_CHECK_S = 0.05
 
 
@@ -29,7 +30,10 @@
     await server.finish()
 
     `finish` cuts no request; `close_all_connections` does. `idle_closed` is the
-    number of connections that `finish` closed because they were idle.
+    number of connections that `finish` closed because they were idle. Beyond
+    the context's number of connections, the longest idle one is closed for each
+    new one, else the one that has waited for its caller for longest, else the
+    new one. The latter of them is also closed for a budget without room.
     """
 
     def __init__(
@@ -41,9 +45,10 @@
         super().__init__(
             ssl_options=context,
             max_buffer_size=_MAX_BUFFER_BYTES,
-            read_chunk_size=_READ_BYTES,
+            read_chunk_size=READ_BYTES,
         )
         self._listener_context = listener_context
+        listener_context.budget.make_room = self._make_room
         self.idle_closed = 0
         self._is_leaving = False
         self._listening: list[socket.socket] = []
@@ -71,6 +76,10 @@
         address: tuple[str, int],
     ) -> None:
         """Serve one connection in the task that runs this method."""
+        if not self._has_place():
+            self._count_closed('refused')
+            stream.close()
+            return
         connection = CallerConnection(stream, self._listener_context)
         connection.is_leaving = self._is_leaving
         task = asyncio.current_task()
@@ -115,6 +124,32 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _has_place(self) -> bool:
+        """Whether one more connection may be open; closes one for it."""
+        most = self._listener_context.max_connections
+        if not most or len(self._tasks) < most or self._count_open() < most:
+            return True
+        victim = choose_victim(self._tasks.values())
+        if victim is None:
+            return False
+        self._count_closed('idle' if victim.is_idle else 'stalled')
+        victim.close()
+        return True
+
+    def _count_open(self) -> int:
+        return sum(not one.is_closed() for one in self._tasks.values())
+
+    def _make_room(self) -> None:
+        """Close a stalled connection, for the memory that it holds."""
+        victim = choose_stalled(self._tasks.values())
+        if victim is not None:
+            self._count_closed('memory')
+            victim.close()
+
+    def _count_closed(self, reason: str) -> None:
+        counters = self._listener_context.counters
+        counters.add('caller_connections_closed', reason=reason)
+
     def _accept_waiting(self, listener: socket.socket) -> None:
         # A listener that has no connection left raises BlockingIOError.
         with contextlib.suppress(OSError):
--- a/nutmegshore/settings/example.py
+++ b/nutmegshore/settings/example.py
@@ -34,6 +34,10 @@
 # Where this instance runs; both must be declared by a region object.
 region = {region}
 availability_zone = {availability_zone}
+# Memory of the instance in MB and its number of descriptors, from which the
+# limits on callers follow; by default 512 and the limit of the process.
+# memory_mb =
+# max_fds =
 
 [callers]
 # Listener for callers: IP address and port.
@@ -85,6 +89,8 @@
 # number of watches that may wait at the same time.
 # operator_body_bytes = 1000000
 # operator_watches = 64
+# Largest request body of a caller, in bytes.
+# caller_body_bytes = 67108864
 
 [logs]
 # Log format: json, or console for human-readable lines.
--- a/nutmegshore/settings/readers.py
+++ b/nutmegshore/settings/readers.py
@@ -59,6 +59,11 @@
     return seconds
 
 
+def read_optional_count(raw: str) -> int:
+    """Read a whole number from 1; nothing is 0."""
+    return read_count(raw) if raw.strip() else 0
+
+
 def read_count(raw: str) -> int:
     """Read an integer of at least 1."""
     count = int(raw)
--- a/nutmegshore/settings/sections.py
+++ b/nutmegshore/settings/sections.py
@@ -47,6 +47,11 @@
     return SettingKey(readers.read_count, 'a whole number from 1', default)
 
 
+def _optional_count() -> SettingKey:
+    expected = 'a whole number from 1, or nothing'
+    return SettingKey(readers.read_optional_count, expected, '')
+
+
 def _path(expected: str) -> SettingKey:
     return SettingKey(readers.read_text, expected, '')
 
@@ -61,6 +66,8 @@
             'name': _text('the name of this instance'),
             'region': _text('a region name'),
             'availability_zone': _text('an availability zone name'),
+            'memory_mb': _optional_count(),
+            'max_fds': _optional_count(),
         },
         'callers': {_ADDRESS: _ip(), _PORT: _port(), 'tls': _flag('no')},
         'operators': {
@@ -110,6 +117,7 @@
         'limits': {
             'operator_body_bytes': _count('1000000'),
             'operator_watches': _count('64'),
+            'caller_body_bytes': _count('67108864'),
         },
         'logs': {
             'form': SettingKey(
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -10,6 +10,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.faults import Faults
+from nutmegshore.byte_budget import ByteBudget
 from nutmegshore.upstreams.base import (
     AnswerHead,
     AnswerReceiver,
@@ -21,8 +22,8 @@
     UpstreamRequest,
 )
 from nutmegshore.upstreams.dialect import OwnDialect
-from nutmegshore.upstreams.multi import CurlLoop
-from nutmegshore.upstreams.transfer import READ_BYTES, Transfer
+from nutmegshore.upstreams.multi import IDLE_CONNECTIONS, CurlLoop
+from nutmegshore.upstreams.transfer import Transfer
 
 __all__ = ('CurlUpstreams',)
 
@@ -39,7 +40,8 @@
 class CurlUpstreams(UpstreamClient):
     """Streams requests and answers over HTTP/1.1 connections.
 
-    Each direction of a transfer buffers at most 256 KiB. Call `close` at the
+    Each direction of a transfer buffers at most 256 KiB, and a single piece
+    while the budget is short. Call `close` at the
     end to drop all connections.
     """
 
@@ -48,11 +50,14 @@
         clock: Clock,
         dialect: Dialect | None = None,
         faults: Faults | None = None,
+        budget: ByteBudget | None = None,
+        idle_connections: int = IDLE_CONNECTIONS,
     ) -> None:
         """Create a client; deadlines are readings of `clock`."""
+        self._budget = budget or ByteBudget()
         self._clock = clock
         self.dialect = dialect or OwnDialect()
-        self._loop = CurlLoop(faults or Faults(Counters()))
+        self._loop = CurlLoop(faults or Faults(Counters()), idle_connections)
 
     def close(self) -> None:
         """Cancel the requests in flight and close the connections."""
@@ -70,7 +75,8 @@
         if remaining_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
         curl = self._make_curl(upstream.address, request, remaining_s)
-        with contextlib.closing(Transfer(self._loop, curl)) as transfer:
+        opened = Transfer(self._loop, curl, self._budget)
+        with contextlib.closing(opened) as transfer:
             attempt = _Attempt(transfer, request, name, upstream, self.dialect)
             transfer.start()
             try:
@@ -239,7 +245,6 @@
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.NOSIGNAL, 1)
-    curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
     connect_ms = int(request.connect_timeout_s * _MS_PER_S)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
     _set_method(curl, request)
--- a/nutmegshore/upstreams/multi.py
+++ b/nutmegshore/upstreams/multi.py
@@ -10,7 +10,7 @@
 
 from nutmegshore.faults import Faults
 
-__all__ = ('CurlLoop', 'DoneReceiver')
+__all__ = ('IDLE_CONNECTIONS', 'CurlLoop', 'DoneReceiver')
 
 #: Called with libcurl's error number at the end of a transfer; 0 is success.
 DoneReceiver = Callable[[int], None]
@@ -18,8 +18,8 @@
 _MS_PER_S = 1000
 #: Name of this part in reports of faults.
 _PART = 'curl'
-#: Idle connections kept open, over all upstreams.
-_MAX_IDLE_CONNECTIONS = 512
+#: Idle connections kept open, over all upstreams, unless a client sets it.
+IDLE_CONNECTIONS = 512
 
 
 class CurlLoop:
@@ -31,13 +31,15 @@
     reported, since raised to libcurl it would end all transfers.
     """
 
-    def __init__(self, faults: Faults) -> None:
+    def __init__(
+        self, faults: Faults, idle_connections: int = IDLE_CONNECTIONS
+    ) -> None:
         """Start without handles; must be called on the loop's thread."""
         self._faults = faults
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._handle_timer)
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._handle_socket)
-        self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_IDLE_CONNECTIONS)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, idle_connections)
         self._is_closed = False
         self._timer: asyncio.TimerHandle | None = None
         self._events_by_fd: dict[int, int] = {}
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -6,13 +6,15 @@
 
 import pycurl
 
+from nutmegshore.byte_budget import ByteBudget, HeldBytes
 from nutmegshore.upstreams.base import AnswerHead
 from nutmegshore.upstreams.multi import CurlLoop
 
 __all__ = ('BUFFER_BYTES', 'READ_BYTES', 'Transfer')
 
 #: Bytes buffered per direction; the sender is paused before another
-#: `READ_BYTES` could exceed this limit.
+#: `READ_BYTES` could exceed this limit. While the budget is short, it is paused
+#: as soon as anything is buffered.
 BUFFER_BYTES = 262_144
 #: Bytes that libcurl reads from a socket in one call.
 READ_BYTES = 65_536
@@ -38,8 +40,15 @@
     complete answer, or None before the end.
     """
 
-    def __init__(self, curl_loop: CurlLoop, curl: pycurl.Curl) -> None:
+    def __init__(
+        self,
+        curl_loop: CurlLoop,
+        curl: pycurl.Curl,
+        budget: ByteBudget | None = None,
+    ) -> None:
         """Set the handle's callbacks; `start` runs it."""
+        budget = budget or ByteBudget()
+        self._held = budget.hold()
         self.is_sent = False
         self.error: int | None = None
         self.head: AnswerHead | None = None
@@ -48,8 +57,13 @@
         self._changed = asyncio.Event()
         self._lines: list[str] = []
         self._head_bytes = 0
-        self._incoming = _Buffer()
-        self._outgoing = _Buffer()
+        # libcurl keeps what a paused transfer had read.
+        read_bytes = budget.buffer_bytes(READ_BYTES)
+        curl.setopt(pycurl.BUFFERSIZE, read_bytes)
+        self._held.add(read_bytes)
+        self._passed_bytes = 0
+        self._incoming = _Buffer(self._held)
+        self._outgoing = _Buffer(self._held)
         callbacks = (
             (pycurl.PREREQFUNCTION, self._mark_sent, pycurl.PREREQFUNC_ABORT),
             (pycurl.HEADERFUNCTION, self._receive_header_line, _ABORT),
@@ -77,6 +91,7 @@
         """End the transfer; an unfinished one closes its connection."""
         self._loop.remove(self._curl)
         self._curl.close()
+        self._held.close()
 
     async def wait_head(self) -> AnswerHead | None:
         """Wait for the answer's head; None if the transfer failed."""
@@ -85,10 +100,17 @@
         return self.head
 
     async def read_chunk(self) -> bytes:
-        """Wait for a chunk of the answer; empty at the end or on failure."""
+        """Wait for a chunk of the answer; empty at the end or on failure.
+
+        A chunk counts as held until the next one is asked for.
+        """
+        self._held.add(-self._passed_bytes)
+        self._passed_bytes = 0
         while not self._incoming.size and self.error is None:
             await self._wait_change()
         chunk = self._incoming.pop_all()
+        self._passed_bytes = len(chunk)
+        self._held.add(self._passed_bytes)
         if self._incoming.is_paused:
             self._incoming.is_paused = False
             self._loop.resume(self._curl)
@@ -172,34 +194,42 @@
 class _Buffer:
     """Chunks queued between a task and libcurl's callbacks."""
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldBytes) -> None:
         self.size = 0
         self.is_paused = False
         self.is_ended = False
-        self._chunks: collections.deque[bytes] = collections.deque()
+        self._held = held
+        self._chunks: collections.deque[memoryview] = collections.deque()
 
     @property
     def is_full(self) -> bool:
+        if self._held.budget.is_short:
+            return self.size > 0
         return self.size + READ_BYTES > BUFFER_BYTES
 
     def append(self, chunk: bytes) -> None:
-        self._chunks.append(chunk)
-        self.size += len(chunk)
+        self._chunks.append(memoryview(chunk))
+        self._resize(len(chunk))
 
     def pop(self, size: int) -> bytes:
+        # Views of the chunk, as copies of the rest would add up.
         chunk = self._chunks.popleft()
         if len(chunk) > size:
             self._chunks.appendleft(chunk[size:])
             chunk = chunk[:size]
-        self.size -= len(chunk)
-        return chunk
+        self._resize(-len(chunk))
+        return bytes(chunk)
 
     def pop_all(self) -> bytes:
         joined = b''.join(self._chunks)
         self._chunks.clear()
-        self.size = 0
+        self._resize(-self.size)
         return joined
 
+    def _resize(self, change: int) -> None:
+        self.size += change
+        self._held.add(change)
+
 
 def _parse_head(lines: list[str]) -> AnswerHead | None:
     """Return a head, or None if its first line names no status."""
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -22,6 +22,8 @@
         'InternalPorts.0': '7620',
         'SeedAddrs': '10.1.0.15:8649,10.2.0.42:8649',
         'Limits.LinkMbps': '10.0',
+        'Limits.MemoryMb': '152',
+        'Limits.MaxFds': '1535',
         'Platform.Addr': '10.200.1.7:8642',
     }
 )
@@ -55,6 +57,7 @@
     assert settings.callers == '10.1.0.15:8641'
     assert settings.peer_port == 7620
     assert settings.link_mbps == pytest.approx(10)
+    assert (settings.memory_mb, settings.max_fds) == (152, 1535)
     assert settings.seeds == ('10.1.0.15:8649', '10.2.0.42:8649')
     assert settings.regions_by_zone == {'west-a': 'west', 'east-a': 'east'}
     assert settings.bounds.grace_s == 7
