--- a/nutmegshore/gateway/context.py
+++ b/nutmegshore/gateway/context.py
@@ -12,6 +12,7 @@
 from nutmegshore.gateway.log import EventLog
 from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.state import FleetState
+from nutmegshore.listener import ByteBudget
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import UpstreamClient
 
@@ -24,7 +25,7 @@
 
     `count_gateways` returns the least number of gateways that share a budget,
     infinite while this one may not know the others. `key_age` decides on the
-    keys of callers.
+    keys of callers, and `memory` counts what is held for callers.
     """
 
     state: FleetState
@@ -47,3 +48,4 @@
             takes_self=True,
         )
     )
+    memory: ByteBudget = attrs.field(factory=ByteBudget)
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -13,6 +13,7 @@
 from nutmegshore.gateway.caller_events import (
     AnswerCut,
     CustomerQuotaChanged,
+    CallerMemory,
     IdleConnectionsClosed,
     RequestAbandoned,
 )
@@ -42,6 +43,7 @@
 __all__ = (
     'EVENT_NAMES',
     'AnswerCut',
+    'CallerMemory',
     'ConfigurationAdopted',
     'ConfigurationRejected',
     'CustomerRejected',
@@ -414,6 +416,7 @@
         RequestFailed: 'request_failed',
         RequestAbandoned: 'request_abandoned',
         AnswerCut: 'answer_cut',
+        CallerMemory: 'caller_memory',
         IdleConnectionsClosed: 'idle_connections_closed',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
--- a/nutmegshore/gateway/responder.py
+++ b/nutmegshore/gateway/responder.py
@@ -82,6 +82,7 @@
         self._context = context
         self._forwarder = forwarder
         self._listener = listener
+        self._held = listener.budget.hold()
         self._arrived_at = context.clock.now()
         self._routed: RoutedRequest | None = None
 
@@ -109,22 +110,23 @@
     async def run(self) -> None:
         """Answer the request whose head and body are set."""
         CURRENT_REQUEST.set(self.request_id)
-        try:
-            answer = await self._forward()
-        except asyncio.CancelledError:
-            self._record(self._log_abandoned)
-            raise
-        except NutmegshoreError as error:
-            if self.writer.has_begun:
-                self._record(self._log_failure, error, 0)
+        with self._held:
+            try:
+                answer = await self._forward()
+            except asyncio.CancelledError:
+                self._record(self._log_abandoned)
                 raise
-            self.writer.keeps_alive &= self.body.is_whole
-            if error.kind is ErrorKind.KEYS_OUTDATED:
-                # Another gateway may serve the caller's next requests.
-                self.writer.keeps_alive = False
-            await self.refuse(error)
-        else:
-            await self._finish(answer)
+            except NutmegshoreError as error:
+                if self.writer.has_begun:
+                    self._record(self._log_failure, error, 0)
+                    raise
+                self.writer.keeps_alive &= self.body.is_whole
+                if error.kind is ErrorKind.KEYS_OUTDATED:
+                    # Another gateway may serve the caller's next requests.
+                    self.writer.keeps_alive = False
+                await self.refuse(error)
+            else:
+                await self._finish(answer)
 
     async def refuse(self, error: NutmegshoreError) -> None:
         """Answer with the status of an error and log the failure."""
@@ -169,11 +171,13 @@
             head, read_caller_fields(head), self._arrived_at
         )
         self._routed = self._forwarder.route(incoming)
+        self._routed.held = self._held
         answer = BufferedAnswer(
             self.writer,
             self._context.dialect,
             self._routed.request_id,
             is_safe=self._routed.route.is_safe,
+            held=self._held,
         )
         await self._forwarder.run(self._routed, self.body, answer)
         return answer
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -9,7 +9,8 @@
 import attrs
 from tornado.iostream import IOStream
 
-from nutmegshore.errors import NutmegshoreError, Outcome
+from nutmegshore.errors import NutmegshoreError, Outcome, RefusedError
+from nutmegshore.listener.caller_activity import CallerActivity
 from nutmegshore.listener.headers import RequestHead, answer_headers
 from nutmegshore.upstreams import AnswerHead, AnswerReceiver, Headers
 
@@ -20,6 +21,9 @@
 _OUTCOME = 'Nutmegshore-Outcome'
 _ERROR = 'Nutmegshore-Error'
 _LENGTH = 'Content-Length'
+_RETRY_AFTER = 'Retry-After'
+#: A longer body is not copied to be sent together with its head.
+_JOINED_BYTES = 16_384
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 #: Linger switched on with a time of 0 s: closing sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -49,6 +53,7 @@
     is_withdrawn: bool = False
     turn: asyncio.Event | None = None
     before_close: Callable[[], None] | None = None
+    activity: CallerActivity = attrs.field(factory=CallerActivity)
     _is_chunked: bool = False
     _has_body: bool = True
 
@@ -117,6 +122,8 @@
             (_ERROR, kind),
             (_OUTCOME, error.answer.outcome.value),
         )
+        if isinstance(error, RefusedError):
+            headers += ((_RETRY_AFTER, str(error.retry_after_s)),)
         body = f'{kind}: {error}\n'.encode()
         await self.write_own(error.answer.status, headers, body)
 
@@ -126,7 +133,8 @@
         The write of the stream itself is never cancelled: tornado reads the
         result of each, which raises in the event loop for a cancelled one.
         """
-        await asyncio.shield(self.stream.write(piece))
+        with self.activity.waiting():
+            await asyncio.shield(self.stream.write(piece))
 
     async def _write_head(
         self,
@@ -149,7 +157,13 @@
             lines.append('Connection: close')
         head = '\r\n'.join((*lines, '\r\n')).encode('latin-1')
         self.has_begun = True
-        await self._write(head + body if self._has_body else head)
+        if not self._has_body:
+            body = b''
+        if len(body) > _JOINED_BYTES:
+            await self._write(head)
+            await self._write(body)
+        else:
+            await self._write(head + body)
 
     def _announce_close(self) -> None:
         if self.before_close is not None:
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from nutmegshore.listener.answer import abort_stream
+from nutmegshore.listener.caller_activity import CallerActivity
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.pipeline import Pipeline
 from nutmegshore.listener.reader import CallerReader
@@ -34,15 +35,34 @@
         self.is_leaving = False
         self._stream = stream
         self._context = context
-        self._reader = CallerReader(stream)
-        self._requests = RequestReader(self._reader, stream, context)
+        self.is_closed = stream.closed
+        self.activity = CallerActivity()
+        self._reader = CallerReader(stream, self.activity)
+        self._requests = RequestReader(
+            self._reader, stream, context, self.activity
+        )
         self._pipeline = Pipeline(context.counters)
         self._is_reading = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._pipeline.is_empty and not self._is_reading
+
+    @property
+    def waited_s(self) -> float:
+        """Seconds since the caller last sent or took anything.
+
+        0 while an answer is due that its upstream has not given.
+        """
+        if self.is_idle:
+            return self._pipeline.idle_s
+        return self.activity.waited_s
+
     async def run(self) -> None:
         """Serve until the caller or `close_when_idle` ends it."""
         with contextlib.ExitStack() as stack:
-            stack.callback(self._close)
+            stack.callback(self.close)
             stack.enter_context(self._context.faults.contain('listener'))
             stack.enter_context(contextlib.suppress(StreamClosedError))
             await self._serve()
@@ -60,19 +80,15 @@
         Returns whether it closed the connection now.
         """
         self.leave()
-        if self._stream.closed() or not self._is_idle or self._has_waiting():
+        if self._stream.closed() or not self.is_idle or self.has_waiting():
             return False
         self._context.counters.add('idle_connections_closed', reason='stop')
         self._stream.close()
         return True
 
-    @property
-    def _is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return self._pipeline.is_empty and not self._is_reading
-
-    def _close(self) -> None:
-        if self._is_idle:
+    def close(self) -> None:
+        """Close now, with a reset if a request is under way."""
+        if self.is_idle:
             self._stream.close()
         else:
             abort_stream(self._stream)
@@ -106,12 +122,16 @@
             self._is_reading = False
             await self._pipeline.wait_room()
 
+    def has_waiting(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._reader.has_held or _has_unread(self._stream)
+
     async def _has_next(self) -> bool:
         if self._pipeline.is_closing:
             await self._pipeline.wait_end()
             return False
         while not await self._starts_in_time():
-            if self._idle_left_s() <= 0 and not self._has_waiting():
+            if self._idle_left_s() <= 0 and not self.has_waiting():
                 self._context.counters.add(
                     'idle_connections_closed', reason='idle_time'
                 )
@@ -132,10 +152,6 @@
         """Seconds until the connection has been idle for too long."""
         return self._context.limits.idle_s - self._pipeline.idle_s
 
-    def _has_waiting(self) -> bool:
-        """Whether a part of a request has arrived."""
-        return self._reader.has_held or _has_unread(self._stream)
-
     async def _linger(self) -> None:
         """Close so that the caller can still read the last answer.
 
@@ -145,7 +161,7 @@
         with contextlib.suppress(OSError, TimeoutError):
             self._stream.socket.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(self._context.limits.linger_s):
-                await self._reader.discard()
+                await self._reader.discard(self._context.limits.linger_bytes)
         self._stream.close()
 
 
--- a/nutmegshore/listener/request_reader.py
+++ b/nutmegshore/listener/request_reader.py
@@ -7,6 +7,7 @@
 from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.listener.body import CallerBody
+from nutmegshore.listener.caller_activity import CallerActivity
 from nutmegshore.listener.context import ListenerContext
 from nutmegshore.listener.exchange import Exchange
 from nutmegshore.listener.headers import (
@@ -22,7 +23,7 @@
 class RequestReader:
     """Reads heads, and builds what answers each of them.
 
-    exchange = await RequestReader(reader, stream, context).read()
+    exchange = await RequestReader(reader, stream, context, activity).read()
     """
 
     def __init__(
@@ -30,8 +31,10 @@
         reader: CallerReader,
         stream: IOStream,
         context: ListenerContext,
+        activity: CallerActivity,
     ) -> None:
         """Read with the reader of a connection; answers go to its stream."""
+        self._activity = activity
         self._reader = reader
         self._stream = stream
         self._context = context
@@ -41,7 +44,7 @@
 
         Raise tornado's `StreamClosedError` when the caller is gone.
         """
-        writer = AnswerWriter(self._stream)
+        writer = AnswerWriter(self._stream, activity=self._activity)
         failure = None
         try:
             writer.request = await self._read_head()
