--- a/nutmegshore/balancing/remote_success.py
+++ b/nutmegshore/balancing/remote_success.py
@@ -31,3 +31,7 @@
     def is_likely(self, service: str) -> bool:
         """Return whether the next answer from elsewhere is likely in time."""
         return self._in_time.get(service, 1) >= _MIN_IN_TIME
+
+    def fractions(self) -> dict[str, float]:
+        """Return the fraction in time of each service with answers."""
+        return dict(self._in_time)
--- a/nutmegshore/gateway/gauges.py
+++ b/nutmegshore/gateway/gauges.py
@@ -150,6 +150,10 @@
             self._counters.set_gauge(
                 'spillover_fraction', fraction, service=service
             )
+        for service, fraction in chooser.remote_success.fractions().items():
+            self._counters.set_gauge(
+                'remote_in_time_fraction', fraction, service=service
+            )
         away_fraction = chooser.shift_bound.region_away_fraction
         if away_fraction is not None:
             self._counters.set_gauge('region_away_fraction', away_fraction)
