Test a stop within a head, and the start of the idle time

Two changes to the pipeline went unnoticed by its tests: a request added after a stop had announced the close, and an idle time that counts from the start of the connection. Each of them now fails a test.

--- a/tests/listener/test_pipelining.py
+++ b/tests/listener/test_pipelining.py
@@ -269,6 +269,28 @@
     assert idle_closed == 0
 
 
+def test_a_stop_starts_no_request_whose_head_is_still_arriving(converse):
+    """Guards against LOST: a stop had announced the close on the last answer,
+    and a request behind it was read and passed on all the same."""
+
+    async def session(caller):
+        desk = caller.desk
+        caller.send('/safe/a', '/safe/b', b'GET /safe/late HTTP/1.1\r\n')
+        await desk.until(lambda: len(desk.started) == 2)
+        await desk.settle()
+        caller.server.leave()
+        caller.send(b'Host: a\r\n\r\n')
+        await desk.settle()
+        desk.release('/safe/a', '/safe/b', '/safe/late')
+        answers = [await caller.read_answer() for _ in range(2)]
+        return answers, await caller.read_rest(), desk.started
+
+    answers, rest, started = converse(session)
+    assert answers == [(200, False, '/safe/a'), (200, True, '/safe/b')]
+    assert rest == b''
+    assert started == ['/safe/a', '/safe/b']
+
+
 def test_a_stop_that_cuts_ends_all_requests(converse):
     """Guards against requests that go on after their connection was cut."""
 
@@ -303,6 +325,24 @@
     assert rest == b''
 
 
+def test_the_idle_time_begins_with_the_last_answer(converse):
+    """Guards against a connection that is closed soon after the answer to a
+    request which took longer than the idle time."""
+    idle_s = 1
+
+    async def session(caller):
+        caller.send('/safe/a')
+        await caller.desk.until(lambda: caller.desk.started)
+        await asyncio.sleep(1.9 * idle_s)
+        caller.desk.release('/safe/a', '/safe/b')
+        await caller.read_answer()
+        await asyncio.sleep(0.3 * idle_s)
+        caller.send('/safe/b')
+        return await caller.read_answer()
+
+    assert converse(session, idle_s=idle_s)[2] == '/safe/b'
+
+
 def test_a_head_that_stalls_does_not_harm_the_requests_ahead(converse):
     """Guards against good requests that lose their answers because a further
     head stops half-way."""
