--- a/nutmegshore/gateway/configuration_words.py
+++ b/nutmegshore/gateway/configuration_words.py
@@ -9,10 +9,11 @@
 
 __all__ = ('ConfigurationWords',)
 
-#: Seconds after a start, or after a restore of the store, after which a gateway
-#: that is in touch with no other one goes on without their word. It is as long
-#: as a start waits for peers.
+#: Seconds after which a gateway goes on without the word of others. A start
+#: waits for peers as long; reports come four or two times a second.
 _ALONE_S = 1.5
+#: In place of a version, from a gateway that needs the word of others itself.
+_UNSETTLED = -1
 
 
 @attrs.frozen
@@ -29,10 +30,11 @@
     No gateway goes back to an earlier configuration, but one that starts after
     a restore, or was cut off before it, reads the earlier one and cannot tell.
     It is behind if it has read as much of the store as another gateway had when
-    that one told of a later configuration. `is_settled` is false until another
-    gateway in the same era of the store has told. `version` is that of the
-    configuration in force here, 0 without one, and `on_earlier` is called with
-    a gateway that knows the same objects and has an earlier configuration.
+    that one told of a later configuration. `is_settled` is false in a new era
+    of the store until a settled gateway has told, or this one turns out to have
+    been fresh before. `version` is that of the configuration in force here, 0
+    without one, and `on_earlier` is called with a gateway that knows the same
+    objects and has an earlier configuration.
 
         words = ConfigurationWords(clock)
         words.hear(StorePosition(2, 41), 7)
@@ -43,12 +45,11 @@
         """Start without a configuration and without a word."""
         self.version = 0
         self.read_position: Callable[[], StorePosition] = StorePosition
-        self.has_peers: Callable[[], bool] = bool
         self.on_earlier: Callable[[str], None] = _ignore
         self._clock = clock
         self._newest = _Told()
         # A store that names no era tells of no restore, and is not doubted.
-        self._heard_era = 0
+        self._settled_era = 0
         self._doubted_era = 0
         self._doubted_at = float('-inf')
 
@@ -64,22 +65,37 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether a gateway in the same era has told, or none can."""
+        """Whether a settled gateway in the same era has told, or none does."""
         era = self.read_position().era
-        if self._heard_era >= era:
+        if self._settled_era >= era:
             return True
         now = self._clock.now()
         if era > self._doubted_era:
             self._doubted_era = era
             self._doubted_at = now
-        return now - self._doubted_at > _ALONE_S and not self.has_peers()
+        return now - self._doubted_at > _ALONE_S
+
+    @property
+    def told(self) -> int:
+        """What others are told of the version in force."""
+        return self.version if self.is_settled else _UNSETTLED
+
+    def settle(self) -> None:
+        """Record that the configuration was fresh as the store's era changed.
+
+        What others know beyond it comes with their next reports.
+        """
+        era = self.read_position().era
+        self._settled_era = max(self._settled_era, era)
 
     def hear(self, known_at: StorePosition, version: int) -> None:
         """Record the version in force at a gateway, 0 if it does not tell.
 
         `known_at` is the position of what it knows of the store.
         """
-        self._heard_era = max(self._heard_era, known_at.era)
+        if version == _UNSETTLED:
+            return
+        self._settled_era = max(self._settled_era, known_at.era)
         is_earlier = known_at < self._newest.known_at
         if version > self._newest.version or (
             version == self._newest.version and is_earlier
--- a/nutmegshore/gateway/key_age.py
+++ b/nutmegshore/gateway/key_age.py
@@ -21,6 +21,8 @@
 #: Retry-After in seconds: other gateways may be fresh, and reports that confirm
 #: the configuration come as often as this.
 _RETRY_S = 0.5
+#: Seconds from which an age stands for any greater one.
+_UNKNOWN_S = 3600
 _DIGITS = 3
 _COUNTER = 'key_checks_refused'
 
@@ -70,7 +72,11 @@
         gateway has told which configuration it has in force.
         """
         now = self._clock.now()
-        if self._state.configuration_words.is_settled:
+        words = self._state.configuration_words
+        limit_s = KEY_AGE_FRACTION * self.bounds.revoke_s
+        if not words.is_settled and now - self._answered_at < limit_s:
+            words.settle()
+        if words.is_settled:
             view = self._state.configuration_view
             self._answered_at = max(self._answered_at, now - view.age_s)
         return now - self._answered_at
@@ -115,12 +121,13 @@
 
     def observe(self) -> None:
         """Log if keys are not believed any more, or again; call this often."""
+        age_s = self._shown_age_s()
         is_outdated = self.is_outdated
         if is_outdated and self._period is None:
             self._period = _Period(self._clock.now())
             self._log.write(
                 KeysOutdated(
-                    self._shown_age_s(),
+                    age_s,
                     round(self.limit_s, _DIGITS),
                     is_behind=self._state.configuration_words.is_behind,
                 )
@@ -131,7 +138,7 @@
             lasted_s = self._clock.now() - period.began_at
             self._log.write(
                 KeysTrusted(
-                    self._shown_age_s(),
+                    age_s,
                     round(lasted_s, _DIGITS),
                     period.refused,
                 )
@@ -176,6 +183,6 @@
         return is_behind or self.age_s > self.bounds.configuration_s
 
     def _shown_age_s(self) -> float:
-        """The age for logs, which have finite numbers; -1 if unknown."""
+        """The age for logs; -1 if nothing bounds it."""
         age_s = self.age_s
-        return -1 if age_s == float('inf') else round(age_s, _DIGITS)
+        return -1 if age_s >= _UNKNOWN_S else round(age_s, _DIGITS)
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -55,7 +55,7 @@
     as it sent the message, 0 if it does not tell. `answers` holds, by key
     prefix, the fields of `ToldAnswers`, `heard` what `TransitTimes` echoes to
     some peers. `configured` is the version of the configuration in force, 0 if
-    the sender does not tell.
+    the sender does not tell, -1 if it needs the word of others itself.
     """
 
     is_ready: bool
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -149,7 +149,7 @@
             sent_at,
             self.state_sync.answers(),
             heard=self.transit_times.echoes(names, sent_at),
-            configured=self.state_sync.words.version,
+            configured=self.state_sync.words.told,
         )
 
     def _send_report(self, name: str, body: LoadReport) -> None:
@@ -180,7 +180,7 @@
             sent_at,
             self.state_sync.answers(),
             heard=self.transit_times.echoes(gateways, sent_at),
-            configured=self.state_sync.words.version,
+            configured=self.state_sync.words.told,
             outdated=self.key_reports.among(ready),
         )
         self._traffic.handle_summary(summary)
@@ -210,7 +210,7 @@
             sent_at,
             self.state_sync.answers(),
             heard=self.transit_times.echoes(names, sent_at),
-            configured=self.state_sync.words.version,
+            configured=self.state_sync.words.told,
         )
         peers.send_each(names, body)
 
--- a/nutmegshore/gateway/state_notices.py
+++ b/nutmegshore/gateway/state_notices.py
@@ -95,7 +95,7 @@
             self._state_sync.ages(),
             sent_at,
             self._state_sync.answers(),
-            configured=self._state_sync.words.version,
+            configured=self._state_sync.words.told,
         )
         if self._is_aggregator():
             self._send_as_aggregator(notice)
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -88,7 +88,6 @@
         self._requests = StateRequests(dependencies, roster)
         state = dependencies.balancer.candidate_builder.state
         self.words = state.configuration_words
-        self.words.has_peers = lambda: bool(roster.in_contact())
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
         dependencies.peers.subscribe(StateChanges, self._handle_changes)
--- a/tests/gateway/test_lookup.py
+++ b/tests/gateway/test_lookup.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -75,6 +76,22 @@
     assert addresses == ['e1:80']
 
 
+def test_gateways_that_believe_no_key_are_not_named(find):
+    """Guards against callers that are sent to a gateway which refuses keys
+    while another one, if in another region, believes them."""
+    old = attrs.evolve(_gateway('w1', 'west'), believes_keys=False)
+    fresh = _gateway('w2', 'west')
+    remote = _gateway('e1', 'east')
+    assert find(_WEST, old, fresh, remote) == ['w2:80']
+    assert find(_WEST, old, remote) == ['e1:80']
+
+
+def test_gateways_are_named_if_none_believes_keys(find):
+    """Guards against public routes that no gateway serves."""
+    old = attrs.evolve(_gateway('w1', 'west'), believes_keys=False)
+    assert find(_WEST, old) == ['w1:80']
+
+
 def test_no_gateway_is_named_if_none_is_ready(find):
     """Guards against an invented address if no gateway is ready."""
     assert not find(_WEST)
--- a/tests/gateway/test_transit_times.py
+++ b/tests/gateway/test_transit_times.py
@@ -62,3 +62,86 @@
         assert not transit_times.waits()
 
     run_transit(session)
+
+
+def test_an_echo_bounds_a_delay_of_all_messages(run_transit):
+    """Guards against keys that are believed too long: a link delays each
+    message equally, which no comparison of messages shows."""
+
+    async def session(clock, transit_times):
+        assert transit_times.sent_after('g2', 1) == float('-inf')
+        for _ in range(20):
+            # This gateway's message took 0.5 s and was held for 1 s.
+            echo = [clock.now(), 1]
+            await clock.sleep(1.5)
+            sent_at = clock.now() + _OFFSET_S
+            await clock.sleep(4)
+            transit_times.record('g2', sent_at)
+            found = transit_times.learn('g2', sent_at, echo)
+            assert clock.now() - 4.5 <= found <= clock.now() - 4
+
+    run_transit(session)
+
+
+def test_a_message_from_before_a_pause_stays_old(run_transit):
+    """Guards against keys that are believed too long: a message that is read
+    after a pause of 12 s counted as one of a machine with a new clock."""
+
+    async def session(clock, transit_times):
+        echo = [clock.now(), 0]
+        await clock.sleep(0.1)
+        transit_times.learn('g2', clock.now() + _OFFSET_S, echo)
+        sent_at = clock.now() + _OFFSET_S
+        await clock.sleep(12)
+        found = transit_times.learn('g2', sent_at, None)
+        assert clock.now() - found == pytest.approx(12.1)
+
+    run_transit(session)
+
+
+def test_an_echo_of_another_clock_bounds_nothing(run_transit):
+    """Guards against a bound by an echo of a message from before a restart."""
+
+    async def session(clock, transit_times):
+        await clock.sleep(10)
+        for echo in ([60, 0], [-5, 0], [9, 3], [9, -1]):
+            found = transit_times.learn('g2', _OFFSET_S, echo)
+            assert found == float('-inf')
+
+    run_transit(session)
+
+
+def test_a_clock_that_jumps_ahead_is_bounded_anew(run_transit):
+    """Guards against a bound that a peer on another machine has not met."""
+
+    async def session(clock, transit_times):
+        echo = [clock.now(), 0]
+        await clock.sleep(0.1)
+        transit_times.learn('g2', clock.now() + _OFFSET_S, echo)
+        ahead = clock.now() + _OFFSET_S + 30
+        assert transit_times.learn('g2', ahead, None) == float('-inf')
+        echo = [clock.now(), 0]
+        await clock.sleep(0.1)
+        found = transit_times.learn('g2', ahead + 0.1, echo)
+        assert found == pytest.approx(clock.now() - 0.1)
+
+    run_transit(session)
+
+
+def test_each_peer_gets_an_echo_in_its_turn(run_transit):
+    """Guards against summaries that grow with the fleet, and against peers
+    that never get an echo."""
+
+    async def session(clock, transit_times):
+        names = [f'g{number}' for number in range(40)]
+        for name in names:
+            transit_times.record(name, 100)
+        echoed = set()
+        for _ in range(5):
+            await clock.sleep(0.5)
+            echoes = transit_times.echoes((*names, 'g99'), clock.now())
+            assert len(echoes) == 8
+            echoed.update(echoes)
+        assert echoed == set(names)
+
+    run_transit(session)
