--- a/tests/gateway/test_transit_times.py
+++ b/tests/gateway/test_transit_times.py
@@ -102,7 +102,8 @@
 
     async def session(clock, transit_times):
         await clock.sleep(10)
-        for echo in ([60, 0], [-5, 0], [9, 3], [9, -1]):
+        echoes = [60, 0], [-5, 0], [9, 3], [9, -1]
+        for echo in echoes:
             found = transit_times.learn('g2', _OFFSET_S, echo)
             assert found == float('-inf')
 
