Answer a key that is refused at a retry by what may have run

Cause: a 401 or 503 at a retry said that the request has not run, although the first attempt may have run it.

Change: the check before an attempt goes through the final error, as a refusal of the balancer does.

Result: tests of the responder, hedging and transit times pass.

--- a/nutmegshore/gateway/attempt_chooser.py
+++ b/nutmegshore/gateway/attempt_chooser.py
@@ -38,6 +38,7 @@
         """
         routed = self._routed
         crashes = self._context.crashes
+        self._check_key(reason)
         routing_request = RoutingRequest(
             routed.route,
             routed.service,
@@ -48,9 +49,6 @@
             routed.customer,
         )
         try:
-            self._context.key_age.check(
-                routed.route, routed.customer, routed.incoming.fields.api_key
-            )
             crashes.check(routed)
             choice = self._context.balancer.choose(routing_request)
         except RefusedError as refusal:
@@ -97,6 +95,17 @@
             return RequestError(ErrorKind.UPSTREAM_LOST, str(latest))
         return latest
 
+    def _check_key(self, reason: ErrorKind | None) -> None:
+        """Raise the final error if the request's key is not believed now."""
+        routed = self._routed
+        api_key = routed.incoming.fields.api_key
+        try:
+            self._context.key_age.check(routed.route, routed.customer, api_key)
+        except RequestError as refusal:
+            if reason is not None:
+                self.refuse(reason, refusal.kind.value)
+            raise self.final_error(refusal) from refusal
+
     def _record(self, choice: Choice) -> None:
         routed = self._routed
         view = self._context.state.upstreams_view
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -739,14 +739,21 @@
 
 
 @pytest.mark.parametrize(
-    ('change', 'status'), [('removed', b'401'), ('outdated', b'503')]
+    ('change', 'failure', 'status'),
+    [
+        ('removed', ErrorKind.UPSTREAM_UNREACHABLE, b'401'),
+        ('outdated', ErrorKind.UPSTREAM_UNREACHABLE, b'503'),
+        ('removed', ErrorKind.UPSTREAM_LOST, b'502'),
+        ('outdated', ErrorKind.UPSTREAM_LOST, b'502'),
+    ],
 )
 def test_a_key_is_checked_at_each_attempt(
-    make_context, scripted, step, change, status
+    make_context, scripted, step, change, failure, status
 ):
     """Guards against REVOKED: a request waits to be retried, and its key is
-    removed or the configuration becomes too old meanwhile."""
-    upstreams = scripted(step(ErrorKind.UPSTREAM_UNREACHABLE), step())
+    removed or the configuration becomes too old meanwhile. Guards against
+    REFUSED: the first attempt may have run, and the answer denies it."""
+    upstreams = scripted(step(failure), step())
     context = _make_strict(_with_customers(make_context(upstreams)), 1)
     state = context.state
     send = upstreams.send
--- a/tests/gateway/test_transit_times.py
+++ b/tests/gateway/test_transit_times.py
@@ -7,6 +7,10 @@
 
 #: Difference of the sender's clock from the receiver's, in seconds.
 _OFFSET_S = 5000
+#: Echoes that cannot be: of a message from later than now (10 s) or from before
+#: the start, held for longer than there was, or for less than no time.
+_LATER, _EARLIER = [60, 0], [-5, 0]
+_FALSE_ECHOES = (_LATER, _EARLIER, [9, 3], [9, -1])
 
 
 @pytest.fixture
@@ -102,8 +106,7 @@
 
     async def session(clock, transit_times):
         await clock.sleep(10)
-        echoes = [60, 0], [-5, 0], [9, 3], [9, -1]
-        for echo in echoes:
+        for echo in _FALSE_ECHOES:
             found = transit_times.learn('g2', _OFFSET_S, echo)
             assert found == float('-inf')
 
