--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -153,7 +153,7 @@
             sent_at,
             self.state_sync.answers(),
             self.transit_times.echoes(names, sent_at),
-            self.state_sync.words.version,
+            self.state_sync.words.told,
             self._quotas.own(aggregator),
             self._quotas.own_coverage(),
         )
@@ -171,6 +171,8 @@
         ready = [name for name in self.roster.reporting() if name in gateways]
         if self.is_ready:
             ready.append(peers.local.name)
+        ages = self.state_sync.ages()
+        self.key_reports.handle_report(peers.local.name, ages, 0)
         summary = LoadSummary(
             ready,
             self._load.sum_counts(),
@@ -182,11 +184,11 @@
             self.state_sync.eras(),
             self._leaving.known(),
             self._cold.known(),
-            self.state_sync.ages(),
+            ages,
             sent_at,
             self.state_sync.answers(),
             self.transit_times.echoes(gateways, sent_at),
-            self.state_sync.words.version,
+            self.state_sync.words.told,
             self.key_reports.among(ready),
             *self._quotas.sum_fleet(gateways, _other_regions(peers)),
         )
@@ -216,7 +218,7 @@
             sent_at,
             self.state_sync.answers(),
             self.transit_times.echoes(names, sent_at),
-            self.state_sync.words.version,
+            self.state_sync.words.told,
             *self._quotas.sum_region(gateways),
         )
         peers.send_each(names, body)
