--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -3,6 +3,7 @@
 import collections
 import functools
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator
 
@@ -162,11 +163,22 @@
         for name in self._names:
             at_s = self._rng.random() * _REPORT_INTERVAL_S
             self._clock.after(at_s, functools.partial(self._tick, name))
+        self._plan_restarts()
+        self._plan_changes()
+        self._clock.after(_START_S, self._await_next)
+        self._clock.run()
+        self._result.sent.sort()
+        return self._result
+
+    def _plan_restarts(self) -> None:
         for fault in _shift(self._load.faults):
-            if isinstance(fault, Kill) and fault.end_s < float('inf'):
+            if isinstance(fault, Kill) and fault.end_s < math.inf:
                 for name in fault.names:
                     restart = functools.partial(self._restart, name)
                     self._clock.after(fault.end_s, restart)
+
+    def _plan_changes(self) -> None:
+        """Plan the moves of callers and the changes of the quota."""
         for move in self._load.moves:
             self._clock.after(
                 _START_S + move.at_s, functools.partial(self._move, move)
@@ -178,10 +190,6 @@
                     _START_S + at_s + late_s,
                     functools.partial(self._lower, name, max_rate),
                 )
-        self._clock.after(_START_S, self._await_next)
-        self._clock.run()
-        self._result.sent.sort()
-        return self._result
 
     def _make(self, name: str) -> _Gateway:
         members = RecentMembers(
@@ -190,6 +198,7 @@
         quotas = self._make_quotas(
             self._clock, self._rng, members, QuotaBounds()
         )
+        quotas.local = name
         return _Gateway(
             name, quotas, self._load.max_rate, self._rng.randrange(2)
         )
@@ -225,7 +234,8 @@
         open_names = [
             name for name in self._zones[zone] if not self._views.is_dead(name)
         ] or [name for name in self._names if not self._views.is_dead(name)]
-        self._ask(self._rng.choice(open_names))
+        if open_names:
+            self._ask(self._rng.choice(open_names))
 
     def _ask(self, name: str) -> None:
         now = self._clock.now()
@@ -240,6 +250,7 @@
             'acme', frozenset(), 0, gateway.max_rate, self._load.burst
         )
         wait_s = gateway.quotas.acquire(customer)
+        self._send_all(gateway)
         if wait_s:
             self._result.refused.append(now - _START_S)
             self._result.waits.append(wait_s)
@@ -263,44 +274,42 @@
     def _report(self, gateway: _Gateway) -> None:
         """Do what `Peering.report` does."""
         gateway.turn += 1
-        region = region_of(gateway.name)
-        seen = self._seen(gateway.name)
-        aggregators = seen[region][:_AGGREGATORS]
+        aggregators = self._aggregators(gateway, region_of(gateway.name))
         receiver = aggregators[gateway.turn % len(aggregators)]
-        quotas = gateway.quotas
-        counts = quotas.own(receiver)
-        known = quotas.known_gateways()
-        if receiver != gateway.name:
-            self._send(
-                gateway.name, receiver, 'adopt', gateway.name, counts, 1, known
-            )
+        counts = gateway.quotas.own(receiver)
+        if receiver == gateway.name:
+            self._send_region(gateway)
+            self._send_summary(gateway)
             return
-        regions = [one for one in seen if one != region]
-        summed, count = quotas.sum_sources(seen[region])
-        for other in regions:
-            for name in seen[other][:_AGGREGATORS]:
-                self._send(
-                    gateway.name,
-                    name,
-                    'adopt',
-                    f'region {region}',
-                    summed,
-                    count,
-                    known,
-                )
-        sources = [*seen[region], *(f'region {one}' for one in regions)]
-        summed, count = quotas.sum_sources(sources)
+        known = gateway.quotas.known_gateways()
+        fields = (gateway.name, counts, 1, known)
+        self._send(gateway.name, receiver, 'adopt', *fields)
+
+    def _send_region(self, gateway: _Gateway) -> None:
+        """Send the sums of a region to the aggregators of the others."""
+        region = region_of(gateway.name)
+        seen = self._seen(gateway.name)
+        summed = gateway.quotas.sum_sources(seen[region])
+        known = gateway.quotas.known_gateways()
+        fields = (f'region {region}', *summed, known)
+        for other in sorted(seen.keys() - {region}):
+            for name in self._aggregators(gateway, other):
+                self._send(gateway.name, name, 'adopt', *fields)
+
+    def _send_summary(self, gateway: _Gateway) -> None:
+        """Send the sums of all regions to the gateways of a region."""
+        region = region_of(gateway.name)
+        seen = self._seen(gateway.name)
+        regions = [f'region {one}' for one in seen if one != region]
+        summed = gateway.quotas.sum_sources([*seen[region], *regions])
+        known = gateway.quotas.known_gateways()
+        fields = (gateway.name, *summed, known)
         for name in seen[region]:
             if name != gateway.name:
-                self._send(
-                    gateway.name,
-                    name,
-                    'adopt_summary',
-                    gateway.name,
-                    summed,
-                    count,
-                    known,
-                )
+                self._send(gateway.name, name, 'adopt_summary', *fields)
+
+    def _aggregators(self, gateway: _Gateway, region: str) -> list[str]:
+        return self._seen(gateway.name)[region][:_AGGREGATORS]
 
     def _send(
         self, sender: str, receiver: str, method: str, *fields: object
@@ -329,8 +338,16 @@
                 ),
             )
         elif not self._views.is_dead(receiver):
-            quotas = self._gateways[receiver].quotas
-            getattr(quotas, method)(*fields, now - sent_at)
+            gateway = self._gateways[receiver]
+            getattr(gateway.quotas, method)(*fields, now - sent_at)
+            self._send_all(gateway)
+
+    def _send_all(self, gateway: _Gateway) -> None:
+        """Send the messages of ways that have some of their own."""
+        outbox = getattr(gateway.quotas, 'outbox', [])
+        while outbox:
+            receiver, method, fields = outbox.pop(0)
+            self._send(gateway.name, receiver, method, *fields)
 
     def _seen(self, name: str) -> dict[str, list[str]]:
         """Return the gateways that one takes for alive, by region."""
--- a/nutmegshore/balancing/fleet_counts.py
+++ b/nutmegshore/balancing/fleet_counts.py
@@ -45,8 +45,8 @@
 class Total:
     """Requests of a customer at the other gateways.
 
-    `held` is the last peak of what was sent, which falls to nothing within a window.
-    It is what gateways may have sent whose reports have ended or begun anew.
+    `held` is the last peak of what was sent, which falls to nothing within a
+    window. It counts gateways whose reports have ended or begun anew.
     """
 
     count: Count = NOTHING
--- a/nutmegshore/gateway/quota_gossip.py
+++ b/nutmegshore/gateway/quota_gossip.py
@@ -12,6 +12,7 @@
 
 __all__ = ('QuotaGossip',)
 
+#: Decimal places of the number of gateways that a message covers.
 _DIGITS = 1
 _COUNT_FIELDS = len(Count._fields)
 #: Number of gateways that a report covers, and how many its sender saw lately.
@@ -95,8 +96,9 @@
 
 
 def _pack(counts: dict[str, Count]) -> _Packed:
+    """Return whole numbers, which take a few bytes each."""
     return {
-        name: [round(number, _DIGITS) for number in count]
+        name: [round(number) for number in count]
         for name, count in counts.items()
         if any(count)
     }
--- a/tests/balancing/test_customer_quotas.py
+++ b/tests/balancing/test_customer_quotas.py
@@ -151,7 +151,7 @@
 
 
 def test_what_was_given_back_may_be_used_again(make_quotas):
-    """Guards against requests that were refused elsewhere and use up a quota."""
+    """Guards against a quota that requests refused elsewhere use up."""
     quotas = make_quotas()
     customer = _customer(max_rate=50)
     before = _count_admitted(quotas, customer)
