Split the model of quotas into load and reports

Cause: the model's one class had more methods than the style allows.

Change: bench/quota_reports.py has the reports between gateways. Tests build the gate with the default bounds.

--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -11,20 +11,21 @@
 
 from bench.event_clock import EventClock
 from bench.quota_faults import Fault, Kill, Views
+from bench.quota_reports import (
+    ZONES,
+    Gateway,
+    Reports,
+    gateway_names,
+    zone_of,
+)
 from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.balancing.quota_rule import QuotaBounds
 from nutmegshore.balancing.recent_members import RecentMembers
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.customer import Customer
 
-__all__ = ('Load', 'Move', 'Result', 'gateway_names', 'play', 'region_of')
+__all__ = ('Load', 'Move', 'Result', 'play')
 
-_REGIONS = ('west', 'north', 'south')
-_ZONES = 2
-_REPORT_INTERVAL_S = 0.25
-_AGGREGATORS = 2
-_BETWEEN_REGIONS_S = 0.055
-_BETWEEN_ZONES_S = 0.0014
 _NOTICE_S = 4
 #: Seconds before the callers come, in which the gateways meet.
 _START_S = 5
@@ -100,21 +101,6 @@
         return count / (self.load.max_rate * (self.load.seconds - start_s))
 
 
-def gateway_names(count: int) -> list[str]:
-    """Return the names of a fleet's gateways."""
-    return ['g{0:03}'.format(number) for number in range(count)]
-
-
-def zone_of(name: str) -> int:
-    """Return the number of a gateway's zone."""
-    return int(name[1:]) % (len(_REGIONS) * _ZONES)
-
-
-def region_of(name: str) -> str:
-    """Return the region of a gateway."""
-    return _REGIONS[zone_of(name) % len(_REGIONS)]
-
-
 MakeQuotas = Callable[
     [Clock, random.Random, RecentMembers, QuotaBounds], CustomerQuotas
 ]
@@ -127,14 +113,6 @@
     return _Session(load, random.Random(seed), make_quotas).run()
 
 
-@attrs.define(eq=False)
-class _Gateway:
-    name: str
-    quotas: CustomerQuotas
-    max_rate: float
-    turn: int = 0
-
-
 class _Session:
     """One load that is played."""
 
@@ -150,19 +128,18 @@
         self._views = Views(
             self._names, _shift(load.faults), self._clock.now, _NOTICE_S
         )
-        self._seen_cache: dict[tuple, dict] = {}
         self._gateways = {name: self._make(name) for name in self._names}
+        self._reports = Reports(
+            self._clock, self._views, self._gateways, _START_S + load.seconds
+        )
         self._zones = _group(self._names)
         self._weights = [
-            1 if zone < load.zones_used else 0
-            for zone in range(len(_REGIONS) * _ZONES)
+            1 if zone < load.zones_used else 0 for zone in range(ZONES)
         ]
 
     def run(self) -> Result:
         """Play to the end."""
-        for name in self._names:
-            at_s = self._rng.random() * _REPORT_INTERVAL_S
-            self._clock.after(at_s, functools.partial(self._tick, name))
+        self._reports.start(self._rng)
         self._plan_restarts()
         self._plan_changes()
         self._clock.after(_START_S, self._await_next)
@@ -191,7 +168,7 @@
                     functools.partial(self._lower, name, max_rate),
                 )
 
-    def _make(self, name: str) -> _Gateway:
+    def _make(self, name: str) -> Gateway:
         members = RecentMembers(
             self._clock, lambda region: self._views.seen(name)
         )
@@ -199,7 +176,7 @@
             self._clock, self._rng, members, QuotaBounds()
         )
         quotas.local = name
-        return _Gateway(
+        return Gateway(
             name, quotas, self._load.max_rate, self._rng.randrange(2)
         )
 
@@ -250,126 +227,13 @@
             'acme', frozenset(), 0, gateway.max_rate, self._load.burst
         )
         wait_s = gateway.quotas.acquire(customer)
-        self._send_all(gateway)
+        self._reports.send_all(gateway)
         if wait_s:
             self._result.refused.append(now - _START_S)
             self._result.waits.append(wait_s)
         else:
             self._result.sent.append(now - _START_S)
 
-    def _tick(self, name: str) -> None:
-        now = self._clock.now()
-        if now > _START_S + self._load.seconds:
-            return
-        until = self._views.paused_until(name)
-        if until > now:
-            self._clock.after(until - now, functools.partial(self._tick, name))
-            return
-        self._clock.after(
-            _REPORT_INTERVAL_S, functools.partial(self._tick, name)
-        )
-        if not self._views.is_dead(name):
-            self._report(self._gateways[name])
-
-    def _report(self, gateway: _Gateway) -> None:
-        """Do what `Peering.report` does."""
-        gateway.turn += 1
-        aggregators = self._aggregators(gateway, region_of(gateway.name))
-        receiver = aggregators[gateway.turn % len(aggregators)]
-        counts = gateway.quotas.own(receiver)
-        if receiver == gateway.name:
-            self._send_region(gateway)
-            self._send_summary(gateway)
-            return
-        known = gateway.quotas.known_gateways()
-        fields = (gateway.name, counts, 1, known)
-        self._send(gateway.name, receiver, 'adopt', *fields)
-
-    def _send_region(self, gateway: _Gateway) -> None:
-        """Send the sums of a region to the aggregators of the others."""
-        region = region_of(gateway.name)
-        seen = self._seen(gateway.name)
-        summed = gateway.quotas.sum_sources(seen[region])
-        known = gateway.quotas.known_gateways()
-        fields = (f'region {region}', *summed, known)
-        for other in sorted(seen.keys() - {region}):
-            for name in self._aggregators(gateway, other):
-                self._send(gateway.name, name, 'adopt', *fields)
-
-    def _send_summary(self, gateway: _Gateway) -> None:
-        """Send the sums of all regions to the gateways of a region."""
-        region = region_of(gateway.name)
-        seen = self._seen(gateway.name)
-        regions = [f'region {one}' for one in seen if one != region]
-        summed = gateway.quotas.sum_sources([*seen[region], *regions])
-        known = gateway.quotas.known_gateways()
-        fields = (gateway.name, *summed, known)
-        for name in seen[region]:
-            if name != gateway.name:
-                self._send(gateway.name, name, 'adopt_summary', *fields)
-
-    def _aggregators(self, gateway: _Gateway, region: str) -> list[str]:
-        return self._seen(gateway.name)[region][:_AGGREGATORS]
-
-    def _send(
-        self, sender: str, receiver: str, method: str, *fields: object
-    ) -> None:
-        if self._views.is_lost(sender, receiver):
-            return
-        delay_s = _BETWEEN_ZONES_S
-        if region_of(sender) != region_of(receiver):
-            delay_s = _BETWEEN_REGIONS_S
-        sent_at = self._clock.now()
-        deliver = functools.partial(
-            self._deliver, receiver, method, sent_at, fields
-        )
-        self._clock.after(delay_s, deliver)
-
-    def _deliver(
-        self, receiver: str, method: str, sent_at: float, fields: tuple
-    ) -> None:
-        now = self._clock.now()
-        until = self._views.paused_until(receiver)
-        if until > now:
-            self._clock.after(
-                until - now,
-                functools.partial(
-                    self._deliver, receiver, method, sent_at, fields
-                ),
-            )
-        elif not self._views.is_dead(receiver):
-            gateway = self._gateways[receiver]
-            getattr(gateway.quotas, method)(*fields, now - sent_at)
-            self._send_all(gateway)
-
-    def _send_all(self, gateway: _Gateway) -> None:
-        """Send the messages of ways that have some of their own."""
-        outbox = getattr(gateway.quotas, 'outbox', [])
-        while outbox:
-            receiver, method, fields = outbox.pop(0)
-            self._send(gateway.name, receiver, method, *fields)
-
-    def _seen(self, name: str) -> dict[str, list[str]]:
-        """Return the gateways that one takes for alive, by region."""
-        seen = self._views.seen(name)
-        key = tuple(seen)
-        found = self._seen_cache.get(key)
-        if found is None:
-            found = collections.defaultdict(list)
-            for one in seen:
-                found[region_of(one)].append(one)
-            for region, names in found.items():
-                found[region] = _put_aggregators_first(names)
-            self._seen_cache[key] = found
-        return found
-
-
-def _put_aggregators_first(names: list[str]) -> list[str]:
-    """Return the names of a region; the second one is in the other zone."""
-    first = names[0]
-    others = sorted(names[1:], key=lambda name: zone_of(name) == zone_of(first))
-    return [first, *others]
-
 
 def _group(names: Iterable[str]) -> dict[int, list[str]]:
     found: dict[int, list[str]] = collections.defaultdict(list)
--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -1,6 +1,7 @@
 """Other ways to keep a quota over all gateways, to compare in the model."""
 
 import random
+from types import MappingProxyType
 
 from nutmegshore.balancing.affinity import rank_by_hash
 from nutmegshore.balancing.customer_quotas import CustomerQuotas
@@ -169,10 +170,12 @@
 
 
 #: The ways by name; the last is the chosen one.
-WAYS = {
-    'equal shares': EqualShares,
-    'demand shares': DemandShares,
-    'loans': Loans,
-    'counting': Counting,
-    'part of the demand': CustomerQuotas,
-}
+WAYS = MappingProxyType(
+    {
+        'equal shares': EqualShares,
+        'demand shares': DemandShares,
+        'loans': Loans,
+        'counting': Counting,
+        'part of the demand': CustomerQuotas,
+    }
+)
--- a/nutmegshore/balancing/quota_rule.py
+++ b/nutmegshore/balancing/quota_rule.py
@@ -11,8 +11,8 @@
 #: Seconds after which all gateways know of a request, if no message is late: a
 #: report to an aggregator each half second, its sums, those of another region.
 DELAY_S = 1.1
-#: Seconds for which a rise of the rate is taken to have gone on unseen: the sums
-#: are 0.5 s behind on average, and the rate is itself measured over as long.
+#: Seconds for which a rise of the rate is taken to have gone on unseen: sums
+#: are 0.5 s behind on average, and the rate is measured over as long.
 _MEAN_DELAY_S = 1
 #: Fraction of what the bounds allow in a window that is ever planned for. The
 #: rest covers requests that are sent later than they were admitted.
@@ -32,8 +32,8 @@
 #: Least part of the gateways from which the demand of all is estimated.
 _MIN_FRACTION = 0.1
 #: Seconds in which the requests of a window are brought to those planned for.
-#: Shorter than twice the delay of the reports, the rate would oscillate; with 2,
-#: a customer that begins at 7.5 times its quota exceeded the bound by 0.07.
+#: Shorter than twice the delay of the reports, the rate would oscillate; with
+#: 2, a customer that began at 7.5 times its quota exceeded the bound by 0.07.
 _SETTLING_S = 2.3
 
 
--- a/nutmegshore/gateway/quota_gate.py
+++ b/nutmegshore/gateway/quota_gate.py
@@ -18,6 +18,7 @@
 
 __all__ = ('QuotaGate',)
 
+_DEFAULT_BOUNDS = Bounds()
 _DIGITS = 3
 
 
@@ -47,7 +48,7 @@
         sources: tuple[Clock, random.Random],
         log: EventLog,
         counters: Counters,
-        bounds: Bounds,
+        bounds: Bounds = _DEFAULT_BOUNDS,
     ) -> 'QuotaGate':
         """Build the gate and its quotas, from a clock and a random source."""
         quotas = CustomerQuotas(*sources, members, _quota_bounds(bounds))
--- a/tests/balancing/test_customer_quotas.py
+++ b/tests/balancing/test_customer_quotas.py
@@ -14,7 +14,8 @@
 
 from bench.event_clock import EventClock
 from bench.quota_faults import Cut, Kill, Pause
-from bench.quota_fleet import Load, Move, gateway_names, play, region_of
+from bench.quota_fleet import Load, Move, play
+from bench.quota_reports import gateway_names, region_of
 from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.balancing.quota_counts import Count
 from nutmegshore.balancing.recent_members import RecentMembers
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -31,7 +31,6 @@
 )
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Member, MemoryNetwork
-from nutmegshore.platform.bounds import Bounds
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
 from tests.gateway.virtual_caller import Caller, SessionClock
@@ -208,7 +207,6 @@
                 (clock, rng),
                 log,
                 counters,
-                Bounds(),
             ),
             count_gateways=lambda: 1,
         )
