Prefer sums that cover more gateways

Cause: an aggregator that had just restarted sent sums that covered few gateways, and they replaced the better ones of the other aggregator, so that requests within a quota were refused.

Change: of the last sums and reports of a region, the newest counts among those that cover about the most gateways.

--- a/nutmegshore/balancing/customer_quotas.py
+++ b/nutmegshore/balancing/customer_quotas.py
@@ -246,7 +246,7 @@
         now = self._clock.now()
         own = self._told.get(source, _NONE)
         self._fleet.record_summary(
-            Told(counts, gateways, now - age_s, known, own)
+            source, Told(counts, gateways, now - age_s, known, own)
         )
         self._fleet.refresh(now)
 
--- a/nutmegshore/balancing/fleet_counts.py
+++ b/nutmegshore/balancing/fleet_counts.py
@@ -1,5 +1,6 @@
 """Requests of each customer at the other gateways, from their reports."""
 
+import operator
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -16,6 +17,9 @@
 
 Counts = Mapping[str, Count]
 
+#: Fraction of the gateways at which two reports cover about equally many.
+_EQUAL = 0.95
+
 _NONE: Counts = MappingProxyType({})
 
 
@@ -83,25 +87,28 @@
         self.gateways = float(0)
         self.refreshed_at = float('-inf')
         self._direct: dict[str, Told] = {}
-        self._summary: Told | None = None
+        self._summaries: dict[str, Told] = {}
         self._totals: dict[str, Total] = {}
 
     @property
     def known(self) -> int:
         """How many gateways the others saw lately, 0 if none of them knows."""
-        told = [one.known for one in self._direct.values()]
-        if self._summary is not None:
-            told.append(self._summary.known)
-        return max(told, default=0)
+        told = (*self._direct.values(), *self._summaries.values())
+        return max((one.known for one in told), default=0)
 
     def record(self, source: str, told: Told) -> None:
-        """Replace the report of a gateway or a region."""
-        self._direct[source] = told
+        """Replace the report of a gateway or a region.
+
+        An aggregator that has just started covers little of its region; what
+        the other one reported is kept while it is fresh.
+        """
+        before = self._direct.get(source)
+        if before is None or told is _choose((before, told), told.at):
+            self._direct[source] = told
 
-    def record_summary(self, told: Told) -> None:
-        """Replace the sum over the fleet, unless that one is newer."""
-        if self._summary is None or told.at >= self._summary.at:
-            self._summary = told
+    def record_summary(self, aggregator: str, told: Told) -> None:
+        """Replace the sum over the fleet that an aggregator sent."""
+        self._summaries[aggregator] = told
 
     def total(self, customer: str) -> Total:
         """Return the requests of a customer at the others, by `refresh`."""
@@ -114,11 +121,12 @@
         direct = tuple(self._direct.values())
         self.gateways = _count_gateways(direct, now)
         chosen = direct
-        if self._summary is not None:
-            summed = _count_gateways((self._summary,), now) - 1
+        if self._summaries:
+            summary = _choose(self._summaries.values(), now)
+            summed = _count_gateways((summary,), now) - 1
             if summed > self.gateways:
                 self.gateways = summed
-                chosen = (self._summary,)
+                chosen = (summary,)
         self._add_up(chosen, now)
 
     def sum_sources(
@@ -129,11 +137,10 @@
         return _sum_counts(told, now), _count_gateways(told, now)
 
     def _drop_old(self, now: float) -> None:
-        for name, told in tuple(self._direct.items()):
-            if not told.weight(now):
-                self._direct.pop(name)
-        if self._summary is not None and not self._summary.weight(now):
-            self._summary = None
+        for by_source in (self._direct, self._summaries):
+            for name, told in tuple(by_source.items()):
+                if not told.weight(now):
+                    by_source.pop(name)
 
     def _add_up(self, chosen: tuple[Told, ...], now: float) -> None:
         found = _sum_counts(chosen, now)
@@ -145,6 +152,16 @@
                 self._totals.pop(name)
 
 
+def _choose(told: Iterable[Told], now: float) -> Told:
+    """Return the newest of those that cover about the most gateways."""
+    covered = [(one.gateways * one.weight(now), one) for one in told]
+    most = max(gateways for gateways, _ in covered)
+    return max(
+        (one for gateways, one in covered if gateways >= _EQUAL * most),
+        key=operator.attrgetter('at'),
+    )
+
+
 def _count_gateways(told: Iterable[Told], now: float) -> float:
     return sum(one.gateways * one.weight(now) for one in told)
 
--- a/nutmegshore/gateway/peering.py
+++ b/nutmegshore/gateway/peering.py
@@ -228,7 +228,7 @@
             sent_counts = self._sent_counts.get(sender, {})
             self._load.handle_all(summary.in_flight, sent_counts)
             self._traffic.handle_summary(summary)
-            self._quotas.handle_summary(sender, summary, transit_s)
+        self._quotas.handle_summary(sender, summary, transit_s)
         self._compare(sender, summary, transit_s)
 
     def _handle_region(self, sender: str, report: RegionLoadReport) -> None:
