--- a/nutmegshore/balancing/quota_rule.py
+++ b/nutmegshore/balancing/quota_rule.py
@@ -140,10 +140,13 @@
 
     @property
     def _whole(self) -> float:
-        """Requests of a window that are planned for if all gateways report."""
+        """Requests of a window that are planned for at all gateways.
+
+        What is spare covers those that do not report as well.
+        """
         quota = self.max_rate * self.bounds.window_s + self.burst
         spare = _SPARE_FRACTION * (self._allowed - quota)
-        return quota + spare * self._calm
+        return quota + spare * self._calm * self.use.fraction
 
     @property
     def _part(self) -> float:
