--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -3,6 +3,7 @@
 import collections
 import functools
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator
 
@@ -10,20 +11,21 @@
 
 from bench.event_clock import EventClock
 from bench.quota_faults import Fault, Kill, Views
+from bench.quota_reports import (
+    ZONES,
+    Gateway,
+    Reports,
+    gateway_names,
+    zone_of,
+)
 from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.balancing.quota_rule import QuotaBounds
 from nutmegshore.balancing.recent_members import RecentMembers
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.customer import Customer
 
-__all__ = ('Load', 'Move', 'Result', 'gateway_names', 'play', 'region_of')
+__all__ = ('Load', 'Move', 'Result', 'play')
 
-_REGIONS = ('west', 'north', 'south')
-_ZONES = 2
-_REPORT_INTERVAL_S = 0.25
-_AGGREGATORS = 2
-_BETWEEN_REGIONS_S = 0.055
-_BETWEEN_ZONES_S = 0.0014
 _NOTICE_S = 4
 #: Seconds before the callers come, in which the gateways meet.
 _START_S = 5
@@ -99,21 +101,6 @@
         return count / (self.load.max_rate * (self.load.seconds - start_s))
 
 
-def gateway_names(count: int) -> list[str]:
-    """Return the names of a fleet's gateways."""
-    return ['g{0:03}'.format(number) for number in range(count)]
-
-
-def zone_of(name: str) -> int:
-    """Return the number of a gateway's zone."""
-    return int(name[1:]) % (len(_REGIONS) * _ZONES)
-
-
-def region_of(name: str) -> str:
-    """Return the region of a gateway."""
-    return _REGIONS[zone_of(name) % len(_REGIONS)]
-
-
 MakeQuotas = Callable[
     [Clock, random.Random, RecentMembers, QuotaBounds], CustomerQuotas
 ]
@@ -126,14 +113,6 @@
     return _Session(load, random.Random(seed), make_quotas).run()
 
 
-@attrs.define(eq=False)
-class _Gateway:
-    name: str
-    quotas: CustomerQuotas
-    max_rate: float
-    turn: int = 0
-
-
 class _Session:
     """One load that is played."""
 
@@ -149,24 +128,34 @@
         self._views = Views(
             self._names, _shift(load.faults), self._clock.now, _NOTICE_S
         )
-        self._seen_cache: dict[tuple, dict] = {}
         self._gateways = {name: self._make(name) for name in self._names}
+        self._reports = Reports(
+            self._clock, self._views, self._gateways, _START_S + load.seconds
+        )
         self._zones = _group(self._names)
         self._weights = [
-            1 if zone < load.zones_used else 0
-            for zone in range(len(_REGIONS) * _ZONES)
+            1 if zone < load.zones_used else 0 for zone in range(ZONES)
         ]
 
     def run(self) -> Result:
         """Play to the end."""
-        for name in self._names:
-            at_s = self._rng.random() * _REPORT_INTERVAL_S
-            self._clock.after(at_s, functools.partial(self._tick, name))
+        self._reports.start(self._rng)
+        self._plan_restarts()
+        self._plan_changes()
+        self._clock.after(_START_S, self._await_next)
+        self._clock.run()
+        self._result.sent.sort()
+        return self._result
+
+    def _plan_restarts(self) -> None:
         for fault in _shift(self._load.faults):
-            if isinstance(fault, Kill) and fault.end_s < float('inf'):
+            if isinstance(fault, Kill) and fault.end_s < math.inf:
                 for name in fault.names:
                     restart = functools.partial(self._restart, name)
                     self._clock.after(fault.end_s, restart)
+
+    def _plan_changes(self) -> None:
+        """Plan the moves of callers and the changes of the quota."""
         for move in self._load.moves:
             self._clock.after(
                 _START_S + move.at_s, functools.partial(self._move, move)
@@ -178,19 +167,16 @@
                     _START_S + at_s + late_s,
                     functools.partial(self._lower, name, max_rate),
                 )
-        self._clock.after(_START_S, self._await_next)
-        self._clock.run()
-        self._result.sent.sort()
-        return self._result
 
-    def _make(self, name: str) -> _Gateway:
+    def _make(self, name: str) -> Gateway:
         members = RecentMembers(
             self._clock, lambda region: self._views.seen(name)
         )
         quotas = self._make_quotas(
             self._clock, self._rng, members, QuotaBounds()
         )
-        return _Gateway(
+        quotas.local = name
+        return Gateway(
             name, quotas, self._load.max_rate, self._rng.randrange(2)
         )
 
@@ -225,7 +211,8 @@
         open_names = [
             name for name in self._zones[zone] if not self._views.is_dead(name)
         ] or [name for name in self._names if not self._views.is_dead(name)]
-        self._ask(self._rng.choice(open_names))
+        if open_names:
+            self._ask(self._rng.choice(open_names))
 
     def _ask(self, name: str) -> None:
         now = self._clock.now()
@@ -240,119 +227,13 @@
             'acme', frozenset(), 0, gateway.max_rate, self._load.burst
         )
         wait_s = gateway.quotas.acquire(customer)
+        self._reports.send_all(gateway)
         if wait_s:
             self._result.refused.append(now - _START_S)
             self._result.waits.append(wait_s)
         else:
             self._result.sent.append(now - _START_S)
 
-    def _tick(self, name: str) -> None:
-        now = self._clock.now()
-        if now > _START_S + self._load.seconds:
-            return
-        until = self._views.paused_until(name)
-        if until > now:
-            self._clock.after(until - now, functools.partial(self._tick, name))
-            return
-        self._clock.after(
-            _REPORT_INTERVAL_S, functools.partial(self._tick, name)
-        )
-        if not self._views.is_dead(name):
-            self._report(self._gateways[name])
-
-    def _report(self, gateway: _Gateway) -> None:
-        """Do what `Peering.report` does."""
-        gateway.turn += 1
-        region = region_of(gateway.name)
-        seen = self._seen(gateway.name)
-        aggregators = seen[region][:_AGGREGATORS]
-        receiver = aggregators[gateway.turn % len(aggregators)]
-        quotas = gateway.quotas
-        counts = quotas.own(receiver)
-        known = quotas.known_gateways()
-        if receiver != gateway.name:
-            self._send(
-                gateway.name, receiver, 'adopt', gateway.name, counts, 1, known
-            )
-            return
-        regions = [one for one in seen if one != region]
-        summed, count = quotas.sum_sources(seen[region])
-        for other in regions:
-            for name in seen[other][:_AGGREGATORS]:
-                self._send(
-                    gateway.name,
-                    name,
-                    'adopt',
-                    f'region {region}',
-                    summed,
-                    count,
-                    known,
-                )
-        sources = [*seen[region], *(f'region {one}' for one in regions)]
-        summed, count = quotas.sum_sources(sources)
-        for name in seen[region]:
-            if name != gateway.name:
-                self._send(
-                    gateway.name,
-                    name,
-                    'adopt_summary',
-                    gateway.name,
-                    summed,
-                    count,
-                    known,
-                )
-
-    def _send(
-        self, sender: str, receiver: str, method: str, *fields: object
-    ) -> None:
-        if self._views.is_lost(sender, receiver):
-            return
-        delay_s = _BETWEEN_ZONES_S
-        if region_of(sender) != region_of(receiver):
-            delay_s = _BETWEEN_REGIONS_S
-        sent_at = self._clock.now()
-        deliver = functools.partial(
-            self._deliver, receiver, method, sent_at, fields
-        )
-        self._clock.after(delay_s, deliver)
-
-    def _deliver(
-        self, receiver: str, method: str, sent_at: float, fields: tuple
-    ) -> None:
-        now = self._clock.now()
-        until = self._views.paused_until(receiver)
-        if until > now:
-            self._clock.after(
-                until - now,
-                functools.partial(
-                    self._deliver, receiver, method, sent_at, fields
-                ),
-            )
-        elif not self._views.is_dead(receiver):
-            quotas = self._gateways[receiver].quotas
-            getattr(quotas, method)(*fields, now - sent_at)
-
-    def _seen(self, name: str) -> dict[str, list[str]]:
-        """Return the gateways that one takes for alive, by region."""
-        seen = self._views.seen(name)
-        key = tuple(seen)
-        found = self._seen_cache.get(key)
-        if found is None:
-            found = collections.defaultdict(list)
-            for one in seen:
-                found[region_of(one)].append(one)
-            for region, names in found.items():
-                found[region] = _put_aggregators_first(names)
-            self._seen_cache[key] = found
-        return found
-
-
-def _put_aggregators_first(names: list[str]) -> list[str]:
-    """Return the names of a region; the second one is in the other zone."""
-    first = names[0]
-    others = sorted(names[1:], key=lambda name: zone_of(name) == zone_of(first))
-    return [first, *others]
-
 
 def _group(names: Iterable[str]) -> dict[int, list[str]]:
     found: dict[int, list[str]] = collections.defaultdict(list)
--- a/tests/balancing/test_customer_quotas.py
+++ b/tests/balancing/test_customer_quotas.py
@@ -14,7 +14,8 @@
 
 from bench.event_clock import EventClock
 from bench.quota_faults import Cut, Kill, Pause
-from bench.quota_fleet import Load, Move, gateway_names, play, region_of
+from bench.quota_fleet import Load, Move, play
+from bench.quota_reports import gateway_names, region_of
 from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.balancing.quota_counts import Count
 from nutmegshore.balancing.recent_members import RecentMembers
@@ -151,7 +152,7 @@
 
 
 def test_what_was_given_back_may_be_used_again(make_quotas):
-    """Guards against requests that were refused elsewhere and use up a quota."""
+    """Guards against a quota that requests refused elsewhere use up."""
     quotas = make_quotas()
     customer = _customer(max_rate=50)
     before = _count_admitted(quotas, customer)
