--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -378,7 +378,8 @@
     lines,
 ):
     """Guards against a refusal that on-call cannot verify: a sample of 20
-    lacked the upstream's queue and the age of its report."""
+    lacked the upstream's queue and the age of its report; and against one whose
+    cause neither the line nor a counter tells."""
     context = make_context(scripted())
     for name in ('u1', 'u2', 'u3'):
         context.balancer.candidate_builder.load.get(name).in_flight = 20
@@ -390,6 +391,11 @@
     assert refused['busy'] == 21
     assert 0 <= refused['report_age_s'] < 1
     assert refused['wait_s'] > 1
+    assert refused['cause'] in {'deadline', 'queue'}
+    found = context.counters.total(
+        'requests_contended', cause=refused['cause'], route=refused['route']
+    )
+    assert found == 1
 
 
 def test_a_refusal_before_readiness_names_what_is_missing(
