--- a/nutmegshore/balancing/contention.py
+++ b/nutmegshore/balancing/contention.py
@@ -36,8 +36,7 @@
 
     `DEADLINE`: it would be answered after its deadline. `QUEUE`: it would wait
     for too long. `URGENT`: more urgent requests would be late because of it.
-    `LATE`: it cannot be in time any more, and others would be late because of
-    it.
+    `LATE`: it cannot be in time any more, and would have to wait.
     """
 
     NONE = ''
@@ -77,10 +76,11 @@
     is accepted if it is expected to meet its target, or if its wait is short.
 
     What is queued at an upstream cannot be overtaken. Where requests of several
-    routes or customers compete for a service, one that is less urgent, or late
-    anyway, is accepted only if a more urgent one that arrives next would still
-    be in time. It is accepted regardless if its route or customer has been
-    refused far more often than the others.
+    routes or customers compete for a service, a request waits only if it can
+    still be in time, so that late ones get free slots only; and a less urgent
+    one is accepted only if a more urgent one that arrives next would still be
+    in time. Neither holds if its route or customer has been refused far more
+    often than the others.
 
         contention.record_asked(request)
         contention.judge(request, candidate).is_admitted
@@ -110,15 +110,25 @@
         if candidate.is_known and candidate.expected_s > request.remaining_s:
             return Verdict(RefusalCause.DEADLINE)
         rivals = self._rivals.active(request.service)
-        is_contended = len(rivals) > 1
-        limit_s = _own_limit_s(request, candidate)
-        if not is_contended:
-            limit_s *= self._rank_factor(request)
-        if candidate.wait_s > limit_s:
-            return _refuse_wait(request, candidate, limit_s)
-        if is_contended and not self._floor.is_due(request):
-            return _yield_to(rivals, request, candidate)
-        return _ADMITTED
+        if len(rivals) <= 1:
+            factor = self._rank_factor(request)
+            return _judge_alone(request, candidate, factor)
+        if self._floor.is_due(request):
+            return _judge_alone(request, candidate)
+        spare_s = _spare_s(request, candidate)
+        if candidate.wait_s > spare_s:
+            return _refuse_wait(candidate, spare_s)
+        place_s = self._place_s(request, candidate)
+        return _yield_to(rivals, request, candidate, place_s)
+
+    def _place_s(self, request: RoutingRequest, candidate: Candidate) -> float:
+        """Return the seconds of waiting for one request in the queue."""
+        slots = candidate.upstream.slots
+        waiting = candidate.busy + 1 - slots
+        if waiting > 0:
+            return candidate.wait_s / waiting
+        mean_s = self._rivals.mean_work_s(request.service)
+        return max(mean_s, candidate.work_s) / slots
 
     def _rank_factor(self, request: RoutingRequest) -> float:
         lowest_rank = self._lowest_rank(request.service)
@@ -132,69 +142,74 @@
         return self._ranks[1].get(service, 0)
 
 
-def _own_limit_s(request: RoutingRequest, candidate: Candidate) -> float:
-    """Return the seconds that a request may wait for its own sake."""
+def _judge_alone(
+    request: RoutingRequest, candidate: Candidate, factor: float = 1
+) -> Verdict:
+    """Return whether a request may queue that yields to nobody.
+
+    `factor` shortens the permitted wait.
+    """
     target_s = request.route.target_latency_s
     unavoidable_s = candidate.expected_s - candidate.wait_s
     spare_s = target_s * _TARGET_FACTOR - unavoidable_s
-    return max(spare_s, _LATE_WAIT_FRACTION * target_s)
+    late_s = _LATE_WAIT_FRACTION * target_s
+    limit_s = factor * max(spare_s, late_s)
+    if candidate.wait_s <= limit_s:
+        return _ADMITTED
+    room_in_s = candidate.wait_s - late_s
+    return Verdict(RefusalCause.QUEUE, limit_s, room_in_s)
 
 
-def _refuse_wait(
-    request: RoutingRequest, candidate: Candidate, limit_s: float
-) -> Verdict:
-    late_s = _LATE_WAIT_FRACTION * request.route.target_latency_s
-    return Verdict(RefusalCause.QUEUE, limit_s, candidate.wait_s - late_s)
+def _spare_s(request: RoutingRequest, candidate: Candidate) -> float:
+    """Return the seconds that a request may wait and still be in time."""
+    needed_s = candidate.expected_s - candidate.wait_s + request.age_s
+    target_s = request.route.target_latency_s * _TARGET_FACTOR
+    return max(target_s - needed_s, 0)
+
+
+def _refuse_wait(candidate: Candidate, spare_s: float) -> Verdict:
+    return Verdict(
+        RefusalCause.QUEUE if spare_s else RefusalCause.LATE,
+        spare_s,
+        candidate.wait_s - spare_s,
+    )
 
 
 def _yield_to(
-    rivals: list[Rival], request: RoutingRequest, candidate: Candidate
+    rivals: list[Rival],
+    request: RoutingRequest,
+    candidate: Candidate,
+    place_s: float,
 ) -> Verdict:
-    """Return whether the next request of a more urgent class stays in time."""
-    is_late = _is_late(request, candidate)
+    """Return whether the next request of a more urgent class stays in time.
+
+    It waits for `place_s` for each request ahead of it in the queue.
+    """
     protected = [
         one
         for one in rivals
-        if one.timely_work_s and (is_late or one.urgency < request.urgency)
+        if one.timely_work_s and one.urgency < request.urgency
     ]
     if not protected:
         return _ADMITTED
-    tightest = min(protected, key=_spare_s)
-    place_s = _place_s(rivals, candidate)
+    tightest = min(protected, key=_rival_spare_s)
     ahead = candidate.busy + 2 - candidate.upstream.slots
     next_wait_s = max(ahead, 0) * place_s
     bearable_s = _SAFE_WAIT_FRACTION * tightest.spare_s
     if next_wait_s <= bearable_s:
         return _ADMITTED
     return Verdict(
-        RefusalCause.LATE if is_late else RefusalCause.URGENT,
+        RefusalCause.URGENT,
         max(bearable_s - place_s, 0),
         next_wait_s - bearable_s,
         tightest.route.name,
     )
 
 
-def _is_late(request: RoutingRequest, candidate: Candidate) -> bool:
-    """Return whether a request would be late even without a wait."""
-    needed_s = candidate.expected_s - candidate.wait_s + request.age_s
-    return needed_s > request.route.target_latency_s * _TARGET_FACTOR
-
-
-def _spare_s(rival: Rival) -> float:
+def _rival_spare_s(rival: Rival) -> float:
     return rival.spare_s
 
 
-def _place_s(rivals: list[Rival], candidate: Candidate) -> float:
-    """Return the seconds for which one more request in the queue is waited."""
-    waiting = candidate.busy + 1 - candidate.upstream.slots
-    if waiting > 0:
-        return candidate.wait_s / waiting
-    count = sum(one.count for one in rivals)
-    total_s = sum(one.count * one.work_s for one in rivals)
-    mean_s = max(total_s / max(count, 1), candidate.work_s)
-    return mean_s / candidate.upstream.slots
-
-
 def _iter_ranks(configuration: Configuration) -> Iterator[tuple[str, int]]:
     """Yield each service with the rank of its most urgent route."""
     ranks: dict[str, int] = {}
--- a/nutmegshore/balancing/rivals.py
+++ b/nutmegshore/balancing/rivals.py
@@ -3,7 +3,6 @@
 import attrs
 
 from nutmegshore.balancing.choice import Candidate, RoutingRequest
-from nutmegshore.balancing.sliding_counts import SlidingCounts
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.route import Route
 
@@ -28,33 +27,19 @@
     """Requests of one route with the same urgency to one service.
 
     `timely_work_s` is the mean work of those that can be in time without a
-    wait, `work_s` that of all; 0 if none was sent yet. `asked_at` is the time
-    of the last one.
+    wait, 0 if none was sent yet. `asked_at` is the time of the last request.
     """
 
     route: Route
     urgency: Urgency
     asked_at: float
-    asked: SlidingCounts[list[int]]
     timely_work_s: float = 0
-    work_s: float = 0
 
     @property
     def spare_s(self) -> float:
         """Seconds that its requests may wait and still be in time."""
         return max(self.route.target_latency_s - self.timely_work_s, 0)
 
-    @property
-    def count(self) -> int:
-        """Requests of the last 2 s."""
-        return sum(len(one) for one in self.asked.window())
-
-    def record_work(self, work_s: float, *, is_timely: bool) -> None:
-        """Learn from a request that is sent and expected to work so long."""
-        self.work_s = _smooth(self.work_s, work_s)
-        if is_timely:
-            self.timely_work_s = _smooth(self.timely_work_s, work_s)
-
 
 class Rivals:
     """The classes of requests to each service that this gateway receives.
@@ -70,22 +55,26 @@
         """Start without requests."""
         self._clock = clock
         self._by_service: dict[str, dict[_Class, Rival]] = {}
+        self._work_s: dict[str, float] = {}
 
     def record_asked(self, request: RoutingRequest) -> None:
-        """Count a request that needs an upstream."""
-        rival = self._get(request)
-        rival.asked_at = self._clock.now()
-        rival.asked.current().append(1)
+        """Note a request that needs an upstream."""
+        self._get(request).asked_at = self._clock.now()
 
     def record_sent(
         self, request: RoutingRequest, candidate: Candidate
     ) -> None:
         """Learn the work of a request that is sent."""
-        needed_s = candidate.delay_s + candidate.work_s
-        self._get(request).record_work(
-            candidate.work_s,
-            is_timely=needed_s <= request.route.target_latency_s,
-        )
+        service = request.service
+        work_s = candidate.work_s
+        self._work_s[service] = _smooth(self._work_s.get(service, 0), work_s)
+        if candidate.delay_s + work_s <= request.route.target_latency_s:
+            rival = self._get(request)
+            rival.timely_work_s = _smooth(rival.timely_work_s, work_s)
+
+    def mean_work_s(self, service: str) -> float:
+        """Return the mean work of the requests that were sent to a service."""
+        return self._work_s.get(service, 0)
 
     def active(self, service: str) -> list[Rival]:
         """Return the classes that used a service lately."""
@@ -104,7 +93,6 @@
                 request.route,
                 request.urgency,
                 self._clock.now(),
-                SlidingCounts(self._clock, list),
             )
             classes[key] = rival
         # A later configuration may have another target.
