Keep room for urgent requests of routes that are learnt

Requests of a route whose work is not known yet were exempt from leaving room for urgent ones, since the first guess says little; each gateway learns that by itself, so that it took long in large fleets. Only the limit on their own wait is that of a lone route now.

--- a/nutmegshore/balancing/contention.py
+++ b/nutmegshore/balancing/contention.py
@@ -115,11 +115,11 @@
             return _judge_alone(request, candidate, factor)
         if self._floor.is_due(request):
             return _judge_alone(request, candidate)
-        spare_s = _spare_s(request, candidate)
-        if candidate.wait_s > spare_s:
-            return _refuse_wait(candidate, spare_s)
-        place_s = self._place_s(request, candidate)
-        return _yield_to(rivals, request, candidate, place_s)
+        verdict = _judge_wait(request, candidate)
+        if verdict.is_admitted:
+            place_s = self._place_s(request, candidate)
+            return _yield_to(rivals, request, candidate, place_s)
+        return verdict
 
     def _place_s(self, request: RoutingRequest, candidate: Candidate) -> float:
         """Return the seconds of waiting for one request in the queue."""
@@ -167,7 +167,16 @@
     return max(target_s - needed_s, 0)
 
 
-def _refuse_wait(candidate: Candidate, spare_s: float) -> Verdict:
+def _judge_wait(request: RoutingRequest, candidate: Candidate) -> Verdict:
+    """Return whether a request would be in time, or need not wait.
+
+    Before its work is known, the guess says little about that.
+    """
+    if not candidate.is_known:
+        return _judge_alone(request, candidate)
+    spare_s = _spare_s(request, candidate)
+    if candidate.wait_s <= spare_s:
+        return _ADMITTED
     return Verdict(
         RefusalCause.QUEUE if spare_s else RefusalCause.LATE,
         spare_s,
