Bound the bodies on their way to one upstream

An upstream crashes if the requests that it holds exceed its memory, and nothing bounded what one process sent to it at once. A body now waits, before anything of it is sent, until those before it to the same upstream leave room in 256 MiB; a stalled connection is closed for each that waits. Bodies of unknown length count with little, and several gateways do not share the bound.

--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -24,6 +24,7 @@
 from nutmegshore.upstreams.dialect import OwnDialect
 from nutmegshore.upstreams.multi import IDLE_CONNECTIONS, CurlLoop
 from nutmegshore.upstreams.transfer import Transfer
+from nutmegshore.upstreams.upload_room import UploadRoom
 
 __all__ = ('CurlUpstreams',)
 
@@ -55,6 +56,7 @@
     ) -> None:
         """Create a client; deadlines are readings of `clock`."""
         self._budget = budget or ByteBudget()
+        self._uploads = UploadRoom(self._make_room)
         self._clock = clock
         self.dialect = dialect or OwnDialect()
         self._loop = CurlLoop(faults or Faults(Counters()), idle_connections)
@@ -71,6 +73,24 @@
         receiver: AnswerReceiver,
     ) -> AnswerHead:
         """Send the request to the named upstream."""
+        length = request.body.length if request.body else 0
+        remaining_s = request.deadline - self._clock.now()
+        try:
+            async with asyncio.timeout(remaining_s):
+                room = await self._uploads.take(upstream.address, length)
+        except TimeoutError as failure:
+            kind = ErrorKind.DEADLINE_BEFORE_SEND
+            raise RequestError(kind, name) from failure
+        with room:
+            return await self._send(name, upstream, request, receiver)
+
+    async def _send(
+        self,
+        name: str,
+        upstream: Destination,
+        request: UpstreamRequest,
+        receiver: AnswerReceiver,
+    ) -> AnswerHead:
         remaining_s = request.deadline - self._clock.now()
         if remaining_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
@@ -87,6 +107,9 @@
             except TimeoutError as failure:
                 raise attempt.timeout_error() from failure
 
+    def _make_room(self) -> None:
+        self._budget.make_room()
+
     def _report_connection(
         self, upstream: Destination, transfer: Transfer
     ) -> None:
