--- a/nutmegshore/byte_budget.py
+++ b/nutmegshore/byte_budget.py
@@ -89,6 +89,7 @@
         is_short = self.used > self.limit * part
         if is_short != self.is_short:
             self.is_short = is_short
+            self._counters.set_gauge('caller_memory_short', int(is_short))
             self.on_change()
 
 
