Give the gateways of the key tests their quotas

Change: the tests' gateways have them; public methods of the connection stand before its own.

Result: tests/gateway/test_key_age.py passes.

--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -93,6 +93,10 @@
         else:
             abort_stream(self._stream)
 
+    def has_waiting(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._reader.has_held or _has_unread(self._stream)
+
     async def _serve(self) -> None:
         """Read and answer requests until no further one can follow."""
         reading = asyncio.ensure_future(self._read_requests())
@@ -122,10 +126,6 @@
             self._is_reading = False
             await self._pipeline.wait_room()
 
-    def has_waiting(self) -> bool:
-        """Whether a part of a request has arrived."""
-        return self._reader.has_held or _has_unread(self._stream)
-
     async def _has_next(self) -> bool:
         if self._pipeline.is_closing:
             await self._pipeline.wait_end()
--- a/tests/gateway/key_keeper.py
+++ b/tests/gateway/key_keeper.py
@@ -7,6 +7,7 @@
 
 from bench.cut_platform import CutPlatform
 from nutmegshore.balancing import Balancer, BalancerDependencies
+from nutmegshore.balancing.customer_quotas import CustomerQuotas
 from nutmegshore.clock import VirtualClock
 from nutmegshore.counters import Counters
 from nutmegshore.errors import RequestError
@@ -140,6 +141,7 @@
             counters,
             log,
             LeavingUpstreams(state, log, counters),
+            CustomerQuotas(clock, rng, balancer.candidate_builder.members),
         ),
         [follower],
     )
