--- a/bench/quota_reports.py
+++ b/bench/quota_reports.py
@@ -190,6 +190,7 @@
 
 def _put_aggregators_first(names: list[str]) -> list[str]:
     """Return the names of a region; the second one is in the other zone."""
-    first = names[0]
-    others = sorted(names[1:], key=lambda name: zone_of(name) == zone_of(first))
+    first, *others = names
+    zone = zone_of(first)
+    others.sort(key=lambda name: zone_of(name) == zone)
     return [first, *others]
