--- a/nutmegshore/balancing/contention.py
+++ b/nutmegshore/balancing/contention.py
@@ -108,7 +108,8 @@
     def judge(self, request: RoutingRequest, candidate: Candidate) -> Verdict:
         """Return whether a request may queue at its best upstream."""
         if candidate.is_known and candidate.expected_s > request.remaining_s:
-            return Verdict(RefusalCause.DEADLINE)
+            room_in_s = _excess_s(request, candidate)
+            return Verdict(RefusalCause.DEADLINE, room_in_s=room_in_s)
         rivals = self._rivals.active(request.service)
         if len(rivals) <= 1:
             factor = self._rank_factor(request)
@@ -156,8 +157,13 @@
     limit_s = factor * max(spare_s, late_s)
     if candidate.wait_s <= limit_s:
         return _ADMITTED
-    room_in_s = candidate.wait_s - late_s
-    return Verdict(RefusalCause.QUEUE, limit_s, room_in_s)
+    return Verdict(RefusalCause.QUEUE, limit_s, _excess_s(request, candidate))
+
+
+def _excess_s(request: RoutingRequest, candidate: Candidate) -> float:
+    """Return the seconds until any request of a route may queue."""
+    late_s = _LATE_WAIT_FRACTION * request.route.target_latency_s
+    return candidate.wait_s - late_s
 
 
 def _spare_s(request: RoutingRequest, candidate: Candidate) -> float:
