Mend what a reading of the merged parts found

Cause: a fresh reader of the whole change found, by reading: a caller that pauses within a head while its earlier request is at an upstream counted as stalled and could be closed; overlapping waits restarted each other's clock; an unlimited RLIMIT_NOFILE left 16 connections; a credit that came back after the window was taken from another request; other regions whose answers were late stayed out for good without traffic; the peers that a configuration was sent to were never forgotten; a fraction in Retry-After of the entry.

--- a/nutmegshore/balancing/customer_quotas.py
+++ b/nutmegshore/balancing/customer_quotas.py
@@ -111,12 +111,12 @@
 class CustomerQuotas:
     """Keeps the requests of each customer at all gateways within its quota.
 
-    Gateways report how much each customer asked for in the last second and how
-    much was sent in the window. From the sums, each computes the same rate that
-    all may send together, and the part of the demand that this is. It admits
-    that part of its own requests, so that it does not matter to which gateways
-    callers connect. Only what has changed within the delay of the reports is
-    not known.
+    Gateways report how much each customer asked for in the last half second
+    and how much was sent in the window. From the sums, each computes the same
+    rate that all may send together, and the part of the demand that this is.
+    It admits that part of its own requests, so that it does not matter to
+    which gateways callers connect. Only what has changed within the delay of
+    the reports is not known.
 
         wait_s = quotas.acquire(customer)
         if wait_s:
@@ -161,12 +161,15 @@
         own.refused_at = now
         return state.wait_s(self.bounds.window_s)
 
-    def release(self, customer: Customer) -> None:
-        """Return the credit of a request that did not run."""
+    def release(self, customer: Customer, admitted_at: float) -> None:
+        """Return the credit of a request that did not run.
+
+        `admitted_at` is the clock's time of its admission.
+        """
         own = self._by_name.get(customer.name)
         if own is None:
             return
-        own.counts.give_back(self._clock.now())
+        own.counts.give_back(self._clock.now(), admitted_at)
         own.credit = min(own.credit + 1, _MAX_CREDIT)
 
     def states(self) -> dict[str, QuotaState]:
@@ -177,7 +180,11 @@
         }
 
     def resize(self, bounds: QuotaBounds) -> None:
-        """Replace the bounds; a new window begins without counts."""
+        """Replace the bounds.
+
+        Another length of the window begins without counts, so that the first
+        window may exceed the quota.
+        """
         if bounds.window_s != self.bounds.window_s:
             self._by_name.clear()
             self._fleet = FleetCounts(bounds.window_s)
--- a/nutmegshore/balancing/quota_counts.py
+++ b/nutmegshore/balancing/quota_counts.py
@@ -76,8 +76,13 @@
         current.sent += is_sent
         self._sent += is_sent
 
-    def give_back(self, now: float) -> None:
-        """Take back one that was admitted and then not sent."""
+    def give_back(self, now: float, admitted_at: float) -> None:
+        """Take back one that was admitted and then not sent.
+
+        One that was admitted before the window is not counted any more.
+        """
+        if now - admitted_at >= self._window_s:
+            return
         self._current(now)
         for one in reversed(self._slices):
             if one.sent:
--- a/nutmegshore/balancing/quota_rule.py
+++ b/nutmegshore/balancing/quota_rule.py
@@ -96,7 +96,7 @@
     Gateways that do not report may be alive and use their part, so that the
     others plan for the rest only.
 
-        plan = QuotaPlan(bounds, customer, use)
+        plan = QuotaPlan(bounds, customer.max_rate, customer.burst, use)
         if use.asked_rate <= plan.permitted_rate:
             ...
     """
--- a/nutmegshore/balancing/region_choice.py
+++ b/nutmegshore/balancing/region_choice.py
@@ -59,7 +59,7 @@
             dependencies.max_shift,
             dependencies.rng,
         )
-        self.remote_success = RemoteSuccess()
+        self.remote_success = RemoteSuccess(dependencies.clock)
         self._is_admitted = is_admitted
 
     def choose(
--- a/nutmegshore/gateway/configuration_exchange.py
+++ b/nutmegshore/gateway/configuration_exchange.py
@@ -41,6 +41,11 @@
         is_recent = now - self._sent_at.get(name, float('-inf')) < _REPEAT_S
         if stored is None or is_recent:
             return
+        self._sent_at = {
+            one: sent_at
+            for one, sent_at in self._sent_at.items()
+            if now - sent_at < _REPEAT_S
+        }
         self._sent_at[name] = now
         body = ConfigurationInForce(
             stored.key, stored.body, stored.uid, stored.version
--- a/nutmegshore/gateway/quota_gate.py
+++ b/nutmegshore/gateway/quota_gate.py
@@ -70,7 +70,7 @@
             yield
         finally:
             if not (routed.may_have_run or routed.runs):
-                self.quotas.release(customer)
+                self.quotas.release(customer, routed.incoming.arrived_at)
                 self._counters.add(
                     'customer_credits_returned', customer=customer.name
                 )
--- a/nutmegshore/listener/answer.py
+++ b/nutmegshore/listener/answer.py
@@ -1,6 +1,7 @@
 """Writing of answers to a caller's connection."""
 
 import asyncio
+import math
 import socket
 import struct
 from collections.abc import Callable
@@ -123,7 +124,9 @@
             (_OUTCOME, error.answer.outcome.value),
         )
         if isinstance(error, RefusedError):
-            headers += ((_RETRY_AFTER, str(error.retry_after_s)),)
+            # Callers of the entry daemon read whole seconds.
+            wait_s = math.ceil(error.retry_after_s)
+            headers += ((_RETRY_AFTER, str(wait_s)),)
         body = f'{kind}: {error}\n'.encode()
         await self.write_own(error.answer.status, headers, body)
 
--- a/nutmegshore/listener/caller_activity.py
+++ b/nutmegshore/listener/caller_activity.py
@@ -8,7 +8,7 @@
 
 
 class CallerActivity:
-    """Whether a connection waits for its caller, and for how long.
+    """Tracks how long a connection has been waiting for its caller.
 
     A connection that waits for an upstream does not wait for its caller.
 
@@ -17,25 +17,23 @@
     """
 
     def __init__(self) -> None:
-        """Wait for nothing."""
-        self._waits = 0
-        self._since: float = 0
+        """Start without a wait."""
+        self._started: list[float] = []
 
     @property
     def waited_s(self) -> float:
-        """Seconds since the caller last sent or took anything; else 0."""
-        return _now() - self._since if self._waits else 0
+        """Seconds of the longest wait that goes on, 0 without any."""
+        return _now() - min(self._started) if self._started else 0
 
     @contextlib.contextmanager
     def waiting(self) -> Iterator[None]:
         """Wait for the caller inside of this context."""
-        self._waits += 1
-        self._since = _now()
+        started = _now()
+        self._started.append(started)
         try:
             yield
         finally:
-            self._waits -= 1
-            self._since = _now()
+            self._started.remove(started)
 
 
 def _now() -> float:
--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -118,7 +118,9 @@
         Behind a request whose answer closes the connection, nothing is read.
         """
         while await self._has_next():
+            self._reader.is_reading_ahead = not self._pipeline.is_empty
             exchange = await self._requests.read()
+            self._reader.is_reading_ahead = False
             # A stop may have announced the close in the meantime.
             exchange.writer.keeps_alive &= not self.is_leaving
             if not self._pipeline.is_closing:
--- a/nutmegshore/listener/exchange.py
+++ b/nutmegshore/listener/exchange.py
@@ -23,7 +23,7 @@
     responder if building it has failed.
 
         exchange = Exchange(context, writer, responder)
-        exchange.start(pipeline.record_end)
+        exchange.start(on_end)
         ...
         exchange.is_kept
     """
--- a/nutmegshore/listener/instance_limits.py
+++ b/nutmegshore/listener/instance_limits.py
@@ -30,6 +30,8 @@
 #: Part of the descriptors for idle connections to upstreams.
 _IDLE_PART = 0.0625
 _MAX_IDLE = 512
+#: Descriptors that are used where neither limit is known.
+_UNLIMITED_DESCRIPTORS = 65_536
 #: Descriptors of a request: its caller's connection and its upstream's.
 _PER_REQUEST = 2
 _MIN_BUFFER_BYTES = 8 * _MB
@@ -58,8 +60,7 @@
         """
         free_mb = (memory_mb or DEFAULT_MEMORY_MB) - _PROCESS_MB
         free_bytes = max(free_mb, 0) * _MB
-        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        usable = min(descriptors or allowed, allowed)
+        usable = _usable_descriptors(descriptors)
         reserve = min(int(usable * _RESERVE_PART), _MAX_RESERVE)
         idle = min(int(usable * _IDLE_PART), _MAX_IDLE)
         by_memory = int(free_bytes * _CONNECTION_PART / _CONNECTION_BYTES)
@@ -73,3 +74,11 @@
     def make_budget(self, counters: Counters) -> ByteBudget:
         """Return the budget for what the process holds for its callers."""
         return ByteBudget(self.buffer_bytes, counters)
+
+
+def _usable_descriptors(descriptors: int) -> int:
+    """Return the smaller one of the instance's and the process's own limit."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if allowed == resource.RLIM_INFINITY:
+        return descriptors or _UNLIMITED_DESCRIPTORS
+    return min(descriptors or allowed, allowed)
--- a/nutmegshore/listener/reader.py
+++ b/nutmegshore/listener/reader.py
@@ -34,6 +34,9 @@
         """Read from a connected stream."""
         self._stream = stream
         self._activity = activity or CallerActivity()
+        #: Whether an earlier request is being answered, so that a caller that
+        #: pauses within the next head keeps nothing waiting.
+        self.is_reading_ahead = False
         self._held = bytearray()
         self._pending: asyncio.Future[bytes] | None = None
 
@@ -130,6 +133,9 @@
         return taken
 
     async def _fill(self) -> None:
+        if self.is_reading_ahead:
+            self._held += await self._read()
+            return
         with self._activity.waiting():
             self._held += await self._read()
 
--- a/nutmegshore/platform/bounds.py
+++ b/nutmegshore/platform/bounds.py
@@ -22,8 +22,8 @@
     2 s. In any `quota_window_s`, a customer's requests stay within its quota
     times 1 plus `quota_overage`, plus `quota_slack`. A shutdown lasts
     `grace_s`, and the answer to a lookup is valid for at most `max_lookup_s`.
-    If `is_revoke_strict`, no request that is sent later than `revoke_s` after
-    the removal of its API key runs.
+    If `is_revoke_strict`, no request that its caller sends later than
+    `revoke_s` after the removal of its API key runs.
     """
 
     drain_s: float = 2
--- a/nutmegshore/upstreams/upload_room.py
+++ b/nutmegshore/upstreams/upload_room.py
@@ -22,8 +22,8 @@
 
     A body that does not fit waits, before anything of it is sent, and calls
     `make_room`, which closes a stalled connection. A body alone always fits,
-    and small ones do not count. A body of unknown length counts as one byte
-    more than a small one.
+    and small ones do not count. A body of unknown length is not bounded: it
+    counts as one byte more than a small one, whatever its size.
 
         with await room.take('10.0.0.1:80', body.length):
             ...
