Let customers of one route compete by their wait only

Cause: classes of traffic were told apart by the rank of customers too, so that each service with customers of several ranks kept room free, also where one route uses it.

Change: where one route uses a service, a customer of a lower rank may wait for less, as a route of a lower rank may.

--- a/nutmegshore/balancing/contention.py
+++ b/nutmegshore/balancing/contention.py
@@ -111,8 +111,12 @@
             room_in_s = _excess_s(request, candidate)
             return Verdict(RefusalCause.DEADLINE, room_in_s=room_in_s)
         rivals = self._rivals.active(request.service)
-        if len(rivals) <= 1:
-            factor = self._rank_factor(request)
+        if len({one.route.name for one in rivals}) <= 1:
+            # Customers of one route need equal work: room that is kept free
+            # for the urgent ones would cost the others more than they gain.
+            factor = self._rank_factor(request) * _customer_factor(
+                rivals, request
+            )
             return _judge_alone(request, candidate, factor)
         if self._floor.is_due(request):
             return _judge_alone(request, candidate)
@@ -143,6 +147,13 @@
         return self._ranks[1].get(service, 0)
 
 
+def _customer_factor(rivals: list[Rival], request: RoutingRequest) -> float:
+    """Return the factor on the wait of a customer by its rank."""
+    customer_rank = request.urgency[0]
+    least = min((one.urgency[0] for one in rivals), default=customer_rank)
+    return _RANK_FACTOR ** max(customer_rank - least, 0)
+
+
 def _judge_alone(
     request: RoutingRequest, candidate: Candidate, factor: float = 1
 ) -> Verdict:
