Use standard terms where a fresh reader stumbled

Cause: names and comments of the merged parts had private words: keys that are believed, words of other gateways, a fair floor.

Change: keys are accepted, PeerConfigurations and MinimumShare in place of ConfigurationWords and FairFloor, comments in the field's terms. Behaviour is the same.

--- a/nutmegshore/balancing/contention.py
+++ b/nutmegshore/balancing/contention.py
@@ -7,7 +7,7 @@
 import attrs
 
 from nutmegshore.balancing.choice import Candidate, RoutingRequest
-from nutmegshore.balancing.fair_floor import FairFloor
+from nutmegshore.balancing.minimum_share import MinimumShare
 from nutmegshore.balancing.rivals import Rival, Rivals
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.route import Configuration
@@ -90,7 +90,7 @@
         """Use the routes of the configuration in `state`."""
         self._state = state
         self._rivals = Rivals(clock)
-        self._floor = FairFloor(clock)
+        self._floor = MinimumShare(clock)
         self._ranks: tuple[Configuration | None, dict[str, int]] = (None, {})
 
     def record_asked(self, request: RoutingRequest) -> None:
--- a/nutmegshore/balancing/fair_floor.py
+++ b/nutmegshore/balancing/minimum_share.py
@@ -6,11 +6,11 @@
 from nutmegshore.balancing.sliding_counts import SlidingCounts
 from nutmegshore.clock import Clock
 
-__all__ = ('FairFloor',)
+__all__ = ('MinimumShare',)
 
 #: Each route and customer is sent at least this often relative to all requests
-#: of the service. The users require a quarter; the rest covers requests that
-#: are due while nobody may be sent.
+#: of the service. The guaranteed share is a quarter; the rest covers requests
+#: that become due while no upstream accepts any.
 _FLOOR = 0.35
 #: Requests by which a route or customer may be ahead of that. A few refusals in
 #: a row are chance if it is served often enough otherwise.
@@ -26,7 +26,7 @@
 _Member = tuple[str, str, str]
 
 
-class FairFloor:
+class MinimumShare:
     """Tells which requests are due although more urgent ones compete.
 
     Each request of a route or a customer adds a part of the service's sent
--- a/nutmegshore/balancing/quota_rule.py
+++ b/nutmegshore/balancing/quota_rule.py
@@ -32,8 +32,7 @@
 #: Least part of the gateways from which the demand of all is estimated.
 _MIN_FRACTION = 0.1
 #: Seconds in which the requests of a window are brought to those planned for.
-#: Shorter than twice the delay of the reports, the rate would oscillate; with
-#: 2, a customer that began at 7.5 times its quota exceeded the bound by 0.07.
+#: Less than twice the delay of the reports makes the rate oscillate.
 _SETTLING_S = 2.3
 
 
--- a/nutmegshore/gateway/daemon.py
+++ b/nutmegshore/gateway/daemon.py
@@ -264,7 +264,7 @@
             dependencies.clock,
             self._assembly.replicas.configurations,
         )
-        self._assembly.state.configuration_words.on_earlier = exchange.send
+        self._assembly.state.peer_configurations.on_earlier = exchange.send
         peering.key_reports.is_too_old = (
             self._assembly.context.key_age.is_too_old
         )
--- a/nutmegshore/gateway/key_age.py
+++ b/nutmegshore/gateway/key_age.py
@@ -1,4 +1,4 @@
-"""Age of the configuration up to which a gateway believes API keys."""
+"""Acceptance of API keys while the configuration is recent enough."""
 
 import attrs
 
@@ -14,9 +14,10 @@
 
 __all__ = ('KEY_AGE_FRACTION', 'KeyAge')
 
-#: Fraction of `RevokeS` up to which keys are believed. In calm times views are
-#: confirmed before 0.6 of it; the rest is for clocks that run at different
-#: rates, and for a gateway whose turn it was to call the store and that died.
+#: Fraction of `RevokeS` for which keys are accepted without a newer
+#: confirmation of the configuration. Views are normally confirmed before 0.6 of
+#: it; the rest covers clock drift and the failure of the gateway that had to
+#: call the store.
 KEY_AGE_FRACTION = 0.9
 #: Retry-After in seconds: other gateways may be fresh, and reports that confirm
 #: the configuration come as often as this.
@@ -29,7 +30,7 @@
 
 @attrs.define
 class _Period:
-    """A time in which keys are not believed."""
+    """A time in which keys are not accepted."""
 
     began_at: float
     refused: int = 0
@@ -38,7 +39,7 @@
 class KeyAge:
     """Finds the customers of keys while the configuration is young enough.
 
-    With the bound `StrictRevoke`, a key is believed only if the configuration
+    With the bound `StrictRevoke`, a key is accepted only if the configuration
     shows all that the store had less than `KEY_AGE_FRACTION` of `RevokeS` ago.
     A key that it lacks is refused for good only while the configuration is
     within the bound on applying one: the key may have been added since, and
@@ -72,7 +73,7 @@
         gateway has told which configuration it has in force.
         """
         now = self._clock.now()
-        words = self._state.configuration_words
+        words = self._state.peer_configurations
         limit_s = KEY_AGE_FRACTION * self.bounds.revoke_s
         if not words.is_settled and now - self._answered_at < limit_s:
             words.settle()
@@ -83,25 +84,25 @@
 
     @property
     def limit_s(self) -> float:
-        """Age from which no key is believed; infinite if none is too old."""
+        """Age from which no key is accepted; infinite if none is too old."""
         if not self.bounds.is_revoke_strict:
             return float('inf')
         return KEY_AGE_FRACTION * self.bounds.revoke_s
 
     @property
     def is_outdated(self) -> bool:
-        """Whether no key is believed at this gateway."""
+        """Whether no key is accepted at this gateway."""
         return self._has_customers and self._is_outdated()
 
     def is_too_old(self, age_s: float) -> bool:
-        """Whether a gateway whose configuration is so old believes no key."""
+        """Whether a gateway whose configuration is so old accepts no key."""
         return self._has_customers and age_s >= self.limit_s
 
     def authenticate(self, route: Route, api_key: str) -> Customer | None:
         """Return the customer of a key, None if the request needs none.
 
         Raise `RequestError` if the route needs a key, and none was given, or
-        the given one is unknown, or keys are not believed.
+        the given one is unknown, or keys are not accepted.
         """
         customers = self._state.configuration.customers
         if not customers.is_enabled:
@@ -120,7 +121,7 @@
         self.authenticate(route, api_key)
 
     def observe(self) -> None:
-        """Log if keys are not believed any more, or again; call this often."""
+        """Log if keys are not accepted any more, or again; call this often."""
         age_s = self._shown_age_s()
         is_outdated = self.is_outdated
         if is_outdated and self._period is None:
@@ -129,7 +130,7 @@
                 KeysOutdated(
                     age_s,
                     round(self.limit_s, _DIGITS),
-                    is_behind=self._state.configuration_words.is_behind,
+                    is_behind=self._state.peer_configurations.is_behind,
                 )
             )
         elif self._period is not None and not is_outdated:
@@ -174,12 +175,12 @@
     def _is_outdated(self) -> bool:
         if not self.bounds.is_revoke_strict:
             return False
-        is_behind = self._state.configuration_words.is_behind
+        is_behind = self._state.peer_configurations.is_behind
         return is_behind or self.age_s >= self.limit_s
 
     def _may_lack_keys(self) -> bool:
         """Whether a key may have been in force for long, and is not here."""
-        is_behind = self._state.configuration_words.is_behind
+        is_behind = self._state.peer_configurations.is_behind
         return is_behind or self.age_s > self.bounds.configuration_s
 
     def _shown_age_s(self) -> float:
--- a/nutmegshore/gateway/key_events.py
+++ b/nutmegshore/gateway/key_events.py
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class KeysTrusted:
-    """API keys are believed again after `lasted_s`.
+    """API keys are accepted again after `lasted_s`.
 
     `refused` requests were refused meanwhile, `age_s` is the age now.
     """
--- a/nutmegshore/gateway/key_reports.py
+++ b/nutmegshore/gateway/key_reports.py
@@ -12,7 +12,7 @@
 
 
 class KeyReports:
-    """Collects from reports and summaries who believes no key.
+    """Collects from reports and summaries who accepts no key.
 
     In a large fleet gateways hear this of each other from their aggregators.
     `is_too_old` tells which age of the configuration is too great.
@@ -28,7 +28,7 @@
         self._outdated: set[str] = set()
 
     def is_outdated(self, name: str) -> bool:
-        """Whether a gateway told last that it believes no key."""
+        """Whether a gateway told last that it accepts no key."""
         return name in self._outdated
 
     def handle_report(
--- a/nutmegshore/gateway/lookup.py
+++ b/nutmegshore/gateway/lookup.py
@@ -23,12 +23,12 @@
 class Gateway:
     """A gateway that callers may use, with its address for callers.
 
-    `believes_keys` is false while it refuses requests with an API key.
+    `accepts_keys` is false while it refuses requests with an API key.
     """
 
     member: Member
     address: str
-    believes_keys: bool = True
+    accepts_keys: bool = True
 
 
 class Directory:
@@ -37,8 +37,8 @@
     An answer lists the ready gateways of the caller's region, sampled if there
     are many: callers spread over them at random and fail over when one dies.
     If that region has none, the answer lists gateways of the home regions of
-    the host's routes, or else those of all other regions. Gateways that believe
-    no API key are left out, unless none of all believes any.
+    the host's routes, or else those of all other regions. Gateways that accept
+    no API key are left out, unless none of all accepts any.
     """
 
     def __init__(
@@ -89,8 +89,8 @@
 
 
 def _fresh(gateways: tuple[Gateway, ...]) -> tuple[Gateway, ...]:
-    """Return the gateways that believe keys, or all if none does."""
-    found = tuple(one for one in gateways if one.believes_keys)
+    """Return the gateways that accept keys, or all if none does."""
+    found = tuple(one for one in gateways if one.accepts_keys)
     return found or gateways
 
 
--- a/nutmegshore/gateway/messages.py
+++ b/nutmegshore/gateway/messages.py
@@ -150,7 +150,7 @@
     `shift_counts` and `traffic` are summed over the region, `limits`,
     `leaving` and `cold` are what the aggregator knows, and `eras`, `ages`,
     `sent_at`, `answers`, `heard` and `configured` are as in `LoadReport`.
-    `outdated` names the ready gateways that believe no API key. `quotas` and
+    `outdated` names the ready gateways that accept no API key. `quotas` and
     `quota_coverage` are what `QuotaGossip` packs, over all regions.
     """
 
--- a/nutmegshore/gateway/configuration_words.py
+++ b/nutmegshore/gateway/peer_configurations.py
@@ -7,7 +7,7 @@
 from nutmegshore.clock import Clock
 from nutmegshore.store import StorePosition
 
-__all__ = ('ConfigurationWords',)
+__all__ = ('PeerConfigurations',)
 
 #: Seconds after which a gateway goes on without the word of others. A start
 #: waits for peers as long; reports come four or two times a second.
@@ -24,7 +24,7 @@
     known_at: StorePosition = StorePosition()
 
 
-class ConfigurationWords:
+class PeerConfigurations:
     """Finds out whether a restored store hides a configuration from a gateway.
 
     No gateway goes back to an earlier configuration, but one that starts after
@@ -36,7 +36,7 @@
     without one, and `on_earlier` is called with a gateway that knows the same
     objects and has an earlier configuration.
 
-        words = ConfigurationWords(clock)
+        words = PeerConfigurations(clock)
         words.hear(StorePosition(2, 41), 7)
         words.is_behind
     """
--- a/nutmegshore/gateway/state.py
+++ b/nutmegshore/gateway/state.py
@@ -4,7 +4,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.gateway.cold_starts import ColdStarts
-from nutmegshore.gateway.configuration_words import ConfigurationWords
+from nutmegshore.gateway.peer_configurations import PeerConfigurations
 from nutmegshore.gateway.departures import Departures
 from nutmegshore.gateway.registered_upstream import RegisteredUpstream
 from nutmegshore.gateway.replica_view import ReplicaView
@@ -20,7 +20,7 @@
     missing after a store outage is kept until `expire_missing`, since entries
     expire while their owners cannot reach the store. `upstreams_view` tells how
     old the upstreams are, `configuration_view` how old the configuration is,
-    `configuration_words` what other gateways have in force.
+    `peer_configurations` what other gateways have in force.
 
         state.replace_upstreams(found, is_after_outage=True)
         state.usable('orders')
@@ -36,7 +36,7 @@
         self.by_id: dict[str, RegisteredUpstream] = {}
         self.upstreams_view = ReplicaView(clock)
         self.configuration_view = ReplicaView(clock)
-        self.configuration_words = ConfigurationWords(clock)
+        self.peer_configurations = PeerConfigurations(clock)
         self._clock = clock
         self.cold_starts = ColdStarts(clock, self._cold_s)
         self._missing: set[str] = set()
@@ -66,7 +66,7 @@
         if present is not None and configuration.version <= present.version:
             return False
         self.configuration = configuration
-        self.configuration_words.version = configuration.version
+        self.peer_configurations.version = configuration.version
         self.configured_at = self._clock.now()
         return True
 
--- a/nutmegshore/gateway/state_sync.py
+++ b/nutmegshore/gateway/state_sync.py
@@ -87,7 +87,7 @@
         self._sources = StoreSources(dependencies)
         self._requests = StateRequests(dependencies, roster)
         state = dependencies.balancer.candidate_builder.state
-        self.words = state.configuration_words
+        self.words = state.peer_configurations
         dependencies.peers.subscribe(StateRequest, self._handle_request)
         dependencies.peers.subscribe(StateReply, self._handle_reply)
         dependencies.peers.subscribe(StateChanges, self._handle_changes)
--- a/nutmegshore/gateway/status_pages.py
+++ b/nutmegshore/gateway/status_pages.py
@@ -93,10 +93,10 @@
                 record = peers.membership.by_name[name]
                 host = record.address.rpartition(':')[0]
                 yield Gateway(
-                    member, f'{host}:{port}', self._believes_keys(name)
+                    member, f'{host}:{port}', self._accepts_keys(name)
                 )
 
-    def _believes_keys(self, name: str) -> bool:
+    def _accepts_keys(self, name: str) -> bool:
         if name == self._assembly.settings.name:
             return not self._assembly.context.key_age.is_outdated
         return not self._peering.key_reports.is_outdated(name)
--- a/nutmegshore/gateway/store_replicas.py
+++ b/nutmegshore/gateway/store_replicas.py
@@ -94,7 +94,7 @@
 def _follow_configuration(state: FleetState, follower: KindFollower) -> None:
     """Have the state tell how old its configuration is."""
     state.configuration_view = follower.view
-    words = state.configuration_words
+    words = state.peer_configurations
     words.read_position = lambda: follower.known.position
 
 
--- a/nutmegshore/listener/eviction.py
+++ b/nutmegshore/listener/eviction.py
@@ -14,7 +14,7 @@
 def choose_victim(
     connections: Iterable[CallerConnection],
 ) -> CallerConnection | None:
-    """Return the longest idle connection, else the most stalled one."""
+    """Return the longest idle connection, else the one stalled longest."""
     present = [one for one in connections if not one.is_closed()]
     present.sort(key=_waited_s, reverse=True)
     for one in present:
--- a/nutmegshore/listener/instance_limits.py
+++ b/nutmegshore/listener/instance_limits.py
@@ -14,7 +14,7 @@
 
 _MB = 1_048_576
 #: Memory in MB of a process without callers, with its fleet's state and its
-#: metrics: 45 to 60 after the start.
+#: metrics.
 _PROCESS_MB = 64
 #: Part of the remaining memory for buffered bytes. As much again may be needed
 #: for copies, free space between blocks and the buffers of libcurl.
--- a/nutmegshore/listener/pipeline.py
+++ b/nutmegshore/listener/pipeline.py
@@ -1,4 +1,4 @@
-"""The requests of one connection that were read and are not answered yet."""
+"""HTTP pipelining: the requests of a connection that are not answered yet."""
 
 import asyncio
 import collections
--- a/nutmegshore/upstreams/upload_room.py
+++ b/nutmegshore/upstreams/upload_room.py
@@ -32,7 +32,7 @@
     def __init__(
         self, make_room: Callable[[], None], limit: int = UPLOAD_BYTES
     ) -> None:
-        """Hold nothing."""
+        """Start without bodies in flight."""
         self._make_room = make_room
         self._limit = limit
         self._used: collections.Counter[str] = collections.Counter()
--- a/tests/balancing/test_contention.py
+++ b/tests/balancing/test_contention.py
@@ -5,7 +5,7 @@
 
 from nutmegshore.balancing.choice import Candidate
 from nutmegshore.balancing.contention import Contention, RefusalCause
-from nutmegshore.balancing.fair_floor import FairFloor
+from nutmegshore.balancing.minimum_share import MinimumShare
 from nutmegshore.errors import RefusedError
 from nutmegshore.gateway.customer import Customer
 
@@ -131,7 +131,7 @@
 
 def test_a_route_that_is_refused_too_often_is_due(clock, urgent, plain):
     """Guards against starvation by urgency alone."""
-    floor = FairFloor(clock)
+    floor = MinimumShare(clock)
     for _ in range(3):
         floor.record_asked(urgent)
         floor.record_sent(urgent)
--- a/tests/balancing/test_contention_load.py
+++ b/tests/balancing/test_contention_load.py
@@ -14,7 +14,7 @@
 
 from bench.contention_cases import CASES, CUSTOMERS
 from bench.contention_load import Totals, play
-from nutmegshore.balancing import fair_floor
+from nutmegshore.balancing import minimum_share
 
 _SEEDS = (0, 1, 2)
 #: The users' limits on how much less often a route is served than a less
@@ -91,7 +91,7 @@
     requests that there is room for would leave less to the other one."""
     name = 'urgent beyond the room'
     served = _totals(name).route('doc-upload').served_part
-    monkeypatch.setattr(fair_floor, '_FLOOR', 0)
+    monkeypatch.setattr(minimum_share, '_FLOOR', 0)
     without = play(CASES[name], 0)
     assert without.route('doc-upload').served_part < served
 
--- a/tests/gateway/key_keeper.py
+++ b/tests/gateway/key_keeper.py
@@ -116,7 +116,7 @@
         CONFIGURATION_PREFIX, replica, context, APPLY_S, APPLY_S
     )
     state.configuration_view = follower.view
-    words = state.configuration_words
+    words = state.peer_configurations
     words.read_position = lambda: follower.known.position
     words.on_earlier = ConfigurationExchange(peers, clock, replica).send
     key_age = KeyAge(state, clock, counters, log)
--- a/tests/gateway/test_key_age.py
+++ b/tests/gateway/test_key_age.py
@@ -40,7 +40,7 @@
 
 @pytest.mark.parametrize('call_s', [0, 0.5])
 @pytest.mark.parametrize('count', [1, _SMALL, _LARGE])
-def test_a_working_fleet_believes_keys(run_fleet, count, call_s):
+def test_a_working_fleet_accepts_keys(run_fleet, count, call_s):
     """Guards against REFUSED: views are confirmed too rarely, so that working
     gateways refuse keys."""
 
--- a/tests/gateway/test_lookup.py
+++ b/tests/gateway/test_lookup.py
@@ -79,16 +79,16 @@
 def test_gateways_that_believe_no_key_are_not_named(find):
     """Guards against callers that are sent to a gateway which refuses keys
     while another one, if in another region, believes them."""
-    old = attrs.evolve(_gateway('w1', 'west'), believes_keys=False)
+    old = attrs.evolve(_gateway('w1', 'west'), accepts_keys=False)
     fresh = _gateway('w2', 'west')
     remote = _gateway('e1', 'east')
     assert find(_WEST, old, fresh, remote) == ['w2:80']
     assert find(_WEST, old, remote) == ['e1:80']
 
 
-def test_gateways_are_named_if_none_believes_keys(find):
+def test_gateways_are_named_if_none_accepts_keys(find):
     """Guards against public routes that no gateway serves."""
-    old = attrs.evolve(_gateway('w1', 'west'), believes_keys=False)
+    old = attrs.evolve(_gateway('w1', 'west'), accepts_keys=False)
     assert find(_WEST, old) == ['w1:80']
 
 
