Bound the memory of requests that run ahead by the budget for callers

Cause: each caller's connection ran up to 8 requests ahead, and nothing of them counted before their transfers began.

Change: a request that runs ahead counts 64 KiB in the budget; while that is short, further ones wait for their turn.

--- a/nutmegshore/listener/connection.py
+++ b/nutmegshore/listener/connection.py
@@ -41,7 +41,7 @@
         self._requests = RequestReader(
             self._reader, stream, context, self.activity
         )
-        self._pipeline = Pipeline(context.counters)
+        self._pipeline = Pipeline(context.counters, context.budget)
         self._is_reading = False
 
     @property
--- a/nutmegshore/listener/pipeline.py
+++ b/nutmegshore/listener/pipeline.py
@@ -4,6 +4,7 @@
 import collections
 import functools
 
+from nutmegshore.byte_budget import ByteBudget
 from nutmegshore.counters import Counters
 from nutmegshore.listener.exchange import Exchange
 
@@ -13,6 +14,9 @@
 #: next. A gateway buffers at most 256 KiB of each answer, so that a connection
 #: holds at most 2.25 MiB of answers.
 MAX_READ_AHEAD = 8
+#: Bytes that a request which runs ahead counts as holding, beside its answer:
+#: its tasks, its transfer and what libcurl buffers.
+_AHEAD_BYTES = 65_536
 
 
 class Pipeline:
@@ -26,9 +30,10 @@
         await pipeline.wait_room()
     """
 
-    def __init__(self, counters: Counters) -> None:
-        """Start without requests."""
+    def __init__(self, counters: Counters, budget: ByteBudget) -> None:
+        """Start without requests; those that run ahead count in `budget`."""
         self._counters = counters
+        self._budget = budget
         self._exchanges: collections.deque[Exchange] = collections.deque()
         self._changed = asyncio.Event()
         self._is_ended = False
@@ -66,9 +71,10 @@
         self._exchanges.append(exchange)
         if len(self._exchanges) == 1:
             self._give_turn()
-        elif exchange.may_run_ahead:
+        elif exchange.may_run_ahead and not self._budget.is_short:
             self._counters.add('requests_run_ahead')
             exchange.start(self._finish)
+            _hold_until_end(self._budget, exchange)
 
     def announce_close(self) -> None:
         """Let the last answer close the connection, unless it has begun."""
@@ -139,3 +145,14 @@
         # Each waiter checks its own condition again.
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _hold_until_end(budget: ByteBudget, exchange: Exchange) -> None:
+    """Count what a request that runs ahead holds.
+
+    Many callers that send requests ahead would exhaust the memory by what their
+    requests hold before there is any answer.
+    """
+    held = budget.hold()
+    held.add(_AHEAD_BYTES)
+    exchange.task.add_done_callback(lambda _: held.close())
