Use one retry time for queues and for limits

Cause: since refused callers return by urgency, Admission had two methods that did the same: retry_after_s and rate_limited_retry_s.

Change: one method, called for both; behaviour is the same.

--- a/nutmegshore/balancing/admission.py
+++ b/nutmegshore/balancing/admission.py
@@ -31,20 +31,14 @@
     ) -> float:
         """Return the seconds after which a refused request should be retried.
 
-        `room_in_s` is the time until the queue is short enough, `gap_s` the
-        interval between requests that this gateway may send.
+        `room_in_s` is the time until there is room for one more request, in a
+        queue or within the limits of upstreams. `gap_s` is the interval between
+        requests that this gateway may expect to be sent.
         """
-        return self._reserve(request, room_in_s, gap_s)
-
-    def rate_limited_retry_s(
-        self, request: RoutingRequest, earliest_s: float, gap_s: float
-    ) -> float:
-        """Return the retry time in seconds when limits leave no room.
-
-        `earliest_s` is when there is room for one more request, `gap_s` the
-        interval between requests that this gateway may expect to be sent.
-        """
-        return self._reserve(request, earliest_s, gap_s)
+        spread_s = gap_s * (0.5 + self._rng.random())
+        return self._retry_schedule.reserve(
+            request.service, room_in_s, spread_s, request.urgency
+        )
 
     def paused_retry_s(
         self, service: str, opens_in_s: float, gap_s: float
@@ -59,11 +53,3 @@
     def no_upstream_retry_s(self) -> float:
         """Return the retry time in seconds when no upstream is available."""
         return _NO_UPSTREAM_RETRY_S * (1 + self._rng.random())
-
-    def _reserve(
-        self, request: RoutingRequest, earliest_s: float, gap_s: float
-    ) -> float:
-        spread_s = gap_s * (0.5 + self._rng.random())
-        return self._retry_schedule.reserve(
-            request.service, earliest_s, spread_s, request.urgency
-        )
--- a/nutmegshore/balancing/refusals.py
+++ b/nutmegshore/balancing/refusals.py
@@ -117,7 +117,7 @@
         if found.paused:
             opens_in_s = self._first_opening_s(found.paused)
             earliest_s = min(earliest_s, opens_in_s)
-        retry_s = self._admission.rate_limited_retry_s(
+        retry_s = self._admission.retry_after_s(
             request, earliest_s, shares.gap_s(found.limited)
         )
         shares.reservations.record_refusal(request.service, rank)
