--- a/review/8/case.py
+++ b/review/8/case.py
@@ -91,7 +91,9 @@
 async def release(world, backends):
     """Replace backends one after the other, as a planned release does."""
     for number, old in enumerate(backends[:RELEASED]):
-        await world.add_backend(f'i-new-{number}', 'boards', 'west-a')
+        await world.add_backend(
+            f'i-new-{number}', 'boards', 'west-a', is_cold=True
+        )
         await asyncio.sleep(RELEASE_GAP_S / 2)
         old.state = 'draining'
         old.register()
--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -53,6 +53,8 @@
 }
 ZONES = {'west-a': 'west', 'north-a': 'north', 'south-a': 'south'}
 MEMORY_MB = 300
+#: Seconds for which a backend is cold after a start in traffic.
+COLD_S = 3.0
 LIMITS = {
     'MaxHeaderBytes': 16384,
     'MaxBodyBytes': 67108864,
@@ -124,6 +126,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 1
         self.state = 'ready'
+        self.cold_until = 0.0
         self.runs = []
         self.arrivals = []
         self.act = act or self.reply
@@ -135,6 +138,14 @@
     def address(self):
         return f'{self.host}:{self.port}'
 
+    @property
+    def cold_left_s(self):
+        """Seconds for which it stays cold; some after a start in traffic."""
+        return max(self.cold_until - self.world.record.now(), 0)
+
+    def turn_cold(self):
+        self.cold_until = self.world.record.now() + COLD_S
+
     async def start(self):
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, limit=1 << 20
@@ -166,7 +177,7 @@
                 'Status': {
                     'State': self.state,
                     'Sequence': self.sequence,
-                    'ColdLeftS': 0,
+                    'ColdLeftS': round(self.cold_left_s, 3),
                 },
             },
         )
@@ -207,7 +218,8 @@
         if request.target == '/health':
             writer.write(
                 b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
-                b'Instance-Id: %b\r\n\r\n' % self.name.encode()
+                b'Instance-Id: %b\r\nCold-Ms: %d\r\n\r\n'
+                % (self.name.encode(), self.cold_left_s * 1000)
             )
             return not writer.is_closing()
         self.arrivals.append(request)
@@ -453,7 +465,7 @@
                         'MaxConns': 330,
                         'Protocol': 'h1',
                         'Tls': False,
-                        'ColdS': 3.0,
+                        'ColdS': COLD_S,
                         'ColdPerS': 3.5,
                     }
                     for name in services
@@ -463,8 +475,10 @@
         )
         self.record(f'store confirms version {version:08x}')
 
-    async def add_backend(self, *args, **options):
+    async def add_backend(self, *args, is_cold=False, **options):
         backend = Backend(self, *args, **options)
+        if is_cold:
+            backend.turn_cold()
         await backend.start()
         backend.register()
         self.backends.append(backend)
