--- a/review/8/case.py
+++ b/review/8/case.py
@@ -134,7 +134,9 @@
         ('reads', 'boards'),
     )
     leaving = await world.add_backend('i-leaving', 'reads', 'west-a')
-    await world.add_backend('i-staying', 'reads', 'west-a')
+    # One of four that drains is a share of 0.25.
+    for number in range(3):
+        await world.add_backend(f'i-staying-{number}', 'reads', 'west-a')
     boards = [
         await world.add_backend(f'i-old-{number}', 'boards', 'west-a')
         for number in range(BACKENDS)
