--- a/tests/hostile/children.py
+++ b/tests/hostile/children.py
@@ -68,12 +68,17 @@
 
 @attrs.define
 class Child:
-    """A running process of the system and the port of its callers."""
+    """A running process of the system, with its ports by their names."""
 
     process: subprocess.Popen
-    port: int
+    ports: dict[str, int]
     path: str
 
+    @property
+    def port(self):
+        """Port of the callers."""
+        return self.ports['callers']
+
     @property
     def peak_mb(self):
         """Highest resident memory so far."""
@@ -108,7 +113,7 @@
         limits=_write_limits(limits), store=standins.store_port, **ports
     )
     process = _start(folder, 'gateway', text, descriptors)
-    child = Child(process, ports['callers'], '')
+    child = Child(process, ports, '')
     ready = ports['ready']
     _wait_ready(child, f'http://{_LOOPBACK}:{ready}/ready')
     return child
@@ -124,7 +129,7 @@
         **ports,
     )
     process = _start(folder, 'entry', text, descriptors)
-    child = Child(process, ports['callers'], '/files')
+    child = Child(process, ports, '/files')
     operators = 'http://127.0.0.1:{operators}'.format(**ports)
     _wait_ready(child, f'{operators}/ready')
     place = {'region': 'west', 'availability_zone': 'west-a'}
--- a/tests/hostile/conftest.py
+++ b/tests/hostile/conftest.py
@@ -25,9 +25,9 @@
     most_descriptors: int
     crowds: list = attrs.field(factory=list)
 
-    def crowd(self, count, **options):
-        """Connect many callers."""
-        made = Crowd(self.child.port, count, **options)
+    def crowd(self, count, port='callers', **options):
+        """Connect many callers to a port."""
+        made = Crowd(self.child.ports[port], count, **options)
         self.crowds.append(made)
         return made
 
@@ -53,10 +53,12 @@
             'ordinary': ask(port, ordinary, _PATIENCE_S),
             'large': ask(port, large + bytes(_LARGE_BYTES), _PATIENCE_S),
             'growth_mb': round(self.child.peak_mb - self.start_mb),
+            'peak_mb': round(self.child.peak_mb),
             'descriptors': self.child.descriptors,
         }
         assert found['alive']
         assert found['growth_mb'] < GROWTH_MB, str(found)
+        assert found['peak_mb'] < MEMORY_MB, str(found)
         assert found['descriptors'] < self.most_descriptors, str(found)
         assert (found['ordinary'], found['large']) == (200, 200), str(found)
 
