Decode very small chunks in turns

What callers saw: while 64 callers sent bodies in chunks of one byte, nobody else got an answer; neither an ordinary request nor a large upload had one within 20 s after the crowd had stopped sending, at a gateway and at an entry.

Cause: a chunk costs 2.4 µs of decoding on this machine, and the task of a caller whose bytes have all arrived never waits: reading finds them in the kernel, so that 1.8 MB in chunks of one byte kept the event loop for 0.7 s without a break. 64 callers did so one after the other, and a request of somebody else needs over ten passes of the loop. Ruled out: the buffers to the upstream and the budget for callers, which were short of nothing (growth of 23 MB).

Change: a body has 256 chunks decoded at once and waits for a turn for as many more; one body has its turn in each pass of the loop, in the order of asking. Chunks of 64 bytes or more on average pay for themselves and never wait. The wait for a turn is not the caller's time: it counts neither for the gap between two pieces nor for the pace of the body.

--- a/nutmegshore/listener/body.py
+++ b/nutmegshore/listener/body.py
@@ -8,6 +8,7 @@
 from nutmegshore.errors import ErrorKind, Outcome, RequestError
 from nutmegshore.listener.body_pace import BodyPace
 from nutmegshore.byte_budget import ByteBudget, HeldBytes
+from nutmegshore.listener.chunk_turns import ChunkAllowance, ChunkTurns
 from nutmegshore.listener.chunks import ChunkDecoder
 from nutmegshore.listener.reader import CallerReader
 from nutmegshore.upstreams import BodySource
@@ -26,7 +27,8 @@
     `Expect: 100-continue`. A caller that sends nothing for `timeout_s`, or
     takes too long for the whole, raises `SLOW_SENDER`, a broken chunk
     `MALFORMED_REQUEST`. `is_whole` says whether everything was read, and with
-    it that the next request follows.
+    it that the next request follows. Many small chunks are decoded in `turns`;
+    the wait for a turn does not count as the caller's.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         timeout_s: float,
         before_read: Callable[[], Awaitable[None]],
         max_bytes: int = 0,
+        turns: ChunkTurns | None = None,
     ) -> None:
         """Read `length` bytes, or chunks if it is None.
 
@@ -50,6 +53,7 @@
         self._before_read = before_read
         self._left = length or 0
         self._decoder = ChunkDecoder()
+        self._allowance = ChunkAllowance(turns or ChunkTurns())
         self._pace = BodyPace()
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -57,6 +61,7 @@
         self._check_size(self.length or 0)
         await self._before_read()
         while not self.is_whole:
+            await self._allowance.wait()
             piece = await self._read_in_time()
             self._taken += len(piece)
             self._check_size(self._taken)
@@ -98,7 +103,11 @@
         # may never come.
         piece = b''
         if not self._decoder.is_ended:
-            piece = await self._reader.read_chunks(self._decoder)
+            before = self._decoder.chunks
+            piece = await self._reader.read_chunks(
+                self._decoder, self._allowance.left
+            )
+            self._allowance.spend(self._decoder.chunks - before, len(piece))
         if not piece:
             await self._reader.skip_trailers()
             self.is_whole = True
--- a/nutmegshore/listener/chunks.py
+++ b/nutmegshore/listener/chunks.py
@@ -11,6 +11,7 @@
 _MAX_SIZE_LINE_BYTES = 256
 _SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t -~]*)?\r\n')
 _HEXADECIMAL = 16
+_UNLIMITED = float('inf')
 
 
 class ChunkDecoder:
@@ -18,6 +19,7 @@
 
     The chunks of one piece are joined, so that small ones cost no more than
     this loop. `is_ended` says that the last chunk was met; trailers follow.
+    `chunks` is the number of chunks so far, including the last one.
 
         data, used = decoder.decode(received)
     """
@@ -25,14 +27,20 @@
     def __init__(self) -> None:
         """Expect the first size line."""
         self.is_ended = False
+        self.chunks = 0
+        self._most_chunks = _UNLIMITED
         self._left = 0
         self._is_after_data = False
 
-    def decode(self, held: bytes) -> tuple[bytes, int]:
+    def decode(
+        self, held: bytes, most_chunks: float = _UNLIMITED
+    ) -> tuple[bytes, int]:
         """Return the data in received bytes, and how many were used.
 
-        Raises `RequestError` for what is no chunk.
+        At most `most_chunks` further chunks are begun. Raises `RequestError`
+        for what is no chunk.
         """
+        self._most_chunks = self.chunks + most_chunks
         found: list[bytes] = []
         at = 0
         end = self._step(held, at, found)
@@ -69,6 +77,8 @@
         return at
 
     def _read_size(self, held: bytes, at: int) -> int:
+        if self.chunks >= self._most_chunks:
+            return at
         line = _SIZE_LINE.match(held, at)
         if line is None:
             end = at + _MAX_SIZE_LINE_BYTES + len(_LINE_END)
@@ -76,6 +86,7 @@
             return at
         if line.end() - at > _MAX_SIZE_LINE_BYTES + len(_LINE_END):
             raise _malformed('chunk size')
+        self.chunks += 1
         self._left = int(line.group(1), _HEXADECIMAL)
         self.is_ended = not self._left
         return line.end()
--- a/nutmegshore/listener/context.py
+++ b/nutmegshore/listener/context.py
@@ -8,6 +8,7 @@
 from nutmegshore.faults import Faults
 from nutmegshore.listener.answer import AnswerWriter
 from nutmegshore.byte_budget import ByteBudget
+from nutmegshore.listener.chunk_turns import ChunkTurns
 from nutmegshore.listener.responder import Responder
 
 __all__ = ('ListenerLimits', 'ListenerContext')
@@ -46,7 +47,7 @@
     be replaced while connections are open; each looks it up when it needs it.
     `faults` reports unexpected exceptions. `budget` counts what the process
     holds for its callers, and `max_connections` bounds the open connections,
-    0 is no bound.
+    0 is no bound. `turns` spreads the decoding of small chunks.
     """
 
     make_responder: Callable[[AnswerWriter], Responder]
@@ -57,3 +58,4 @@
     )
     budget: ByteBudget = attrs.field(factory=ByteBudget)
     max_connections: int = 0
+    turns: ChunkTurns = attrs.field(factory=ChunkTurns)
--- a/nutmegshore/listener/reader.py
+++ b/nutmegshore/listener/reader.py
@@ -72,12 +72,14 @@
             self._held += piece
         return self._take(limit)
 
-    async def read_chunks(self, decoder: ChunkDecoder) -> bytes:
-        """Read data of at least one chunk; empty after the last one."""
-        data = self._decode(decoder)
+    async def read_chunks(
+        self, decoder: ChunkDecoder, most_chunks: int
+    ) -> bytes:
+        """Read data of one or more chunks; empty after the last one."""
+        data = self._decode(decoder, most_chunks)
         while not data and not decoder.is_ended:
             await self._fill()
-            data = self._decode(decoder)
+            data = self._decode(decoder, most_chunks)
         return data
 
     async def skip_trailers(self) -> None:
@@ -97,10 +99,10 @@
             await self._fill()
             limit -= len(self._held)
 
-    def _decode(self, decoder: ChunkDecoder) -> bytes:
+    def _decode(self, decoder: ChunkDecoder, most_chunks: int) -> bytes:
         if not self._held:
             return b''
-        data, used = decoder.decode(bytes(self._held))
+        data, used = decoder.decode(bytes(self._held), most_chunks)
         self._held = self._held[used:]
         return data
 
--- a/nutmegshore/listener/request_reader.py
+++ b/nutmegshore/listener/request_reader.py
@@ -84,4 +84,5 @@
             limits.body_s,
             writer.write_continue,
             limits.body_bytes,
+            self._context.turns,
         )
