Keep the start of a body in blocks, and drop it as it is sent

What callers saw: crowds of bodies that stop short of their end, in waves, took a gateway or an entry beyond the memory of its machine, while the budget for callers showed room.

Cause, the first of three: each body kept its start as one buffer of 64 KiB to 1 MiB that grew by reallocation and was copied in the end. Besides, the start of a long upload stayed until its end, though a body that has begun cannot be sent again. The entry's copy of the first 64 KiB was not counted at all.

Change: `ByteBlocks` keeps bytes in blocks of 16 KiB, as large as the pieces that are read; small pieces share one. The start of a body that cannot be sent again is popped as it is passed on and given back to the budget. `KeptBody.first` copies only what a fingerprint or a record needs, and the entry's copy is counted.

--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -151,7 +151,8 @@
                 await body.read_start()
         except TimeoutError as failure:
             raise RequestError(ErrorKind.SLOW_SENDER, 'body') from failure
-        start = body.start[:KEPT_BYTES]
+        start = body.first(KEPT_BYTES)
+        request.held.add(len(start))
         return attrs.evolve(ready, body=body, body_start=start)
 
     def _check_deadline(self, request: CallerRequest) -> None:
--- a/nutmegshore/gateway/crashes.py
+++ b/nutmegshore/gateway/crashes.py
@@ -16,6 +16,7 @@
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers import Peers
 from nutmegshore.peers.tasks import OwnedTasks
+from nutmegshore.listener import KEPT_BYTES
 from nutmegshore.quarantine import (
     Fingerprint,
     Quarantine,
@@ -229,6 +230,6 @@
             routed.service,
             head.method,
             f'{host}{head.target}',
-            routed.body.start if routed.body else b'',
+            routed.body.first(KEPT_BYTES) if routed.body else b'',
         )
     return routed.fingerprint
--- a/nutmegshore/listener/body.py
+++ b/nutmegshore/listener/body.py
@@ -7,6 +7,7 @@
 
 from nutmegshore.errors import ErrorKind, Outcome, RequestError
 from nutmegshore.listener.body_pace import BodyPace
+from nutmegshore.byte_blocks import ByteBlocks
 from nutmegshore.byte_budget import ByteBudget, HeldBytes
 from nutmegshore.listener.chunk_turns import ChunkAllowance, ChunkTurns
 from nutmegshore.listener.chunks import ChunkDecoder
@@ -118,10 +119,10 @@
     """A body whose start was read before the request was sent anywhere.
 
     A body that is whole by then can be sent again. Of a longer one the rest
-    is passed on as it arrives; a failure there is `CALLER_STALLED`, since the
-    upstream may have begun its work. What is kept counts as held; while the
-    budget is short, it is at most `KEPT_BYTES`, and a body that does not find
-    room is refused.
+    is passed on as it arrives, and its start is dropped on the way; a failure
+    there is `CALLER_STALLED`, since the upstream may have begun its work. What
+    is kept counts as held; while the budget is short, it is at most
+    `KEPT_BYTES`, and a body that does not find room is refused.
 
         body = KeptBody(source)
         await body.read_start()
@@ -133,34 +134,47 @@
         kept_bytes: int = KEPT_BYTES,
         held: HeldBytes | None = None,
     ) -> None:
-        """Wrap the body of one request; `start` is empty until it is read."""
+        """Wrap the body of one request; nothing is read yet."""
         self.length = source.length
         self._kept_bytes = kept_bytes
         self._held = held or ByteBudget().hold()
-        self.start = b''
+        self._blocks = ByteBlocks()
         self._chunks = source.chunks()
 
+    @property
+    def start(self) -> bytes:
+        """All that is kept; empty before it is read."""
+        return self.first(self._blocks.size)
+
+    def first(self, count: int) -> bytes:
+        """Return the first bytes of what is kept, `count` or all if fewer."""
+        return self._blocks.first(count)
+
     async def read_start(self) -> None:
         """Read until the body is whole or too long to keep."""
         self._held.budget.check_room(self.length)
-        pieces = bytearray()
-        while len(pieces) < self._enough() and not self.can_replay:
+        blocks = self._blocks
+        while blocks.size < self._enough() and not self.can_replay:
             piece = await anext(self._chunks, b'')
-            pieces += piece
+            blocks.append(piece)
             self._held.add(len(piece))
             self.can_replay = not piece
-            self._check_held(len(pieces))
-        self.start = bytes(pieces)
+            self._check_held(blocks.size)
         if self.can_replay:
-            self.length = len(pieces)
+            self.length = blocks.size
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the kept start, then over the rest."""
-        if self.start:
-            yield self.start
-        if not self.can_replay:
-            async for piece in _iter_rest(self._chunks):
-                yield piece
+        if self.can_replay:
+            for kept in self._blocks:
+                yield kept
+            return
+        while self._blocks:
+            block = self._blocks.pop()
+            self._held.add(-len(block))
+            yield block
+        async for piece in _iter_rest(self._chunks):
+            yield piece
 
     def _enough(self) -> int:
         """Bytes to keep now, one more if the body may end at that many."""
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -100,6 +100,36 @@
     asyncio.run(session())
 
 
+def test_the_start_of_a_long_body_is_given_back_as_it_is_sent(budget):
+    """Guards against uploads that hold their start until they end, long after
+    it may have been sent again."""
+
+    async def session():
+        body = KeptBody(_Pieces(60), KEPT_BYTES, budget.hold())
+        await body.read_start()
+        assert budget.used > KEPT_BYTES
+        async for _ in body.chunks():
+            last_used = budget.used
+        assert last_used == 0
+
+    asyncio.run(session())
+
+
+def test_a_body_that_can_be_sent_again_stays(budget):
+    """Guards against a retry with a part of the body."""
+
+    async def session():
+        body = KeptBody(_Pieces(3), KEPT_BYTES, budget.hold())
+        await body.read_start()
+        assert body.can_replay
+        for _ in range(2):
+            sent = [piece async for piece in body.chunks()]
+            assert b''.join(sent) == _PIECE * 3
+        assert budget.used == len(_PIECE) * 3
+
+    asyncio.run(session())
+
+
 def test_a_body_that_finds_no_room_is_refused(budget):
     """Guards against bodies of unknown length that grow beyond the budget."""
 
