Count what libcurl buffers for a body in chunks

What callers saw: waves of chunked bodies exhaust the memory of the machine.

Cause, the second of three: a transfer counts 32 KiB for libcurl's two buffers. For a body of unknown length libcurl has one more, in which it cuts the body into chunks. 100 transfers that wait for their bodies take 89 KB each if the length is not known, and 21 to 45 KB if it is, whatever the size of their pieces.

Change: a transfer of unknown length counts 64 KiB more.

--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -95,7 +95,12 @@
         if remaining_s <= 0:
             raise RequestError(ErrorKind.DEADLINE_BEFORE_SEND, name)
         curl = self._make_curl(upstream.address, request, remaining_s)
-        opened = Transfer(self._loop, curl, self._budget)
+        opened = Transfer(
+            self._loop,
+            curl,
+            self._budget,
+            is_chunked=request.body is not None and request.body.length is None,
+        )
         with contextlib.closing(opened) as transfer:
             attempt = _Attempt(transfer, request, name, upstream, self.dialect)
             transfer.start()
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -20,6 +20,8 @@
 #: call. It keeps as much for each paused direction of a transfer.
 READ_BYTES = 16_384
 
+#: Bytes that libcurl buffers more for a body that it sends in chunks.
+_CHUNKED_BYTES = 65_536
 #: Bytes of an answer's heads and trailers together, interim heads included.
 _MAX_HEAD_BYTES = 131_072
 _FIRST_FINAL_STATUS = 200
@@ -47,8 +49,13 @@
         curl_loop: CurlLoop,
         curl: pycurl.Curl,
         budget: ByteBudget | None = None,
+        *,
+        is_chunked: bool = False,
     ) -> None:
-        """Set the handle's callbacks; `start` runs it."""
+        """Set the handle's callbacks; `start` runs it.
+
+        The body of the request is sent in chunks if its length is not known.
+        """
         budget = budget or ByteBudget()
         self._held = budget.hold()
         self.is_sent = False
@@ -62,6 +69,7 @@
         curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, READ_BYTES)
         self._held.add(READ_BYTES + READ_BYTES)
+        self._held.add(_CHUNKED_BYTES if is_chunked else 0)
         self._passed_bytes = 0
         self._incoming = _Buffer(self._held)
         self._outgoing = _Buffer(self._held)
