Leave memory for objects and gaps beside the budget for callers

What callers saw: crowds in waves still took processes up to the bound (136 to 141 MB of 152), since the division of the memory used all of it.

Cause, the third of three: half of the memory beyond 64 MB was for buffered bytes and a quarter for connections, so that a quarter was left for requests' objects, copies and the allocator's gaps. In the waves these take as much as the buffered bytes: 19 MB of small objects and 15 to 25 MB of gaps beside 29 to 44 MB held.

Change: three eighths are for buffered bytes, so that as much is left. With 152 MB callers may hold 33 MiB in place of 44, with 552 MB 183 in place of 244. A caller inside the limits does not meet it: one request holds at most 1 MiB and its buffers.

--- a/nutmegshore/listener/instance_limits.py
+++ b/nutmegshore/listener/instance_limits.py
@@ -16,9 +16,9 @@
 #: Memory in MB of a process without callers, with its fleet's state and its
 #: metrics.
 _PROCESS_MB = 64
-#: Part of the remaining memory for buffered bytes. As much again may be needed
-#: for copies, free space between blocks and the buffers of libcurl.
-_BUFFER_PART = 0.5
+#: Part of the remaining memory for buffered bytes. As much again is left for
+#: the objects of requests, for copies, and for free space between blocks.
+_BUFFER_PART = 0.375
 #: Part of the remaining memory for the connections themselves, and what each
 #: takes beside its buffered bytes: its objects and one piece that is read.
 _CONNECTION_PART = 0.25
