End the stand-in upstream of a fault test without a request

A client that meets the fault of tests/upstreams/test_callback_faults.py may close its connection before it sends a request. The stand-in's task then ended with an IncompleteReadError that nobody retrieved; it was reported when the garbage collector found it, as a fault of whatever test ran then. No check changes: the task ends where it failed before.

--- a/tests/upstreams/test_callback_faults.py
+++ b/tests/upstreams/test_callback_faults.py
@@ -25,7 +25,12 @@
 
 
 async def _answer(reader, writer):
-    head = await reader.readuntil(b'\r\n\r\n')
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except asyncio.IncompleteReadError:
+        # A client that meets the fault first leaves without a request.
+        writer.close()
+        return
     # The answer to a request that gets a fault comes first.
     await asyncio.sleep(0 if head.startswith(b'POST') else _WORK_S)
     writer.write(_ANSWER)
