Bound the bytes of bodies at the operators' port

What callers saw: nothing of this, as the crowd is at another port of the same process; but an entry of 152 MB that 200 clients send bodies of legal size to, at the operators' port, takes more than the memory of its machine and is ended.

Cause: tornado keeps the whole body of a request before its handler runs, and with it before the credential is looked at; nothing bounded how many there are.

Change: `OperatorServer` counts bodies as they arrive in a budget of 16 MiB. One that finds no room is answered with 503 `caller_limit`, outcome not-run and a Retry-After before the application sees it; what follows of it is dropped. What was held is given back when the answer is written or the client leaves.

--- a/nutmegshore/operators/assembly.py
+++ b/nutmegshore/operators/assembly.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable
 
 import attrs
-from tornado.httpserver import HTTPServer
-
 from nutmegshore.configuration import ConfigurationTable
 from nutmegshore.counters import Counters
 from nutmegshore.operators.access import Access
 from nutmegshore.operators.api import OperatorApi
 from nutmegshore.operators.changes import ChangeLog
 from nutmegshore.operators.declare import Declarer
+from nutmegshore.operators.listener import OperatorServer
 from nutmegshore.operators.providers import Providers
 from nutmegshore.operators.server import make_operator_application
 from nutmegshore.settings import EntrySettings, make_tls_context
@@ -34,13 +33,14 @@
     api: OperatorApi
     access: Access
     context: ssl.SSLContext | None
-    server: HTTPServer | None = None
+    server: OperatorServer | None = None
 
-    def listen(self) -> HTTPServer:
+    def listen(self) -> OperatorServer:
         """Open the listener that the settings name."""
         limit = self.settings.get('limits', 'operator_body_bytes')
-        self.server = HTTPServer(
+        self.server = OperatorServer(
             make_operator_application(self.api, self.access, limit),
+            counters=self.api.counters,
             ssl_options=self.context,
             max_body_size=limit * _BODY_MARGIN,
         )
--- a/tests/hostile/conftest.py
+++ b/tests/hostile/conftest.py
@@ -42,6 +42,11 @@
         )
         return '\r\n'.join((*head, '', '')).encode()
 
+    def ask_page(self, port, target):
+        """Status of a page on another port, as an ordinary client gets it."""
+        head = f'GET {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+        return ask(self.child.ports[port], head.encode(), _PATIENCE_S)
+
     def check(self):
         """Check the process beside the crowds that are still open."""
         ordinary = self.request('GET', '/read/x', 'Connection: close')
--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -112,6 +112,8 @@
             if not piece:
                 break
             received += piece
+        if not received:
+            raise ConnectionResetError('closed without an answer')
         return int(received.split(b' ', 2)[1])
 
 
