Bound the connections at the operators' port

What callers saw: an entry accepts no caller any more and reaches no upstream while clients that send nothing keep connections to its operators' port open.

Cause: tornado's server accepts as many connections as the process has descriptors, and waits an hour for a head.

Change: the operators' server has 64 connections beside those of watches. Beyond them, the connection that has waited for its client for longest (for a head or the rest of a body) is closed for each new one, else the new one; a request that is being answered, such as a watch, is never closed for it.

--- a/nutmegshore/operators/assembly.py
+++ b/nutmegshore/operators/assembly.py
@@ -23,6 +23,8 @@
 #: Multiple of the body limit up to which a body is read, so that the sender of
 #: a larger body than allowed gets an answer instead of a closed connection.
 _BODY_MARGIN = 2
+#: Connections beside those of watches.
+_MAX_CONNECTIONS = 64
 
 
 @attrs.define
@@ -38,9 +40,11 @@
     def listen(self) -> OperatorServer:
         """Open the listener that the settings name."""
         limit = self.settings.get('limits', 'operator_body_bytes')
+        watches = self.settings.get('limits', 'operator_watches')
         self.server = OperatorServer(
             make_operator_application(self.api, self.access, limit),
             counters=self.api.counters,
+            max_connections=watches + _MAX_CONNECTIONS,
             ssl_options=self.context,
             max_body_size=limit * _BODY_MARGIN,
         )
--- a/nutmegshore/operators/listener.py
+++ b/nutmegshore/operators/listener.py
@@ -10,6 +10,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 
 from nutmegshore.byte_budget import ByteBudget, HeldBytes
 from nutmegshore.counters import Counters
@@ -25,11 +26,15 @@
 
 
 class OperatorServer(HTTPServer):
-    """Serves an application; bodies that find no room are answered with 503.
+    """Serves an application to a bounded number of connections.
 
-    server = OperatorServer(application, counters=counters,
-                            max_body_size=2_000_000)
-    server.listen(8443, '127.0.0.1')
+    Beyond `max_connections`, the connection that has waited for its client for
+    longest is closed for each new one, else the new one. Bodies that find no
+    room are answered with 503.
+
+        server = OperatorServer(application, counters=counters,
+                                max_connections=128, max_body_size=2_000_000)
+        server.listen(8443, '127.0.0.1')
     """
 
     def initialize(
@@ -37,14 +42,29 @@
         request_callback: object,
         *,
         counters: Counters,
+        max_connections: int,
         **options: object,
     ) -> None:
         """Take tornado's options besides."""
         super().initialize(request_callback, **options)
         self.budget = ByteBudget(_BUFFER_BYTES)
         self._counters = counters
+        self._max_connections = max_connections
         self._requests: dict[object, _BoundedRequest] = {}
 
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Serve a connection, or close it."""
+        if self._count_open() >= self._max_connections:
+            victim = self._find_waiting()
+            reason = 'refused' if victim is None else 'waiting'
+            self._counters.add('operator_connections_closed', reason=reason)
+            if victim is None:
+                stream.close()
+                return
+            self._forget(victim)
+            victim.stream.close()
+        super().handle_stream(stream, address)
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -64,6 +84,19 @@
         """Count a request whose body found no room."""
         self._counters.add('operator_requests_refused', reason='memory')
 
+    def _count_open(self) -> int:
+        # A connection that was closed is removed in a later pass of the loop.
+        return sum(not one.stream.closed() for one in self._connections)
+
+    def _find_waiting(self) -> object | None:
+        """Return the connection that has waited for its client for longest."""
+        waiting = (
+            connection
+            for connection, request in self._requests.items()
+            if not request.is_received
+        )
+        return next(waiting, None)
+
     def _forget(self, server_conn: object) -> None:
         request = self._requests.pop(server_conn, None)
         if request is not None:
@@ -84,6 +117,7 @@
         connection: HTTPConnection,
     ) -> None:
         self.held: HeldBytes = server.budget.hold()
+        self.is_received = False
         self._server = server
         self._delegate: HTTPMessageDelegate | None = delegate
         self._connection = connection
@@ -104,6 +138,7 @@
             await _settle(self._delegate.data_received(chunk))
 
     def finish(self) -> None:
+        self.is_received = True
         if self._delegate is not None:
             self._delegate.finish()
 
--- a/tests/operators/test_listener.py
+++ b/tests/operators/test_listener.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 
+import pytest
 from tornado.web import Application, RequestHandler
 
 from nutmegshore.counters import Counters
 from nutmegshore.operators.listener import OperatorServer
 
 _BODY_BYTES = 900_000
+_MOST_CONNECTIONS = 4
 
 
 class _Echo(RequestHandler):
@@ -25,6 +27,7 @@
     server = OperatorServer(
         Application([('/', _Echo)], log_function=lambda _: None),
         counters=Counters(),
+        max_connections=_MOST_CONNECTIONS,
         max_body_size=2_000_000,
     )
     server.listen(0, '127.0.0.1')
@@ -88,3 +91,24 @@
                     await asyncio.sleep(0.01)
 
     asyncio.run(session())
+
+
+@pytest.mark.parametrize('length', [2, _BODY_BYTES])
+def test_the_longest_waiting_connection_makes_way(length):
+    """Guards against clients that take all places and send nothing more."""
+
+    async def session():
+        async with _serve() as (_, port):
+            waiting = []
+            for _ in range(_MOST_CONNECTIONS * 3):
+                waiting.append(await _open(port, length))
+                await asyncio.sleep(0.01)
+            reader, writer = await _open(port, 2, b'ok')
+            assert (await _read_answer(reader))[1] == b'2'
+            first_reader, _ = waiting[0]
+            async with asyncio.timeout(10):
+                assert not await first_reader.read()
+            for _, kept in (*waiting, (reader, writer)):
+                kept.close()
+
+    asyncio.run(session())
