Drop the kept bytes of a request as it ends

What callers saw: crowds whose requests fail or are refused take a process beyond the memory of its machine, with next to nothing held by the budget's count.

Cause: the exception of a failed request keeps its tracebacks, these its frames, and so its body and its transfer's buffers, in a reference cycle that stays until the garbage collector gets to the oldest generation. The budget had them back at once.

Change: `KeptBody.close` drops what is kept at the end of its request, whichever it is, and `Transfer.close` empties its buffers.

--- a/nutmegshore/byte_blocks.py
+++ b/nutmegshore/byte_blocks.py
@@ -48,6 +48,11 @@
         self.size -= len(block)
         return block
 
+    def clear(self) -> None:
+        """Remove everything."""
+        self._blocks.clear()
+        self.size = 0
+
     def first(self, count: int) -> bytes:
         """Return a copy of the first bytes, `count` or all if fewer."""
         found = bytearray()
--- a/nutmegshore/callers/forward.py
+++ b/nutmegshore/callers/forward.py
@@ -90,7 +90,7 @@
         with contextlib.ExitStack() as stack:
             self.in_flight += 1
             stack.callback(self._finish_one)
-            service, ready = await self._check(request)
+            service, ready = await self._check(request, stack)
             if ready.idempotency_key and not service.idempotent:
                 return await self._run_recorded(ready, service, receiver)
             attempts = self._attempts(ready, service, receiver)
@@ -110,6 +110,7 @@
     async def _check(
         self,
         request: CallerRequest,
+        ends: contextlib.ExitStack,
     ) -> tuple[Service, CallerRequest]:
         """Check a request before its at-most-once record is read.
 
@@ -119,7 +120,7 @@
         try:
             self._hooks.check_ready()
             service = self._service(request)
-            ready = await self._prepare(request, service)
+            ready = await self._prepare(request, service, ends)
             self._hooks.gate.check(ready)
         except RequestError as refusal:
             refusal.is_outcome_unknown = bool(request.idempotency_key)
@@ -136,8 +137,12 @@
         self,
         request: CallerRequest,
         service: Service,
+        ends: contextlib.ExitStack,
     ) -> CallerRequest:
-        """Set the deadline and read the start of the body before it."""
+        """Set the deadline and read the start of the body before it.
+
+        What is kept of the body is dropped as `ends` closes.
+        """
         deadline = request.deadline
         if deadline is None:
             deadline = self._clock.now() + service.deadline_ms / _MS_PER_S
@@ -146,6 +151,7 @@
         if request.body is None:
             return ready
         body = KeptBody(request.body, held=request.held)
+        ends.callback(body.close)
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
                 await body.read_start()
--- a/nutmegshore/gateway/forward.py
+++ b/nutmegshore/gateway/forward.py
@@ -109,7 +109,7 @@
             stack.callback(self._end_request)
             try:
                 async with self._time_limits.limit(limit_s):
-                    await self._read_body(routed, body)
+                    await self._read_body(routed, body, stack)
                     self._check_accepted(routed)
                     await attempts.run()
             except TimeoutError as failure:
@@ -120,10 +120,13 @@
         self,
         routed: RoutedRequest,
         body: CallerBody,
+        ends: contextlib.ExitStack,
     ) -> None:
+        """Read the start of the body, which is dropped as `ends` closes."""
         if body.is_whole:
             return
         kept_body = KeptBody(body, _MAX_KEPT_BODY_BYTES, routed.held)
+        ends.callback(kept_body.close)
         await kept_body.read_start()
         routed.body = kept_body
 
--- a/nutmegshore/listener/body.py
+++ b/nutmegshore/listener/body.py
@@ -176,6 +176,14 @@
         async for piece in _iter_rest(self._chunks):
             yield piece
 
+    def close(self) -> None:
+        """Drop what is kept, at the end of the request.
+
+        The tracebacks of a request that failed keep its objects alive until the
+        garbage collector finds them.
+        """
+        self._blocks.clear()
+
     def _enough(self) -> int:
         """Bytes to keep now, one more if the body may end at that many."""
         kept_bytes = self._kept_bytes
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -100,6 +100,8 @@
         """End the transfer; an unfinished one closes its connection."""
         self._loop.remove(self._curl)
         self._curl.close()
+        self._incoming.pop_all()
+        self._outgoing.pop_all()
         self._held.close()
 
     async def wait_head(self) -> AnswerHead | None:
