Have one place refuse for want of memory, and one fixture for hostile tests

The refusal of an upload that may not wait lay in the client of upstreams, with a Retry-After of its own and without a count. `ByteBudget.check_wait` has it now, beside `check_room`, and counts it (`caller_limit_refusals` by reason `upload`). A transfer that ends clears its buffers without joining them first.

--- a/nutmegshore/byte_budget.py
+++ b/nutmegshore/byte_budget.py
@@ -31,8 +31,9 @@
     From half of the limit on, each buffer holds `SMALL_BYTES` and less of a
     body is kept for retries. Beyond seven eighths, requests with larger bodies
     are refused, and beyond the limit all requests with a body. `make_room` is
-    called at each refusal, to close a stalled connection; `on_change` is called
-    as the budget gets short and as it is well again.
+    called at each refusal, and while a body waits, to close a stalled
+    connection; `on_change` is called as the budget gets short and as it is well
+    again.
 
         budget = ByteBudget(44_000_000, counters)
         budget.check_room(body.length)
@@ -78,9 +79,17 @@
         """
         is_large = length is None or length > SMALL_BYTES
         if self.is_exhausted or (is_large and self.is_full):
-            self._counters.add('caller_limit_refusals', reason='memory')
             self.make_room()
-            raise RefusedError(ErrorKind.CALLER_LIMIT, 'memory', _RETRY_S)
+            raise self._refusal('memory')
+
+    def check_wait(self) -> None:
+        """Raise `RefusedError` if a body may not be held while it waits.
+
+        `make_room` is called in any case.
+        """
+        self.make_room()
+        if self.is_short:
+            raise self._refusal('upload')
 
     def add(self, count: int) -> None:
         """Count bytes as held; a negative count gives bytes back."""
@@ -92,6 +101,10 @@
             self._counters.set_gauge('caller_memory_short', int(is_short))
             self.on_change()
 
+    def _refusal(self, reason: str) -> RefusedError:
+        self._counters.add('caller_limit_refusals', reason=reason)
+        return RefusedError(ErrorKind.CALLER_LIMIT, reason, _RETRY_S)
+
 
 class HeldBytes(contextlib.AbstractContextManager):
     """Bytes of a budget that one request or transfer holds.
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -8,7 +8,7 @@
 
 from nutmegshore.clock import Clock
 from nutmegshore.counters import Counters
-from nutmegshore.errors import ErrorKind, RefusedError, RequestError
+from nutmegshore.errors import ErrorKind, RequestError
 from nutmegshore.faults import Faults
 from nutmegshore.byte_budget import ByteBudget
 from nutmegshore.upstreams.base import (
@@ -29,8 +29,6 @@
 __all__ = ('CurlUpstreams',)
 
 _MS_PER_S = 1000
-#: Retry-After in seconds of an upload that finds no room at its upstream.
-_RETRY_S = 1
 #: libcurl adds these by itself unless they are given or emptied.
 _DEFAULT_HEADERS = ('Accept', 'User-Agent', 'Expect', 'Content-Type')
 #: Methods that need `Content-Length: 0` if the request has no body.
@@ -58,7 +56,7 @@
     ) -> None:
         """Create a client; deadlines are readings of `clock`."""
         self._budget = budget or ByteBudget()
-        self._uploads = UploadRoom(self._make_room)
+        self._uploads = UploadRoom(self._budget.check_wait)
         self._clock = clock
         self.dialect = dialect or OwnDialect()
         self._loop = CurlLoop(faults or Faults(Counters()), idle_connections)
@@ -114,16 +112,6 @@
             except TimeoutError as failure:
                 raise attempt.timeout_error() from failure
 
-    def _make_room(self) -> None:
-        """Make room for an upload that has to wait, with nothing sent.
-
-        Raise `RefusedError` while the budget is short: what waits would keep
-        others from being read.
-        """
-        self._budget.make_room()
-        if self._budget.is_short:
-            raise RefusedError(ErrorKind.CALLER_LIMIT, 'upload', _RETRY_S)
-
     def _report_connection(
         self, upstream: Destination, transfer: Transfer
     ) -> None:
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -100,8 +100,8 @@
         """End the transfer; an unfinished one closes its connection."""
         self._loop.remove(self._curl)
         self._curl.close()
-        self._incoming.pop_all()
-        self._outgoing.pop_all()
+        self._incoming.clear()
+        self._outgoing.clear()
         self._held.close()
 
     async def wait_head(self) -> AnswerHead | None:
@@ -257,9 +257,12 @@
 
     def pop_all(self) -> bytes:
         joined = b''.join(self._chunks)
+        self.clear()
+        return joined
+
+    def clear(self) -> None:
         self._chunks.clear()
         self._resize(-self.size)
-        return joined
 
     def _resize(self, change: int) -> None:
         self.size += change
--- a/nutmegshore/upstreams/upload_room.py
+++ b/nutmegshore/upstreams/upload_room.py
@@ -21,8 +21,9 @@
     """Bounds the sum of the bodies in flight to each upstream.
 
     A body that does not fit waits, before anything of it is sent, and calls
-    `make_room`, which closes a stalled connection. A body alone always fits,
-    and small ones do not count. A body of unknown length is not bounded: it
+    `check_wait`, which closes a stalled connection, and raises `RefusedError`
+    if the body may not wait. A body alone always fits, and small ones do not
+    count. A body of unknown length is not bounded: it
     counts as one byte more than a small one, whatever its size.
 
         with await room.take('10.0.0.1:80', body.length):
@@ -30,10 +31,10 @@
     """
 
     def __init__(
-        self, make_room: Callable[[], None], limit: int = UPLOAD_BYTES
+        self, check_wait: Callable[[], None], limit: int = UPLOAD_BYTES
     ) -> None:
         """Start without bodies in flight."""
-        self._make_room = make_room
+        self._check_wait = check_wait
         self._limit = limit
         self._used: collections.Counter[str] = collections.Counter()
         self._changed = asyncio.Event()
@@ -62,7 +63,7 @@
         self._changed.set()
 
     async def _wait(self) -> None:
-        self._make_room()
+        self._check_wait()
         self._changed.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_RETRY_S):
--- a/tests/hostile/conftest.py
+++ b/tests/hostile/conftest.py
@@ -88,3 +88,9 @@
     yield build
     for end in reversed(ends):
         end()
+
+
+@pytest.fixture(params=['gateway', 'entry'])
+def started(trial, request):
+    """A gateway, then an entry."""
+    return trial(request.param)
--- a/tests/hostile/test_answers.py
+++ b/tests/hostile/test_answers.py
@@ -2,17 +2,10 @@
 
 import pytest
 
-_KINDS = ('gateway', 'entry')
 #: The kernel then holds little of what was not read.
 _RECEIVE_BYTES = 4096
 
 
-@pytest.fixture(params=_KINDS)
-def started(trial, request):
-    """A gateway, then an entry."""
-    return trial(request.param)
-
-
 def test_requests_ahead_whose_answers_nobody_reads(started):
     """Guards against holding an answer in memory for each of 400 callers that
     send further requests and read nothing."""
--- a/tests/hostile/test_bodies.py
+++ b/tests/hostile/test_bodies.py
@@ -2,17 +2,10 @@
 
 import pytest
 
-_KINDS = ('gateway', 'entry')
 _BODY_BYTES = 1_500_000
 _COUNT = 200
 
 
-@pytest.fixture(params=_KINDS)
-def started(trial, request):
-    """A gateway, then an entry."""
-    return trial(request.param)
-
-
 @pytest.mark.parametrize('path', ['/up/x', '/up/stall'])
 def test_bodies_that_stop_short_of_their_end(started, path):
     """Guards against keeping the start of every body at once: the sum for 200
--- a/tests/hostile/test_waves.py
+++ b/tests/hostile/test_waves.py
@@ -17,12 +17,6 @@
 _WAVE_S = 4
 
 
-@pytest.fixture(params=_KINDS)
-def started(trial, request):
-    """A gateway, then an entry."""
-    return trial(request.param)
-
-
 def test_waves_of_bodies_short_of_their_end(started):
     """Guards against memory that comes back in blocks which the bodies of the
     next wave do not fit into, though the budget takes it for free."""
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -130,6 +130,20 @@
     asyncio.run(session())
 
 
+def test_a_body_waits_only_while_the_budget_is_well(budget):
+    """Guards against uploads that hold memory for as long as they wait for
+    their upstream, while others are refused for want of it."""
+    calls = []
+    budget.make_room = lambda: calls.append(budget.used)
+    budget.check_wait()
+    budget.hold().add(510_000)
+    with pytest.raises(RefusedError) as refused:
+        budget.check_wait()
+    assert refused.value.kind is ErrorKind.CALLER_LIMIT
+    assert refused.value.retry_after_s == 1
+    assert calls == [0, 510_000]
+
+
 def test_a_body_that_finds_no_room_is_refused(budget):
     """Guards against bodies of unknown length that grow beyond the budget."""
 
