--- a/tests/hostile/test_ports.py
+++ b/tests/hostile/test_ports.py
@@ -12,7 +12,7 @@
 #: callers.
 _BODIES = MappingProxyType(
     {
-        'short of the end': (
+        'short-of-the-end': (
             f'Content-Length: {_BODY_BYTES}',
             bytes(_BODY_BYTES - 1),
             200,
@@ -22,13 +22,13 @@
             _CHUNK * (_BODY_BYTES // 30_000),
             200,
         ),
-        'small chunks': (
+        'small-chunks': (
             'Transfer-Encoding: chunked',
             b'1\r\n\x00\r\n' * 150_000,
             64,
         ),
         'announced': ('Content-Length: 1000000000', bytes(1_500_000), 100),
-        'just sent': ('Transfer-Encoding: chunked', _CHUNK * 100, 100),
+        'just-sent': ('Transfer-Encoding: chunked', _CHUNK * 100, 100),
     }
 )
 _PORTS = (
