Count the end of an outage from the word of it, not from an older answer

A region that was cut off from the store and from all others heard of an answer to another region, 1.4 s old, as the cut ended, and took the outage to end then. A neighbour that heard the same told it on, and the gateways moved the end back to the answer itself: they dropped live upstreams, whose entries had expired, 1.4 s too early (0.92 s after the cut, where 1 s and more is allowed in test_live_upstreams_outlast_a_cut_of_their_region).

Cause: record_told takes the earlier of the last answer and the start of steady answers; a neighbour whose doubt began with the word of another region has an answer that is older than its steady time. The time of the doubt now comes from the steady time alone.

The new test fails without the change.

--- a/nutmegshore/gateway/store_outages.py
+++ b/nutmegshore/gateway/store_outages.py
@@ -87,13 +87,16 @@
             return
         now = self._clock.now()
         last_at = now - told.age_s
-        since = min(now - told.steady_s, last_at)
+        # Whoever hears of an outage's end from others counts from that word,
+        # which comes after the answer itself.
+        steady_at = now - told.steady_s
+        since = min(steady_at, last_at)
         if since - self._answered_at >= EXPIRING_S:
             self._begin(since)
         elif told.steady_s and last_at > self._steady_since - EXPIRING_S:
             # Both know answers of one time, and this gateway missed some.
-            self._steady_since = min(self._steady_since, since)
-            self._returned_at = min(self._returned_at, since)
+            self._steady_since = min(self._steady_since, steady_at)
+            self._returned_at = min(self._returned_at, steady_at)
         self._answered_at = max(self._answered_at, last_at)
 
     def _begin(self, since: float) -> None:
--- a/tests/gateway/test_store_outages.py
+++ b/tests/gateway/test_store_outages.py
@@ -125,3 +125,27 @@
         assert outages.may_lack_entries
 
     run_outages(session)
+
+
+def test_a_doubt_ends_with_the_word_of_the_first_to_hear(run_outages):
+    """Guards against live upstreams that are dropped early, since a neighbour
+    told of an answer to another region that came before its own doubt began."""
+
+    async def session(clock, outages):
+        outages.record_answer()
+        await clock.sleep(6)
+        neighbour = StoreOutages(clock)
+        neighbour.record_answer()
+        await clock.sleep(6)
+        neighbour.record_told(ToldAnswers(age_s=1.4))
+        outages.record_told(ToldAnswers(age_s=1.4))
+        await clock.sleep(0.2)
+        outages.record_told(neighbour.told())
+        await clock.sleep(1)
+        outages.record_answer()
+        await clock.sleep(0.9)
+        assert outages.may_lack_entries
+        await clock.sleep(0.3)
+        assert not outages.may_lack_entries
+
+    run_outages(session)
