--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -49,6 +49,7 @@
         self._loop = curl_loop
         self._curl = curl
         self._changed = Change()
+        self._wakes_as_sent = False
         curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, READ_BYTES)
         self._held.add(READ_BYTES + READ_BYTES)
@@ -90,6 +91,7 @@
 
     async def wait_sent(self) -> bool:
         """Wait until the request is sent; False if it never is."""
+        self._wakes_as_sent = True
         while not self.guard.is_sent and self.error is None:
             await self._changed.wait()
         return self.guard.is_sent
@@ -150,7 +152,9 @@
         self._changed.set()
 
     def _allow(self, *address: str | int) -> int:
-        self._changed.set()
+        # Most requests have nobody who waits for this.
+        if self._wakes_as_sent:
+            self._changed.set()
         return self.guard.allow(*address)
 
     def _receive_header_line(self, raw: bytes) -> int | None:
