Call a platform over TLS where its URL says so, and tell its sockets apart

The client of the calls to a store, new in, read host and port from the platform's URL and always spoke in the clear, where tornado's client had used TLS for https. It takes the origin as it stands now, and libcurl writes Host. A name with several addresses has libcurl open more than one socket: the one that is recorded for a connection is that with its local port.

The test of https fails without it (the first byte at the server is G in place of a TLS record); the one of a name passes with and without.

--- a/nutmegshore/platform/store_http.py
+++ b/nutmegshore/platform/store_http.py
@@ -47,7 +47,7 @@
     ) -> None:
         """Create the client; connections open on first use."""
         self.eras = StoreEras()
-        self._calls = StoreCalls(address, times, _PLACES, counters)
+        self._calls = StoreCalls(f'http://{address}', times, _PLACES, counters)
 
     def close(self) -> None:
         """Close the connections."""
--- a/nutmegshore/store/calls.py
+++ b/nutmegshore/store/calls.py
@@ -75,19 +75,20 @@
 
 
 class StoreCalls:
-    """Calls the store at IP:port on kept connections.
+    """Calls the store at an origin such as http://10.0.0.1:8642.
 
     A call that is cancelled closes its connection and frees its place at once.
     The time of a call includes what it waits for a place. A call whose kept
     connection ends without an answer is sent again once, on a new connection:
     reads change nothing, and writes name the version that they expect.
 
-        reply = await StoreCalls('10.0.0.1:8642').send(StoreCall('GET', '/'))
+        calls = StoreCalls('http://10.0.0.1:8642')
+        reply = await calls.send(StoreCall('GET', '/'))
     """
 
     def __init__(
         self,
-        address: str,
+        origin: str,
         times: CallTimes | None = None,
         places: int = 16,
         counters: Counters | None = None,
@@ -96,7 +97,7 @@
 
         Half of the places are for watches.
         """
-        self._address = address
+        self._origin = origin
         self._times = times or CallTimes()
         self._counters = counters or Counters()
         self._clock = SystemClock()
@@ -152,14 +153,13 @@
     ) -> pycurl.Curl:
         call = running.call
         curl = make_handle(
-            self._address, call.method, call.target, self._times.connect_s
+            self._origin, call.method, call.target, self._times.connect_s
         )
         curl.setopt(pycurl.FRESH_CONNECT, bool(running.transfers))
         has_body = call.body is not None
         if has_body:
             add_body(curl, len(call.body))
-        headers = (('Host', self._address), *call.headers)
-        write_headers(curl, call.method, headers, has_body=has_body)
+        write_headers(curl, call.method, call.headers, has_body=has_body)
         guard.on_open = self._limit_silence
         return curl
 
--- a/nutmegshore/store/http.py
+++ b/nutmegshore/store/http.py
@@ -38,7 +38,6 @@
 
 _CALL_TIMEOUT_S = 2
 _PLACES = 64
-_DEFAULT_PORT = 80
 
 _Parsed = TypeVar('_Parsed')
 
@@ -63,9 +62,8 @@
         parts = urlsplit(base_url)
         self._base_path = parts.path.rstrip('/')
         self._watch_wait_s = watch_wait_s
-        port = parts.port or _DEFAULT_PORT
         self._calls = StoreCalls(
-            f'{parts.hostname}:{port}',
+            f'{parts.scheme}://{parts.netloc}',
             CallTimes(call_timeout_s, call_timeout_s),
             _PLACES,
             counters,
--- a/nutmegshore/upstreams/connections.py
+++ b/nutmegshore/upstreams/connections.py
@@ -1,7 +1,9 @@
 """The connections on which libcurl may send a request."""
 
+import contextlib
 import select
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Collection
 
 import attrs
 import pycurl
@@ -100,7 +102,7 @@
         self._sockets = sockets
         self._clock = clock
         self._counters = counters
-        self._opening: tuple[int, float] | None = None
+        self._opened_at_by_fd: dict[int, float] = {}
         self._kept: OpenSocket | None = None
         self._sent_at = float('inf')
 
@@ -127,7 +129,7 @@
             self._count('repeat_stopped')
             return pycurl.SOCKOPT_ERROR
         self.on_open(fd)
-        self._opening = (fd, self._clock.now())
+        self._opened_at_by_fd[fd] = self._clock.now()
         return pycurl.SOCKOPT_OK
 
     def allow(self, *address: str | int) -> int:
@@ -135,10 +137,10 @@
         if self.is_sent:
             self._count('repeat_stopped')
             return pycurl.PREREQFUNC_ABORT
-        if self._opening is None:
-            self._check_kept(address)
-        else:
+        if self._opened_at_by_fd:
             self._record_opened(address)
+        else:
+            self._check_kept(address)
         if self.found_closed:
             return pycurl.PREREQFUNC_ABORT
         self.is_sent = True
@@ -152,8 +154,8 @@
             self._count('found_closed')
 
     def _record_opened(self, address: Address) -> None:
-        fd, opened_at = self._opening
-        connect_s = self._clock.now() - opened_at
+        fd = _find_bound(self._opened_at_by_fd, address)
+        connect_s = self._clock.now() - self._opened_at_by_fd[fd]
         self._sockets.record(address, OpenSocket(fd, connect_s))
         self._count('opened')
 
@@ -161,5 +163,23 @@
         self._counters.add('upstream_connections', event=event)
 
 
+def _find_bound(fds: Collection[int], address: Address) -> int:
+    """Return the descriptor of a connection among those that were opened.
+
+    Only a name with several addresses has libcurl open more than one.
+    """
+    *others, last = fds
+    for fd in others:
+        with contextlib.suppress(OSError):
+            if _read_local_port(fd) == address[-1]:
+                return fd
+    return last
+
+
+def _read_local_port(fd: int) -> int:
+    with socket.socket(fileno=socket.dup(fd)) as connection:
+        return connection.getsockname()[1]
+
+
 def _do_nothing(fd: int) -> None:
     """Leave a new connection as it is."""
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -303,7 +303,10 @@
 
 def _make_curl(address: str, request: UpstreamRequest) -> pycurl.Curl:
     curl = make_handle(
-        address, request.method, request.target, request.connect_timeout_s
+        f'http://{address}',
+        request.method,
+        request.target,
+        request.connect_timeout_s,
     )
     if request.body is not None and request.method != 'HEAD':
         add_body(curl, request.body.length)
--- a/nutmegshore/upstreams/handles.py
+++ b/nutmegshore/upstreams/handles.py
@@ -15,11 +15,14 @@
 
 
 def make_handle(
-    address: str, method: str, target: str, connect_timeout_s: float
+    origin: str, method: str, target: str, connect_timeout_s: float
 ) -> pycurl.Curl:
-    """Return a handle for an HTTP/1.1 request without a body."""
+    """Return a handle for an HTTP/1.1 request without a body.
+
+    The origin is a URL without a path, such as http://10.0.0.1:8642.
+    """
     curl = pycurl.Curl()
-    curl.setopt(pycurl.URL, f'http://{address}/')
+    curl.setopt(pycurl.URL, f'{origin}/')
     # Sends the target byte for byte; libcurl would normalize dot segments.
     curl.setopt(pycurl.REQUEST_TARGET, target)
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -204,7 +204,9 @@
     """Replace what opens sockets, which virtual time does not have."""
     monkeypatch.setattr(
         'nutmegshore.platform.store_http.StoreCalls',
-        lambda address, *options: StandinCalls(applications[address]),
+        lambda origin, *options: StandinCalls(
+            applications[origin.removeprefix('http://')]
+        ),
     )
     monkeypatch.setattr(
         'nutmegshore.gateway.assembly.MeshPeers',
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -274,3 +274,36 @@
         return [code for code, _ in answers], store.by_key
 
     assert _run(session) == ([400, 400, 400, 400, 400], {})
+
+
+def test_a_platform_behind_tls_is_called_over_tls():
+    """Guards against calls in the clear to a URL that begins with https."""
+    first_bytes = []
+
+    async def serve(reader, writer):
+        first_bytes.append(await reader.read(1))
+        writer.close()
+
+    async def session():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        platform = HttpPlatform(f'https://127.0.0.1:{port}/api/')
+        with contextlib.closing(platform), pytest.raises(PlatformUnavailable):
+            await platform.read('servers/i-1')
+
+    asyncio.run(session())
+    # The type of a TLS record with a handshake message.
+    assert set(first_bytes) == {b'\x16'}
+
+
+def test_a_platform_may_have_a_name():
+    """Guards against a kept connection that is taken for another one, where a
+    name has several addresses."""
+
+    async def session(store, platform, url):
+        port = url.rpartition(':')[-1]
+        named = HttpPlatform(f'http://localhost:{port}')
+        with contextlib.closing(named):
+            return [await named.read('none') for _ in range(3)]
+
+    assert _run(session) == [None, None, None]
