--- a/nutmegshore/store/calls.py
+++ b/nutmegshore/store/calls.py
@@ -138,7 +138,9 @@
     async def _send_once(self, running: '_RunningCall') -> StoreReply | None:
         """Return the answer, None without one."""
         call = running.call
-        guard = SendGuard(self._loop.sockets, self._clock, self._counters)
+        guard = SendGuard(
+            self._loop.sockets, self._clock, self._counters, 'store_connections'
+        )
         transfer = Transfer(self._loop, self._make_curl(running, guard), guard)
         running.transfers.append(transfer)
         with contextlib.closing(transfer):
--- a/nutmegshore/upstreams/connections.py
+++ b/nutmegshore/upstreams/connections.py
@@ -87,15 +87,20 @@
     nothing. `found_closed` says that the request was not sent because the
     upstream had closed the kept connection before.
 
-    `upstream_connections` counts what the guard sees, by `event`: `opened`,
+    The metric counts what the guard sees, by `event`: `opened`,
     `found_closed`, and `repeat_stopped`. `on_open` is called with the
     descriptor of each new connection before it opens.
     """
 
     def __init__(
-        self, sockets: OpenSockets, clock: Clock, counters: Counters
+        self,
+        sockets: OpenSockets,
+        clock: Clock,
+        counters: Counters,
+        metric: str = 'upstream_connections',
     ) -> None:
         """Guard one request."""
+        self._metric = metric
         self.is_sent = False
         self.found_closed = False
         self.on_open: Callable[[int], None] = _do_nothing
@@ -160,7 +165,7 @@
         self._count('opened')
 
     def _count(self, event: str) -> None:
-        self._counters.add('upstream_connections', event=event)
+        self._counters.add(self._metric, event=event)
 
 
 def _find_bound(fds: Collection[int], address: Address) -> int:
--- a/tests/store/test_cancelled_calls.py
+++ b/tests/store/test_cancelled_calls.py
@@ -122,6 +122,8 @@
         opened = store.open_count
         await _cancel(tasks)
         await asyncio.sleep(0.1)
+        assert not counters.total('upstream_connections')
+        assert counters.total('store_connections', event='opened') == 5
         cancelled = counters.total('store_calls', end='cancelled')
         return opened, store.open_count, cancelled
 
