Share the grammar of fields and chunks between requests and answers

The grammar of field lines and the decoder of chunks move to http1/, so that answers can be read by the same code.

--- a/nutmegshore/listener/chunks.py
+++ b/nutmegshore/http1/chunks.py
@@ -4,7 +4,7 @@
 
 from nutmegshore.errors import ErrorKind, RequestError
 
-__all__ = ('ChunkDecoder',)
+__all__ = ('ChunkDecoder', 'MalformedChunk')
 
 _LINE_END = b'\r\n'
 #: A chunk's size line with its extensions; longer ones are refused.
@@ -14,6 +14,14 @@
 _UNLIMITED = float('inf')
 
 
+class MalformedChunk(RequestError):
+    """What came is no chunk; `detail` names the part."""
+
+    def __init__(self, what: str) -> None:
+        """Say which part of a chunk is malformed."""
+        super().__init__(ErrorKind.MALFORMED_REQUEST, what)
+
+
 class ChunkDecoder:
     """Takes the data out of chunks, however many a piece holds.
 
@@ -37,7 +45,7 @@
     ) -> tuple[bytes, int]:
         """Return the data in received bytes, and how many were used.
 
-        At most `most_chunks` further chunks are begun. Raises `RequestError`
+        At most `most_chunks` further chunks are begun. Raises `MalformedChunk`
         for what is no chunk.
         """
         self._most_chunks = self.chunks + most_chunks
@@ -73,7 +81,7 @@
             self._is_after_data = False
             return end
         if not _LINE_END.startswith(held[at:end]):
-            raise _malformed('chunk end')
+            raise MalformedChunk('chunk end')
         return at
 
     def _read_size(self, held: bytes, at: int) -> int:
@@ -85,7 +93,7 @@
             _check_start(held[at:end])
             return at
         if line.end() - at > _MAX_SIZE_LINE_BYTES + len(_LINE_END):
-            raise _malformed('chunk size')
+            raise MalformedChunk('chunk size')
         self.chunks += 1
         self._left = int(line.group(1), _HEXADECIMAL)
         self.is_ended = not self._left
@@ -93,10 +101,6 @@
 
 
 def _check_start(line: bytes) -> None:
-    """Raise `RequestError` for what cannot become a size line."""
+    """Raise `MalformedChunk` for what cannot become a size line."""
     if _LINE_END in line or len(line) > _MAX_SIZE_LINE_BYTES:
-        raise _malformed('chunk size')
-
-
-def _malformed(what: str) -> RequestError:
-    return RequestError(ErrorKind.MALFORMED_REQUEST, what)
+        raise MalformedChunk('chunk size')
--- a/nutmegshore/listener/body.py
+++ b/nutmegshore/listener/body.py
@@ -6,11 +6,11 @@
 from tornado.iostream import StreamClosedError
 
 from nutmegshore.errors import ErrorKind, Outcome, RequestError
+from nutmegshore.http1 import ChunkDecoder
 from nutmegshore.listener.body_pace import BodyPace
 from nutmegshore.byte_blocks import ByteBlocks
 from nutmegshore.byte_budget import ByteBudget, HeldBytes
 from nutmegshore.listener.chunk_turns import ChunkAllowance, ChunkTurns
-from nutmegshore.listener.chunks import ChunkDecoder
 from nutmegshore.listener.reader import CallerReader
 from nutmegshore.upstreams import BodySource
 
--- a/nutmegshore/listener/headers.py
+++ b/nutmegshore/listener/headers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.http1 import TOKEN, is_field, parse_field_line
 from nutmegshore.upstreams import Headers
 
 __all__ = (
@@ -50,12 +51,7 @@
 _MAX_DEADLINE_MS = 3_600_000
 _MAX_LENGTH_DIGITS = 18
 
-_TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-_START_LINE = re.compile(rf'({_TOKEN}) (/[!-~]*) HTTP/1\.([01])')
-_TEXT_CHARS = r'[\t -~\x80-\xff]*'
-_FIELD_LINE = re.compile(rf'({_TOKEN}):[ \t]*({_TEXT_CHARS})')
-_NAME = re.compile(_TOKEN)
-_TEXT = re.compile(_TEXT_CHARS)
+_START_LINE = re.compile(rf'({TOKEN}) (/[!-~]*) HTTP/1\.([01])')
 _DIGITS = re.compile('[0-9]+')
 
 
@@ -162,7 +158,7 @@
     return tuple(
         (name, text)
         for name, text in _end_to_end(headers)
-        if _NAME.fullmatch(name) and _TEXT.fullmatch(text)
+        if is_field(name, text)
     )
 
 
@@ -186,11 +182,10 @@
 
 
 def _parse_field(line: str) -> tuple[str, str]:
-    found = _FIELD_LINE.fullmatch(line)
+    found = parse_field_line(line)
     if found is None:
         raise _malformed('header line')
-    name, text = found.groups()
-    return name, text.rstrip(' \t')
+    return found
 
 
 def _check_head(head: RequestHead) -> None:
--- a/nutmegshore/listener/reader.py
+++ b/nutmegshore/listener/reader.py
@@ -5,8 +5,8 @@
 from tornado.iostream import IOStream
 
 from nutmegshore.errors import ErrorKind, RequestError
+from nutmegshore.http1 import ChunkDecoder
 from nutmegshore.listener.caller_activity import CallerActivity
-from nutmegshore.listener.chunks import ChunkDecoder
 
 __all__ = ('READ_BYTES', 'CallerReader')
 
--- a/tests/listener/test_chunks.py
+++ b/tests/http1/test_chunks.py
@@ -3,7 +3,7 @@
 import pytest
 
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.listener.chunks import ChunkDecoder
+from nutmegshore.http1 import ChunkDecoder
 
 _BODY = b'3\r\nabc\r\n1;x=y\r\nd\r\nA \r\n0123456789\r\n0\r\n\r\n'
 _DATA = b'abcd0123456789'
--- a/tests/listener/test_chunk_turns.py
+++ b/tests/listener/test_chunk_turns.py
@@ -9,7 +9,7 @@
     ChunkAllowance,
     ChunkTurns,
 )
-from nutmegshore.listener.chunks import ChunkDecoder
+from nutmegshore.http1 import ChunkDecoder
 
 _PIECE_BYTES = 16_384
 
