Refuse answers whose heads break the grammar of HTTP/1.1

Seen by callers: a 200 with a body that was not the upstream's, or with a line whose name held a blank or a control byte, after an upstream had sent a head with a malformed length or a line that is no field. Cause: libcurl passes on most lines that it cannot interpret, and AnswerHeads split them at any colon. A length with a blank in its name, of 23 digits, or beside a coding was no length to one of the two, so that the body ran to the close of the connection or to the wrong end. Change: AnswerHeads reads every line by RFC 9112 and says what is malformed: status line, field line, length, coding, switch of protocols, size of the heads. A malformed answer has no head, so that nothing that it says of its upstream is believed; its connection is closed, and it is lost as one cut off is. Equal lengths are told as one. Why it works: no caller, report or health check sees a head that has not passed the one strict reader.

--- a/nutmegshore/store/calls.py
+++ b/nutmegshore/store/calls.py
@@ -192,7 +192,8 @@
         """Whether its kept connection ended before the answer began."""
         transfer = self.transfers[-1]
         guard = transfer.guard
-        return guard.found_closed or guard.is_kept and not transfer.heads.size
+        has_begun = transfer.answer.heads.size
+        return guard.found_closed or guard.is_kept and not has_begun
 
     def failed(self, why: str) -> CallFailed:
         """The error for a call without an answer."""
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -3,18 +3,16 @@
 import pycurl
 
 from nutmegshore.byte_budget import ByteBudget
-from nutmegshore.upstreams.answer_heads import AnswerHeads
 from nutmegshore.upstreams.base import AnswerHead
 from nutmegshore.upstreams.connections import SendGuard
 from nutmegshore.upstreams.multi import CurlLoop
+from nutmegshore.upstreams.received_answer import ReceivedAnswer
 from nutmegshore.upstreams.transfer_buffer import READ_BYTES, Buffer, Change
 
 __all__ = ('Transfer',)
 
 #: Bytes that libcurl buffers more for a body that it sends in chunks.
 _CHUNKED_BYTES = 65_536
-#: Bytes of an answer's heads and trailers together, interim heads included.
-_MAX_HEAD_BYTES = 131_072
 #: What a callback for received bytes returns to end the transfer.
 _ABORT = 0
 
@@ -24,7 +22,7 @@
 
     `guard` decides on the connection and tells whether the request was sent.
     `error` is libcurl's error number, 0 for a complete answer, or None before
-    the end. `heads` are those of the answer, and `head` the final one.
+    the end. `answer` is what has come of the answer.
     """
 
     def __init__(
@@ -44,8 +42,7 @@
         self._held = budget.hold()
         self.guard = guard
         self.error: int | None = None
-        self.heads = AnswerHeads()
-        self.head: AnswerHead | None = None
+        self.answer = ReceivedAnswer()
         self._loop = curl_loop
         self._curl = curl
         self._changed = Change()
@@ -98,9 +95,9 @@
 
     async def wait_head(self) -> AnswerHead | None:
         """Wait for the answer's head; None if the transfer failed."""
-        while self.head is None and self.error is None:
+        while self.answer.head is None and self.error is None:
             await self._changed.wait()
-        return self.head
+        return self.answer.head
 
     async def read_chunk(self) -> bytes:
         """Wait for a chunk of the answer; empty at the end or on failure.
@@ -148,6 +145,9 @@
             self._loop.resume(self._curl)
 
     def _finish(self, error: int) -> None:
+        # Before the request is sent, an error says nothing of its answer.
+        if self.guard.is_sent:
+            error = self.answer.end(error, self._curl.errstr())
         self.error = error
         self._changed.set()
 
@@ -158,18 +158,11 @@
         return self.guard.allow(*address)
 
     def _receive_header_line(self, raw: bytes) -> int | None:
-        heads = self.heads
-        heads.size += len(raw)
-        if heads.size > _MAX_HEAD_BYTES:
+        if not self.answer.add_line(raw):
             return _ABORT
-        # Trailers of a chunked answer are not passed on.
-        if self.head is not None:
-            return None
-        is_read = heads.add_line(raw)
-        self.head = heads.final
-        if self.head is not None:
+        if self.answer.head is not None:
             self._changed.set()
-        return None if is_read else _ABORT
+        return None
 
     def _receive_chunk(self, chunk: bytes) -> int | None:
         if self._incoming.is_full:
