Decode the chunks of answers by the grammar, in place of libcurl

Seen by callers: a 200 whose body was not the upstream's, after an upstream had sent chunks whose size lines held other bytes than digits. Cause: libcurl ends a chunk's size at the first byte that is no digit: '6z' counts as 6, and '0\x016' ends the body. It passes over bytes between the size and the line feed, takes lines that end in a line feed alone, and hands out trailers that are no fields. Bytes right after the last chunk are dropped and the connection is used again. Change: libcurl passes chunks on as they came (HTTP_TRANSFER_DECODING off); they are decoded by the decoder that also reads callers' bodies, and trailers by the grammar of fields. The decoder refuses the start of a size line that cannot become one, where it waited for the line's end. Surplus bytes leave the answer whole and close its connection. Why it works: an answer ends where the one strict decoder finds its end; if libcurl finds another, the answer is lost.

--- a/nutmegshore/http1/chunks.py
+++ b/nutmegshore/http1/chunks.py
@@ -9,7 +9,9 @@
 _LINE_END = b'\r\n'
 #: A chunk's size line with its extensions; longer ones are refused.
 _MAX_SIZE_LINE_BYTES = 256
-_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t -~]*)?\r\n')
+_SIZE = rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t -~]*)?'
+_SIZE_LINE = re.compile(rb'%b\r\n' % _SIZE)
+_START_OF_LINE = re.compile(rb'(?:%b\r?)?' % _SIZE)
 _HEXADECIMAL = 16
 _UNLIMITED = float('inf')
 
@@ -102,5 +104,6 @@
 
 def _check_start(line: bytes) -> None:
     """Raise `MalformedChunk` for what cannot become a size line."""
-    if _LINE_END in line or len(line) > _MAX_SIZE_LINE_BYTES:
+    is_start = _START_OF_LINE.fullmatch(line) is not None
+    if not is_start or len(line) > _MAX_SIZE_LINE_BYTES:
         raise MalformedChunk('chunk size')
--- a/nutmegshore/upstreams/malformed_answer.py
+++ b/nutmegshore/upstreams/malformed_answer.py
@@ -19,6 +19,8 @@
     #: Status 101 to a request that asks for no other protocol.
     PROTOCOL_SWITCH = 'protocol_switch'
     HEAD_SIZE = 'head_size'
+    CHUNK = 'chunk'
+    TRAILER = 'trailer'
     #: libcurl could not read the answer.
     UNREADABLE = 'unreadable'
 
--- a/nutmegshore/upstreams/transfer.py
+++ b/nutmegshore/upstreams/transfer.py
@@ -47,6 +47,9 @@
         self._curl = curl
         self._changed = Change()
         self._wakes_as_sent = False
+        # libcurl skips what follows a chunk's size and ends at a last chunk
+        # that another reader takes for more, so that chunks are decoded here.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
         curl.setopt(pycurl.BUFFERSIZE, READ_BYTES)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, READ_BYTES)
         self._held.add(READ_BYTES + READ_BYTES)
@@ -164,13 +167,17 @@
             self._changed.set()
         return None
 
-    def _receive_chunk(self, chunk: bytes) -> int | None:
+    def _receive_chunk(self, received: bytes) -> int | None:
         if self._incoming.is_full:
             self._incoming.is_paused = True
             return pycurl.WRITEFUNC_PAUSE
-        self._incoming.append(chunk)
-        self._changed.set()
-        return None
+        chunk = self.answer.decode(received)
+        if self.answer.malformed is not None:
+            return _ABORT
+        if chunk:
+            self._incoming.append(chunk)
+            self._changed.set()
+        return _ABORT if self.answer.has_surplus else None
 
     def _provide_chunk(self, size: int) -> bytes | int:
         if self._outgoing.size:
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -44,6 +44,9 @@
         'upload': (_UPLOAD, b'PUT', _SIZED),
     }
 )
+_CHUNKED_OK = b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+#: Bytes of a body whose beginning is passed on before its end has come.
+_LONG_BYTES = 1_000_000
 _REPORTS = (
     b'Server-Load: 3,5,4\r\nServer-Limit: 1\r\nServer-Leaving: 1\r\n'
     b'Instance-Id: u1\r\nRetry-After: 1\r\n'
@@ -64,7 +67,16 @@
         with contextlib.closing(writer):
             start = b'%b %b HTTP/1.1\r\n' % (method, target)
             writer.write(start + _COMMON + rest)
-            return await asyncio.wait_for(reader.read(), 5)
+            async with asyncio.timeout(5):
+                return await _read_to_end(reader)
+
+
+async def _read_to_end(reader):
+    received = bytearray()
+    with contextlib.suppress(ConnectionResetError):
+        while piece := await reader.read(_LONG_BYTES):
+            received += piece
+    return bytes(received)
 
 
 @pytest.fixture
@@ -297,6 +309,56 @@
     assert sound.connections == 1
 
 
+@pytest.mark.parametrize(
+    'end', [b'6z\r\nabcdef\r\n0\r\n\r\n', b'0\x016\r\n\r\n', b'0\r\nx\r\n\r\n']
+)
+def test_a_long_answer_that_turns_malformed_is_cut(open_gateway_before, end):
+    """Guards against an end that a caller takes for the answer's own, once its
+    head has been passed on."""
+    chunk = b'%x\r\n%b\r\n' % (_LONG_BYTES, bytes(_LONG_BYTES))
+    head = make_head(b'Transfer-Encoding: chunked\r\n')
+
+    async def session():
+        malforming = MalformingUpstream(b'%b%b%b' % (head, chunk, end))
+        async with (
+            malforming.open(),
+            open_gateway_before(malforming) as gateway,
+        ):
+            return await gateway.ask()
+
+    received = asyncio.run(session())
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert b'Transfer-Encoding: chunked' in received
+    assert not received.endswith(b'0\r\n\r\n')
+    assert b'abcdef' not in received
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'Content-Length: 2\r\n\r\nok', _CHUNKED_OK],
+    ids=['length', 'chunks'],
+)
+def test_bytes_after_an_answer_end_its_connection(open_gateway_before, body):
+    """Guards against MIXED: the answer to a request that nobody sent is taken
+    as the one to the next request."""
+    surplus = make_head(b'')
+    own = surplus.removesuffix(b'\r\n')
+    answer = b'%b%b%bmalformed' % (own, body, surplus)
+
+    async def session():
+        malforming = MalformingUpstream(answer, linger_s=2)
+        async with (
+            malforming.open(),
+            open_gateway_before(malforming) as gateway,
+        ):
+            answers = [await gateway.ask() for _ in range(2)]
+            return answers, malforming
+
+    answers, malforming = asyncio.run(session())
+    assert all(_is_whole(one) for one in answers), answers
+    assert malforming.connections == 2
+
+
 @pytest.mark.parametrize('method', [b'GET', b'HEAD'])
 @pytest.mark.parametrize(('status', 'own_lines'), BODILESS)
 def test_a_sound_answer_without_a_body_stays_sound(
--- a/tests/http1/test_chunks.py
+++ b/tests/http1/test_chunks.py
@@ -3,7 +3,7 @@
 import pytest
 
 from nutmegshore.errors import ErrorKind, RequestError
-from nutmegshore.http1 import ChunkDecoder
+from nutmegshore.http1 import ChunkDecoder, MalformedChunk
 
 _BODY = b'3\r\nabc\r\n1;x=y\r\nd\r\nA \r\n0123456789\r\n0\r\n\r\n'
 _DATA = b'abcd0123456789'
@@ -50,3 +50,13 @@
     with pytest.raises(RequestError) as refused:
         ChunkDecoder().decode(b'%b\r\n' % sent)
     assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
+
+
+@pytest.mark.parametrize(
+    'sent', [b'1\n', b'0\n\n', b'1\x01', b'\n', b'1 2', b'g']
+)
+def test_the_start_of_what_is_no_chunk_is_refused(sent):
+    """Guards against a wait for a line end, in which another reader of the
+    same bytes sees the body's end."""
+    with pytest.raises(MalformedChunk):
+        ChunkDecoder().decode(sent)
--- a/tests/upstreams/malformed_heads.py
+++ b/tests/upstreams/malformed_heads.py
@@ -154,6 +154,30 @@
     }
 )
 
+#: Bodies that are no sequence of chunks.
+CHUNKED_BODIES = MappingProxyType(
+    {
+        'no chunk': b'malformed body',
+        'letter after a size': b'eZ\r\nmalformed body\r\n0\r\n\r\n',
+        'control after a size': b'e\x01\r\nmalformed body\r\n0\r\n\r\n',
+        'last chunk that is none': b'e\r\nmalformed body\r\n0\x016\r\n\r\n',
+        'negative size': b'-e\r\nmalformed body\r\n0\r\n\r\n',
+        'prefixed size': b'0xe\r\nmalformed body\r\n0\r\n\r\n',
+        'empty size': b'\r\nmalformed body\r\n0\r\n\r\n',
+        'long size': b'1000000000000000e\r\nmalformed body\r\n0\r\n\r\n',
+        'size in LF': b'e\nmalformed body\r\n0\r\n\r\n',
+        'chunk ends in LF': b'e\r\nmalformed body\n0\r\n\r\n',
+        'chunk is longer': b'd\r\nmalformed body\r\n0\r\n\r\n',
+        'last chunk in LF': b'e\r\nmalformed body\r\n0\n\n',
+        'no field in the trailers': b'e\r\nmalformed body\r\n0\r\nx\r\n\r\n',
+        'blank in a trailer': b'e\r\nmalformed body\r\n0\r\nA B: x\r\n\r\n',
+        'control in a trailer': b'e\r\nmalformed body\r\n0\r\nA\x01: x\r\n\r\n',
+        'no last chunk': b'e\r\nmalformed body\r\n',
+        'chunk cut short': b'e\r\nmalformed',
+        'nothing': b'',
+    }
+)
+
 
 def _with_body(lines, start=_OK):
     return b'%b%b' % (make_head(lines, start), _BODY)
@@ -177,17 +201,27 @@
         yield f'start: {name}', _with_body(_LENGTH, start)
 
 
-def _malformed_interims():
+def _malformed_after_heads():
     whole = _with_body(_LENGTH)
     for name, interim in INTERIMS.items():
         yield f'interim: {name}', b'%b%b' % (interim, whole)
     again = b'HTTP/1.1 100 Continue\r\n\r\n%b'
     yield 'after an interim head', again % _with_body(LENGTHS['blank within'])
+    for name, body in CHUNKED_BODIES.items():
+        yield f'chunks: {name}', b'%b%b' % (make_head(_CHUNKED), body)
 
 
 #: Malformed answers by name; `<id>` stands for the request's id.
 MALFORMED = MappingProxyType(
-    dict(_malformed_heads()) | dict(_malformed_interims())
+    dict(_malformed_heads()) | dict(_malformed_after_heads())
+)
+#: Names of those that wait for more before they can be told from sound ones.
+UNFINISHED = frozenset(
+    (
+        'chunks: no last chunk',
+        'chunks: chunk cut short',
+        'chunks: nothing',
+    )
 )
 
 #: Lines of sound heads, each before the body `ok`, by name.
