Count an answer that libcurl cannot read against its upstream

Seen: a request on a kept connection whose answer began with a malformed status line went to the same upstream again, and the upstream did not count as failing. Cause: libcurl refuses such an answer before it passes on a line. With no byte of a head counted, the loss was taken for an idle connection that the upstream had closed before it read the request. Change: a malformed answer is never a closed connection. Why it works: who sends an answer, however malformed, had the request.

--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -279,7 +279,9 @@
             return _FoundClosed(ErrorKind.UPSTREAM_UNREACHABLE, self._name)
         if not guard.is_sent:
             return RequestError(ErrorKind.UPSTREAM_UNREACHABLE, self._name)
-        has_begun = self._transfer.answer.heads.size
+        answer = self._transfer.answer
+        # Who sent a malformed answer had the request before it.
+        has_begun = answer.malformed or answer.heads.size
         if guard.may_be_unread and not has_begun:
             return ConnectionClosed(self._name)
         return RequestError(ErrorKind.UPSTREAM_LOST, self._name)
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -22,6 +22,7 @@
     BODILESS,
     MALFORMED,
     SOUND,
+    UNFINISHED,
     make_head,
 )
 from tests.upstreams.malforming_upstream import MalformingUpstream
@@ -162,6 +163,30 @@
     return is_success and answer.endswith(b'\r\n\r\nok')
 
 
+@pytest.mark.parametrize('answer', MALFORMED)
+def test_a_connection_ends_with_a_malformed_answer(open_gateway_before, answer):
+    """Guards against the rest of a malformed answer, taken as the answer to
+    the next request."""
+
+    async def session():
+        malforming = MalformingUpstream(MALFORMED[answer], linger_s=2)
+        async with (
+            malforming.open(),
+            open_gateway_before(malforming) as gateway,
+        ):
+            targets = (b'/orders/sound', b'/orders/7', b'/orders/8/sound')
+            answers = [await gateway.ask(target=one) for one in targets]
+            return answers, malforming
+
+    answers, malforming = asyncio.run(session())
+    assert answers[0].endswith(b'\r\n\r\nsound')
+    refusal = b'504' if answer in UNFINISHED else b'502'
+    assert answers[1].startswith(b'HTTP/1.1 %b ' % refusal), answers
+    assert b'malformed' not in answers[1]
+    assert answers[2].endswith(b'\r\n\r\nsound'), answers
+    assert malforming.connections == 2
+
+
 @pytest.fixture
 def outcomes(monkeypatch):
     """Outcomes of attempts, as the balancer gets them."""
@@ -176,12 +201,13 @@
     return found
 
 
+@pytest.mark.parametrize('is_kept', [False, True])
 @pytest.mark.parametrize('answer', MALFORMED)
 def test_a_malformed_answer_counts_as_a_lost_one(
-    open_gateway_before, outcomes, answer
+    open_gateway_before, outcomes, answer, is_kept
 ):
     """Guards against an upstream in trouble that gets as many requests as
-    others."""
+    others, and against a kept connection that hides it."""
 
     async def session():
         malforming = MalformingUpstream(MALFORMED[answer])
@@ -189,6 +215,9 @@
             malforming.open(),
             open_gateway_before(malforming) as gateway,
         ):
+            if is_kept:
+                await gateway.ask(target=b'/orders/sound')
+            outcomes.clear()
             await gateway.ask()
 
     asyncio.run(session())
