Tell why an answer was refused for its form

Seen: a malformed answer was lost like one whose connection broke; nothing told the operator that the upstream had answered, and with what. Change: upstream_answer_malformed, a line with request, upstream, fault and the start of what came, and malformed_answers_total by service and fault, at gateways and entries, health checks included. The text of a field is never told, since it may be a customer's. Tests over real sockets: a whole gateway, a whole entry and health checks, whose malformed pages say nothing.

--- a/nutmegshore/entry/components.py
+++ b/nutmegshore/entry/components.py
@@ -15,6 +15,7 @@
 from nutmegshore.entry.caps_gate import CapsGate
 from nutmegshore.entry.dependencies import EntryDependencies, EntryOptions
 from nutmegshore.entry.keyed_records import KeyedRecords
+from nutmegshore.entry.malformed_answers import MalformedAnswers
 from nutmegshore.entry.overload import OverloadWatch
 from nutmegshore.entry.quarantine_gate import QuarantineGate
 from nutmegshore.errors import ErrorKind, RequestError
@@ -55,6 +56,8 @@
         self._options = options or EntryOptions()
         self.table = ConfigurationTable()
         self._is_leaving = False
+        malformed_answers = MalformedAnswers(dependencies.counters)
+        dependencies.upstreams.on_malformed = malformed_answers.record
         self._build_shared_state(dependencies)
         self._build_request_path(dependencies)
 
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -16,6 +16,7 @@
 )
 from nutmegshore.gateway.dependencies import GatewayDependencies
 from nutmegshore.gateway.follower import FollowerContext
+from nutmegshore.gateway.malformed_answers import MalformedAnswers
 from nutmegshore.gateway.quota_gate import QuotaGate
 from nutmegshore.gateway.registry import Registry, RegistryDependencies
 from nutmegshore.gateway.settings import GatewaySettings
@@ -47,6 +48,9 @@
         """Build all components."""
         self.settings = settings
         self.dependencies = dependencies
+        self._malformed_answers = MalformedAnswers(
+            dependencies.log, dependencies.counters
+        )
         self.state = FleetState(dependencies.clock)
         self.registry = self._make_registry()
         self.peers = self._make_peers()
@@ -192,6 +196,7 @@
         upstreams.on_report = self.reports.record
         upstreams.on_connected = self.reports.record_connection
         upstreams.on_destination_report = self.reports.record_destination
+        upstreams.on_malformed = self._malformed_answers.record
         return GatewayContext(
             state=self.state,
             balancer=self.balancer,
@@ -215,13 +220,15 @@
 
     def _make_cold_checks(self) -> ColdChecks:
         dependencies = self.dependencies
+        client = CurlUpstreams(
+            dependencies.clock,
+            self.context.dialect,
+            dependencies.log.faults,
+        )
+        client.on_malformed = self._malformed_answers.record
         return ColdChecks(
             self.balancer.candidate_builder,
-            CurlUpstreams(
-                dependencies.clock,
-                self.context.dialect,
-                dependencies.log.faults,
-            ),
+            client,
             dependencies.clock,
             dependencies.counters,
         )
--- a/nutmegshore/gateway/events.py
+++ b/nutmegshore/gateway/events.py
@@ -22,12 +22,14 @@
 from nutmegshore.gateway.store_events import (
     ListingOutdated,
     ReplicaChanged,
+    StoreAnswerMalformed,
     StoreEraRejected,
     StoreLost,
     StoreRegained,
     StoreRestored,
 )
 from nutmegshore.gateway.upstream_events import (
+    UpstreamAnswerMalformed,
     UpstreamChanged,
     UpstreamColdChanged,
     UpstreamColdUsed,
@@ -418,6 +420,7 @@
         AnswerCut: 'answer_cut',
         CallerMemory: 'caller_memory',
         IdleConnectionsClosed: 'idle_connections_closed',
+        UpstreamAnswerMalformed: 'upstream_answer_malformed',
         UpstreamChanged: 'upstream_changed',
         UpstreamJudged: 'upstream_judged',
         UpstreamLeaving: 'upstream_leaving',
@@ -441,6 +444,7 @@
         StoreLost: 'store_lost',
         StoreRegained: 'store_regained',
         StoreRestored: 'store_restored',
+        StoreAnswerMalformed: 'store_answer_malformed',
         StoreEraRejected: 'store_era_rejected',
         ListingOutdated: 'listing_outdated',
         ReplicaChanged: 'replica_changed',
--- a/nutmegshore/gateway/store_events.py
+++ b/nutmegshore/gateway/store_events.py
@@ -7,6 +7,7 @@
 __all__ = (
     'ListingOutdated',
     'ReplicaChanged',
+    'StoreAnswerMalformed',
     'StoreEraRejected',
     'StoreLost',
     'StoreRegained',
@@ -70,6 +71,21 @@
     previous: int
 
 
+@attrs.frozen
+class StoreAnswerMalformed:
+    """An answer of the store broke the grammar of HTTP/1.1, and was refused.
+
+    `fault` says in what, and `text` is the start of what came, without the
+    text of a field.
+    """
+
+    severity = Severity.FAILURE
+
+    target: str
+    fault: str
+    text: str
+
+
 @attrs.frozen
 class StoreEraRejected:
     """An answer of the store names an era that is no number."""
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -5,6 +5,7 @@
 from nutmegshore.gateway.severity import Severity
 
 __all__ = (
+    'UpstreamAnswerMalformed',
     'UpstreamChanged',
     'UpstreamColdChanged',
     'UpstreamColdUsed',
@@ -18,6 +19,23 @@
 )
 
 
+@attrs.frozen
+class UpstreamAnswerMalformed:
+    """An answer broke the grammar of HTTP/1.1, and was refused.
+
+    `fault` says in what, and `text` is the start of what came, without the
+    text of a field. The request id of a health check is empty.
+    """
+
+    severity = Severity.FAILURE
+
+    request: str
+    upstream: str
+    service: str
+    fault: str
+    text: str
+
+
 @attrs.frozen
 class UpstreamChanged:
     """An upstream's registration changed: `ready`, `draining`, `missing`,
--- a/nutmegshore/upstreams/__init__.py
+++ b/nutmegshore/upstreams/__init__.py
@@ -8,14 +8,17 @@
     DestinationReportReceiver,
     Dialect,
     Headers,
+    MalformedAnswerReceiver,
     ReportReceiver,
     UpstreamClient,
     UpstreamReport,
     UpstreamRequest,
 )
+from nutmegshore.upstreams.malformed_answer import AnswerFault, MalformedAnswer
 from nutmegshore.upstreams.memory import MemoryUpstream, MemoryUpstreams
 
 __all__ = (
+    'AnswerFault',
     'AnswerHead',
     'AnswerReceiver',
     'BodySource',
@@ -23,6 +26,8 @@
     'DestinationReportReceiver',
     'Dialect',
     'Headers',
+    'MalformedAnswer',
+    'MalformedAnswerReceiver',
     'MemoryUpstream',
     'MemoryUpstreams',
     'ReportReceiver',
--- a/nutmegshore/upstreams/base.py
+++ b/nutmegshore/upstreams/base.py
@@ -8,6 +8,7 @@
 import attrs
 
 from nutmegshore.errors import ErrorKind
+from nutmegshore.upstreams.malformed_answer import MalformedAnswer
 
 __all__ = (
     'AnswerHead',
@@ -17,6 +18,7 @@
     'DestinationReportReceiver',
     'Dialect',
     'Headers',
+    'MalformedAnswerReceiver',
     'ReportReceiver',
     'UpstreamClient',
     'UpstreamReport',
@@ -126,6 +128,11 @@
 #: connection to it opened.
 ConnectionReceiver = Callable[[Destination, float], None]
 
+#: Called with an upstream's name, a request, and why its answer was refused.
+MalformedAnswerReceiver = Callable[
+    [str, UpstreamRequest, MalformedAnswer], None
+]
+
 
 class Dialect(abc.ABC):
     """The headers that this system and its upstreams exchange.
@@ -190,12 +197,15 @@
     `on_destination_report` gets the same state with the destination that was
     passed to `send`. It tells the incarnations of an upstream apart.
     `on_connected` is called with the destination and the seconds in which a new
-    connection to it opened, once a request on it is answered.
+    connection to it opened, once a request on it is answered. `on_malformed` is
+    called with each answer that breaks the grammar of HTTP/1.1. It is lost, and
+    nothing that it says is reported.
     """
 
     on_report: ReportReceiver | None = None
     on_destination_report: DestinationReportReceiver | None = None
     on_connected: ConnectionReceiver | None = None
+    on_malformed: MalformedAnswerReceiver | None = None
     dialect: Dialect
 
     def report(
--- a/nutmegshore/upstreams/curl.py
+++ b/nutmegshore/upstreams/curl.py
@@ -122,6 +122,15 @@
                     return head
             except TimeoutError as failure:
                 raise attempt.timeout_error() from failure
+            finally:
+                self._report_malformed(name, request, transfer)
+
+    def _report_malformed(
+        self, name: str, request: UpstreamRequest, transfer: Transfer
+    ) -> None:
+        malformed = transfer.answer.malformed
+        if self.on_malformed is not None and malformed is not None:
+            self.on_malformed(name, request, malformed)
 
     def _report_connection(
         self, upstream: Destination, transfer: Transfer
--- /dev/null
+++ b/tests/entry/test_malformed_answers.py
@@ -0,0 +1,159 @@
+"""Tests of an entry whose upstreams answer with malformed heads."""
+
+import asyncio
+import json
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from nutmegshore.entry import EntryDaemon
+from nutmegshore.settings import parse_settings
+from nutmegshore.store import MemoryStore
+from nutmegshore.store.standin import make_standin
+from tests.upstreams.malforming_upstream import MalformingUpstream
+
+_SETTINGS = """
+[instance]
+name = e1
+region = west
+availability_zone = west-a
+[callers]
+address = 127.0.0.1
+port = {callers}
+[operators]
+port = {operators}
+unauthenticated = yes
+[lookup]
+lifetime_seconds = 0
+[platform]
+url = http://127.0.0.1:{platform}
+"""
+#: Requests that allow for retries of later ones.
+_WARMUP = 40
+_REPORTS = b'Nutmegshore-Load: 1\r\nNutmegshore-Leaving: 1\r\n'
+_SOUND = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+#: Answers by the fault that is told of them.
+_ANSWERS = (
+    ('status_line', b'HTTP/3.1 200 OK\r\n%b\r\nmalformed'),
+    ('unreadable', b'HTTP/1.1 20 OK\r\n%b\r\nmalformed'),
+    ('field_line', b'HTTP/1.1 200 OK\r\n%bContent-Length : 9\r\n\r\nmalformed'),
+    ('field_line', b'HTTP/1.1 200 OK\r\n%bA\x01: x\r\n\r\nmalformed'),
+    (
+        'length',
+        b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n'
+        b'Content-Length: 9\r\n\r\nmalformed',
+    ),
+    ('coding', b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: x\r\n\r\nmalformed'),
+    (
+        'chunk',
+        b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n'
+        b'9z\r\nmalformed\r\n0\r\n\r\n',
+    ),
+)
+
+
+async def _call(method, url, spec=None):
+    body = None if spec is None else json.dumps(spec)
+    request = HTTPRequest(
+        url, method=method, body=body, allow_nonstandard_methods=True
+    )
+    return await AsyncHTTPClient().fetch(request, raise_error=False)
+
+
+async def _until_ready(url):
+    async with asyncio.timeout(30):
+        while (await _call('GET', url)).error:
+            await asyncio.sleep(0)
+
+
+def _bind(*names):
+    """Free ports by name."""
+    bound = {name: bind_unused_port() for name in names}
+    for sock, _ in bound.values():
+        sock.close()
+    return {name: port for name, (_, port) in bound.items()}
+
+
+@pytest.fixture
+def ask():
+    """Function that sends requests to a service through a whole entry.
+
+    The first `_WARMUP` get sound answers. It returns the answers to the others,
+    and the entry's counters.
+    """
+
+    async def declare(url, peers, is_idempotent):
+        place = {'region': 'west', 'availability_zone': 'west-a'}
+        await _call(
+            'PUT', f'{url}/region/west', {'availability_zones': ['west-a']}
+        )
+        spec = {'idempotent': is_idempotent}
+        await _call('PUT', f'{url}/service/tallies', spec)
+        for number, peer in enumerate(peers):
+            own = {'service': 'tallies', 'address': peer.address, 'slots': 3}
+            await _call('PUT', f'{url}/upstream/t{number}', {**place, **own})
+
+    async def run(peers, method='GET', count=1, *, is_idempotent=False):
+        listening, platform = bind_unused_port()
+        server = HTTPServer(make_standin(MemoryStore()))
+        server.add_socket(listening)
+        ports = {**_bind('callers', 'operators'), 'platform': platform}
+        daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+        await daemon.start()
+        operators = f'http://127.0.0.1:{ports["operators"]}'
+        callers = f'http://127.0.0.1:{ports["callers"]}'
+        await _until_ready(f'{operators}/ready')
+        await declare(f'{operators}/objects', peers, is_idempotent)
+        for _ in range(_WARMUP):
+            await _call('GET', f'{callers}/tallies/sound')
+        spec = None if method == 'GET' else {}
+        answers = [
+            await _call(method, f'{callers}/tallies/x', spec)
+            for _ in range(count)
+        ]
+        await daemon.stop()
+        server.stop()
+        await server.close_all_connections()
+        return answers, daemon.counters
+
+    return run
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(('fault', 'answer'), _ANSWERS)
+def test_an_entry_passes_on_no_malformed_answer(ask, fault, answer, method):
+    """Guards against MIXED at entries, against a second run of an unsafe
+    request, and against a refusal that nothing explains."""
+
+    async def session():
+        malforming = MalformingUpstream(answer % _REPORTS)
+        async with malforming.open():
+            answers, counters = await ask([malforming], method)
+            return answers, counters, malforming
+
+    answers, counters, malforming = asyncio.run(session())
+    assert [one.code for one in answers] == [502]
+    assert b'malformed' not in answers[0].body
+    assert malforming.targets.count(b'/tallies/x') == 1
+    assert counters.total('malformed_answers', fault=fault) == 1
+
+
+@pytest.mark.parametrize(('fault', 'answer'), _ANSWERS)
+def test_an_entry_sends_an_idempotent_request_elsewhere(ask, fault, answer):
+    """Guards against a refusal that a retry avoids."""
+
+    async def session():
+        malforming = MalformingUpstream(answer % _REPORTS)
+        sound = MalformingUpstream(_SOUND, linger_s=None)
+        async with malforming.open(), sound.open():
+            answers, counters = await ask(
+                [malforming, sound], count=4, is_idempotent=True
+            )
+            return answers, counters, malforming
+
+    answers, counters, malforming = asyncio.run(session())
+    assert {one.body for one in answers} == {b'ok'}
+    sent = malforming.targets.count(b'/tallies/x')
+    assert counters.total('malformed_answers', fault=fault) == sent
