Tell why the store's answer was refused, and call it once

Seen: a call on a kept connection whose answer began with a malformed status line was sent to the store again, writes too; nothing told why calls failed. Cause: as for upstreams, libcurl refuses such an answer before it passes on a line, and the loss was taken for a connection that the store had closed. Change: a malformed answer is no closed connection. A read then has no answer, and a write may have taken effect.

--- a/nutmegshore/entry/components.py
+++ b/nutmegshore/entry/components.py
@@ -58,6 +58,7 @@
         self._is_leaving = False
         malformed_answers = MalformedAnswers(dependencies.counters)
         dependencies.upstreams.on_malformed = malformed_answers.record
+        dependencies.platform.on_malformed = malformed_answers.record_platform
         self._build_shared_state(dependencies)
         self._build_request_path(dependencies)
 
--- a/nutmegshore/gateway/assembly.py
+++ b/nutmegshore/gateway/assembly.py
@@ -51,6 +51,7 @@
         self._malformed_answers = MalformedAnswers(
             dependencies.log, dependencies.counters
         )
+        dependencies.store.on_malformed = self._malformed_answers.record_store
         self.state = FleetState(dependencies.clock)
         self.registry = self._make_registry()
         self.peers = self._make_peers()
--- a/nutmegshore/platform/store.py
+++ b/nutmegshore/platform/store.py
@@ -61,7 +61,7 @@
         counters: Counters | None = None,
     ) -> None:
         """Create the client; connections open on first use."""
-        self._http = StoreHttp(address, times, counters)
+        self._http = StoreHttp(address, times, counters, self.report_malformed)
         self.eras = self._http.eras
 
     def close(self) -> None:
--- a/nutmegshore/platform/store_http.py
+++ b/nutmegshore/platform/store_http.py
@@ -1,5 +1,7 @@
 """HTTP calls to the platform's metadata store."""
 
+from collections.abc import Callable
+
 import attrs
 
 from nutmegshore.counters import Counters
@@ -14,6 +16,7 @@
 )
 from nutmegshore.store.eras import StoreEras
 from nutmegshore.store.failures import unanswered
+from nutmegshore.upstreams import MalformedAnswer
 
 __all__ = ('StoreAnswer', 'StoreHttp')
 
@@ -34,7 +37,8 @@
     """Connections to the store at IP:port.
 
     `eras` has the eras that answers named. An answer without a readable era
-    counts for the newest one.
+    counts for the newest one. `on_malformed` is called with the target of a
+    call and why its answer was refused.
 
     answer = await StoreHttp('10.0.0.1:8642').read('/config')
     """
@@ -44,10 +48,12 @@
         address: str,
         times: CallTimes | None = None,
         counters: Counters | None = None,
+        on_malformed: Callable[[str, MalformedAnswer], None] | None = None,
     ) -> None:
         """Create the client; connections open on first use."""
         self.eras = StoreEras()
         self._calls = StoreCalls(f'http://{address}', times, _PLACES, counters)
+        self._calls.on_malformed = on_malformed
 
     def close(self) -> None:
         """Close the connections."""
--- a/nutmegshore/store/base.py
+++ b/nutmegshore/store/base.py
@@ -6,6 +6,7 @@
 import attrs
 
 from nutmegshore.store.eras import StoreEras
+from nutmegshore.upstreams import MalformedAnswer
 
 __all__ = (
     'MAX_BODY_BYTES',
@@ -163,16 +164,26 @@
     An object that cannot be read is delivered with a body that is not JSON;
     one without a legible name is left out. `on_unnamed` is then called with
     the prefix and the reasons, and after each listing without any.
+
+    `on_malformed` is called with the target of a call and why its answer was
+    refused. A read then raises `PlatformUnavailable`, a write
+    `PlatformAnswerLost`.
     """
 
     eras: StoreEras | None = None
     on_unnamed: Callable[[str, Unnamed], None] | None = None
+    on_malformed: Callable[[str, MalformedAnswer], None] | None = None
 
     def report_unnamed(self, prefix: str, unnamed: Unnamed) -> None:
         """Call `on_unnamed` if it is set."""
         if self.on_unnamed is not None:
             self.on_unnamed(prefix, unnamed)
 
+    def report_malformed(self, target: str, malformed: MalformedAnswer) -> None:
+        """Call `on_malformed` if it is set."""
+        if self.on_malformed is not None:
+            self.on_malformed(target, malformed)
+
     @abc.abstractmethod
     async def read(self, key: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
--- a/nutmegshore/store/calls.py
+++ b/nutmegshore/store/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 
 import attrs
 import pycurl
@@ -11,7 +12,7 @@
 from nutmegshore.counters import Counters
 from nutmegshore.faults import Faults
 from nutmegshore.store.call_places import CallKind, CallPlaces
-from nutmegshore.upstreams import AnswerHead, Headers
+from nutmegshore.upstreams import AnswerHead, Headers, MalformedAnswer
 from nutmegshore.upstreams.connections import SendGuard
 from nutmegshore.upstreams.handles import (
     MS_PER_S,
@@ -81,11 +82,15 @@
     The time of a call includes what it waits for a place. A call whose kept
     connection ends without an answer is sent again once, on a new connection:
     reads change nothing, and writes name the version that they expect.
+    `on_malformed` is called with the target of a call whose answer breaks the
+    grammar of HTTP/1.1, and why. Such a call fails, and is not sent again.
 
         calls = StoreCalls('http://10.0.0.1:8642')
         reply = await calls.send(StoreCall('GET', '/'))
     """
 
+    on_malformed: Callable[[str, MalformedAnswer], None] | None = None
+
     def __init__(
         self,
         origin: str,
@@ -131,7 +136,7 @@
             if reply is None and running.may_be_sent_again:
                 reply = await self._send_once(running)
         if reply is None:
-            raise running.failed('connection lost')
+            raise running.failed(running.loss)
         running.end = 'answered'
         return reply
 
@@ -148,7 +153,14 @@
             if call.body is not None:
                 await transfer.write_chunk(call.body)
                 transfer.write_end()
-            return await _read(transfer)
+            reply = await _read(transfer)
+            self._report_malformed(call, transfer)
+            return reply
+
+    def _report_malformed(self, call: StoreCall, transfer: Transfer) -> None:
+        malformed = transfer.answer.malformed
+        if self.on_malformed is not None and malformed is not None:
+            self.on_malformed(call.target, malformed)
 
     def _make_curl(
         self, running: '_RunningCall', guard: SendGuard
@@ -192,9 +204,17 @@
         """Whether its kept connection ended before the answer began."""
         transfer = self.transfers[-1]
         guard = transfer.guard
-        has_begun = transfer.answer.heads.size
+        answer = transfer.answer
+        # Who sent a malformed answer had the call before it.
+        has_begun = answer.malformed or answer.heads.size
         return guard.found_closed or guard.is_kept and not has_begun
 
+    @property
+    def loss(self) -> str:
+        """Why the latest transfer brought no answer."""
+        malformed = self.transfers[-1].answer.malformed
+        return str(malformed or 'connection lost')
+
     def failed(self, why: str) -> CallFailed:
         """The error for a call without an answer."""
         is_sent = any(one.guard.is_sent for one in self.transfers)
--- a/nutmegshore/store/http.py
+++ b/nutmegshore/store/http.py
@@ -68,6 +68,7 @@
             _PLACES,
             counters,
         )
+        self._calls.on_malformed = self.report_malformed
 
     def close(self) -> None:
         """Close the connections."""
--- a/tests/entry/test_malformed_answers.py
+++ b/tests/entry/test_malformed_answers.py
@@ -8,10 +8,12 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
+from nutmegshore.clock import SystemClock
 from nutmegshore.entry import EntryDaemon
 from nutmegshore.settings import parse_settings
-from nutmegshore.store import MemoryStore
+from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.store.standin import make_standin
+from nutmegshore.upstreams import AnswerFault, MalformedAnswer
 from tests.upstreams.malforming_upstream import MalformingUpstream
 
 _SETTINGS = """
@@ -157,3 +159,19 @@
     assert {one.body for one in answers} == {b'ok'}
     sent = malforming.targets.count(b'/tallies/x')
     assert counters.total('malformed_answers', fault=fault) == sent
+
+
+def test_an_entry_tells_of_malformed_answers_of_its_platform():
+    """Guards against a platform in trouble that nothing tells of."""
+
+    async def session():
+        platform = MemoryPlatform(MemoryStore(), SystemClock())
+        ports = {**_bind('callers', 'operators'), 'platform': 1}
+        daemon = EntryDaemon(
+            parse_settings(_SETTINGS.format(**ports)), platform
+        )
+        platform.report_malformed('/x', MalformedAnswer(AnswerFault.LENGTH))
+        return daemon.counters
+
+    counters = asyncio.run(session())
+    assert counters.total('malformed_store_answers', fault='length') == 1
--- a/tests/gateway/test_malformed_reports.py
+++ b/tests/gateway/test_malformed_reports.py
@@ -17,6 +17,7 @@
 from nutmegshore.gateway.state import FleetState
 from nutmegshore.peers.tasks import OwnedTasks
 from nutmegshore.platform.dialect import PlatformDialect
+from nutmegshore.upstreams import AnswerFault, MalformedAnswer
 from nutmegshore.upstreams.curl import CurlUpstreams
 from tests.upstreams.malformed_heads import make_head
 from tests.upstreams.malforming_upstream import MalformingUpstream
@@ -111,6 +112,25 @@
     assert 'secret text' not in str(lines.lines)
 
 
+def test_a_gateway_tells_of_malformed_answers_of_its_store(open_gateway, lines):
+    """Guards against a store in trouble that nothing tells of."""
+
+    async def session():
+        async with open_gateway(lambda store: None) as (daemon, _):
+            shared = daemon._assembly.dependencies
+            shared.store.report_malformed(
+                '/objects/servers', MalformedAnswer(AnswerFault.LENGTH, 'x')
+            )
+            return shared.counters
+
+    counters = asyncio.run(session())
+    assert counters.total('malformed_store_answers', fault='length') == 1
+    told = lines.named('store_answer_malformed')
+    assert [(one['target'], one['text']) for one in told] == [
+        ('/objects/servers', "'x'")
+    ]
+
+
 @pytest.fixture
 def check_health(upstream, make_log):
     """Function that checks an upstream of unknown state; returns what is known
