Read no refusal of a write from an answer that is none

Seen by operators: 'not run' for a write that may be stored, after an answer with status 000, 099, 600 or 999, and 'nothing changed' after an answer that is not JSON; a traceback after JSON that is no map. Cause: tornado's client takes any three digits for a status, and the client took what it could not read as a refusal. Change: an answer that is not a status of HTTP with a map (or, to a read, a list) is none: the outcome of a write is unknown, a read may be asked again.

--- a/nutmegshore/operators/http_client.py
+++ b/nutmegshore/operators/http_client.py
@@ -37,6 +37,11 @@
 )
 #: Part of tornado's message for a timeout before the connection is open.
 _CONNECTING = 'connecting'
+_WRITING = frozenset(('PUT', 'DELETE'))
+#: Statuses that HTTP defines; tornado takes others, such as 000.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+_UNREADABLE = 'the answer cannot be read'
 _UNKNOWN = (
     'no answer: the write may have taken effect;'
     ' read the object before writing again'
@@ -128,12 +133,11 @@
         return await self._call('GET', f'/status?{query}')
 
     async def _call(self, method: str, path: str, **options: Any) -> Any:
-        response = await self._fetch(self._request(method, path, options))
-        try:
-            fields = json.loads(response.body)
-        except ValueError:
-            message = 'the answer is not JSON'
-            raise EntryUnreachable(message) from None
+        request = self._request(method, path, options)
+        response = await self._fetch(request)
+        fields = _read_fields(response)
+        if fields is None:
+            raise _unanswered(request, _UNREADABLE, is_sent=True)
         if response.code == HTTPStatus.OK:
             return fields
         raise OperatorError(_parse_kind(fields), fields)
@@ -163,20 +167,44 @@
         try:
             return await self._client.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, ValueError) as failure:
-            raise _unanswered(request, failure) from failure
+            raise _unanswered(
+                request, str(failure), _is_sent(failure)
+            ) from failure
 
 
-def _unanswered(request: HTTPRequest, failure: Exception) -> NutmegshoreError:
-    """Error for a call without an answer.
+def _is_sent(failure: Exception) -> bool:
+    """Whether a call that failed may have reached the entry.
 
     A connection can be reset before or after the request was read, so only
     errors of opening a connection prove that nothing was sent.
     """
-    is_write = request.method in {'PUT', 'DELETE'}
-    is_sent = not isinstance(failure, _NOT_SENT)
-    if is_write and is_sent and _CONNECTING not in str(failure):
+    is_opened = not isinstance(failure, _NOT_SENT)
+    return is_opened and _CONNECTING not in str(failure)
+
+
+def _unanswered(
+    request: HTTPRequest, message: str, is_sent: bool
+) -> NutmegshoreError:
+    """Error for a call without an answer that can be read."""
+    if is_sent and request.method in _WRITING:
         return NutmegshoreError(ErrorKind.OUTCOME_UNKNOWN, _UNKNOWN)
-    return EntryUnreachable(str(failure))
+    return EntryUnreachable(message)
+
+
+def _read_fields(response: HTTPResponse) -> Any:
+    """JSON of an answer; None if it is no answer of an entry.
+
+    Only a read that succeeded may be answered by a list.
+    """
+    try:
+        fields = json.loads(response.body)
+    except ValueError:
+        return None
+    if not _MIN_STATUS <= response.code <= _MAX_STATUS:
+        return None
+    is_read = response.request.method not in _WRITING
+    forms = (dict, list) if is_read and not response.error else dict
+    return fields if isinstance(fields, forms) else None
 
 
 def _parse_kind(fields: Any) -> ErrorKind:
