Let the demonstration's callers read answers by the grammar

Seen: a demonstration whose entry passed on a malformed head would have counted it as served, or ended with a ValueError. Cause: its callers split heads and chunks by a reader of their own. Change: they use the readers of the gateway's client; a malformed answer is no answer, with the fault as its reason.

--- a/nutmegshore/demo/http_request.py
+++ b/nutmegshore/demo/http_request.py
@@ -4,11 +4,14 @@
 
 import attrs
 
+from nutmegshore.upstreams import MalformedAnswer
+from nutmegshore.upstreams.answer_heads import AnswerHeads
+from nutmegshore.upstreams.chunked_body import ChunkedBody
+
 __all__ = ('HttpResult', 'NotAccepted', 'send_request')
 
 _CHUNK_BYTES = 65_536
-_HEX = 16
-_END_OF_HEAD = b'\r\n\r\n'
+_LINE_END = b'\n'
 #: Largest answer that a caller of the demonstration takes.
 _MAX_ANSWER_BYTES = 4_000_000
 
@@ -19,7 +22,7 @@
 
 @attrs.frozen
 class HttpResult:
-    """What came back: status 0 where no whole head came.
+    """What came back: status 0 where no sound answer came.
 
     `is_whole` says that the body has the announced length. `failure` names
     what ended the exchange early.
@@ -79,31 +82,32 @@
 
 
 def _parse(came: bytes, failure: str) -> HttpResult:
-    head, end, body = came.partition(_END_OF_HEAD)
-    if not end:
-        return HttpResult(failure=failure or 'closed')
-    status, headers = _parse_head(head.decode('latin-1').split('\r\n'))
-    if headers.get('transfer-encoding') == 'chunked':
-        body, is_whole = _join_chunks(body)
-    else:
-        is_whole = len(body) == int(headers.get('content-length', -1))
-    return HttpResult(status, headers, body, is_whole, failure)
-
-
-def _parse_head(lines: list[str]) -> tuple[int, dict[str, str]]:
-    pairs = [line.partition(':') for line in lines[1:]]
-    headers = {name.strip().lower(): text.strip() for name, _, text in pairs}
-    return int(lines[0].split()[1]), headers
-
-
-def _join_chunks(framed: bytes) -> tuple[bytes, bool]:
-    """Body of a chunked answer, and whether its last chunk came."""
-    parts = []
-    while framed:
-        size_line, _, framed = framed.partition(b'\r\n')
-        size = int(size_line.split(b';')[0] or b'0', _HEX)
-        if not size:
-            return b''.join(parts), True
-        parts.append(framed[:size])
-        framed = framed[size:].removeprefix(b'\r\n')
-    return b''.join(parts), False
+    heads = AnswerHeads()
+    try:
+        body = _read_heads(heads, came)
+        if heads.final is None:
+            return HttpResult(failure=failure or 'closed')
+        whole_body, is_whole = _read_body(heads, body)
+    except MalformedAnswer as malformed:
+        return HttpResult(failure=f'malformed {malformed.fault}')
+    final = heads.final
+    headers = dict(final.fields)
+    return HttpResult(final.status, headers, whole_body, is_whole, failure)
+
+
+def _read_heads(heads: AnswerHeads, came: bytes) -> bytes:
+    """Read up to the end of the final head; returns what follows."""
+    left = came
+    while heads.final is None and _LINE_END in left:
+        line, end, left = left.partition(_LINE_END)
+        heads.add_line(line + end)
+    return left
+
+
+def _read_body(heads: AnswerHeads, body: bytes) -> tuple[bytes, bool]:
+    """Return the body that came, and whether it came to its end."""
+    if heads.is_chunked:
+        chunked = ChunkedBody()
+        return chunked.decode(body), chunked.is_ended
+    length = int(heads.final.fields.get('content-length', -1))
+    return body, len(body) == length
