--- a/nutmegshore/upstreams/answer_heads.py
+++ b/nutmegshore/upstreams/answer_heads.py
@@ -24,8 +24,9 @@
     r"""Reads the lines of an answer's heads up to the final one.
 
     `size` is the number of bytes of all heads and trailers that have come, and
-    `final` the head that is not an interim one, None before its end. Lines are
-    read by RFC 9112; one that ends in a line feed alone is taken.
+    `final` the head that is not an interim one, None before its end.
+    `is_chunked` says that it announces chunks. Lines are read by RFC 9112; one
+    that ends in a line feed alone is taken.
 
         heads.add_line(b'HTTP/1.1 200 OK\r\n')
     """
@@ -34,15 +35,9 @@
         """Start before the first line."""
         self.size = 0
         self.final: AnswerHead | None = None
+        self.is_chunked = False
         self._lines: list[str] = []
 
-    @property
-    def is_chunked(self) -> bool:
-        """Whether the answer's body comes in chunks."""
-        return (
-            self.final is not None and 'transfer-encoding' in self.final.fields
-        )
-
     def add_line(self, raw: bytes) -> None:
         """Add a line of a head; raises `MalformedAnswer` if it is none.
 
@@ -63,6 +58,7 @@
         self._lines = []
         if head.status >= _FIRST_FINAL_STATUS:
             self.final = head
+            self.is_chunked = 'transfer-encoding' in head.fields
 
 
 def _parse_head(lines: list[str]) -> AnswerHead:
--- a/tests/hostile/children.py
+++ b/tests/hostile/children.py
@@ -21,7 +21,7 @@
 
 _GATEWAY = """
 [instance]
-name = g1
+name = {name}
 ip = 127.0.0.1
 region = west
 availability_zone = west-a
@@ -120,12 +120,15 @@
         return int(re.search(rf'{field}:\s*(\d+)', text).group(1))
 
 
-def start_gateway(folder, standins, limits, descriptors=None):
+def start_gateway(folder, standins, limits, descriptors=None, name='g1'):
     """Start `nutmegshore gateway`; returns when it is ready."""
     names = ('callers', 'ready', 'lookup', 'metrics', 'peers')
     ports = dict(zip(names, _free_ports(len(names)), strict=True))
     text = _GATEWAY.format(
-        limits=_write_limits(limits), store=standins.store_port, **ports
+        name=name,
+        limits=_write_limits(limits),
+        store=standins.store_port,
+        **ports,
     )
     process = _start(folder, 'gateway', text, descriptors)
     child = Child(process, ports, '')
