Share the port of callers between tests of the gateway

Five test files opened a listener before a gateway's context by the same lines; tests/gateway/caller_port.py has them once. No test changed its checks; the five files pass.

--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -6,12 +6,10 @@
 import pytest
 
 from nutmegshore.clock import SystemClock
-from nutmegshore.gateway.forward import GatewayForwarder
-from nutmegshore.gateway.responder import GatewayResponder
 from nutmegshore.gateway.route import RouteKind
-from nutmegshore.listener import CallerServer, ListenerContext
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
+from tests.gateway.caller_port import open_caller_port
 from tests.upstreams.early_upstream import (
     PIECE,
     UNFRAMED,
@@ -51,19 +49,10 @@
         context = make_context(client, routes=[route(kind=RouteKind.UPLOAD)])
         registered = upstream('u1', address=f'127.0.0.1:{early.port}')
         context.state.replace_upstreams([registered], is_after_outage=False)
-        forwarder = GatewayForwarder(context)
-        listener = ListenerContext(
-            lambda writer: GatewayResponder(
-                writer, context, forwarder, listener
-            ),
-            context.counters,
-        )
-        server = CallerServer(listener)
         serving = asyncio.ensure_future(early.run())
-        async with contextlib.AsyncExitStack() as stack:
-            stack.callback(client.close)
-            stack.push_async_callback(server.close_all_connections)
-            answer = await talk(server.open(0, '127.0.0.1'), count)
+        with contextlib.closing(client):
+            async with open_caller_port(context) as opened:
+                answer = await talk(opened.port, count)
         with contextlib.suppress(ConnectionError):
             await serving
         return answer
--- a/tests/gateway/test_logged_faults.py
+++ b/tests/gateway/test_logged_faults.py
@@ -13,10 +13,8 @@
 
 from nutmegshore.faults import report_logged_faults
 from nutmegshore.gateway import run
-from nutmegshore.gateway.forward import GatewayForwarder
-from nutmegshore.gateway.responder import GatewayResponder
-from nutmegshore.listener import CallerServer, ListenerContext
 from nutmegshore.tracing import read_faults
+from tests.gateway.caller_port import open_caller_port
 
 _GET = (
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r7\r\n'
@@ -46,20 +44,9 @@
 
 @contextlib.asynccontextmanager
 async def _listening(context):
-    forwarder = GatewayForwarder(context)
-    listener = ListenerContext(
-        lambda writer: GatewayResponder(writer, context, forwarder, listener),
-        context.counters,
-        faults=context.log.faults,
-    )
-    server = CallerServer(listener)
-    port = server.open(0, '127.0.0.1')
     with report_logged_faults(context.log.faults):
-        try:
-            yield port
-        finally:
-            await server.close_all_connections()
-            server.stop()
+        async with open_caller_port(context) as opened:
+            yield opened.port
 
 
 async def _exchange(port):
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -12,12 +12,10 @@
 
 from nutmegshore.balancing import AttemptOutcome, Balancer
 from nutmegshore.clock import SystemClock
-from nutmegshore.gateway.forward import GatewayForwarder
-from nutmegshore.gateway.responder import GatewayResponder
 from nutmegshore.gateway.route import RouteKind
-from nutmegshore.listener import CallerServer, ListenerContext
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams.curl import CurlUpstreams
+from tests.gateway.caller_port import open_caller_port
 from tests.upstreams.malformed_heads import (
     BODILESS,
     MALFORMED,
@@ -93,18 +91,9 @@
             for number, peer in enumerate(peers, 1)
         ]
         context.state.replace_upstreams(registered, is_after_outage=False)
-        forwarder = GatewayForwarder(context)
-        listener = ListenerContext(
-            lambda writer: GatewayResponder(
-                writer, context, forwarder, listener
-            ),
-            context.counters,
-        )
-        server = CallerServer(listener)
-        async with contextlib.AsyncExitStack() as stack:
-            stack.callback(client.close)
-            stack.push_async_callback(server.close_all_connections)
-            yield Gateway(context, client, server.open(0, '127.0.0.1'))
+        with contextlib.closing(client):
+            async with open_caller_port(context) as opened_port:
+                yield Gateway(context, client, opened_port.port)
 
     return opened
 
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -10,11 +10,11 @@
 from nutmegshore.gateway.answer import MAX_BUFFERED_BYTES
 from nutmegshore.gateway.caller_drain import drain_callers
 from nutmegshore.gateway.forward import GatewayForwarder
-from nutmegshore.gateway.responder import GatewayResponder
 from nutmegshore.gateway.route import RouteKind
-from nutmegshore.listener import CallerServer, ListenerContext
+from nutmegshore.listener import CallerServer
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerHead, UpstreamClient
+from tests.gateway.caller_port import open_caller_port
 
 _PATIENCE_S = 10
 _ENDLESS_BYTES = 40_000_000
@@ -115,24 +115,16 @@
         )
         routes = [route(timeout_s=20), unsafe]
         context = make_context(upstreams, routes=routes)
-        forwarder = GatewayForwarder(context)
-        listener = ListenerContext(
-            lambda writer: GatewayResponder(
-                writer, context, forwarder, listener
-            ),
-            context.counters,
-            faults=context.log.faults,
-        )
-        listener.limits = attrs.evolve(listener.limits, **limits)
-        server = CallerServer(listener)
         async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(server.close_all_connections)
-            port = server.open(0, '127.0.0.1')
-            streams = await asyncio.open_connection('127.0.0.1', port)
+            opened = await stack.enter_async_context(
+                open_caller_port(context, **limits)
+            )
+            streams = await asyncio.open_connection('127.0.0.1', opened.port)
             stack.callback(streams[1].close)
+            served = (opened.forwarder, opened.server)
             async with asyncio.timeout(_PATIENCE_S):
                 return await session(
-                    Session(context, upstreams, forwarder, server, *streams)
+                    Session(context, upstreams, *served, *streams)
                 )
 
     return lambda session, **limits: asyncio.run(run(session, **limits))
--- a/tests/gateway/test_responder.py
+++ b/tests/gateway/test_responder.py
@@ -14,12 +14,12 @@
     RequestError,
 )
 from nutmegshore.gateway.customer import Customer, CustomerTable
-from nutmegshore.gateway.forward import GatewayForwarder
 from nutmegshore.gateway.replica_view import ReplicaView
-from nutmegshore.gateway.responder import GatewayResponder, status_of
+from nutmegshore.gateway.responder import status_of
 from nutmegshore.gateway.route import RouteKind
-from nutmegshore.listener import AnswerWriter, CallerServer, ListenerContext
+from nutmegshore.listener import AnswerWriter, CallerServer
 from nutmegshore.platform.bounds import Bounds
+from tests.gateway.caller_port import open_caller_port
 
 #: An answer that is buffered, and that a narrow connection cannot take.
 _LONG_BYTES = 250_000
@@ -40,18 +40,8 @@
 
 @contextlib.asynccontextmanager
 async def _listening(context, **limits):
-    forwarder = GatewayForwarder(context)
-    listener = ListenerContext(
-        lambda writer: GatewayResponder(writer, context, forwarder, listener),
-        context.counters,
-    )
-    listener.limits = attrs.evolve(listener.limits, **limits)
-    server = CallerServer(listener)
-    port = server.open(0, '127.0.0.1')
-    try:
-        yield port, forwarder
-    finally:
-        await server.close_all_connections()
+    async with open_caller_port(context, **limits) as opened:
+        yield opened.port, opened.forwarder
 
 
 async def _send_bytes(context, sent):
