Read a list only from a read that succeeded, and share parts of entry tests

An answer 201 with a list to a read ended the operators' client with an AttributeError; it is no answer now (a test fails before). The fault's text in the log is described as it is: lengths and codings are told.

--- a/nutmegshore/gateway/store_events.py
+++ b/nutmegshore/gateway/store_events.py
@@ -76,7 +76,7 @@
     """An answer of the store broke the grammar of HTTP/1.1, and was refused.
 
     `fault` says in what, and `text` is the start of what came, without the
-    text of a field.
+    text of a field other than a length or a coding.
     """
 
     severity = Severity.FAILURE
--- a/nutmegshore/gateway/upstream_events.py
+++ b/nutmegshore/gateway/upstream_events.py
@@ -24,7 +24,8 @@
     """An answer broke the grammar of HTTP/1.1, and was refused.
 
     `fault` says in what, and `text` is the start of what came, without the
-    text of a field. The request id of a health check is empty.
+    text of a field other than a length or a coding. The request id of a health
+    check is empty.
     """
 
     severity = Severity.FAILURE
--- a/nutmegshore/http1/chunks.py
+++ b/nutmegshore/http1/chunks.py
@@ -17,7 +17,7 @@
 
 
 class MalformedChunk(RequestError):
-    """What came is no chunk; `detail` names the part."""
+    """What came is no chunk; the message names the part."""
 
     def __init__(self, what: str) -> None:
         """Say which part of a chunk is malformed."""
--- a/nutmegshore/operators/http_client.py
+++ b/nutmegshore/operators/http_client.py
@@ -202,8 +202,11 @@
         return None
     if not _MIN_STATUS <= response.code <= _MAX_STATUS:
         return None
-    is_read = response.request.method not in _WRITING
-    forms = (dict, list) if is_read and not response.error else dict
+    may_be_list = (
+        response.code == HTTPStatus.OK
+        and response.request.method not in _WRITING
+    )
+    forms = (dict, list) if may_be_list else dict
     return fields if isinstance(fields, forms) else None
 
 
--- a/tests/entry/test_malformed_answers.py
+++ b/tests/entry/test_malformed_answers.py
@@ -1,10 +1,8 @@
 """Tests of an entry whose upstreams answer with malformed heads."""
 
 import asyncio
-import json
 
 import pytest
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
@@ -14,24 +12,9 @@
 from nutmegshore.store import MemoryPlatform, MemoryStore
 from nutmegshore.store.standin import make_standin
 from nutmegshore.upstreams import AnswerFault, MalformedAnswer
+from tests.entry.whole_entry import SETTINGS, call, free_port, until_ready
 from tests.upstreams.malforming_upstream import MalformingUpstream
 
-_SETTINGS = """
-[instance]
-name = e1
-region = west
-availability_zone = west-a
-[callers]
-address = 127.0.0.1
-port = {callers}
-[operators]
-port = {operators}
-unauthenticated = yes
-[lookup]
-lifetime_seconds = 0
-[platform]
-url = http://127.0.0.1:{platform}
-"""
 #: Requests that allow for retries of later ones.
 _WARMUP = 40
 _REPORTS = b'Nutmegshore-Load: 1\r\nNutmegshore-Leaving: 1\r\n'
@@ -56,28 +39,6 @@
 )
 
 
-async def _call(method, url, spec=None):
-    body = None if spec is None else json.dumps(spec)
-    request = HTTPRequest(
-        url, method=method, body=body, allow_nonstandard_methods=True
-    )
-    return await AsyncHTTPClient().fetch(request, raise_error=False)
-
-
-async def _until_ready(url):
-    async with asyncio.timeout(30):
-        while (await _call('GET', url)).error:
-            await asyncio.sleep(0)
-
-
-def _bind(*names):
-    """Free ports by name."""
-    bound = {name: bind_unused_port() for name in names}
-    for sock, _ in bound.values():
-        sock.close()
-    return {name: port for name, (_, port) in bound.items()}
-
-
 @pytest.fixture
 def ask():
     """Function that sends requests to a service through a whole entry.
@@ -88,31 +49,35 @@
 
     async def declare(url, peers, is_idempotent):
         place = {'region': 'west', 'availability_zone': 'west-a'}
-        await _call(
+        await call(
             'PUT', f'{url}/region/west', {'availability_zones': ['west-a']}
         )
         spec = {'idempotent': is_idempotent}
-        await _call('PUT', f'{url}/service/tallies', spec)
+        await call('PUT', f'{url}/service/tallies', spec)
         for number, peer in enumerate(peers):
             own = {'service': 'tallies', 'address': peer.address, 'slots': 3}
-            await _call('PUT', f'{url}/upstream/t{number}', {**place, **own})
+            await call('PUT', f'{url}/upstream/t{number}', {**place, **own})
 
     async def run(peers, method='GET', count=1, *, is_idempotent=False):
         listening, platform = bind_unused_port()
         server = HTTPServer(make_standin(MemoryStore()))
         server.add_socket(listening)
-        ports = {**_bind('callers', 'operators'), 'platform': platform}
-        daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+        ports = {
+            'callers': free_port(),
+            'operators': free_port(),
+            'platform': platform,
+        }
+        daemon = EntryDaemon(parse_settings(SETTINGS.format(**ports)))
         await daemon.start()
         operators = f'http://127.0.0.1:{ports["operators"]}'
         callers = f'http://127.0.0.1:{ports["callers"]}'
-        await _until_ready(f'{operators}/ready')
+        await until_ready(f'{operators}/ready')
         await declare(f'{operators}/objects', peers, is_idempotent)
         for _ in range(_WARMUP):
-            await _call('GET', f'{callers}/tallies/sound')
+            await call('GET', f'{callers}/tallies/sound')
         spec = None if method == 'GET' else {}
         answers = [
-            await _call(method, f'{callers}/tallies/x', spec)
+            await call(method, f'{callers}/tallies/x', spec)
             for _ in range(count)
         ]
         await daemon.stop()
@@ -166,10 +131,8 @@
 
     async def session():
         platform = MemoryPlatform(MemoryStore(), SystemClock())
-        ports = {**_bind('callers', 'operators'), 'platform': 1}
-        daemon = EntryDaemon(
-            parse_settings(_SETTINGS.format(**ports)), platform
-        )
+        ports = {'callers': 1, 'operators': 1, 'platform': 1}
+        daemon = EntryDaemon(parse_settings(SETTINGS.format(**ports)), platform)
         platform.report_malformed('/x', MalformedAnswer(AnswerFault.LENGTH))
         return daemon.counters
 
--- a/tests/operators/test_malformed_answers.py
+++ b/tests/operators/test_malformed_answers.py
@@ -85,7 +85,9 @@
     assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
 
 
-@pytest.mark.parametrize('status', [b'200 OK', b'403 No', b'502 Bad Gateway'])
+@pytest.mark.parametrize(
+    'status', [b'200 OK', b'201 Made', b'403 No', b'502 Bad Gateway']
+)
 @pytest.mark.parametrize('body', [b'', b'<html>', b'{"error": "for', b'[]'])
 def test_a_write_whose_answer_cannot_be_read_may_be_done(call, status, body):
     """Guards against "nothing changed" for a write that may be stored, and
@@ -101,3 +103,10 @@
     answer = b'HTTP/1.1 403 No\r\nContent-Length: %d\r\n\r\n%b'
     failure, _ = call(answer % (len(body), body), _write)
     assert failure.kind is ErrorKind.FORBIDDEN
+
+
+def test_a_read_with_a_list_and_another_status_has_no_answer(call):
+    """Guards against a crash on JSON of another form."""
+    answer = b'HTTP/1.1 201 Made\r\nContent-Length: 2\r\n\r\n[]'
+    failure, _ = call(answer, _read)
+    assert isinstance(failure, EntryUnreachable)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -15,24 +15,9 @@
 from nutmegshore.store import MemoryStore
 from nutmegshore.store.standin import make_standin
 from nutmegshore.settings import parse_settings
+from tests.entry.whole_entry import SETTINGS, call, free_port, until_ready
 
 _TLS = pathlib.Path(__file__).parent / 'operators' / 'tls'
-_SETTINGS = """
-[instance]
-name = e1
-region = west
-availability_zone = west-a
-[callers]
-address = 127.0.0.1
-port = {callers}
-[operators]
-port = {operators}
-unauthenticated = yes
-[lookup]
-lifetime_seconds = 0
-[platform]
-url = http://127.0.0.1:{platform}
-"""
 
 
 class _Named(RequestHandler):
@@ -50,40 +35,22 @@
     return port
 
 
-def _free_port():
-    sock, port = bind_unused_port()
-    sock.close()
-    return port
-
-
 async def _call(method, url, spec=None):
-    request = HTTPRequest(
-        url,
-        method=method,
-        body=None if spec is None else json.dumps(spec),
-    )
-    response = await AsyncHTTPClient().fetch(request, raise_error=False)
-    return response.body.decode()
-
-
-async def _until_ready(url):
-    async with asyncio.timeout(30):
-        while (await AsyncHTTPClient().fetch(url, raise_error=False)).error:
-            await asyncio.sleep(0)
+    return (await call(method, url, spec)).body.decode()
 
 
 async def _session():
     ports = {
-        'callers': _free_port(),
-        'operators': _free_port(),
+        'callers': free_port(),
+        'operators': free_port(),
         'platform': _listen(make_standin(MemoryStore())),
     }
-    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    daemon = EntryDaemon(parse_settings(SETTINGS.format(**ports)))
     await daemon.start()
     operators = 'http://127.0.0.1:{operators}/objects'.format(**ports)
     callers = 'http://127.0.0.1:{callers}'.format(**ports)
     place = {'region': 'west', 'availability_zone': 'west-a'}
-    await _until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
+    await until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
     await _call(
         'PUT', f'{operators}/region/west', {'availability_zones': ['west-a']}
     )
@@ -122,10 +89,10 @@
     taken, port = bind_unused_port()
     ports = {
         'callers': port,
-        'operators': _free_port(),
+        'operators': free_port(),
         'platform': _listen(make_standin(MemoryStore())),
     }
-    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    daemon = EntryDaemon(parse_settings(SETTINGS.format(**ports)))
     with pytest.raises(OSError, match='in use'):
         await daemon.start()
     await daemon.stop()
@@ -144,11 +111,11 @@
     store = MemoryStore()
     store.faults.is_down = True
     ports = {
-        'callers': _free_port(),
-        'operators': _free_port(),
+        'callers': free_port(),
+        'operators': free_port(),
         'platform': _listen(make_standin(store)),
     }
-    daemon = EntryDaemon(parse_settings(_SETTINGS.format(**ports)))
+    daemon = EntryDaemon(parse_settings(SETTINGS.format(**ports)))
     await daemon.start()
     url = 'http://127.0.0.1:{operators}/objects/drain/d'.format(**ports)
     answer = await _call('PUT', url, {'region': 'west'})
@@ -163,16 +130,16 @@
 
 async def _look_up_over_tls():
     ports = {
-        'callers': _free_port(),
-        'operators': _free_port(),
+        'callers': free_port(),
+        'operators': free_port(),
         'platform': _listen(make_standin(MemoryStore())),
     }
-    text = _SETTINGS.format(**ports)
+    text = SETTINGS.format(**ports)
     files = f'certificate={_TLS}/server.pem\nkey={_TLS}/server.key'
     text = text.replace('[callers]', '[callers]\ntls = yes')
     daemon = EntryDaemon(parse_settings(f'{text}\n[tls]\n{files}'))
     await daemon.start()
-    await _until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
+    await until_ready('http://127.0.0.1:{operators}/ready'.format(**ports))
     url = 'https://127.0.0.1:{callers}/lookup'.format(**ports)
     request = HTTPRequest(url, ca_certs=f'{_TLS}/ca.pem')
     response = await AsyncHTTPClient().fetch(request)
