Draw ports for child processes that the system gives to nobody

Cause: _free_ports lets the system draw ports and closes them; until the process listens, another process may be given one.

--- a/tests/hostile/children.py
+++ b/tests/hostile/children.py
@@ -1,8 +1,10 @@
 """The system's own processes under test, and what they use."""
 
+import contextlib
 import json
 import os
 import pathlib
+import random
 import re
 import resource
 import socket
@@ -18,6 +20,8 @@
 _LOOPBACK = '127.0.0.1'
 _ROOT = pathlib.Path(__file__).parents[2]
 _KB_PER_MB = 1024
+#: Below those that the system draws for connections and for port 0.
+_PORTS = range(10_000, 32_000)
 
 _GATEWAY = """
 [instance]
@@ -211,7 +215,15 @@
 
 
 def _free_ports(count):
-    held = [socket.create_server((_LOOPBACK, 0)) for _ in range(count)]
+    """Ports that nobody listens at, and that the system gives to nobody.
+
+    Other processes may run between the draw and the use.
+    """
+    drawn = random.sample(_PORTS, len(_PORTS))
+    held = []
+    while len(held) < count:
+        with contextlib.suppress(OSError):
+            held.append(socket.create_server((_LOOPBACK, drawn.pop())))
     ports = [one.getsockname()[1] for one in held]
     for one in held:
         one.close()
