Make the entry's retry test certain, and share one upstream between tests

Read over after the landing: the test that an entry sends a request elsewhere could pass without a malformed answer, as its choice of upstream is random and it compared two counts that may both be 0. Now whichever upstream is asked first answers malformed, and the test asks for one malformed answer and two upstreams. The route and the registration of test_daemon.py stood twice; tests/gateway/one_upstream.py has them once.

--- a/tests/entry/test_malformed_answers.py
+++ b/tests/entry/test_malformed_answers.py
@@ -13,7 +13,7 @@
 from nutmegshore.store.standin import make_standin
 from nutmegshore.upstreams import AnswerFault, MalformedAnswer
 from tests.entry.whole_entry import SETTINGS, call, free_port, until_ready
-from tests.upstreams.malforming_upstream import MalformingUpstream
+from tests.upstreams.malforming_upstream import SOUND_TARGET, MalformingUpstream
 
 #: Requests that allow for retries of later ones.
 _WARMUP = 40
@@ -43,8 +43,8 @@
 def ask():
     """Function that sends requests to a service through a whole entry.
 
-    The first `_WARMUP` get sound answers. It returns the answers to the others,
-    and the entry's counters.
+    The first `_WARMUP` get sound answers. It returns the answer to the one that
+    follows, and the entry's counters.
     """
 
     async def declare(url, peers, is_idempotent):
@@ -58,7 +58,7 @@
             own = {'service': 'tallies', 'address': peer.address, 'slots': 3}
             await call('PUT', f'{url}/upstream/t{number}', {**place, **own})
 
-    async def run(peers, method='GET', count=1, *, is_idempotent=False):
+    async def run(peers, method='GET', *, is_idempotent=False):
         listening, platform = bind_unused_port()
         server = HTTPServer(make_standin(MemoryStore()))
         server.add_socket(listening)
@@ -76,14 +76,11 @@
         for _ in range(_WARMUP):
             await call('GET', f'{callers}/tallies/sound')
         spec = None if method == 'GET' else {}
-        answers = [
-            await call(method, f'{callers}/tallies/x', spec)
-            for _ in range(count)
-        ]
+        answer = await call(method, f'{callers}/tallies/x', spec)
         await daemon.stop()
         server.stop()
         await server.close_all_connections()
-        return answers, daemon.counters
+        return answer, daemon.counters
 
     return run
 
@@ -97,33 +94,48 @@
     async def session():
         malforming = MalformingUpstream(answer % _REPORTS)
         async with malforming.open():
-            answers, counters = await ask([malforming], method)
-            return answers, counters, malforming
+            received, counters = await ask([malforming], method)
+            return received, counters, malforming
 
-    answers, counters, malforming = asyncio.run(session())
-    assert [one.code for one in answers] == [502]
-    assert b'malformed' not in answers[0].body
+    received, counters, malforming = asyncio.run(session())
+    assert received.code == 502
+    assert b'malformed' not in received.body
     assert malforming.targets.count(b'/tallies/x') == 1
     assert counters.total('malformed_answers', fault=fault) == 1
 
 
+class OnceMalforming(MalformingUpstream):
+    """Answers malformed unless it or another with the same `asked` has.
+
+    `asked` collects who was asked, but for requests of the warm-up.
+    """
+
+    def __init__(self, answer, asked):
+        super().__init__(answer)
+        self._asked = asked
+
+    def _answer(self, writer, head):
+        if not head.split()[1].endswith(SOUND_TARGET):
+            self.answer = _SOUND if self._asked else self.answer
+            self._asked.append(self)
+        return super()._answer(writer, head)
+
+
 @pytest.mark.parametrize(('fault', 'answer'), _ANSWERS)
 def test_an_entry_sends_an_idempotent_request_elsewhere(ask, fault, answer):
     """Guards against a refusal that a retry avoids."""
+    asked = []
 
     async def session():
-        malforming = MalformingUpstream(answer % _REPORTS)
-        sound = MalformingUpstream(_SOUND, linger_s=None)
-        async with malforming.open(), sound.open():
-            answers, counters = await ask(
-                [malforming, sound], count=4, is_idempotent=True
-            )
-            return answers, counters, malforming
-
-    answers, counters, malforming = asyncio.run(session())
-    assert {one.body for one in answers} == {b'ok'}
-    sent = malforming.targets.count(b'/tallies/x')
-    assert counters.total('malformed_answers', fault=fault) == sent
+        peers = [OnceMalforming(answer % _REPORTS, asked) for _ in range(2)]
+        async with peers[0].open(), peers[1].open():
+            return await ask(peers, is_idempotent=True)
+
+    received, counters = asyncio.run(session())
+    assert received.body == b'ok'
+    assert counters.total('malformed_answers', fault=fault) == 1
+    assert len(set(asked)) == 2
+    assert len(asked) == 2
 
 
 def test_an_entry_tells_of_malformed_answers_of_its_platform():
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
-from types import MappingProxyType
 
 import pytest
 
 from nutmegshore.gateway.peering import Peering
 from nutmegshore.platform.store import PlatformStore
+from tests.gateway.one_upstream import fill
 
 _ANSWER = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n'
@@ -23,16 +23,6 @@
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
     b'Connection: close\r\n\r\n'
 )
-_ROUTE = MappingProxyType(
-    {
-        'Host': 'a.example',
-        'PathPrefix': '/orders/',
-        'Kind': 'safe',
-        'TimeoutS': 2,
-        'TargetLatencyS': 0.4,
-        'Service': 'orders',
-    },
-)
 
 
 def _choose_answer(head):
@@ -59,27 +49,6 @@
     writer.close()
 
 
-def _fill(store, port):
-    store.put(
-        'config',
-        'main',
-        {
-            'Version': '00000001',
-            'Routes': {'r1': dict(_ROUTE)},
-            'Services': {'orders': {}},
-        },
-    )
-    store.put(
-        'servers',
-        'i-1',
-        {
-            'Addr': f'127.0.0.1:{port}',
-            'Info': {'Service': 'orders', 'Zone': 'west-a', 'Slots': 3},
-            'Status': {'State': 'ready', 'Sequence': 1, 'ColdLeftS': 0},
-        },
-    )
-
-
 async def _talk(port, sent):
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(sent)
@@ -96,7 +65,9 @@
     async def running():
         upstream = await asyncio.start_server(_answer, '127.0.0.1', 0)
         port = upstream.sockets[0].getsockname()[1]
-        async with open_gateway(lambda store: _fill(store, port)) as opened:
+        async with open_gateway(
+            lambda store: fill(store, f'127.0.0.1:{port}')
+        ) as opened:
             with contextlib.closing(upstream):
                 yield opened
 
--- a/tests/gateway/test_malformed_reports.py
+++ b/tests/gateway/test_malformed_reports.py
@@ -19,6 +19,7 @@
 from nutmegshore.platform.dialect import PlatformDialect
 from nutmegshore.upstreams import AnswerFault, MalformedAnswer
 from nutmegshore.upstreams.curl import CurlUpstreams
+from tests.gateway.one_upstream import fill
 from tests.upstreams.malformed_heads import make_head
 from tests.upstreams.malforming_upstream import MalformingUpstream
 
@@ -26,16 +27,6 @@
     b'GET /orders/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n'
     b'Connection: close\r\n\r\n'
 )
-_ROUTE = MappingProxyType(
-    {
-        'Host': 'a.example',
-        'PathPrefix': '/orders/',
-        'Kind': 'safe',
-        'TimeoutS': 2,
-        'TargetLatencyS': 0.4,
-        'Service': 'orders',
-    },
-)
 #: Faults by the line in which they are told.
 _FAULTS_BY_LINE = MappingProxyType(
     {
@@ -50,27 +41,6 @@
 _HEALTHY = b'Instance-Id: u1\r\nCold-Ms: 0\r\n'
 
 
-def _fill(store, address):
-    store.put(
-        'config',
-        'main',
-        {
-            'Version': '00000001',
-            'Routes': {'r1': dict(_ROUTE)},
-            'Services': {'orders': {}},
-        },
-    )
-    store.put(
-        'servers',
-        'i-1',
-        {
-            'Addr': address,
-            'Info': {'Service': 'orders', 'Zone': 'west-a', 'Slots': 3},
-            'Status': {'State': 'ready', 'Sequence': 1, 'ColdLeftS': 0},
-        },
-    )
-
-
 async def _ask(port):
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     with contextlib.closing(writer):
@@ -89,7 +59,7 @@
         async with (
             malforming.open(),
             open_gateway(
-                lambda store: _fill(store, malforming.address)
+                lambda store: fill(store, malforming.address)
             ) as opened,
         ):
             daemon, _ = opened
